Add design page, workspace, value types and wire protocol

Ruled out: oxhttp on streamed paths and a block index at the routers; the reasons are in docs/design.md, sections 2 and 5.1.

Before: nothing.

Conclusion: crates of the design exist; only base, wire, api and the traits of config, place, admit and store hold code so far.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration API: executes statements of the command language.
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent beside each upstream.
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,48 @@
+//! Shared value types: time, ids, sizes, rates, priorities and block hashes.
+
+mod chain;
+mod clock;
+mod id;
+mod number;
+mod priority;
+mod rendezvous;
+mod rng;
+
+pub use chain::BlockHash;
+pub use chain::Chain;
+pub use chain::Salt;
+pub use chain::BYTES_PER_TOKEN;
+pub use chain::PIECE_BYTES;
+pub use chain::PIECE_TOKENS;
+pub use clock::Clock;
+pub use clock::DurationMs;
+pub use clock::ManualClock;
+pub use clock::SystemClock;
+pub use clock::TimeMs;
+pub use id::AttemptId;
+pub use id::ChangeId;
+pub use id::ConfigVersion;
+pub use id::DataCentreId;
+pub use id::FenceNumber;
+pub use id::IdempotencyKey;
+pub use id::Incarnation;
+pub use id::ModelId;
+pub use id::NodeId;
+pub use id::OperatorId;
+pub use id::OrgId;
+pub use id::ParseIdError;
+pub use id::RequestId;
+pub use id::ServiceId;
+pub use id::UpstreamId;
+pub use id::WeightsVersion;
+pub use number::Bytes;
+pub use number::ParseNumberError;
+pub use number::RequestsPerS;
+pub use number::Tokens;
+pub use number::TokensPerS;
+pub use number::Worth;
+pub use priority::ParsePriorityError;
+pub use priority::Priority;
+pub use rendezvous::rendezvous_score;
+pub use rng::seeded_rng;
+pub use rng::Rng;
--- /dev/null
+++ b/crates/cache/src/lib.rs
@@ -0,0 +1,1 @@
+//! Exact index of the prefix cache of one engine.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command.
--- /dev/null
+++ b/crates/lang/src/lib.rs
@@ -0,0 +1,1 @@
+//! The query and command language of operators.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rate limits per organisation and service, shared by all routers through loans.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generation, experiments, reports and plots.
--- /dev/null
+++ b/crates/local/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every role and stand-in in one process.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of VMs from the VM list and from fresher evidence.
--- /dev/null
+++ b/crates/order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Level-triggered orders to model engines.
--- /dev/null
+++ b/crates/outcome/src/lib.rs
@@ -0,0 +1,1 @@
+//! Outcome records of calls that run at most once.
--- /dev/null
+++ b/crates/place/src/decision.rs
@@ -0,0 +1,38 @@
+//! Result of a placement.
+
+use dw_base::DurationMs;
+use dw_base::UpstreamId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One upstream that was considered, with what it was expected to cost.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Candidate {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Whether it belongs to the home set of the prefix.
+    pub home: bool,
+    /// Pieces of the chain expected in its cache.
+    pub warm_depth: u32,
+    /// Expected wait in the queue.
+    pub wait_ms: DurationMs,
+    /// Expected time to compute or import what is not cached.
+    pub prefill_ms: DurationMs,
+    /// Expected time on the network.
+    pub network_ms: DurationMs,
+    /// Expected time to first token.
+    pub first_token_ms: DurationMs,
+}
+
+/// Chosen upstream, and why.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Decision {
+    /// Policy that chose.
+    pub policy: String,
+    /// Chosen upstream.
+    pub upstream: UpstreamId,
+    /// All upstreams that were considered, the best first.
+    pub candidates: Vec<Candidate>,
+    /// Why, in one sentence.
+    pub reason: String,
+}
--- /dev/null
+++ b/crates/place/src/policy.rs
@@ -0,0 +1,48 @@
+//! The trait that all placement policies implement.
+
+use dw_base::Chain;
+use dw_base::DataCentreId;
+use dw_base::DurationMs;
+use dw_base::Priority;
+use dw_base::Rng;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+
+use crate::decision::Decision;
+use crate::observation::Observation;
+use crate::target::Target;
+
+/// A request that needs an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlaceRequest {
+    /// Chain of the prompt; absent for a call of a plain service.
+    pub chain: Option<Chain>,
+    /// Priority.
+    pub priority: Priority,
+    /// Time that remains until the deadline.
+    pub budget_ms: DurationMs,
+    /// Data centre of the router.
+    pub data_centre: DataCentreId,
+    /// Upstream that an agent named as a better home.
+    pub hint: Option<UpstreamId>,
+    /// Upstreams that have refused or failed this request.
+    pub excluded: Vec<UpstreamId>,
+}
+
+/// Chooses upstreams.
+pub trait Policy: Send {
+    /// Returns the name of the policy.
+    fn name(&self) -> &'static str;
+
+    /// Chooses one of `targets`, or none if all are excluded.
+    fn place(
+        &mut self,
+        request: &PlaceRequest,
+        targets: &[Target],
+        now: TimeMs,
+        rng: &mut Rng,
+    ) -> Option<Decision>;
+
+    /// Learns from an observation.
+    fn observe(&mut self, observation: &Observation, now: TimeMs);
+}
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry decisions, budgets and backoff.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router between callers and agents.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Loading and checking of YAML settings files.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform's services and for upstreams.
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sequence checks and resume buffers of streamed answers.
--- /dev/null
+++ b/crates/sync/src/lib.rs
@@ -0,0 +1,1 @@
+//! Keeps the configuration of a node current.
--- /dev/null
+++ b/crates/telem/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, traces and metrics.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,43 @@
+//! The protocol between the project's own processes.
+//!
+//! The data path sends one [`RunRequest`] from router to agent as the body of `POST /v1/run`; the
+//! answer is a sequence of length-delimited [`Frame`]s. Control traffic uses the tarpc service
+//! [`Control`], which routers and agents both serve.
+
+mod codec;
+mod control;
+mod frame;
+mod run;
+mod status;
+
+pub use codec::decode;
+pub use codec::decode_frames;
+pub use codec::encode;
+pub use codec::encode_frame;
+pub use codec::DecodeError;
+pub use codec::FrameDecoder;
+pub use codec::MAX_FRAME_BYTES;
+pub use codec::PROTOCOL_VERSION;
+pub use control::ConfigAck;
+pub use control::ConfigUpdate;
+pub use control::Control;
+pub use control::ControlClient;
+pub use control::Hello;
+pub use control::Loan;
+pub use control::LoanDenied;
+pub use control::LoanRequest;
+pub use control::ServeControl;
+pub use frame::Answer;
+pub use frame::Failure;
+pub use frame::FailureKind;
+pub use frame::Frame;
+pub use frame::Refusal;
+pub use frame::RefusalReason;
+pub use frame::StreamEnd;
+pub use frame::StreamStart;
+pub use run::ParseRepeatRuleError;
+pub use run::RepeatRule;
+pub use run::ResumeRequest;
+pub use run::RunRequest;
+pub use run::Work;
+pub use status::Status;
