Add the trait through which nodes read their configuration

Cause: router, agent and the configuration synchroniser need one trait. Ruled out: a tokio watch channel in the signature, because the crate is pure. Conclusion: shells adapt the listener to their own channels.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Configuration objects, changes, versions and snapshots.
 
 mod object;
+mod source;
 mod view;
 
 pub use object::Limit;
@@ -17,5 +18,8 @@
 pub use object::Upstream;
 pub use object::UpstreamKind;
 pub use object::UpstreamState;
+pub use source::ConfigSource;
+pub use source::FixedConfig;
+pub use source::Listener;
 pub use view::Config;
 pub use view::Entry;
