--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,203 @@
+//! Stand-in for the table service.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dw_api::table::Conflict;
+use dw_api::table::Item;
+use dw_api::table::ReadRequest;
+use dw_api::table::ReadResponse;
+use dw_api::table::TxnRequest;
+use dw_api::table::TxnResponse;
+use dw_store::StoreError;
+use dw_store::Table;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::platform::store_error_reply;
+use crate::platform::Counters;
+use crate::platform::Gate;
+use crate::platform::PlatformFaults;
+use crate::platform::PlatformLimits;
+use crate::server::json_reply;
+use crate::server::not_found;
+use crate::server::parse;
+use crate::server::serve;
+use crate::server::Handler;
+use crate::server::Reply;
+use crate::server::Running;
+
+/// A table in memory, with the faults of the table service.
+#[derive(Debug)]
+pub struct MemoryTable {
+    gate: Gate,
+    rows: Mutex<Rows>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<String, (u64, Value)>,
+}
+
+impl Rows {
+    fn version_of(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |(version, _)| *version)
+    }
+
+    fn transact(&mut self, request: &TxnRequest) -> TxnResponse {
+        let conflicts: Vec<Conflict> = request
+            .checks
+            .iter()
+            .filter(|check| self.version_of(&check.key) != check.version)
+            .map(|check| Conflict {
+                key: check.key.clone(),
+                version: self.version_of(&check.key),
+            })
+            .collect();
+        let committed = conflicts.is_empty();
+        if committed {
+            self.apply(request);
+        }
+        TxnResponse {
+            committed,
+            conflicts,
+            version: self.version,
+        }
+    }
+
+    fn apply(&mut self, request: &TxnRequest) {
+        self.version += 1;
+        for write in &request.writes {
+            match &write.value {
+                Some(value) => {
+                    self.rows
+                        .insert(write.key.clone(), (self.version, value.clone()));
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+    }
+
+    fn read(&self, request: &ReadRequest) -> ReadResponse {
+        let mut found: BTreeMap<&String, &(u64, Value)> = request
+            .keys
+            .iter()
+            .filter_map(|key| self.rows.get_key_value(key))
+            .collect();
+        if let Some(prefix) = &request.prefix {
+            let limit = request.limit.unwrap_or(u64::MAX);
+            let after = request.after.as_deref().unwrap_or_default();
+            let scan = self
+                .rows
+                .range(prefix.clone()..)
+                .take_while(|(key, _)| key.starts_with(prefix.as_str()))
+                .filter(|(key, _)| request.after.is_none() || key.as_str() > after)
+                .take(usize::try_from(limit).unwrap_or(usize::MAX));
+            found.extend(scan);
+        }
+        let items = found
+            .into_iter()
+            .map(|(key, (version, value))| Item {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect();
+        ReadResponse { items }
+    }
+}
+
+impl Default for MemoryTable {
+    fn default() -> Self {
+        Self::new(PlatformLimits::default())
+    }
+}
+
+impl MemoryTable {
+    /// Creates an empty table.
+    pub fn new(limits: PlatformLimits) -> Self {
+        MemoryTable {
+            gate: Gate::new("table", limits),
+            rows: Mutex::default(),
+        }
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.gate.set_faults(faults);
+    }
+
+    /// Returns the calls received so far.
+    pub fn counters(&self) -> Counters {
+        self.gate.counters()
+    }
+
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl Table for MemoryTable {
+    async fn transact(&self, request: &TxnRequest) -> Result<TxnResponse, StoreError> {
+        self.gate.write().await?;
+        let response = self.rows().transact(request);
+        self.gate.after_write()?;
+        Ok(response)
+    }
+
+    async fn read(&self, request: &ReadRequest) -> Result<ReadResponse, StoreError> {
+        self.gate.read().await?;
+        Ok(self.rows().read(request))
+    }
+}
+
+fn reply(result: Result<impl Serialize, StoreError>) -> Reply {
+    match result {
+        Ok(value) => json_reply(StatusCode::OK, &value),
+        Err(error) => store_error_reply(&error),
+    }
+}
+
+#[async_trait]
+impl Handler for MemoryTable {
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/transactions") => match parse(&request) {
+                Ok(txn) => reply(self.transact(&txn).await),
+                Err(malformed) => malformed.reply(),
+            },
+            (&Method::POST, "/v1/reads") => match parse(&request) {
+                Ok(read) => reply(self.read(&read).await),
+                Err(malformed) => malformed.reply(),
+            },
+            (&Method::GET, "/v1/counters") => json_reply(StatusCode::OK, &self.counters()),
+            (&Method::POST, "/faults") => match parse(&request) {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    json_reply(StatusCode::OK, &serde_json::json!({}))
+                }
+                Err(malformed) => malformed.reply(),
+            },
+            _ => not_found(&request),
+        }
+    }
+}
+
+/// Starts the table service for `table` on `addr`.
+pub async fn start_table(addr: SocketAddr, table: Arc<MemoryTable>) -> io::Result<Running> {
+    serve(addr, table).await
+}
