Add settings files, telemetry and control transport

Cause: all binaries need checked settings and the same logs, spans and control encoding. Ruled out: serde_norway alone, which named the parent of a wrong key (`store` for `store.poll`); a generic tarpc server, because the generated trait does not promise Send futures. After: errors name file, key and remedy (expect test); log lines are written on their own thread and complete at exit (100 of 100 in the test); traceparent keeps its trace id. Conclusion: serde_path_to_error joins the workspace; the OTLP export is not run against a collector.

--- /dev/null
+++ b/crates/telem/src/logs.rs
@@ -0,0 +1,150 @@
+//! Logs that are written on a thread of their own.
+
+use std::fmt;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use crossbeam::channel::bounded;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use logforth::append::Append;
+use logforth::bridge::log::LogBridge;
+use logforth::record::Record;
+use logforth::Diagnostic;
+use logforth::Error;
+use thiserror::Error as ThisError;
+
+use crate::log_line::format_line;
+
+/// Lines that may wait for the writer. A full channel drops lines, so that a slow standard error
+/// never stalls a request.
+const QUEUE_LINES: usize = 8_192;
+
+/// Logs cannot be started.
+#[derive(Debug, ThisError)]
+pub enum LogError {
+    /// The process has a logger already.
+    #[error("a logger is already set; start logs once per process")]
+    AlreadyStarted,
+    /// The writing thread cannot be started.
+    #[error("log thread cannot be started: {0}; raise the thread limit of the process")]
+    NoThread(std::io::Error),
+}
+
+enum Message {
+    Line(String),
+    Flush(Sender<()>),
+    Stop,
+}
+
+#[derive(Debug)]
+struct ChannelAppend {
+    queue: Sender<Message>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl fmt::Debug for Message {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Message")
+    }
+}
+
+impl Append for ChannelAppend {
+    fn append(&self, record: &Record<'_>, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if self
+            .queue
+            .try_send(Message::Line(format_line(record)))
+            .is_err()
+        {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        let (done, wait) = bounded(1);
+        if self.queue.send(Message::Flush(done)).is_ok() {
+            // An error means that the writer has stopped, so nothing is left to flush.
+            let _ = wait.recv();
+        }
+        Ok(())
+    }
+}
+
+/// Writes the remaining lines when dropped.
+#[derive(Debug)]
+pub struct LogGuard {
+    queue: Sender<Message>,
+    dropped: Arc<AtomicU64>,
+    writer: Option<JoinHandle<()>>,
+}
+
+impl LogGuard {
+    /// Returns the lines lost because the writer was too slow.
+    pub fn dropped_lines(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        if self.queue.send(Message::Stop).is_ok() {
+            if let Some(writer) = self.writer.take() {
+                let _ = writer.join();
+            }
+        }
+    }
+}
+
+/// Sends the records of the `log` macros at `level` and above to `out`.
+///
+/// # Errors
+///
+/// Returns an error if the process has a logger already or no thread can be started.
+pub fn start_logs(
+    level: log::LevelFilter,
+    out: impl Write + Send + 'static,
+) -> Result<LogGuard, LogError> {
+    let (queue, lines) = bounded(QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let append = ChannelAppend {
+        queue: queue.clone(),
+        dropped: dropped.clone(),
+    };
+    let logger = logforth::core::builder()
+        .dispatch(|d| d.append(append))
+        .build();
+    log::set_boxed_logger(Box::new(LogBridge::new(logger)))
+        .map_err(|_| LogError::AlreadyStarted)?;
+    log::set_max_level(level);
+    let writer = thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&lines, out))
+        .map_err(LogError::NoThread)?;
+    Ok(LogGuard {
+        queue,
+        dropped,
+        writer: Some(writer),
+    })
+}
+
+fn write_lines(messages: &Receiver<Message>, mut out: impl Write) {
+    // Write errors are ignored: there is no other place to report them.
+    while let Ok(message) = messages.recv() {
+        match message {
+            Message::Line(line) => {
+                let _ = out.write_all(line.as_bytes());
+            }
+            Message::Flush(done) => {
+                let _ = out.flush();
+                let _ = done.send(());
+            }
+            Message::Stop => break,
+        }
+    }
+    let _ = out.flush();
+}
--- /dev/null
+++ b/crates/telem/tests/telem.rs
@@ -0,0 +1,80 @@
+//! Checks of logs, trace context and metrics.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use dw_telem::start_logs;
+use dw_telem::Metrics;
+use dw_telem::TraceParent;
+use prometheus_client::metrics::counter::Counter;
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0
+            .lock()
+            .expect("not poisoned")
+            .extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that are lost at exit, and against values that break the line format.
+#[test]
+fn lines_are_complete_at_exit() {
+    let sink = Sink::default();
+    let guard = start_logs(log::LevelFilter::Info, sink.clone()).expect("first start");
+    assert!(start_logs(log::LevelFilter::Info, io::sink()).is_err());
+    for n in 0..100 {
+        log::info!(request_id:% = format!("r{n}"), note = "two\nlines"; "request done");
+    }
+    log::debug!("not shown");
+    drop(guard);
+    let bytes = sink.0.lock().expect("not poisoned").clone();
+    let text = String::from_utf8(bytes).expect("text");
+    assert_eq!(text.lines().count(), 100, "{text}");
+    assert!(
+        text.lines().all(|line| line.contains("level=info")),
+        "{text}"
+    );
+    let last = "msg=\"request done\" request_id=r99 note=\"two\\nlines\"";
+    assert!(text.contains(last), "{text}");
+}
+
+/// Guards against a trace id that changes on the way through, and against malformed headers.
+#[test]
+fn trace_context_is_kept() {
+    let text = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let parent: TraceParent = text.parse().expect("valid");
+    assert_eq!(parent.to_string(), text);
+    let below = parent.below(&parent.span("request")).to_string();
+    assert!(
+        below.starts_with("00-0af7651916cd43dd8448eb211c80319c-"),
+        "{below}"
+    );
+    for bad in [
+        "",
+        "00-1-2",
+        "zz-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+    ] {
+        assert!(bad.parse::<TraceParent>().is_err(), "{bad}");
+    }
+}
+
+/// Guards against metrics that are registered but not rendered.
+#[test]
+fn metrics_are_rendered() {
+    let metrics = Metrics::new();
+    let counter: Counter = metrics.add("requests", "Requests", Counter::default());
+    counter.inc();
+    let text = metrics.render();
+    assert!(text.contains("dandelionwall_requests_total 1"), "{text}");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod run;
 mod status;
+mod transport;
 
 pub use codec::decode;
 pub use codec::decode_frames;
@@ -41,3 +42,6 @@
 pub use run::RunRequest;
 pub use run::Work;
 pub use status::Status;
+pub use transport::connect_control;
+pub use transport::serve_control;
+pub use transport::ControlHandler;
