Add stream sequence checks, resume buffer and cache index

Cause: the agent needs exact streams and an exact view of its engine's cache. Ruled out: fingerprints of 64 bits in the index, because an index with false hits is not exact; dropping every block that the engine reports as uncached, because blocks stored since the dispatch would be lost. Before: empty crates.

--- /dev/null
+++ b/crates/cache/src/index.rs
@@ -0,0 +1,277 @@
+//! The index.
+
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::hash::BuildHasherDefault;
+use std::hash::Hasher;
+
+use dw_base::BlockHash;
+use dw_base::Chain;
+use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+
+use crate::event::Action;
+use crate::event::Batch;
+use crate::event::Event;
+use crate::event::Kind;
+use crate::event::Snapshot;
+
+/// Time after which a numbered event that was not published counts as lost. Published events lag
+/// by less than a second; a lost last event leaves no gap that a later number would reveal.
+pub const LOST_TAIL_MS: DurationMs = DurationMs(2_000);
+
+/// Recently stored blocks that [`Index::reported`] must not drop. It covers the blocks stored
+/// between the dispatch of a request and its first token; 1,024 blocks are 2 million tokens.
+const RECENT_BLOCKS: usize = 1_024;
+
+/// Uses the low half of a block hash as its own hash, because it is uniform already.
+#[derive(Clone, Copy, Debug, Default)]
+struct LowHalf(u64);
+
+impl Hasher for LowHalf {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u128(&mut self, value: u128) {
+        self.0 = value as u64;
+    }
+}
+
+/// Warm depth of a chain as predicted at one moment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Prediction {
+    /// Pieces that were believed to be cached.
+    pub depth: usize,
+    seq: u64,
+    incarnation: Incarnation,
+    weights: WeightsVersion,
+}
+
+/// Exact index of one engine's prefix cache.
+#[derive(Debug)]
+pub struct Index {
+    incarnation: Incarnation,
+    weights: WeightsVersion,
+    applied_seq: u64,
+    capacity_blocks: usize,
+    synchronised: bool,
+    behind_since: Option<TimeMs>,
+    blocks: HashSet<u128, BuildHasherDefault<LowHalf>>,
+    recent: VecDeque<(u64, u128)>,
+}
+
+impl Default for Index {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Index {
+    /// Creates an empty index that needs a snapshot.
+    pub fn new() -> Self {
+        Index {
+            incarnation: Incarnation(0),
+            weights: WeightsVersion(0),
+            applied_seq: 0,
+            capacity_blocks: 0,
+            synchronised: false,
+            behind_since: None,
+            blocks: HashSet::default(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Returns the last event applied, from which the next poll continues.
+    pub fn applied_seq(&self) -> u64 {
+        self.applied_seq
+    }
+
+    /// Returns whether no event is known to be missing.
+    pub fn synchronised(&self) -> bool {
+        self.synchronised
+    }
+
+    /// Returns the number of blocks in the index.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Returns whether the index holds no block.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Returns whether a block is believed to be cached.
+    pub fn contains(&self, hash: BlockHash) -> bool {
+        self.blocks.contains(&hash.0)
+    }
+
+    /// Returns how many pieces at the start of `chain` are believed to be cached.
+    pub fn warm_depth(&self, chain: &Chain) -> usize {
+        chain
+            .blocks
+            .iter()
+            .take_while(|hash| self.contains(**hash))
+            .count()
+    }
+
+    /// Returns the warm depth together with the moment it holds for.
+    pub fn predict(&self, chain: &Chain) -> Prediction {
+        Prediction {
+            depth: self.warm_depth(chain),
+            seq: self.applied_seq,
+            incarnation: self.incarnation,
+            weights: self.weights,
+        }
+    }
+
+    /// Learns which incarnation and weights the engine has.
+    pub fn observe(&mut self, incarnation: Incarnation, weights: WeightsVersion) -> Option<Action> {
+        if incarnation < self.incarnation {
+            return None;
+        }
+        if incarnation == self.incarnation && weights == self.weights {
+            return None;
+        }
+        self.incarnation = incarnation;
+        self.weights = weights;
+        self.applied_seq = 0;
+        self.blocks.clear();
+        self.recent.clear();
+        Some(self.lose_sync())
+    }
+
+    /// Applies the answer to a poll.
+    pub fn batch(&mut self, batch: &Batch, now: TimeMs) -> Option<Action> {
+        if batch.incarnation < self.incarnation {
+            return None;
+        }
+        if let Some(action) = self.observe(batch.incarnation, batch.weights) {
+            return Some(action);
+        }
+        if !self.synchronised {
+            return Some(Action::Resync);
+        }
+        let before = self.applied_seq;
+        for event in &batch.events {
+            if event.seq <= self.applied_seq {
+                continue;
+            }
+            if event.seq > self.applied_seq + 1 || !self.apply(event) {
+                return Some(self.lose_sync());
+            }
+        }
+        if self.applied_seq > before {
+            self.behind_since = None;
+        }
+        self.check_tail(batch.last_seq, now)
+    }
+
+    /// Replaces the content by a snapshot.
+    pub fn snapshot(&mut self, snapshot: &Snapshot) -> Option<Action> {
+        if snapshot.incarnation < self.incarnation {
+            return Some(Action::Resync);
+        }
+        self.observe(snapshot.incarnation, snapshot.weights);
+        if snapshot.seq < self.applied_seq {
+            // The answer was overtaken by events that have been applied.
+            return (!self.synchronised).then_some(Action::Resync);
+        }
+        self.applied_seq = snapshot.seq;
+        self.capacity_blocks = snapshot.capacity_blocks;
+        self.blocks.clear();
+        self.recent.clear();
+        let kept = snapshot.hashes.iter().take(snapshot.capacity_blocks);
+        self.blocks.extend(kept.map(|hash| hash.0));
+        self.synchronised = true;
+        self.behind_since = None;
+        None
+    }
+
+    /// Corrects the index by the number of pieces that the engine found in its cache.
+    ///
+    /// Pieces that were predicted at dispatch but not found are dropped, unless they were stored
+    /// since. Pieces that were found but not known are added as far as the capacity allows.
+    pub fn reported(&mut self, chain: &Chain, predicted: Prediction, found: usize) {
+        if predicted.incarnation != self.incarnation || predicted.weights != self.weights {
+            return;
+        }
+        let end = predicted.depth.min(chain.blocks.len());
+        for hash in chain.blocks.iter().take(end).skip(found) {
+            let stored_since =
+                |(seq, block): &(u64, u128)| *seq > predicted.seq && *block == hash.0;
+            if !self.recent.iter().any(stored_since) {
+                self.blocks.remove(&hash.0);
+            }
+        }
+        // After later events the report may be about blocks that were evicted since.
+        if predicted.seq == self.applied_seq {
+            for hash in chain.blocks.iter().take(found) {
+                if self.blocks.len() < self.capacity_blocks {
+                    self.blocks.insert(hash.0);
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, event: &Event) -> bool {
+        self.applied_seq = event.seq;
+        match event.kind {
+            Kind::Stored => event.hashes.iter().all(|hash| {
+                if self.recent.len() == RECENT_BLOCKS {
+                    self.recent.pop_front();
+                }
+                self.recent.push_back((event.seq, hash.0));
+                self.insert(hash.0)
+            }),
+            Kind::Evicted => {
+                for hash in &event.hashes {
+                    self.blocks.remove(&hash.0);
+                    self.recent.retain(|(_, block)| *block != hash.0);
+                }
+                true
+            }
+            Kind::Cleared => {
+                self.blocks.clear();
+                self.recent.clear();
+                true
+            }
+        }
+    }
+
+    /// Returns false if the block does not fit, which shows that an eviction was missed.
+    ///
+    /// Some engines number the store before the evictions that made room for it, so the index may
+    /// exceed the capacity by [`RECENT_BLOCKS`] until it has caught up.
+    fn insert(&mut self, block: u128) -> bool {
+        if self.blocks.contains(&block) {
+            return true;
+        }
+        self.blocks.len() < self.capacity_blocks + RECENT_BLOCKS && self.blocks.insert(block)
+    }
+
+    fn check_tail(&mut self, last_seq: u64, now: TimeMs) -> Option<Action> {
+        if self.applied_seq >= last_seq {
+            self.behind_since = None;
+            let overfull = self.blocks.len() > self.capacity_blocks;
+            return overfull.then(|| self.lose_sync());
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        (now.since(since) > LOST_TAIL_MS).then(|| self.lose_sync())
+    }
+
+    fn lose_sync(&mut self) -> Action {
+        self.synchronised = false;
+        self.behind_since = None;
+        Action::Resync
+    }
+}
--- /dev/null
+++ b/crates/cache/tests/cache.rs
@@ -0,0 +1,242 @@
+//! Tests of the cache index against a model of an engine's cache.
+
+use std::collections::BTreeSet;
+
+use dw_base::BlockHash;
+use dw_base::Chain;
+use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::WeightsVersion;
+use dw_cache::Action;
+use dw_cache::Batch;
+use dw_cache::Event;
+use dw_cache::Index;
+use dw_cache::Kind;
+use dw_cache::Snapshot;
+use dw_cache::LOST_TAIL_MS;
+use proptest::prelude::*;
+
+const CAPACITY: usize = 8;
+
+/// Model of an engine that numbers its cache changes.
+#[derive(Default)]
+struct Engine {
+    incarnation: u64,
+    weights: u64,
+    seq: u64,
+    blocks: BTreeSet<u128>,
+    log: Vec<Event>,
+}
+
+impl Engine {
+    fn emit(&mut self, kind: Kind, hashes: Vec<u128>) {
+        self.seq += 1;
+        self.log.push(Event {
+            seq: self.seq,
+            kind,
+            hashes: hashes.into_iter().map(BlockHash).collect(),
+        });
+    }
+
+    fn store(&mut self, block: u128) {
+        if self.blocks.len() == CAPACITY && !self.blocks.contains(&block) {
+            let victim = *self.blocks.iter().next().expect("cache is full");
+            self.blocks.remove(&victim);
+            self.emit(Kind::Evicted, vec![victim]);
+        }
+        self.blocks.insert(block);
+        self.emit(Kind::Stored, vec![block]);
+    }
+
+    fn restart(&mut self) {
+        self.incarnation += 1;
+        self.seq = 0;
+        self.blocks.clear();
+        self.log.clear();
+    }
+
+    fn load_weights(&mut self) {
+        self.weights += 1;
+        self.blocks.clear();
+        self.emit(Kind::Cleared, Vec::new());
+    }
+
+    fn batch(&self, after: u64, lost: impl Fn(u64) -> bool) -> Batch {
+        Batch {
+            incarnation: Incarnation(self.incarnation),
+            weights: WeightsVersion(self.weights),
+            last_seq: self.seq,
+            events: self
+                .log
+                .iter()
+                .filter(|event| event.seq > after && !lost(event.seq))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            incarnation: Incarnation(self.incarnation),
+            weights: WeightsVersion(self.weights),
+            seq: self.seq,
+            capacity_blocks: CAPACITY,
+            hashes: self.blocks.iter().copied().map(BlockHash).collect(),
+        }
+    }
+}
+
+fn chain(blocks: &[u128]) -> Chain {
+    Chain {
+        root: BlockHash(0),
+        blocks: blocks.iter().copied().map(BlockHash).collect(),
+        prompt_tokens: Tokens(blocks.len() as u64 * 2_048),
+    }
+}
+
+fn synchronised(engine: &Engine) -> Index {
+    let mut index = Index::new();
+    assert_eq!(index.snapshot(&engine.snapshot()), None);
+    index
+}
+
+/// Guards against a gap that is skipped, which would leave evicted blocks in the index.
+#[test]
+fn gap_asks_for_snapshot() {
+    let mut engine = Engine::default();
+    let mut index = synchronised(&engine);
+    engine.store(1);
+    engine.store(2);
+    engine.store(3);
+    let batch = engine.batch(0, |seq| seq == 2);
+    assert_eq!(index.batch(&batch, TimeMs(0)), Some(Action::Resync));
+    assert!(!index.synchronised());
+    assert_eq!(index.snapshot(&engine.snapshot()), None);
+    assert_eq!(index.warm_depth(&chain(&[1, 2, 3, 4])), 3);
+}
+
+/// Guards against a lost last event that no later number reveals.
+#[test]
+fn lost_tail_asks_for_snapshot() {
+    let mut engine = Engine::default();
+    let mut index = synchronised(&engine);
+    engine.store(1);
+    let batch = engine.batch(0, |_| true);
+    assert_eq!(index.batch(&batch, TimeMs(0)), None, "it may only be late");
+    let later = TimeMs(0) + LOST_TAIL_MS + DurationMs(1);
+    assert_eq!(index.batch(&batch, later), Some(Action::Resync));
+}
+
+/// Guards against entries of a dead engine or of older weights.
+#[test]
+fn new_incarnation_or_weights_clear() {
+    let mut engine = Engine::default();
+    engine.store(1);
+    let mut index = synchronised(&engine);
+    let stale = engine.batch(0, |_| false);
+    engine.restart();
+    let batch = engine.batch(0, |_| false);
+    assert_eq!(index.batch(&batch, TimeMs(0)), Some(Action::Resync));
+    assert!(index.is_empty());
+    assert_eq!(index.batch(&stale, TimeMs(0)), None, "stale answer");
+    assert!(index.is_empty());
+    index.snapshot(&engine.snapshot());
+    engine.store(1);
+    index.batch(&engine.batch(0, |_| false), TimeMs(0));
+    assert_eq!(index.warm_depth(&chain(&[1])), 1);
+    assert_eq!(
+        index.observe(Incarnation(1), WeightsVersion(9)),
+        Some(Action::Resync)
+    );
+    assert!(index.is_empty());
+}
+
+/// Guards against a wrong entry that survives the engine's report, and against a report that
+/// drops blocks which the same request has stored.
+#[test]
+fn report_corrects_entries() {
+    let mut engine = Engine::default();
+    engine.store(1);
+    engine.store(2);
+    let mut index = synchronised(&engine);
+    let long = chain(&[1, 2]);
+    let predicted = index.predict(&long);
+    index.reported(&long, predicted, 1);
+    assert_eq!(index.warm_depth(&long), 1);
+    let predicted = index.predict(&long);
+    engine.store(2);
+    index.batch(&engine.batch(index.applied_seq(), |_| false), TimeMs(0));
+    index.reported(&long, predicted, 1);
+    assert_eq!(index.warm_depth(&long), 2);
+    let predicted = index.predict(&chain(&[1, 2, 3]));
+    index.reported(&chain(&[1, 2, 3]), predicted, 3);
+    assert_eq!(index.warm_depth(&chain(&[1, 2, 3])), 3);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Store(u128),
+    Restart,
+    Load,
+    Poll { lost: u64, wait_ms: u64 },
+    Snapshot,
+    Report(u128),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (1u128..20).prop_map(Step::Store),
+        1 => Just(Step::Restart),
+        1 => Just(Step::Load),
+        6 => (1u64..40, 0u64..3_000).prop_map(|(lost, wait_ms)| Step::Poll { lost, wait_ms }),
+        3 => Just(Step::Snapshot),
+        2 => (1u128..20).prop_map(Step::Report),
+    ]
+}
+
+proptest! {
+    /// Guards against an index that differs from the engine although it has seen every event, and
+    /// against one that does not recover from lost events.
+    #[test]
+    fn index_is_exact_when_synchronised(steps in prop::collection::vec(step(), 1..120)) {
+        let mut engine = Engine::default();
+        let mut index = Index::new();
+        let mut now = TimeMs(0);
+        for step in steps {
+            match step {
+                Step::Store(block) => engine.store(block),
+                Step::Restart => engine.restart(),
+                Step::Load => engine.load_weights(),
+                Step::Poll { lost, wait_ms } => {
+                    now = now + DurationMs(wait_ms);
+                    let batch = engine.batch(index.applied_seq(), |seq| seq == lost);
+                    index.batch(&batch, now);
+                }
+                Step::Snapshot => {
+                    index.snapshot(&engine.snapshot());
+                }
+                Step::Report(block) => {
+                    let chain = chain(&[block]);
+                    let predicted = index.predict(&chain);
+                    index.reported(&chain, predicted, usize::from(engine.blocks.contains(&block)));
+                }
+            }
+            prop_assert!(index.len() <= CAPACITY + 1_024);
+        }
+        // Two polls further apart than the lag reveal whatever was lost.
+        for _ in 0..3 {
+            now = now + LOST_TAIL_MS + DurationMs(1);
+            let batch = engine.batch(index.applied_seq(), |_| false);
+            if index.batch(&batch, now) == Some(Action::Resync) {
+                index.snapshot(&engine.snapshot());
+            }
+        }
+        prop_assert!(index.synchronised());
+        prop_assert_eq!(index.len(), engine.blocks.len());
+        for block in &engine.blocks {
+            prop_assert!(index.contains(BlockHash(*block)));
+        }
+    }
+}
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -1,1 +1,19 @@
 //! Sequence checks and resume buffers of streamed answers.
+//!
+//! | event | result |
+//! | --- | --- |
+//! | [`Sequence::start`], [`Sequence::end`]: first or last frame | an error unless id and count match |
+//! | [`Sequence::chunk`]: a numbered chunk | [`Verdict`]: deliver, drop as duplicate, or resume |
+//! | [`ResumeBuffer::push`]: a chunk is sent | its number; the oldest chunks go if the buffer is full |
+//! | [`ResumeBuffer::finish`]: the call ended | starts the retention time |
+//! | [`ResumeBuffer::get`]: the receiver resumes | the chunk, or a typed error if it is not kept |
+
+mod resume;
+mod sequence;
+
+pub use resume::NotKept;
+pub use resume::ResumeBuffer;
+pub use resume::RETENTION_MS;
+pub use sequence::Sequence;
+pub use sequence::SequenceError;
+pub use sequence::Verdict;
