--- /dev/null
+++ b/crates/order/src/decide.rs
@@ -0,0 +1,113 @@
+//! The decision.
+
+use dw_base::FenceNumber;
+use dw_base::ModelId;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+
+use crate::lease::Held;
+
+/// What the configuration wants.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Desired {
+    /// Model to serve.
+    pub model: ModelId,
+    /// Weights to serve.
+    pub weights: WeightsVersion,
+}
+
+/// What was read from the engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Observed {
+    /// Loaded model as the engine names it.
+    pub model: String,
+    /// Loaded weights.
+    pub weights: WeightsVersion,
+    /// Whether a load is in progress.
+    pub loading: bool,
+    /// Whether the role is to serve.
+    pub serving: bool,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Load weights.
+    Load(Desired),
+    /// Take the serving role.
+    Serve,
+}
+
+/// Everything that the decision depends on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct View {
+    /// What the configuration wants; absent if it does not name the engine's model.
+    pub desired: Option<Desired>,
+    /// What was read from the engine just now.
+    pub observed: Option<Observed>,
+    /// Own fencing number, once it is in the table.
+    pub fence: Option<FenceNumber>,
+    /// Lease that is held.
+    pub lease: Option<Held>,
+    /// Requests that run on the engine.
+    pub running: u32,
+}
+
+/// What the agent does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Serve nothing and ask again.
+    Wait,
+    /// Serve what the engine has.
+    Serve,
+    /// Serve what the engine has, and raise the fencing number in the table.
+    RaiseFence,
+    /// Write a lease, new or held; serve what the engine has unless it loads.
+    TakeLease,
+    /// Delete the held lease; serve what the engine has.
+    GiveBackLease(Held),
+    /// Take no new work and wait for the running work.
+    Drain,
+    /// Send an order, then read the engine's state again before serving.
+    Send {
+        /// Fencing number of the order.
+        fence: FenceNumber,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// Returns the next step.
+pub fn decide(view: &View, now: TimeMs) -> Step {
+    let Some(observed) = &view.observed else {
+        return Step::Wait;
+    };
+    if observed.loading {
+        return match view.lease {
+            Some(lease) if lease.due(now) => Step::TakeLease,
+            _ => Step::Wait,
+        };
+    }
+    let Some(order) = needed(view.desired.as_ref(), observed) else {
+        return view.lease.map_or(Step::Serve, Step::GiveBackLease);
+    };
+    let Some(fence) = view.fence else {
+        return Step::RaiseFence;
+    };
+    if matches!(order, Order::Serve) {
+        return Step::Send { fence, order };
+    }
+    match view.lease {
+        Some(_) if view.running > 0 => Step::Drain,
+        Some(lease) if lease.confirmed(now) => Step::Send { fence, order },
+        _ => Step::TakeLease,
+    }
+}
+
+fn needed(desired: Option<&Desired>, observed: &Observed) -> Option<Order> {
+    let desired = desired?;
+    if observed.model != desired.model.as_str() || observed.weights != desired.weights {
+        return Some(Order::Load(desired.clone()));
+    }
+    (!observed.serving).then_some(Order::Serve)
+}
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -1,1 +1,31 @@
-//! Level-triggered orders to model engines.
+//! Level-triggered orders to one engine.
+//!
+//! [`decide`] compares what is desired with what was read from the engine and returns one step.
+//! The agent carries it out and asks again with a fresh view, so a lost answer needs no own state.
+//!
+//! | view | step |
+//! | --- | --- |
+//! | engine not read | [`Step::Wait`], nothing is served |
+//! | engine loads | [`Step::Wait`] or [`Step::TakeLease`] to keep the lease |
+//! | engine has what is desired | [`Step::GiveBackLease`], then [`Step::Serve`] |
+//! | it differs, no fencing number | [`Step::RaiseFence`], the old version is served |
+//! | it differs, no confirmed lease | [`Step::TakeLease`], the old version is served until one is held |
+//! | it differs, work runs | [`Step::Drain`] |
+//! | it differs, nothing runs | [`Step::Send`] |
+//!
+//! [`Slots::choose`] picks the lease `lease/weights/<n>` that bounds concurrent weight loads.
+
+mod decide;
+mod lease;
+
+pub use decide::decide;
+pub use decide::Desired;
+pub use decide::Observed;
+pub use decide::Order;
+pub use decide::Step;
+pub use decide::View;
+pub use lease::Choice;
+pub use lease::Held;
+pub use lease::Lease;
+pub use lease::Slots;
+pub use lease::LEASE_MS;
--- /dev/null
+++ b/crates/order/tests/order.rs
@@ -0,0 +1,155 @@
+//! Tests of orders and of leases for weight loads.
+
+use dw_base::DurationMs;
+use dw_base::FenceNumber;
+use dw_base::Incarnation;
+use dw_base::NodeId;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+use dw_order::decide;
+use dw_order::Desired;
+use dw_order::Held;
+use dw_order::Lease;
+use dw_order::Observed;
+use dw_order::Order;
+use dw_order::Slots;
+use dw_order::Step;
+use dw_order::View;
+use dw_order::LEASE_MS;
+use proptest::prelude::*;
+
+fn node(index: usize) -> NodeId {
+    format!("agent-{index}").parse().expect("valid id")
+}
+
+fn view(desired: u64, observed: u64) -> View {
+    View {
+        desired: Some(Desired {
+            model: "m".parse().expect("valid id"),
+            weights: WeightsVersion(desired),
+        }),
+        observed: Some(Observed {
+            model: "m".to_owned(),
+            weights: WeightsVersion(observed),
+            loading: false,
+            serving: true,
+        }),
+        fence: Some(FenceNumber(3)),
+        lease: None,
+        running: 0,
+    }
+}
+
+fn held(written: u64) -> Option<Held> {
+    Some(Held {
+        slot: 0,
+        version: 1,
+        written: TimeMs(written),
+    })
+}
+
+/// Guards against an order without fencing number or lease, and against one that cuts off work.
+#[test]
+fn order_needs_fence_lease_and_drained_engine() {
+    let now = TimeMs(100);
+    let mut view = view(2, 1);
+    view.fence = None;
+    assert_eq!(decide(&view, now), Step::RaiseFence);
+    view.fence = Some(FenceNumber(3));
+    assert_eq!(decide(&view, now), Step::TakeLease);
+    view.lease = held(100);
+    view.running = 1;
+    assert_eq!(decide(&view, now), Step::Drain);
+    view.running = 0;
+    let order = Order::Load(view.desired.clone().expect("set"));
+    let fence = FenceNumber(3);
+    assert_eq!(decide(&view, now), Step::Send { fence, order });
+}
+
+/// Guards against an order by a process that was paused while its lease ended.
+#[test]
+fn paused_holder_writes_lease_again() {
+    let mut view = view(2, 1);
+    view.lease = held(100);
+    assert_eq!(decide(&view, TimeMs(100_000)), Step::TakeLease);
+}
+
+/// Guards against serving before the engine's state was read back.
+#[test]
+fn nothing_is_served_unread_or_loading() {
+    let mut view = view(2, 1);
+    view.observed = None;
+    assert_eq!(decide(&view, TimeMs(0)), Step::Wait);
+    view.observed = Some(Observed {
+        model: "m".to_owned(),
+        weights: WeightsVersion(1),
+        loading: true,
+        serving: true,
+    });
+    assert_eq!(decide(&view, TimeMs(0)), Step::Wait);
+    view.lease = held(0);
+    assert_eq!(decide(&view, TimeMs(5_000)), Step::TakeLease);
+}
+
+/// Guards against a lease that stays taken after the load, which would block other engines.
+#[test]
+fn lease_is_given_back() {
+    let mut view = view(2, 2);
+    view.lease = held(0);
+    let lease = view.lease.expect("set");
+    assert_eq!(decide(&view, TimeMs(0)), Step::GiveBackLease(lease));
+    view.lease = None;
+    assert_eq!(decide(&view, TimeMs(0)), Step::Serve);
+}
+
+/// Guards against an engine left on standby although it has the weights.
+#[test]
+fn standby_engine_is_told_to_serve() {
+    let mut view = view(2, 2);
+    if let Some(observed) = &mut view.observed {
+        observed.serving = false;
+    }
+    assert!(matches!(
+        decide(&view, TimeMs(0)),
+        Step::Send {
+            order: Order::Serve,
+            ..
+        }
+    ));
+}
+
+proptest! {
+    /// Guards against more unexpired leases than slots, or one slot with two holders.
+    #[test]
+    fn leases_bound_loads(
+        steps in prop::collection::vec((0usize..6, 0u64..4_000, any::<bool>()), 1..80),
+    ) {
+        let mut slots = Slots { leases: vec![None; 2] };
+        let mut now = TimeMs(0);
+        let mut version = 0;
+        let mut held: [Option<(u64, TimeMs)>; 6] = [None; 6];
+        for (agent, wait_ms, release) in steps {
+            now = now + DurationMs(wait_ms);
+            if release {
+                if let Some((slot, _)) = held[agent].take() {
+                    let mine = slots.leases[slot as usize]
+                        .as_ref()
+                        .is_some_and(|(lease, _)| lease.holder == node(agent));
+                    if mine {
+                        slots.leases[slot as usize] = None;
+                    }
+                }
+            } else if let Some(choice) = slots.choose(&node(agent), now) {
+                version += 1;
+                let until = now + LEASE_MS;
+                let lease = Lease { holder: node(agent), incarnation: Incarnation(1), until };
+                slots.leases[choice.slot as usize] = Some((lease, version));
+                held[agent] = Some((choice.slot, until));
+            }
+            let live: Vec<u64> = held.iter().flatten().filter(|(_, until)| *until >= now)
+                .map(|(slot, _)| *slot).collect();
+            prop_assert!(live.len() <= 2, "{} loads at once", live.len());
+            prop_assert!(live.len() < 2 || live[0] != live[1]);
+        }
+    }
+}
