--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,24 @@
 //! Configuration objects, changes, versions and snapshots.
 
+mod change;
+mod in_force;
 mod object;
+mod snapshot;
+mod source;
+mod validate;
 mod view;
 
+pub use change::ApplyError;
+pub use change::Change;
+pub use change::ChangeError;
+pub use change::CommittedChange;
+pub use change::Edit;
+pub use change::ObjectWrite;
+pub use in_force::Confirmation;
+pub use in_force::InForce;
+pub use in_force::Isolation;
+pub use in_force::IN_FORCE_TIMEOUT_MS;
+pub use in_force::ISOLATION_TIMEOUT_MS;
 pub use object::Limit;
 pub use object::Model;
 pub use object::Object;
@@ -17,5 +33,17 @@
 pub use object::Upstream;
 pub use object::UpstreamKind;
 pub use object::UpstreamState;
+pub use snapshot::decode_snapshot;
+pub use snapshot::delta;
+pub use snapshot::encode_snapshot;
+pub use snapshot::whole;
+pub use snapshot::Advanced;
+pub use snapshot::UpdateError;
+pub use snapshot::MAX_DELTA_CHANGES;
+pub use snapshot::SNAPSHOT_INTERVAL;
+pub use source::ConfigSource;
+pub use source::FixedConfig;
+pub use validate::validate;
+pub use validate::InvalidConfig;
 pub use view::Config;
 pub use view::Entry;
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -156,6 +156,9 @@
 impl Setting {
     /// Most engines that load weights at the same time.
     pub const WEIGHT_LOADS: &'static str = "weight-loads";
+
+    /// Names that have a meaning, with the smallest and greatest value.
+    pub const KNOWN: [(&'static str, u64, u64); 1] = [(Self::WEIGHT_LOADS, 1, 1_000)];
 }
 
 /// Kind of a configuration object.
@@ -261,9 +264,10 @@
     }
 }
 
-/// A configuration object.
+/// A configuration object. Its JSON form names the kind in `object`, because upstreams and services
+/// have a field `kind` of their own.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase", tag = "kind")]
+#[serde(rename_all = "lowercase", tag = "object")]
 pub enum Object {
     /// A [`Limit`].
     Limit(Limit),
