--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -1,40 +1,46 @@
-//! Where a node finds its current configuration.
+//! Access to the configuration in force at a node.
 
 use std::sync::Arc;
 
-use crate::view::Config;
+use tokio::sync::watch;
 
-/// Function that is called with each new configuration.
-pub type Listener = Box<dyn Fn(&Arc<Config>) + Send + Sync>;
+use crate::view::Config;
 
-/// Gives access to the current configuration of a node.
+/// Source of the configuration in force at a node.
 pub trait ConfigSource: Send + Sync {
-    /// Returns the configuration that is in force.
+    /// Returns the configuration in force.
     fn current(&self) -> Arc<Config>;
 
-    /// Calls `listener` after each change of the configuration.
-    fn subscribe(&self, listener: Listener);
+    /// Returns a receiver that is notified of each newer configuration.
+    fn changes(&self) -> watch::Receiver<Arc<Config>>;
 }
 
-/// A configuration that never changes.
+/// A configuration that changes only when it is told to.
 #[derive(Debug)]
 pub struct FixedConfig {
-    config: Arc<Config>,
+    sender: watch::Sender<Arc<Config>>,
 }
 
 impl FixedConfig {
     /// Creates a source of `config`.
     pub fn new(config: Config) -> Self {
         FixedConfig {
-            config: Arc::new(config),
+            sender: watch::Sender::new(Arc::new(config)),
         }
     }
+
+    /// Replaces the configuration.
+    pub fn set(&self, config: Config) {
+        self.sender.send_replace(Arc::new(config));
+    }
 }
 
 impl ConfigSource for FixedConfig {
     fn current(&self) -> Arc<Config> {
-        Arc::clone(&self.config)
+        Arc::clone(&self.sender.borrow())
     }
 
-    fn subscribe(&self, _listener: Listener) {}
+    fn changes(&self) -> watch::Receiver<Arc<Config>> {
+        self.sender.subscribe()
+    }
 }
