Add the router's request path

Cause: callers need a path to the agents that never delivers a wrong, cut or repeated answer. Ruled out: sending the response head before the first chunk, because a failed prefill could then not be repeated elsewhere; treating an ended connection as the end of an answer, because only the last frame proves completeness. Before: empty crate. Conclusion: limits, membership and the retry budget are simple variants behind traits or one module each, until their crates are joined.

--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,206 @@
+//! The administration port.
+
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use dw_api::admin::StatementError;
+use dw_api::admin::StatementErrorKind;
+use dw_api::admin::StatementRequest;
+use dw_api::admin::StatementResponse;
+use dw_base::RequestId;
+use dw_telem::Metrics;
+use http::header::CONTENT_TYPE;
+use http::StatusCode;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+use oxhttp::Server;
+
+use crate::filter::authenticate::bearer;
+use crate::filter::relay::json;
+use crate::shared::Shared;
+
+/// Largest body of a statement request.
+const MOST_BODY_BYTES: u64 = 1 << 20;
+
+/// Longest wait for a client that neither sends nor reads.
+const IO_WAIT: Duration = Duration::from_secs(30);
+
+/// Most connections at the same time; each has a thread.
+const MOST_CONNECTIONS: usize = 64;
+
+/// Attempts to find a free port when the settings name none.
+const PORT_ATTEMPTS: usize = 16;
+
+/// What a router can tell about itself.
+pub trait NodeView: Send + Sync {
+    /// Returns the placement record of a recent request as JSON.
+    fn explain(&self, request_id: &RequestId) -> Option<String>;
+
+    /// Returns the state of the node as JSON.
+    fn node_state(&self) -> String;
+}
+
+/// Executes statements of operators. Calls arrive on threads of the administration port.
+pub trait Statements: Send + Sync {
+    /// Receives access to the router before the first call.
+    fn attach(&self, view: Arc<dyn NodeView>);
+
+    /// Executes statements on behalf of the holder of `token`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that the operator sees.
+    fn execute(
+        &self,
+        token: Option<&str>,
+        request: StatementRequest,
+    ) -> Result<StatementResponse, StatementError>;
+}
+
+/// A view that does not keep the router alive.
+pub(crate) struct View(pub(crate) Weak<Shared>);
+
+impl NodeView for View {
+    fn explain(&self, request_id: &RequestId) -> Option<String> {
+        self.0.upgrade()?.explain(request_id)
+    }
+
+    fn node_state(&self) -> String {
+        let shared = self.0.upgrade();
+        shared.map_or_else(|| "{}".to_owned(), |shared| shared.node_state())
+    }
+}
+
+/// Starts the port and returns its address. The server has no shutdown, so that its handler holds
+/// the router weakly and answers 503 once the router is gone.
+pub(crate) fn start(
+    addr: SocketAddr,
+    shared: &Arc<Shared>,
+    statements: Option<&Arc<dyn Statements>>,
+) -> io::Result<SocketAddr> {
+    let mut failure = io::Error::other("no free port for the administration API");
+    for _ in 0..PORT_ATTEMPTS {
+        let addr = concrete(addr)?;
+        let weak = Arc::downgrade(shared);
+        let statements = statements.cloned();
+        let server = Server::new(move |request| match weak.upgrade() {
+            Some(shared) => answer(&shared, statements.as_deref(), request),
+            None => text(StatusCode::SERVICE_UNAVAILABLE, "the router has stopped\n"),
+        });
+        let server = server
+            .bind(addr)
+            .with_global_timeout(IO_WAIT)
+            .with_max_concurrent_connections(MOST_CONNECTIONS);
+        match server.spawn() {
+            Ok(_) => return Ok(addr),
+            Err(e) => failure = e,
+        }
+    }
+    Err(failure)
+}
+
+/// Replaces port 0 by a free port, because the server does not tell which port it has bound.
+fn concrete(addr: SocketAddr) -> io::Result<SocketAddr> {
+    if addr.port() != 0 {
+        return Ok(addr);
+    }
+    TcpListener::bind((addr.ip(), 0))?.local_addr()
+}
+
+fn answer(
+    shared: &Shared,
+    statements: Option<&dyn Statements>,
+    request: &mut Request<Body>,
+) -> Response<Body> {
+    match (request.method().as_str(), request.uri().path()) {
+        ("GET", "/metrics") => typed(Metrics::CONTENT_TYPE, shared.metrics.render()),
+        ("GET", "/healthz") => text(StatusCode::OK, "ok\n"),
+        ("GET", "/readyz") if shared.is_ready() => text(StatusCode::OK, "ready\n"),
+        ("GET", "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        ("POST", "/v1/statements") => execute(statements, request),
+        _ => text(
+            StatusCode::NOT_FOUND,
+            "use GET /metrics, /healthz or /readyz, or POST /v1/statements\n",
+        ),
+    }
+}
+
+fn execute(statements: Option<&dyn Statements>, request: &mut Request<Body>) -> Response<Body> {
+    let result = read_statement(request).and_then(|statement| {
+        let token = bearer(request.headers());
+        match statements {
+            Some(statements) => statements.execute(token, statement),
+            None => Err(fault(
+                StatementErrorKind::Unavailable,
+                "this router executes no statements",
+                "send them to another router",
+            )),
+        }
+    });
+    match result {
+        Ok(response) => with_type(StatusCode::OK, "application/json", json(&response)),
+        Err(e) => with_type(status_of(e.kind), "application/json", json(&e)),
+    }
+}
+
+fn read_statement(request: &mut Request<Body>) -> Result<StatementRequest, StatementError> {
+    let invalid = |message: &str| {
+        let remedy = "send JSON as docs/api.md describes it";
+        fault(StatementErrorKind::Invalid, message, remedy)
+    };
+    let mut body = Vec::new();
+    let read = request
+        .body_mut()
+        .take(MOST_BODY_BYTES + 1)
+        .read_to_end(&mut body);
+    read.map_err(|e| invalid(&format!("the body is incomplete: {e}")))?;
+    if body.len() as u64 > MOST_BODY_BYTES {
+        return Err(invalid(&format!(
+            "the body exceeds {MOST_BODY_BYTES} bytes"
+        )));
+    }
+    serde_json::from_slice(&body).map_err(|e| invalid(&format!("the body is not valid: {e}")))
+}
+
+fn fault(kind: StatementErrorKind, message: &str, remedy: &str) -> StatementError {
+    StatementError {
+        kind,
+        message: message.to_owned(),
+        remedy: remedy.to_owned(),
+        expected: Vec::new(),
+        lost_to_version: None,
+        offset: None,
+    }
+}
+
+fn status_of(kind: StatementErrorKind) -> StatusCode {
+    match kind {
+        StatementErrorKind::Syntax | StatementErrorKind::Invalid => StatusCode::BAD_REQUEST,
+        StatementErrorKind::UnknownObject => StatusCode::NOT_FOUND,
+        StatementErrorKind::Conflict => StatusCode::CONFLICT,
+        StatementErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        StatementErrorKind::Unauthorized => StatusCode::UNAUTHORIZED,
+    }
+}
+
+fn text(status: StatusCode, body: &'static str) -> Response<Body> {
+    with_type(status, "text/plain", body.as_bytes().to_vec())
+}
+
+fn typed(content_type: &'static str, body: String) -> Response<Body> {
+    with_type(StatusCode::OK, content_type, body.into_bytes())
+}
+
+fn with_type(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let value = http::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/router/src/hello.rs
@@ -0,0 +1,73 @@
+//! Heartbeats of idle pairs, and leaving notices.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dw_wire::connect_control;
+use dw_wire::Hello;
+use futures::StreamExt;
+
+use crate::control::heard;
+use crate::shared::Shared;
+
+/// Longest wait for one exchange.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// Pause between two rounds of heartbeats.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Heartbeats in one round. An exchange is about 250 bytes, so that 8 a second stay below 2 KB/s
+/// of the 6 KB/s that a node may spend on control.
+const PER_ROUND: usize = 4;
+
+/// Leaving notices that are sent at the same time.
+const NOTICES_AT_ONCE: usize = 64;
+
+/// Exchanges state with one node.
+async fn exchange(addr: SocketAddr, hello: Hello) -> Option<Hello> {
+    let talk = async {
+        let client = connect_control(addr).await.ok()?;
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + WAIT;
+        client.hello(context, hello).await.ok()
+    };
+    tokio::time::timeout(WAIT, talk).await.ok().flatten()
+}
+
+/// Sends heartbeats to the agents that were silent for longest.
+pub(crate) async fn heartbeats(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let now = shared.clock.now();
+        let idle = shared.settings.heartbeat.0;
+        let silent = shared.members.idle(idle, PER_ROUND, now);
+        let calls = silent.into_iter().map(|(upstream, agent)| {
+            let shared = &shared;
+            async move {
+                match exchange(agent.control_addr, shared.hello()).await {
+                    Some(answer) => heard(shared, &answer),
+                    None => shared.members.failed(&upstream, shared.clock.now()),
+                }
+            }
+        });
+        futures::future::join_all(calls).await;
+    }
+}
+
+/// Tells all nodes that this one is leaving.
+pub(crate) async fn leaving(shared: &Shared) {
+    let hello = shared.hello();
+    let notices = shared
+        .members
+        .control_addrs()
+        .into_iter()
+        .map(|addr| exchange(addr, hello.clone()));
+    let sent = futures::stream::iter(notices)
+        .buffer_unordered(NOTICES_AT_ONCE)
+        .filter(|answer| std::future::ready(answer.is_some()))
+        .count()
+        .await;
+    log::info!(confirmed = sent; "leaving notice sent");
+}
--- /dev/null
+++ b/crates/router/src/members.rs
@@ -0,0 +1,234 @@
+//! Agents and routers as the VM list and fresher evidence show them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use dw_api::vms::Vm;
+use dw_api::vms::VmList;
+use dw_api::vms::VmRole;
+use dw_api::vms::VmState;
+use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::NodeId;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+use dw_wire::Status;
+
+/// First pause before a suspect agent is probed by a request.
+const FIRST_PROBE_MS: DurationMs = DurationMs(100);
+
+/// Longest pause before a suspect agent is probed.
+const LAST_PROBE_MS: DurationMs = DurationMs(2_000);
+
+/// An agent that can be sent work.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Agent {
+    pub(crate) node: NodeId,
+    pub(crate) data_addr: SocketAddr,
+    pub(crate) control_addr: SocketAddr,
+    listed_leaving: bool,
+    incarnation: Incarnation,
+    leaving: Option<Incarnation>,
+    report_seq: u64,
+    probe_at: Option<TimeMs>,
+    backoff: DurationMs,
+    pub(crate) heard_at: TimeMs,
+}
+
+impl Agent {
+    /// Returns whether new work may be sent, a probe of a suspect agent included.
+    fn takes_work(&self, now: TimeMs) -> bool {
+        let left = self.leaving.is_some_and(|left| left >= self.incarnation);
+        !self.listed_leaving && !left && self.probe_at.is_none_or(|at| now >= at)
+    }
+}
+
+/// How a report relates to what was known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fresh {
+    /// It is older than an earlier report.
+    Old,
+    /// It is the newest of the same process.
+    Newer,
+    /// It comes from a new process, whose upstream may have lost its cache.
+    Restarted,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    seq: u64,
+    agents: BTreeMap<UpstreamId, Agent>,
+    routers: BTreeMap<NodeId, SocketAddr>,
+}
+
+/// Known agents and routers.
+#[derive(Debug, Default)]
+pub(crate) struct Members(Mutex<Inner>);
+
+impl Members {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a list unless it is older than an earlier one; entries that cannot be parsed are
+    /// returned by name.
+    pub(crate) fn listed(&self, list: &VmList, now: TimeMs) -> Vec<String> {
+        let mut inner = self.lock();
+        if list.seq < inner.seq {
+            return Vec::new();
+        }
+        inner.seq = list.seq;
+        let mut bad = Vec::new();
+        let old = std::mem::take(&mut inner.agents);
+        inner.routers.clear();
+        for vm in &list.vms {
+            if add(&mut inner, &old, vm, now).is_none() {
+                bad.push(vm.name.clone());
+            }
+        }
+        bad
+    }
+
+    /// Returns the agent of `upstream` if it may be sent work.
+    pub(crate) fn usable(&self, upstream: &UpstreamId, now: TimeMs) -> Option<Agent> {
+        let inner = self.lock();
+        let agent = inner.agents.get(upstream)?;
+        agent.takes_work(now).then(|| agent.clone())
+    }
+
+    /// Makes an agent suspect after a failed connection.
+    pub(crate) fn failed(&self, upstream: &UpstreamId, now: TimeMs) {
+        if let Some(agent) = self.lock().agents.get_mut(upstream) {
+            agent.backoff =
+                DurationMs((agent.backoff.0 * 2).clamp(FIRST_PROBE_MS.0, LAST_PROBE_MS.0));
+            agent.probe_at = Some(now + agent.backoff);
+        }
+    }
+
+    /// Records a report of an agent.
+    pub(crate) fn report(&self, upstream: &UpstreamId, status: &Status, now: TimeMs) -> Fresh {
+        let mut inner = self.lock();
+        let Some(agent) = inner.agents.get_mut(upstream) else {
+            return Fresh::Old;
+        };
+        if status.agent_incarnation < agent.incarnation {
+            return Fresh::Old;
+        }
+        agent.heard_at = now;
+        agent.probe_at = None;
+        agent.backoff = DurationMs::ZERO;
+        if status.leaving {
+            agent.leaving = agent.leaving.max(Some(status.agent_incarnation));
+        }
+        if status.agent_incarnation > agent.incarnation {
+            let first = agent.incarnation == Incarnation(0);
+            agent.incarnation = status.agent_incarnation;
+            agent.report_seq = status.report_seq;
+            return if first {
+                Fresh::Newer
+            } else {
+                Fresh::Restarted
+            };
+        }
+        if status.report_seq <= agent.report_seq {
+            return Fresh::Old;
+        }
+        agent.report_seq = status.report_seq;
+        Fresh::Newer
+    }
+
+    /// Records the leaving notice of a node.
+    pub(crate) fn left(&self, node: &NodeId, incarnation: Incarnation) {
+        let mut inner = self.lock();
+        let same = |agent: &&mut Agent| agent.node == *node;
+        for agent in inner.agents.values_mut().filter(same) {
+            agent.leaving = agent.leaving.max(Some(incarnation));
+        }
+        inner.routers.remove(node);
+    }
+
+    /// Returns up to `most` agents that were not heard of for `idle`, the longest silent first.
+    pub(crate) fn idle(
+        &self,
+        idle: DurationMs,
+        most: usize,
+        now: TimeMs,
+    ) -> Vec<(UpstreamId, Agent)> {
+        let inner = self.lock();
+        let mut agents: Vec<_> = inner
+            .agents
+            .iter()
+            .filter(|(_, agent)| now.since(agent.heard_at) >= idle)
+            .map(|(upstream, agent)| (upstream.clone(), agent.clone()))
+            .collect();
+        agents.sort_by_key(|(_, agent)| agent.heard_at);
+        agents.truncate(most);
+        agents
+    }
+
+    /// Returns the control addresses of all nodes.
+    pub(crate) fn control_addrs(&self) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        let agents = inner.agents.values().map(|agent| agent.control_addr);
+        agents.chain(inner.routers.values().copied()).collect()
+    }
+
+    /// Returns each upstream with its node and whether it may be sent work.
+    pub(crate) fn summary(&self, now: TimeMs) -> Vec<(UpstreamId, NodeId, bool)> {
+        let inner = self.lock();
+        let agents = inner.agents.iter();
+        agents
+            .map(|(upstream, agent)| {
+                let usable = agent.takes_work(now);
+                (upstream.clone(), agent.node.clone(), usable)
+            })
+            .collect()
+    }
+}
+
+fn add(inner: &mut Inner, old: &BTreeMap<UpstreamId, Agent>, vm: &Vm, now: TimeMs) -> Option<()> {
+    let node: NodeId = vm.name.parse().ok()?;
+    let control_addr = vm.control_addr.parse().ok()?;
+    if vm.role == VmRole::Router {
+        inner.routers.insert(node, control_addr);
+        return Some(());
+    }
+    let upstream: UpstreamId = vm.upstream.as_ref()?.parse().ok()?;
+    let data_addr = vm.data_addr.parse().ok()?;
+    let listed_leaving = vm.state == VmState::Leaving;
+    let known = old
+        .get(&upstream)
+        .filter(|agent| agent.node == node && agent.data_addr == data_addr);
+    let agent = match known {
+        Some(agent) => Agent {
+            control_addr,
+            listed_leaving,
+            ..agent.clone()
+        },
+        None => Agent {
+            node,
+            data_addr,
+            control_addr,
+            listed_leaving,
+            incarnation: Incarnation(0),
+            leaving: None,
+            report_seq: 0,
+            probe_at: None,
+            backoff: DurationMs::ZERO,
+            heard_at: TimeMs(now.0.saturating_sub(LAST_PROBE_MS.0)),
+        },
+    };
+    // A replaced VM can be listed beside its leaving predecessor; the live one takes precedence.
+    let keep = inner
+        .agents
+        .get(&upstream)
+        .is_some_and(|a| !a.listed_leaving)
+        && listed_leaving;
+    if !keep {
+        inner.agents.insert(upstream, agent);
+    }
+    Some(())
+}
--- /dev/null
+++ b/crates/router/src/parts.rs
@@ -0,0 +1,53 @@
+//! What a router is made of.
+
+use std::sync::Arc;
+
+use bon::Builder;
+use dw_base::Clock;
+use dw_base::SystemClock;
+use dw_config::ConfigSource;
+use dw_place::Policy;
+use dw_store::VmSource;
+use dw_telem::Metrics;
+
+use crate::admin::Statements;
+use crate::control::ControlDelegate;
+use crate::control::NoDelegate;
+use crate::filter::limit::Limiter;
+use crate::filter::limit::Unlimited;
+use crate::retry::RetryBudget;
+use crate::retry::SimpleBudget;
+use crate::settings::Settings;
+
+/// What a router is made of.
+#[derive(Builder)]
+pub struct Parts {
+    /// Settings.
+    pub settings: Settings,
+    /// Current configuration.
+    pub config: Arc<dyn ConfigSource>,
+    /// List of VMs.
+    pub vms: Arc<dyn VmSource>,
+    /// Placement policy.
+    pub policy: Box<dyn Policy>,
+    /// Limits of organisations.
+    #[builder(default = Arc::new(Unlimited))]
+    pub limiter: Arc<dyn Limiter>,
+    /// Budget of retries.
+    #[builder(default = Box::new(SimpleBudget::default()))]
+    pub retries: Box<dyn RetryBudget>,
+    /// Answers configuration and loan calls.
+    #[builder(default = Arc::new(NoDelegate))]
+    pub delegate: Arc<dyn ControlDelegate>,
+    /// Executes statements; absent to refuse them.
+    pub statements: Option<Arc<dyn Statements>>,
+    /// Source of time.
+    #[builder(default = Arc::new(SystemClock::new()))]
+    pub clock: Arc<dyn Clock>,
+    /// Registry of metrics.
+    #[builder(default)]
+    pub metrics: Metrics,
+    /// Seed of the placement policy's generator.
+    #[builder(default = rand::random())]
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,402 @@
+//! Attempts to run a request, with better homes and retries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dw_base::ConfigVersion;
+use dw_base::DurationMs;
+use dw_base::OrgId;
+use dw_base::Priority;
+use dw_base::RequestId;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+use dw_config::Service;
+use dw_telem::TraceParent;
+use dw_wire::Answer;
+use dw_wire::Failure;
+use dw_wire::FailureKind;
+use dw_wire::Frame;
+use dw_wire::Refusal;
+use dw_wire::RefusalReason;
+use dw_wire::RepeatRule;
+use dw_wire::StreamEnd;
+use dw_wire::StreamStart;
+use dw_wire::Work;
+use http::StatusCode;
+use rand::RngExt;
+
+use crate::error::CallerError;
+use crate::filter::forward::forward;
+use crate::filter::forward::Live;
+use crate::filter::forward::Lost;
+use crate::filter::place::place;
+use crate::filter::place::Tried;
+use crate::shared::Shared;
+
+/// Most hops to a better home (section 5.1 of the design).
+const MOST_HOPS: u32 = 2;
+
+/// Upper bound of the first backoff; it doubles with each retry.
+const FIRST_BACKOFF_MS: u64 = 20;
+
+/// Upper bound of any backoff.
+const LAST_BACKOFF_MS: u64 = 500;
+
+/// A request that is ready to be placed.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) request_id: RequestId,
+    pub(crate) org: OrgId,
+    pub(crate) service: Service,
+    pub(crate) priority: Priority,
+    pub(crate) deadline: TimeMs,
+    pub(crate) config_version: ConfigVersion,
+    pub(crate) trace: TraceParent,
+    pub(crate) work: Work,
+    /// Whether the caller wants events as they are generated.
+    pub(crate) stream: bool,
+}
+
+impl Job {
+    /// Returns the time that remains until the deadline.
+    pub(crate) fn remaining(&self, now: TimeMs) -> DurationMs {
+        self.deadline.since(now)
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.service.repeat != RepeatRule::AtMostOnce
+    }
+}
+
+/// An answer of which nothing has been sent to the caller.
+pub(crate) enum Begun {
+    /// A stream whose prompt is computed, with its first frame after the start.
+    Stream(Box<Live>, StreamStart, Frame),
+    /// The whole text of a stream.
+    Whole(Whole),
+    /// The whole answer of a plain service.
+    Answer(UpstreamId, Answer),
+}
+
+/// A stream that was collected.
+pub(crate) struct Whole {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) start: StreamStart,
+    pub(crate) text: String,
+    pub(crate) end: StreamEnd,
+}
+
+enum Ended {
+    Begun(Box<Begun>),
+    Refused(Refusal),
+    Failed(Failure),
+}
+
+struct Attempts<'a> {
+    shared: &'a Arc<Shared>,
+    job: &'a Arc<Job>,
+    tried: Tried,
+    retries: u32,
+    may_have_run: bool,
+}
+
+/// Runs a request until an upstream has begun to answer.
+pub(crate) async fn begin(shared: &Arc<Shared>, job: &Arc<Job>) -> Result<Begun, CallerError> {
+    let mut attempts = Attempts {
+        shared,
+        job,
+        tried: Tried::default(),
+        retries: 0,
+        may_have_run: false,
+    };
+    let result = attempts.run().await;
+    result.map_err(|e| e.may_have_run(attempts.may_have_run))
+}
+
+impl Attempts<'_> {
+    async fn run(&mut self) -> Result<Begun, CallerError> {
+        let mut last = None;
+        loop {
+            let budget = self.job.remaining(self.shared.clock.now());
+            if budget == DurationMs::ZERO {
+                return Err(deadline_exceeded());
+            }
+            let placed = place(self.shared, self.job, &self.tried, budget);
+            let Some(placed) = placed else {
+                return Err(last.unwrap_or_else(|| no_upstream(self.job)));
+            };
+            let upstream = placed.0.upstream.clone();
+            let result = self.attempt(placed).await;
+            self.tried.attempt += 1;
+            self.tried.hint = None;
+            let error = match result {
+                Ok(Ended::Begun(begun)) => {
+                    if self.tried.attempt == 1 {
+                        self.shared.retries().answered(&self.job.service.name);
+                    }
+                    return Ok(*begun);
+                }
+                Ok(Ended::Refused(refusal)) => {
+                    self.tried.excluded.push(upstream);
+                    if self.hop(&refusal) {
+                        continue;
+                    }
+                    self.refused(&refusal)?
+                }
+                Ok(Ended::Failed(failure)) => {
+                    self.tried.excluded.push(upstream);
+                    self.failed(&failure)?
+                }
+                Err(lost) => {
+                    self.tried.excluded.push(upstream);
+                    self.lost(&lost)?
+                }
+            };
+            self.retry(error.clone()).await?;
+            last = Some(error);
+        }
+    }
+
+    /// Makes one attempt up to the first frame that can be passed to the caller.
+    async fn attempt(
+        &self,
+        placed: (dw_place::Decision, crate::members::Agent),
+    ) -> Result<Ended, Lost> {
+        let mut live = forward(self.shared, self.job, &self.tried, placed).await?;
+        let first = live.next().await?;
+        let start = match first {
+            Frame::Start(start) => start,
+            other => return ended(&live, other),
+        };
+        let next = live.next().await?;
+        if !self.job.stream {
+            return collect(&mut live, start, next).await;
+        }
+        match next {
+            Frame::Chunk { .. } | Frame::End(_) => {
+                let begun = Begun::Stream(Box::new(live), start, next);
+                Ok(Ended::Begun(Box::new(begun)))
+            }
+            other => ended(&live, other),
+        }
+    }
+
+    /// Follows an agent's advice; hops are not retries, because the agent ran nothing and knows a
+    /// better home.
+    fn hop(&mut self, refusal: &Refusal) -> bool {
+        let better = match (&refusal.reason, &refusal.better) {
+            (RefusalReason::BetterHome, Some(better)) => better,
+            _ => return false,
+        };
+        if self.tried.hops >= MOST_HOPS || self.tried.excluded.contains(better) {
+            return false;
+        }
+        self.tried.hops += 1;
+        self.tried.hint = Some(better.clone());
+        self.shared.counters.hops.inc();
+        true
+    }
+
+    /// Returns the error to report if no retry is possible; fails at once if none would help.
+    fn refused(&mut self, refusal: &Refusal) -> Result<CallerError, CallerError> {
+        let error = refusal_error(refusal);
+        let final_reason = matches!(
+            refusal.reason,
+            RefusalReason::InProgress
+                | RefusalReason::OutcomeUnknown
+                | RefusalReason::KeyReused
+                | RefusalReason::TableUnavailable
+                | RefusalReason::BadRequest
+        );
+        let remaining = self.job.remaining(self.shared.clock.now());
+        let too_late = refusal
+            .retry_after_ms
+            .is_some_and(|after| after > remaining);
+        if final_reason || too_late {
+            return Err(error);
+        }
+        Ok(error)
+    }
+
+    fn failed(&mut self, failure: &Failure) -> Result<CallerError, CallerError> {
+        self.may_have_run |= failure.may_have_run;
+        let error = failure_error(self.job, failure);
+        let repeatable = !failure.may_have_run || self.job.may_repeat();
+        let final_kind = matches!(
+            failure.kind,
+            FailureKind::DeadlineExceeded | FailureKind::Cancelled
+        );
+        if !repeatable || final_kind {
+            return Err(error);
+        }
+        Ok(error)
+    }
+
+    fn lost(&mut self, lost: &Lost) -> Result<CallerError, CallerError> {
+        match lost {
+            Lost::NotSent(detail) => Ok(CallerError::unavailable("upstream_unreachable", detail)),
+            Lost::Deadline => {
+                self.may_have_run = true;
+                Err(deadline_exceeded())
+            }
+            Lost::Broken(detail) => {
+                self.may_have_run = true;
+                let error = lost_error(self.job, detail);
+                if self.job.may_repeat() {
+                    return Ok(error);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Spends a retry and waits, or returns the error if the budget is exhausted.
+    async fn retry(&mut self, error: CallerError) -> Result<(), CallerError> {
+        if !self.shared.retries().spend(&self.job.service.name) {
+            return Err(error);
+        }
+        let bound = (FIRST_BACKOFF_MS << self.retries.min(8)).min(LAST_BACKOFF_MS);
+        let wait = rand::rng().random_range(0..=bound);
+        self.retries += 1;
+        if DurationMs(wait) >= self.job.remaining(self.shared.clock.now()) {
+            return Err(error);
+        }
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+        Ok(())
+    }
+}
+
+/// Returns the error for an answer that broke off.
+pub(crate) fn lost_error(job: &Job, detail: &str) -> CallerError {
+    if job.service.repeat == RepeatRule::AtMostOnce {
+        return CallerError::not_run(
+            StatusCode::CONFLICT,
+            "outcome_unknown",
+            format!("the call may have run: {detail}"),
+            "ask again with the same Idempotency-Key and body",
+        )
+        .may_have_run(true)
+        .retry_after(DurationMs(1_000));
+    }
+    CallerError::unavailable("upstream_lost", detail).may_have_run(true)
+}
+
+/// Returns the error for a failure that an agent has reported.
+pub(crate) fn failure_error(job: &Job, failure: &Failure) -> CallerError {
+    match failure.kind {
+        FailureKind::DeadlineExceeded => deadline_exceeded().may_have_run(failure.may_have_run),
+        _ if failure.may_have_run => lost_error(job, &failure.message),
+        _ => CallerError::unavailable("upstream_failed", &failure.message),
+    }
+}
+
+/// Returns the error for a deadline that has passed.
+pub(crate) fn deadline_exceeded() -> CallerError {
+    CallerError::not_run(
+        StatusCode::GATEWAY_TIMEOUT,
+        "deadline_exceeded",
+        "the deadline passed before the answer was complete",
+        "send the request with a longer X-Deadline-Ms",
+    )
+}
+
+fn no_upstream(job: &Job) -> CallerError {
+    CallerError::unavailable(
+        "no_upstream",
+        format!("no upstream serves {} now", job.service.name),
+    )
+}
+
+fn refusal_error(refusal: &Refusal) -> CallerError {
+    let unavailable = |kind, message: &str| CallerError::unavailable(kind, message);
+    let error = match refusal.reason {
+        RefusalReason::QueueFull => CallerError::not_run(
+            StatusCode::TOO_MANY_REQUESTS,
+            "queue_full",
+            "the upstreams are overloaded",
+            "send the request again after the stated time",
+        ),
+        RefusalReason::DeadlineUnmeetable => CallerError::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "deadline_unmeetable",
+            "the deadline cannot be met under the present load",
+            "send the request after the stated time or with a longer X-Deadline-Ms",
+        ),
+        RefusalReason::InProgress => CallerError::not_run(
+            StatusCode::CONFLICT,
+            "in_progress",
+            "a call with this Idempotency-Key is running",
+            "ask again with the same key and body after the stated time",
+        )
+        .may_have_run(true),
+        RefusalReason::OutcomeUnknown => CallerError::not_run(
+            StatusCode::CONFLICT,
+            "outcome_unknown",
+            "a call with this Idempotency-Key may have run",
+            "check the effect of the call; use a new key only if it did not run",
+        )
+        .may_have_run(true),
+        RefusalReason::KeyReused => CallerError::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_reused",
+            "this Idempotency-Key was used with another body",
+            "use a new key for another call",
+        ),
+        RefusalReason::TableUnavailable => unavailable(
+            "table_unavailable",
+            "calls that run at most once cannot be recorded now",
+        ),
+        RefusalReason::BadRequest => unavailable(
+            "version_mismatch",
+            "router and agent run different releases",
+        ),
+        RefusalReason::BetterHome
+        | RefusalReason::Leaving
+        | RefusalReason::NotReady
+        | RefusalReason::WrongUpstream
+        | RefusalReason::Isolated => unavailable("not_ready", "the chosen upstreams are not ready"),
+    };
+    match refusal.retry_after_ms {
+        Some(after) => error.retry_after(after),
+        None => error,
+    }
+}
+
+/// Reads a stream to its end. Nothing reaches the caller before, so that a failed attempt can be
+/// repeated.
+async fn collect(live: &mut Live, start: StreamStart, first: Frame) -> Result<Ended, Lost> {
+    let mut text = String::new();
+    let mut frame = first;
+    loop {
+        match frame {
+            Frame::Chunk { text: more, .. } => text.push_str(&more),
+            Frame::End(end) => {
+                let upstream = live.upstream().clone();
+                let whole = Whole {
+                    upstream,
+                    start,
+                    text,
+                    end,
+                };
+                return Ok(Ended::Begun(Box::new(Begun::Whole(whole))));
+            }
+            other => return ended(live, other),
+        }
+        frame = live.next().await?;
+    }
+}
+
+/// Classifies a frame that ends an attempt without a stream.
+fn ended(live: &Live, frame: Frame) -> Result<Ended, Lost> {
+    match frame {
+        Frame::Answer(answer) => {
+            let begun = Begun::Answer(live.upstream().clone(), answer);
+            Ok(Ended::Begun(Box::new(begun)))
+        }
+        Frame::Refused(refusal) => Ok(Ended::Refused(refusal)),
+        Frame::Failed(failure) => Ok(Ended::Failed(failure)),
+        Frame::Start(_) | Frame::Chunk { .. } | Frame::End(_) => {
+            Err(Lost::Broken("the answer is not in order".to_owned()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,82 @@
+//! Settings of the router process.
+
+use std::path::PathBuf;
+
+use dw_api::vms::VmList;
+use dw_base::Bytes;
+use dw_base::DataCentreId;
+use dw_base::DurationMs;
+use dw_base::NodeId;
+use dw_settings::Addr;
+use dw_settings::Check;
+use dw_settings::Delay;
+use dw_settings::Fault;
+use serde::Deserialize;
+
+/// Settings of the router process.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Data centre in which it runs.
+    pub data_centre: DataCentreId,
+    /// Address for callers.
+    pub callers: Addr,
+    /// Address for control traffic.
+    pub control: Addr,
+    /// Address of the administration API; absent to serve none.
+    pub admin: Option<Addr>,
+    /// Pause between two reads of the VM list.
+    #[serde(default = "default_vm_poll")]
+    pub vm_poll: Delay,
+    /// Silence after which an agent is sent a heartbeat.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat: Delay,
+    /// Longest wait for the body of a request.
+    #[serde(default = "default_body_wait")]
+    pub body_wait: Delay,
+    /// Largest body of a request.
+    #[serde(default = "default_max_body")]
+    pub max_body_bytes: Bytes,
+    /// File with the configuration as JSON, used until a newer one is received.
+    pub config_file: Option<PathBuf>,
+    /// Nodes to use while the VM list cannot be read.
+    pub peers: Option<VmList>,
+    /// OTLP endpoint for spans, for example `http://127.0.0.1:4318/v1/traces`.
+    pub otlp: Option<String>,
+}
+
+fn default_vm_poll() -> Delay {
+    Delay(DurationMs(1_000))
+}
+
+fn default_heartbeat() -> Delay {
+    Delay(DurationMs(2_000))
+}
+
+fn default_body_wait() -> Delay {
+    Delay(DurationMs(30_000))
+}
+
+fn default_max_body() -> Bytes {
+    Bytes(8 << 20)
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), Fault> {
+        for (key, value) in [
+            ("vm_poll", self.vm_poll),
+            ("heartbeat", self.heartbeat),
+            ("body_wait", self.body_wait),
+        ] {
+            if value.0 == DurationMs::ZERO {
+                return Err(Fault::new(key, "is zero", "write at least 1ms"));
+            }
+        }
+        if self.max_body_bytes.0 == 0 {
+            return Err(Fault::new("max_body_bytes", "is zero", "write at least 1"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,176 @@
+//! State that all tasks of a router share.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use dw_base::Clock;
+use dw_base::Incarnation;
+use dw_base::Rng;
+use dw_base::UpstreamId;
+use dw_config::ConfigSource;
+use dw_place::Observation;
+use dw_place::Policy;
+use dw_store::VmSource;
+use dw_telem::Metrics;
+use dw_wire::Hello;
+use dw_wire::Status;
+use prometheus_client::metrics::counter::Counter;
+use tokio_util::task::TaskTracker;
+
+use crate::agents::Agents;
+use crate::control::ControlDelegate;
+use crate::explain::Records;
+use crate::filter::limit::Limiter;
+use crate::members::Fresh;
+use crate::members::Members;
+use crate::retry::RetryBudget;
+use crate::settings::Settings;
+
+/// Counters of the request path.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) requests: Counter,
+    pub(crate) errors: Counter,
+    pub(crate) attempts: Counter,
+    pub(crate) hops: Counter,
+    pub(crate) resumes: Counter,
+}
+
+impl Counters {
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        let add = |name, help| metrics.add(name, help, Counter::default());
+        Counters {
+            requests: add("requests", "Requests of callers"),
+            errors: add("request_errors", "Requests that ended with an error"),
+            attempts: add("attempts", "Attempts sent to agents"),
+            hops: add("hops", "Attempts sent to a better home"),
+            resumes: add("resumes", "Streams resumed after a lost connection"),
+        }
+    }
+}
+
+/// A policy with its generator.
+pub(crate) struct Placer {
+    pub(crate) policy: Box<dyn Policy>,
+    pub(crate) rng: Rng,
+}
+
+/// State that all tasks of a router share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) config: Arc<dyn ConfigSource>,
+    pub(crate) vms: Arc<dyn VmSource>,
+    pub(crate) placer: Mutex<Placer>,
+    pub(crate) limiter: Arc<dyn Limiter>,
+    pub(crate) retries: Mutex<Box<dyn RetryBudget>>,
+    pub(crate) delegate: Arc<dyn ControlDelegate>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) metrics: Metrics,
+    pub(crate) counters: Counters,
+    pub(crate) members: Members,
+    pub(crate) records: Records,
+    pub(crate) agents: Agents,
+    pub(crate) work: TaskTracker,
+    pub(crate) draining: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn placer(&self) -> MutexGuard<'_, Placer> {
+        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn retries(&self) -> MutexGuard<'_, Box<dyn RetryBudget>> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn observe(&self, observation: &Observation) {
+        let now = self.clock.now();
+        self.placer().policy.observe(observation, now);
+    }
+
+    /// Passes a report on to membership and, unless it is old, to the policy.
+    pub(crate) fn report(
+        &self,
+        upstream: &UpstreamId,
+        status: &Status,
+        chain: Option<&dw_base::Chain>,
+    ) {
+        if status.upstream != *upstream {
+            return;
+        }
+        let fresh = self.members.report(upstream, status, self.clock.now());
+        if fresh == Fresh::Old {
+            return;
+        }
+        if fresh == Fresh::Restarted {
+            self.observe(&Observation::CacheLost {
+                upstream: upstream.clone(),
+            });
+        }
+        self.observe(&Observation::Report {
+            upstream: upstream.clone(),
+            queue_wait_ms: status.queue_wait_ms,
+            running: status.running,
+            queued: status.queued,
+            prefill_tokens_per_s: status.prefill_tokens_per_s,
+            warm: chain.map(|chain| (chain.clone(), status.warm_depth)),
+        });
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether new requests are taken.
+    pub(crate) fn is_ready(&self) -> bool {
+        let configured = !self.config.current().entries.is_empty();
+        configured && !self.is_draining() && !self.delegate.isolated()
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            node: self.settings.node.clone(),
+            incarnation: self.incarnation,
+            config_version: self.config.current().version,
+            leaving: self.is_draining(),
+            status: None,
+        }
+    }
+
+    /// Returns the state of the node as JSON.
+    pub(crate) fn node_state(&self) -> String {
+        let agents: Vec<_> = self
+            .members
+            .summary(self.clock.now())
+            .into_iter()
+            .map(|(upstream, node, usable)| {
+                serde_json::json!({"upstream": upstream, "node": node, "usable": usable})
+            })
+            .collect();
+        serde_json::json!({
+            "node": self.settings.node,
+            "role": "router",
+            "incarnation": self.incarnation,
+            "config_version": self.config.current().version,
+            "draining": self.is_draining(),
+            "ready": self.is_ready(),
+            "policy": self.placer().policy.name(),
+            "agents": agents,
+        })
+        .to_string()
+    }
+
+    /// Returns the placement record of a recent request as JSON.
+    pub(crate) fn explain(&self, request_id: &dw_base::RequestId) -> Option<String> {
+        let placed = self.records.of(request_id);
+        if placed.is_empty() {
+            return None;
+        }
+        serde_json::to_string(&placed).ok()
+    }
+}
