Test the router's requests, drain, control and binary

Ruled out: waiting by time for the drain; the test polls readiness instead. Before: 12 tests. After: 18 tests pass, among them 24 bad requests of which none reaches an upstream, a drain with a stream in flight, and SIGTERM with exit code 0; clippy is clean. Conclusion: no fault of the router was found by these tests.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -88,7 +88,7 @@
 /// What arrived at a fake agent.
 #[derive(Clone, Debug)]
 pub(crate) enum Seen {
-    Run(RunRequest),
+    Run(Box<RunRequest>),
     Resume(ResumeRequest),
 }
 
@@ -165,7 +165,7 @@
     pub(crate) fn runs(&self) -> Vec<RunRequest> {
         let seen = self.seen.lock().expect("not poisoned");
         let run = |seen: &Seen| match seen {
-            Seen::Run(request) => Some(request.clone()),
+            Seen::Run(request) => Some(*request.clone()),
             Seen::Resume(_) => None,
         };
         seen.iter().filter_map(run).collect()
--- /dev/null
+++ b/crates/router/tests/process.rs
@@ -0,0 +1,182 @@
+//! Control, administration, drain and the binary.
+
+mod common;
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+
+use common::frames;
+use common::good;
+use common::id;
+use common::parts;
+use common::request_id;
+use common::send;
+use common::start;
+use common::streamed_text;
+use common::Agent;
+use common::Ask;
+use common::Part;
+use common::CHAT;
+use common::STREAM;
+use dw_api::admin::StatementError;
+use dw_api::admin::StatementRequest;
+use dw_api::admin::StatementResponse;
+use dw_router::NodeView;
+use dw_router::Router;
+use dw_router::Statements;
+use dw_wire::connect_control;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use tokio::sync::Semaphore;
+
+async fn get(addr: std::net::SocketAddr, path: &str) -> (StatusCode, String) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<bytes::Bytes>>();
+    let uri = format!("http://{addr}{path}").parse().expect("URI");
+    let (head, body) = client.get(uri).await.expect("response").into_parts();
+    let body = body.collect().await.expect("body").to_bytes();
+    (head.status, String::from_utf8(body.to_vec()).expect("text"))
+}
+
+struct Echo;
+
+impl Statements for Echo {
+    fn attach(&self, view: Arc<dyn NodeView>) {
+        assert!(view.node_state().contains("router-1"));
+    }
+
+    fn execute(
+        &self,
+        token: Option<&str>,
+        request: StatementRequest,
+    ) -> Result<StatementResponse, StatementError> {
+        Ok(StatementResponse {
+            config_version: 1,
+            results: Vec::new(),
+            unconfirmed: vec![token.unwrap_or_default().to_owned(), request.text],
+        })
+    }
+}
+
+/// Guards against an administration port that does not show state or lose statements.
+#[tokio::test]
+async fn administration_port_answers() {
+    let agent = Agent::start("a", good("a")).await;
+    let mut parts = parts(&[&agent]);
+    parts.statements = Some(Arc::new(Echo));
+    let router = Router::start(parts).await.expect("started");
+    let admin = router.admin_addr().expect("configured");
+    Ask::chat(CHAT).send(router.callers_addr()).await;
+    let (_, metrics) = get(admin, "/metrics").await;
+    assert!(
+        metrics.contains("dandelionwall_requests_total 1"),
+        "{metrics}"
+    );
+    assert_eq!(get(admin, "/healthz").await.0, StatusCode::OK);
+    assert_eq!(get(admin, "/readyz").await.0, StatusCode::OK);
+    let (code, _, text) = Ask::new("/v1/statements", r#"{"text":"show"}"#)
+        .send(admin)
+        .await;
+    assert_eq!(code, StatusCode::OK, "{text}");
+    assert!(text.contains(r#"["secret","show"]"#), "{text}");
+    let (code, _, text) = Ask::new("/v1/statements", "{").send(admin).await;
+    assert_eq!(code, StatusCode::BAD_REQUEST, "{text}");
+}
+
+/// Guards against control calls that fail or know nothing of recent placements.
+#[tokio::test]
+async fn control_port_explains_placements() {
+    let agent = Agent::start("a", good("a")).await;
+    let router = start(&[&agent]).await;
+    let (_, headers, _) = Ask::chat(CHAT).send(router.callers_addr()).await;
+    let request = id(headers["x-request-id"].to_str().expect("text"));
+    let client = connect_control(router.control_addr())
+        .await
+        .expect("connected");
+    let context = tarpc::context::current;
+    let record = client.explain(context(), request).await.expect("answer");
+    assert!(record.expect("kept").contains(r#""upstream":"a""#));
+    assert_eq!(
+        client.explain(context(), id("r-0")).await.expect("answer"),
+        None
+    );
+    let state = client.node_state(context()).await.expect("answer");
+    assert!(state.contains(r#""role":"router""#), "{state}");
+}
+
+/// Guards against a shutdown that cuts requests, accepts new ones, or goes unannounced.
+#[tokio::test]
+async fn drain_finishes_streams_and_refuses_new_work() {
+    let gate = Arc::new(Semaphore::new(0));
+    let held = gate.clone();
+    let agent = Agent::start("a", move |seen, _| {
+        let mut parts = send(frames(&request_id(seen), "a", 3));
+        parts.insert(2, Part::Gate(held.clone()));
+        parts
+    })
+    .await;
+    let router = start(&[&agent]).await;
+    let (callers, admin) = (
+        router.callers_addr(),
+        router.admin_addr().expect("configured"),
+    );
+    let stream = Ask::chat(STREAM).open(callers).await;
+    let shutdown = tokio::spawn(router.shutdown());
+    while get(admin, "/readyz").await.0 == StatusCode::OK {
+        tokio::task::yield_now().await;
+    }
+    let (code, _, text) = Ask::chat(CHAT).send(callers).await;
+    assert_eq!(code, StatusCode::SERVICE_UNAVAILABLE, "{text}");
+    assert!(text.contains(r#""not_run":true"#), "{text}");
+    assert!(!shutdown.is_finished());
+    gate.add_permits(1);
+    let body = stream.into_body().collect().await.expect("body").to_bytes();
+    let text = String::from_utf8(body.to_vec()).expect("text");
+    assert_eq!(streamed_text(&text), "<0><1><2>");
+    shutdown.await.expect("stopped");
+    let hellos = agent.hellos.lock().expect("not poisoned");
+    assert!(hellos.iter().any(|hello| hello.leaving));
+}
+
+/// Guards against a binary that starts with bad settings or does not exit cleanly on SIGTERM.
+#[test]
+fn binary_checks_settings_and_stops_on_sigterm() {
+    let program = env!("CARGO_BIN_EXE_dandelionwall-router");
+    let file = std::env::temp_dir().join(format!("router-{}.yaml", std::process::id()));
+    let run = |text: &str, check: bool| {
+        fs::write(&file, text).expect("written");
+        let mut command = Command::new(program);
+        command
+            .arg("--settings")
+            .arg(&file)
+            .args(check.then_some("--check"));
+        command.stderr(Stdio::piped()).stdout(Stdio::piped());
+        command.spawn().expect("started")
+    };
+    let good = "{node: r, data_centre: ikeja, callers: '127.0.0.1:0', control: '127.0.0.1:0'}";
+    let bad = good.replace("node: r", "node: r, nod: s");
+    let output = run(&bad, false).wait_with_output().expect("output");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(
+        text.contains("nod:") && text.contains("unknown field"),
+        "{text}"
+    );
+    assert_eq!(run(good, true).wait().expect("exit").code(), Some(0));
+    let mut process = run(good, false);
+    let log = process.stderr.take().expect("piped");
+    let mut lines = BufReader::new(log).lines().map(|line| line.expect("text"));
+    assert!(lines.any(|line| line.contains("router started")));
+    let pid = process.id().to_string();
+    let signalled = Command::new("kill").args(["-TERM", &pid]).status();
+    assert!(signalled.expect("kill runs").success());
+    assert!(lines.any(|line| line.contains("router stopped")));
+    assert_eq!(process.wait().expect("exit").code(), Some(0));
+    fs::remove_file(&file).expect("removed");
+}
--- /dev/null
+++ b/crates/router/tests/requests.rs
@@ -0,0 +1,158 @@
+//! Requests that must not reach an upstream.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::good;
+use common::parts;
+use common::start;
+use common::Agent;
+use common::Ask;
+use common::CHAT;
+use dw_base::DurationMs;
+use dw_base::Tokens;
+use dw_router::filter::limit::LimitExceeded;
+use dw_router::filter::limit::LimitRequest;
+use dw_router::filter::limit::Limiter;
+use dw_router::Router;
+use expect_test::expect;
+use http::StatusCode;
+use serde_json::Value;
+
+/// Guards against malformed or forbidden requests that reach an upstream, and against errors
+/// without a remedy.
+#[tokio::test]
+async fn bad_requests_reach_no_upstream() {
+    let agent = Agent::start("a", good("a")).await;
+    let router = start(&[&agent]).await;
+    let long = format!(r#"{{"model":"arch-1","prompt":"{}"}}"#, "x".repeat(50_000));
+    let huge = "x".repeat(70_000);
+    let completion = |body: &str| Ask::new("/v1/completions", body).with("x-service", "quote");
+    let deposit = || Ask::new("/v1/services/deposit/calls", "{}");
+    let asks = [
+        ("no token", Ask::chat(CHAT).without("authorization")),
+        (
+            "wrong token",
+            Ask::chat(CHAT).with("authorization", "Bearer guess"),
+        ),
+        (
+            "basic",
+            Ask::chat(CHAT).with("authorization", "Basic secret"),
+        ),
+        ("no service", Ask::chat(CHAT).without("x-service")),
+        (
+            "unknown service",
+            Ask::chat(CHAT).with("x-service", "absent"),
+        ),
+        (
+            "malformed service",
+            Ask::chat(CHAT).with("x-service", "a b"),
+        ),
+        ("wrong path", Ask::chat(CHAT).with("x-service", "deposit")),
+        ("unknown path", Ask::new("/v1/other", CHAT)),
+        ("no JSON", Ask::chat("{")),
+        ("no model", Ask::chat(r#"{"messages":[]}"#)),
+        (
+            "unknown model",
+            Ask::chat(&CHAT.replace("arch-1", "absent")),
+        ),
+        ("unknown role", Ask::chat(&CHAT.replace("user", "tool"))),
+        (
+            "no messages",
+            Ask::chat(r#"{"model":"arch-1","messages":[]}"#),
+        ),
+        (
+            "no tokens",
+            completion(r#"{"model":"arch-1","prompt":"x","max_tokens":0}"#),
+        ),
+        (
+            "unknown priority",
+            Ask::chat(CHAT).with("x-priority", "high"),
+        ),
+        (
+            "priority too high",
+            Ask::chat(CHAT).with("x-priority", "urgent"),
+        ),
+        ("zero deadline", Ask::chat(CHAT).with("x-deadline-ms", "0")),
+        (
+            "negative deadline",
+            Ask::chat(CHAT).with("x-deadline-ms", "-1"),
+        ),
+        ("long prompt", completion(&long)),
+        ("large body", completion(&huge)),
+        ("no key", deposit()),
+        ("malformed key", deposit().with("idempotency-key", "a b")),
+        ("other service", deposit().with("x-service", "quote")),
+        (
+            "bad call body",
+            Ask::new("/v1/services/order-status/calls", "{"),
+        ),
+    ];
+    let mut shown = String::new();
+    for (name, ask) in asks {
+        let (code, _, text) = ask.send(router.callers_addr()).await;
+        let body: Value = serde_json::from_str(&text).expect("JSON");
+        let error = &body["error"];
+        assert_eq!(error["not_run"], true, "{name}: {text}");
+        assert_ne!(error["remedy"], "", "{name}: {text}");
+        shown += &format!(
+            "{name}: {} {}\n",
+            code.as_u16(),
+            error["type"].as_str().expect("text")
+        );
+    }
+    expect![[r#"
+        no token: 401 unauthorized
+        wrong token: 401 unauthorized
+        basic: 401 unauthorized
+        no service: 400 invalid_request
+        unknown service: 404 not_found
+        malformed service: 400 invalid_request
+        wrong path: 400 invalid_request
+        unknown path: 404 not_found
+        no JSON: 400 invalid_request
+        no model: 400 invalid_request
+        unknown model: 404 not_found
+        unknown role: 400 invalid_request
+        no messages: 400 invalid_request
+        no tokens: 400 invalid_request
+        unknown priority: 400 invalid_request
+        priority too high: 403 priority_not_allowed
+        zero deadline: 400 invalid_request
+        negative deadline: 400 invalid_request
+        long prompt: 413 prompt_too_long
+        large body: 413 body_too_large
+        no key: 400 invalid_request
+        malformed key: 400 invalid_request
+        other service: 400 invalid_request
+        bad call body: 400 invalid_request
+    "#]].assert_eq(&shown);
+    assert_eq!(agent.runs().len(), 0);
+}
+
+struct Exhausted;
+
+impl Limiter for Exhausted {
+    fn admit(&self, request: &LimitRequest) -> Result<(), LimitExceeded> {
+        assert_eq!(request.org.as_str(), "planner");
+        Err(LimitExceeded {
+            retry_after_ms: DurationMs(1_500),
+        })
+    }
+
+    fn give_back(&self, _request: &LimitRequest, _unused: Tokens) {}
+}
+
+/// Guards against limits that are not applied or do not say when to come back.
+#[tokio::test]
+async fn exhausted_limit_is_refused() {
+    let agent = Agent::start("a", good("a")).await;
+    let mut parts = parts(&[&agent]);
+    parts.limiter = Arc::new(Exhausted);
+    let router = Router::start(parts).await.expect("started");
+    let (code, headers, text) = Ask::chat(CHAT).send(router.callers_addr()).await;
+    assert_eq!(code, StatusCode::TOO_MANY_REQUESTS, "{text}");
+    assert_eq!(headers["retry-after"], "2");
+    assert_eq!(agent.runs().len(), 0);
+}
