Follow reported drains in the router; give back unused allowance

Cause: a reported drain was kept for the life of the agent although an operator can end it, every request reached a suspect agent once its pause was over, and a limit was charged for the longest possible answer. Ruled out: trusting "not accepting" without end, because heartbeats of idle pairs can be a minute apart at the target size. Conclusion: a leaving notice stays final for its incarnation; a report counts until the next one.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -58,6 +58,24 @@
 /// Pause after a failed accept, so that others can free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// What is kept until the answer is complete.
+struct Held {
+    shared: Arc<Shared>,
+    limit: LimitRequest,
+    prompt: Tokens,
+    _work: TaskTrackerToken,
+    _span: fastrace::Span,
+}
+
+impl Held {
+    /// Gives back the allowance for tokens that were not generated.
+    fn done(&self, generated: Tokens) {
+        let used = self.prompt.0.saturating_add(generated.0);
+        let unused = Tokens(self.limit.tokens.0.saturating_sub(used));
+        self.shared.limiter.give_back(&self.limit, unused);
+    }
+}
+
 /// Form of the answer to a generate request.
 struct Shape {
     format: Format,
@@ -166,10 +184,11 @@
         }
         Body::Call(_) => (None, false, 0),
     };
+    let prompt = resolved.prompt_tokens;
     let use_ = LimitRequest {
         org: org.clone(),
         service: asked.service.clone(),
-        tokens: Tokens(resolved.prompt_tokens.0 + answer_tokens),
+        tokens: Tokens(prompt.0 + answer_tokens),
         now: arrived,
     };
     limit(shared.limiter.as_ref(), &use_)?;
@@ -190,16 +209,22 @@
             shared.limiter.give_back(&use_, use_.tokens);
         }
     })?;
-    respond(shared, job, shape, begun, (token, span))
+    let held = Held {
+        shared: shared.clone(),
+        limit: use_,
+        prompt,
+        _work: token,
+        _span: span,
+    };
+    respond(job, shape, begun, held)
 }
 
 /// Turns the begun answer into a response; `held` is kept until a stream is complete.
 fn respond(
-    shared: &Arc<Shared>,
     job: Arc<Job>,
     shape: Option<Shape>,
     begun: Begun,
-    held: (TaskTrackerToken, fastrace::Span),
+    held: Held,
 ) -> Result<Response<AnswerBody>, CallerError> {
     let mismatch = || CallerError::unavailable("upstream_failed", "the answer has the wrong form");
     match (begun, shape) {
@@ -211,6 +236,7 @@
         }
         (Begun::Whole(text), Some(shape)) => {
             log_done(&job, text.upstream.as_str());
+            held.done(Tokens(text.end.tokens));
             let body = whole(&job, shape.format, &shape.model, text);
             Ok(response(StatusCode::OK, "application/json", full(body)))
         }
@@ -223,20 +249,21 @@
                 start,
                 events,
             };
-            let errors = shared.counters.errors.clone();
             tokio::spawn(async move {
                 let upstream = live.upstream().clone();
                 match relay.run(*live, first).await {
-                    Ok(()) => log_done(&job, upstream.as_str()),
+                    Ok(generated) => {
+                        log_done(&job, upstream.as_str());
+                        held.done(generated);
+                    }
                     Err(e) => {
-                        errors.inc();
+                        held.shared.counters.errors.inc();
                         log::warn!(
                             request_id:% = job.request_id, upstream:% = upstream, kind = e.kind;
                             "stream ended with an error"
                         );
                     }
                 }
-                drop(held);
             });
             Ok(response(StatusCode::OK, "text/event-stream", body))
         }
--- a/crates/router/src/filter/place.rs
+++ b/crates/router/src/filter/place.rs
@@ -59,6 +59,7 @@
             .place(&request, &targets, now, &mut placer.rng)?
     };
     let agent = shared.members.usable(&decision.upstream, now)?;
+    shared.members.placed(&decision.upstream, now);
     shared.records.add(Placed {
         request_id: job.request_id.clone(),
         attempt: tried.attempt + 1,
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -15,6 +15,7 @@
 use dw_api::callers::CompletionResponse;
 use dw_api::callers::Delta;
 use dw_api::callers::Usage;
+use dw_base::Tokens;
 use dw_wire::Frame;
 use dw_wire::StreamStart;
 use http_body_util::combinators::BoxBody;
@@ -100,8 +101,8 @@
 
 impl Relay {
     /// Passes on all frames. An answer that cannot be completed ends with an `error` event and
-    /// without `[DONE]`.
-    pub(crate) async fn run(self, mut live: Live, first: Frame) -> Result<(), CallerError> {
+    /// without `[DONE]`. Returns the tokens generated.
+    pub(crate) async fn run(self, mut live: Live, first: Frame) -> Result<Tokens, CallerError> {
         let mut frame = first;
         let mut opening = true;
         loop {
@@ -120,9 +121,10 @@
                     }
                 }
                 Frame::End(end) => {
+                    let tokens = Tokens(end.tokens);
                     let sent = self.send(self.last(end.tokens, end.finish_reason)).await
                         && self.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
-                    return if sent { Ok(()) } else { Err(caller_gone()) };
+                    return if sent { Ok(tokens) } else { Err(caller_gone()) };
                 }
                 Frame::Failed(failure) => failure_error(&self.job, &failure),
                 Frame::Start(_) | Frame::Answer(_) | Frame::Refused(_) => {
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -23,6 +23,10 @@
 /// Longest pause before a suspect agent is probed.
 const LAST_PROBE_MS: DurationMs = DurationMs(2_000);
 
+/// How long a report counts that the upstream takes no work. Reports of an agent that gets no
+/// requests can be a minute apart at the target size, because heartbeats are limited.
+const PAUSE_MS: DurationMs = DurationMs(1_000);
+
 /// An agent that can be sent work.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Agent {
@@ -30,6 +34,8 @@
     pub(crate) data_addr: SocketAddr,
     pub(crate) control_addr: SocketAddr,
     listed_leaving: bool,
+    reported_leaving: bool,
+    pause_until: Option<TimeMs>,
     incarnation: Incarnation,
     leaving: Option<Incarnation>,
     report_seq: u64,
@@ -42,7 +48,18 @@
     /// Returns whether new work may be sent, a probe of a suspect agent included.
     fn takes_work(&self, now: TimeMs) -> bool {
         let left = self.leaving.is_some_and(|left| left >= self.incarnation);
-        !self.listed_leaving && !left && self.probe_at.is_none_or(|at| now >= at)
+        let paused = self.pause_until.is_some_and(|until| now < until);
+        let away = self.listed_leaving || self.reported_leaving || left || paused;
+        !away && self.probe_at.is_none_or(|at| now >= at)
+    }
+}
+
+impl Agent {
+    /// Takes a report. Unlike a leaving notice, a reported drain ends when an operator ends it.
+    fn take(&mut self, status: &Status, now: TimeMs) {
+        self.report_seq = status.report_seq;
+        self.reported_leaving = status.leaving;
+        self.pause_until = (!status.accepting).then(|| now + PAUSE_MS);
     }
 }
 
@@ -99,6 +116,16 @@
         agent.takes_work(now).then(|| agent.clone())
     }
 
+    /// Counts a placement on a suspect agent as its probe, so that it gets no other request before
+    /// the next one is due.
+    pub(crate) fn placed(&self, upstream: &UpstreamId, now: TimeMs) {
+        if let Some(agent) = self.lock().agents.get_mut(upstream) {
+            if agent.probe_at.is_some() {
+                agent.probe_at = Some(now + agent.backoff);
+            }
+        }
+    }
+
     /// Makes an agent suspect after a failed connection.
     pub(crate) fn failed(&self, upstream: &UpstreamId, now: TimeMs) {
         if let Some(agent) = self.lock().agents.get_mut(upstream) {
@@ -120,13 +147,10 @@
         agent.heard_at = now;
         agent.probe_at = None;
         agent.backoff = DurationMs::ZERO;
-        if status.leaving {
-            agent.leaving = agent.leaving.max(Some(status.agent_incarnation));
-        }
         if status.agent_incarnation > agent.incarnation {
             let first = agent.incarnation == Incarnation(0);
             agent.incarnation = status.agent_incarnation;
-            agent.report_seq = status.report_seq;
+            agent.take(status, now);
             return if first {
                 Fresh::Newer
             } else {
@@ -136,7 +160,7 @@
         if status.report_seq <= agent.report_seq {
             return Fresh::Old;
         }
-        agent.report_seq = status.report_seq;
+        agent.take(status, now);
         Fresh::Newer
     }
 
@@ -213,6 +237,8 @@
             data_addr,
             control_addr,
             listed_leaving,
+            reported_leaving: false,
+            pause_until: None,
             incarnation: Incarnation(0),
             leaving: None,
             report_seq: 0,
--- a/crates/router/tests/process.rs
+++ b/crates/router/tests/process.rs
@@ -25,10 +25,16 @@
 use dw_api::admin::StatementError;
 use dw_api::admin::StatementRequest;
 use dw_api::admin::StatementResponse;
+use dw_base::ConfigVersion;
+use dw_base::Incarnation;
+use dw_base::ManualClock;
+use dw_base::TimeMs;
 use dw_router::NodeView;
 use dw_router::Router;
 use dw_router::Statements;
 use dw_wire::connect_control;
+use dw_wire::Frame;
+use dw_wire::Hello;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
@@ -180,3 +186,58 @@
     assert_eq!(process.wait().expect("exit").code(), Some(0));
     fs::remove_file(&file).expect("removed");
 }
+
+/// Guards against new work for an agent that has announced its end.
+#[tokio::test]
+async fn leaving_agent_receives_no_new_work() {
+    let agents = [
+        Agent::start("a", good("a")).await,
+        Agent::start("b", good("b")).await,
+    ];
+    let router = start(&agents.each_ref()).await;
+    let client = connect_control(router.control_addr())
+        .await
+        .expect("connected");
+    let notice = Hello {
+        node: id("agent-a"),
+        incarnation: Incarnation(1),
+        config_version: ConfigVersion(1),
+        leaving: true,
+        status: None,
+    };
+    let answer = client
+        .hello(tarpc::context::current(), notice)
+        .await
+        .expect("answer");
+    assert!(!answer.leaving);
+    for _ in 0..4 {
+        Ask::chat(CHAT).send(router.callers_addr()).await;
+    }
+    assert_eq!(agents.map(|agent| agent.runs().len()), [0, 4]);
+}
+
+/// Guards against new work for an upstream that an operator drains or that loads weights.
+#[tokio::test]
+async fn reported_drain_ends_new_work() {
+    for (leaving, accepting) in [(true, true), (false, false)] {
+        let a = Agent::start("a", move |seen, _| {
+            let mut frames = frames(&request_id(seen), "a", 1);
+            if let Frame::Start(start) = &mut frames[0] {
+                start.status.leaving = leaving;
+                start.status.accepting = accepting;
+            }
+            send(frames)
+        })
+        .await;
+        let mut parts = parts(&[&a]);
+        // The clock stands still, so that the report does not become too old.
+        parts.clock = Arc::new(ManualClock::new(TimeMs(1_000_000)));
+        let router = Router::start(parts).await.expect("started");
+        let codes = [
+            Ask::chat(CHAT).send(router.callers_addr()).await.0,
+            Ask::chat(CHAT).send(router.callers_addr()).await.0,
+        ];
+        assert_eq!(codes, [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE]);
+        assert_eq!(a.runs().len(), 1);
+    }
+}
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use common::good;
 use common::parts;
@@ -10,6 +11,7 @@
 use common::Agent;
 use common::Ask;
 use common::CHAT;
+use common::STREAM;
 use dw_base::DurationMs;
 use dw_base::Tokens;
 use dw_router::filter::limit::LimitExceeded;
@@ -127,7 +129,8 @@
         malformed key: 400 invalid_request
         other service: 400 invalid_request
         bad call body: 400 invalid_request
-    "#]].assert_eq(&shown);
+    "#]]
+    .assert_eq(&shown);
     assert_eq!(agent.runs().len(), 0);
 }
 
@@ -156,3 +159,36 @@
     assert_eq!(headers["retry-after"], "2");
     assert_eq!(agent.runs().len(), 0);
 }
+
+/// Records the allowance that is given back.
+#[derive(Default)]
+struct Recorder(Mutex<Vec<(Tokens, Tokens)>>);
+
+impl Limiter for Recorder {
+    fn admit(&self, _request: &LimitRequest) -> Result<(), LimitExceeded> {
+        Ok(())
+    }
+
+    fn give_back(&self, request: &LimitRequest, unused: Tokens) {
+        let mut given = self.0.lock().expect("not poisoned");
+        given.push((request.tokens, unused));
+    }
+}
+
+/// Guards against allowance that is lost for text that was never generated.
+#[tokio::test]
+async fn unused_allowance_is_given_back() {
+    let agent = Agent::start("a", good("a")).await;
+    let recorder = Arc::new(Recorder::default());
+    let mut parts = parts(&[&agent]);
+    parts.limiter = recorder.clone();
+    let router = Router::start(parts).await.expect("started");
+    for body in [CHAT, STREAM] {
+        let (code, _, text) = Ask::chat(body).send(router.callers_addr()).await;
+        assert_eq!(code, StatusCode::OK, "{text}");
+    }
+    router.shutdown().await;
+    let given = recorder.0.lock().expect("not poisoned").clone();
+    // The prompt has 3 tokens, 512 may be generated and 3 are.
+    assert_eq!(given, [(Tokens(515), Tokens(509)); 2]);
+}
