Add stand-ins for model engine, plain service and weight store

Cause: agent, router and measurements need upstreams that behave like the platform's engines and services, faults included.

Ruled out: keying the stand-in's cache by organisation, which would hide a router that mixes salts. The cache is keyed by block hash alone and each block is stamped with its origin, so that GET /v1/audit counts crossings.

Before: stand-ins for table, objects and VM list. After: an engine with continuous batching, prefix cache, cache events, resume, cancel, orders, fencing, import and export; a plain service that records executions; a weight store. base gets Chain::from_root, since an engine knows only the hash of the salt.

--- a/crates/base/src/chain.rs
+++ b/crates/base/src/chain.rs
@@ -96,7 +96,11 @@
 impl Chain {
     /// Computes the chain of `prompt`.
     pub fn new(salt: &Salt, prompt: &[u8]) -> Self {
-        let root = salt.root();
+        Chain::from_root(salt.root(), prompt)
+    }
+
+    /// Computes the chain of `prompt` for a salt of which only the hash is known.
+    pub fn from_root(root: BlockHash, prompt: &[u8]) -> Self {
         let mut parent = root;
         let blocks = prompt
             .chunks_exact(PIECE_BYTES)
--- /dev/null
+++ b/crates/standin/src/engine/events.rs
@@ -0,0 +1,66 @@
+//! The log of cache events, published late and with losses.
+
+use std::collections::VecDeque;
+
+use dw_api::engine::CacheEvent;
+use dw_api::engine::CacheEventKind;
+use dw_base::seeded_rng;
+use dw_base::BlockHash;
+use dw_base::Rng;
+use rand::RngExt;
+
+/// Events kept for readers that are behind; older ones are lost to them.
+const MAX_EVENTS: usize = 65_536;
+
+#[derive(Debug)]
+pub(crate) struct EventLog {
+    rng: Rng,
+    last_seq: u64,
+    events: VecDeque<(f64, CacheEvent)>,
+}
+
+impl EventLog {
+    pub(crate) fn new(seed: u64) -> Self {
+        EventLog {
+            rng: seeded_rng(seed),
+            last_seq: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn last_seq(&self) -> u64 {
+        self.last_seq
+    }
+
+    /// Numbers an event and publishes it at `publish_at_ms`, unless it is lost.
+    pub(crate) fn push(
+        &mut self,
+        kind: CacheEventKind,
+        hashes: &[BlockHash],
+        publish_at_ms: f64,
+        loss: f64,
+    ) {
+        self.last_seq += 1;
+        if self.rng.random::<f64>() < loss {
+            return;
+        }
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        let event = CacheEvent {
+            hashes: hashes.iter().map(ToString::to_string).collect(),
+            kind,
+            seq: self.last_seq,
+        };
+        self.events.push_back((publish_at_ms, event));
+    }
+
+    /// Returns the events after `after` that are published by now.
+    pub(crate) fn published(&self, after: u64, now_ms: f64) -> Vec<CacheEvent> {
+        self.events
+            .iter()
+            .filter(|(at_ms, event)| event.seq > after && *at_ms <= now_ms)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/runner.rs
@@ -0,0 +1,189 @@
+//! Runs the engine's batch in real time.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use dw_api::engine::LoadReport;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::engine::audit::Audit;
+use crate::engine::core::Core;
+use crate::engine::load_gate::LoadGate;
+use crate::engine::settings::EngineFaults;
+use crate::engine::settings::EngineSettings;
+use crate::server::serve;
+use crate::server::Running;
+
+/// Time between evictions by age while the engine is idle.
+const IDLE_STEP_MS: f64 = 100.0;
+
+/// Most steps made up for after a delay of the process; later ones are given up.
+const MAX_LATE_STEPS: u32 = 64;
+
+/// A model engine that computes nothing and takes the time that an engine would take.
+#[derive(Debug)]
+pub struct Engine {
+    core: Mutex<Core>,
+    cut: Mutex<CancellationToken>,
+    samples: Mutex<VecDeque<LoadReport>>,
+    pub(crate) wake: Notify,
+    pub(crate) gate: Arc<LoadGate>,
+    origin: Instant,
+    speedup: f64,
+}
+
+impl Engine {
+    /// Creates an idle engine; the engines of a deployment share `gate`.
+    pub fn new(settings: EngineSettings, gate: Arc<LoadGate>) -> Self {
+        Engine {
+            speedup: settings.speedup,
+            core: Mutex::new(Core::new(settings)),
+            cut: Mutex::default(),
+            samples: Mutex::default(),
+            wake: Notify::new(),
+            gate,
+            origin: Instant::now(),
+        }
+    }
+
+    /// Returns the uses of cached blocks so far.
+    pub fn audit(&self) -> Audit {
+        self.core().audit.clone()
+    }
+
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.core().incarnation
+    }
+
+    /// Replaces all fault switches and carries out those that act once.
+    pub fn set_faults(&self, mut faults: EngineFaults) {
+        let now_ms = self.now_ms();
+        let cut = faults.cut || faults.crash;
+        {
+            let mut core = self.core();
+            if std::mem::take(&mut faults.evict_all) {
+                core.evict_all(now_ms);
+            }
+            if std::mem::take(&mut faults.crash) {
+                core.crash(now_ms);
+                self.samples().clear();
+            }
+            faults.cut = false;
+            core.faults = faults;
+        }
+        if cut {
+            let mut current = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+            std::mem::take(&mut *current).cancel();
+        }
+        self.wake.notify_one();
+    }
+
+    /// Returns the token that is cancelled when connections are cut.
+    pub(crate) fn cut(&self) -> CancellationToken {
+        self.cut
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn samples(&self) -> MutexGuard<'_, VecDeque<LoadReport>> {
+        self.samples.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now_ms(&self) -> f64 {
+        self.origin.elapsed().as_secs_f64() * 1000.0 * self.speedup
+    }
+
+    /// Records the load after a change.
+    pub(crate) fn sample(&self) {
+        let now_ms = self.now_ms();
+        let sample = self.core().load(now_ms);
+        self.samples().push_back(sample);
+    }
+
+    /// Returns the newest load report that is at least as old as the lag.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        let now_ms = self.now_ms();
+        let (incarnation, lag_ms) = {
+            let core = self.core();
+            let lag_ms = core.faults.load_lag_ms;
+            (
+                core.incarnation,
+                lag_ms.unwrap_or(core.settings.load_lag_ms),
+            )
+        };
+        let visible_ms = (now_ms - lag_ms).max(0.0) as u64;
+        let mut samples = self.samples();
+        while samples.get(1).is_some_and(|s| s.sampled_ms <= visible_ms) {
+            samples.pop_front();
+        }
+        let newest = samples.front().filter(|s| s.sampled_ms <= visible_ms);
+        // The load stays as sampled until the next change.
+        newest.cloned().map_or(
+            LoadReport {
+                incarnation,
+                queued: 0,
+                queued_tokens: 0,
+                running: 0,
+                sampled_ms: visible_ms,
+            },
+            |sample| LoadReport {
+                sampled_ms: visible_ms,
+                ..sample
+            },
+        )
+    }
+
+    async fn run(self: Arc<Self>) {
+        loop {
+            if self.core().has_work() {
+                self.run_batch().await;
+            } else {
+                let idle = self.core().settings.real(IDLE_STEP_MS);
+                tokio::select! {
+                    () = self.wake.notified() => {}
+                    () = sleep(idle) => self.core().housekeep(self.now_ms()),
+                }
+            }
+        }
+    }
+
+    async fn run_batch(&self) {
+        let mut next = Instant::now();
+        while self.core().has_work() {
+            let step = {
+                let core = self.core();
+                core.settings
+                    .real(core.settings.decode_ms_per_token * core.faults.slow_factor)
+            };
+            next += step;
+            if next + step * MAX_LATE_STEPS < Instant::now() {
+                next = Instant::now();
+            }
+            sleep_until(next).await;
+            self.core().step(self.now_ms());
+            self.sample();
+        }
+    }
+}
+
+/// Starts the engine on `addr`.
+pub async fn start_engine(addr: SocketAddr, engine: Arc<Engine>) -> io::Result<Running> {
+    let running = serve(addr, Arc::new(Arc::clone(&engine))).await?;
+    running.background(engine.run());
+    Ok(running)
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that every stand-in runs on.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -63,6 +64,17 @@
         self.addr
     }
 
+    /// Runs a task until the stand-in stops.
+    pub(crate) fn background(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stop = self.stop.clone();
+        self.connections.spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = task => {}
+            }
+        });
+    }
+
     /// Closes the listener and every connection, and waits until they are closed.
     pub async fn stop(self) {
         self.stop.cancel();
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,281 @@
+//! Checks the stand-in engine over HTTP.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dw_api::engine::CacheEvents;
+use dw_api::engine::CancelResponse;
+use dw_api::engine::EngineState;
+use dw_api::engine::GenerateEvent;
+use dw_api::engine::KvBlocks;
+use dw_base::BlockHash;
+use dw_base::PIECE_BYTES;
+use dw_standin::answer_text;
+use dw_standin::ephemeral;
+use dw_standin::start_engine;
+use dw_standin::Audit;
+use dw_standin::Engine;
+use dw_standin::EngineFaults;
+use dw_standin::EngineSettings;
+use dw_standin::LoadGate;
+use dw_standin::Running;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use serde_json::Value;
+
+const SPEEDUP: f64 = 50.0;
+
+struct Bench {
+    engine: Arc<Engine>,
+    running: Running,
+}
+
+impl Bench {
+    async fn new(settings: EngineSettings) -> Bench {
+        let engine = Arc::new(Engine::new(settings, Arc::new(LoadGate::new(2))));
+        let running = start_engine(ephemeral(), Arc::clone(&engine))
+            .await
+            .expect("the engine starts");
+        Bench { engine, running }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: &Value) -> Response<Incoming> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.running.addr()))
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("the request is valid");
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        client.request(request).await.expect("the engine answers")
+    }
+
+    async fn json<T: DeserializeOwned>(&self, method: Method, path: &str, body: &Value) -> T {
+        let response = self.call(method, path, body).await;
+        assert_eq!(response.status(), StatusCode::OK, "{path}");
+        let bytes = response
+            .into_body()
+            .collect()
+            .await
+            .expect("the answer is complete")
+            .to_bytes();
+        serde_json::from_slice(&bytes).expect("the answer is of its type")
+    }
+
+    async fn generate(&self, request: &Value) -> Vec<GenerateEvent> {
+        let response = self.call(Method::POST, "/v1/generate", request).await;
+        events(response).await.expect("the answer is complete")
+    }
+
+    async fn audit(&self) -> Audit {
+        self.json(Method::GET, "/v1/audit", &json!(null)).await
+    }
+}
+
+/// Returns the events of an answer, or `None` if its connection was cut.
+async fn events(response: Response<Incoming>) -> Option<Vec<GenerateEvent>> {
+    assert_eq!(response.status(), StatusCode::OK);
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    let text = std::str::from_utf8(&bytes).expect("events are text");
+    let parse = |part: &str| {
+        let json = part.strip_prefix("data: ").expect("events have data");
+        serde_json::from_str(json).expect("events are of their type")
+    };
+    Some(text.split_terminator("\n\n").map(parse).collect())
+}
+
+fn text(events: &[GenerateEvent]) -> String {
+    let token = |event: &GenerateEvent| match event {
+        GenerateEvent::Token { text, .. } => Some(text.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(token).collect()
+}
+
+fn cached_tokens(events: &[GenerateEvent]) -> u64 {
+    match events.first() {
+        Some(GenerateEvent::Start { cached_tokens, .. }) => *cached_tokens,
+        other => panic!("no start event: {other:?}"),
+    }
+}
+
+fn settings() -> EngineSettings {
+    EngineSettings::builder()
+        .speedup(SPEEDUP)
+        .event_delay_ms(0.0)
+        .cache_age_ms(1e9)
+        .build()
+}
+
+fn request(id: &str, user: &str, pieces: usize, max_tokens: u64) -> Value {
+    json!({
+        "request_id": id,
+        "model": "model",
+        "user": user,
+        "cache_salt": BlockHash(7).to_string(),
+        "prompt": "p".repeat(pieces * PIECE_BYTES + 5),
+        "max_tokens": max_tokens,
+        "priority": 1,
+    })
+}
+
+/// Guards against incomplete or disordered answers, and against a prefix that is not reused.
+#[tokio::test]
+async fn answer_is_complete_and_second_one_uses_the_cache() {
+    let bench = Bench::new(settings()).await;
+    let first = bench.generate(&request("a", "o", 2, 5)).await;
+    assert_eq!(first.len(), 7);
+    assert_eq!(text(&first), answer_text("a", 5));
+    assert_eq!(cached_tokens(&first), 0);
+    let second = bench.generate(&request("b", "o", 3, 1)).await;
+    assert_eq!(cached_tokens(&second), 4_096);
+    assert_eq!(bench.audit().await.organisation_crossings, 0);
+}
+
+/// Guards against an audit that does not see a block of another organisation being used.
+#[tokio::test]
+async fn audit_counts_use_of_another_organisations_block() {
+    let bench = Bench::new(settings()).await;
+    bench.generate(&request("a", "o", 1, 1)).await;
+    bench.generate(&request("b", "other", 1, 1)).await;
+    let audit = bench.audit().await;
+    assert_eq!(audit.organisation_crossings, 1);
+    assert_eq!(audit.examples[0].request_id, "b");
+}
+
+/// Guards against a cache that exceeds its size, and against evictions without an event.
+#[tokio::test]
+async fn cache_is_bounded_and_evictions_are_events() {
+    let mut settings = settings();
+    settings.cache_blocks = 2;
+    let bench = Bench::new(settings).await;
+    bench.generate(&request("a", "o", 3, 1)).await;
+    let found: CacheEvents = bench
+        .json(Method::GET, "/v1/cache/events?after=0", &json!(null))
+        .await;
+    let kinds: Vec<String> = found.events.iter().map(|e| e.kind.to_string()).collect();
+    assert_eq!(kinds, ["stored", "stored", "evicted", "stored"]);
+    assert_eq!(found.last_seq, 4);
+}
+
+/// Guards against a lost event that leaves no gap in the numbers.
+#[tokio::test]
+async fn lost_events_leave_a_gap() {
+    let bench = Bench::new(settings()).await;
+    bench.engine.set_faults(EngineFaults {
+        event_loss: 1.0,
+        ..EngineFaults::default()
+    });
+    bench.generate(&request("a", "o", 2, 1)).await;
+    let found: CacheEvents = bench
+        .json(Method::GET, "/v1/cache/events?after=0", &json!(null))
+        .await;
+    assert_eq!((found.events.len(), found.last_seq), (0, 2));
+}
+
+/// Guards against a crash after which an answer ends cleanly or old blocks are still there.
+#[tokio::test]
+async fn crash_cuts_answers_and_empties_the_cache() {
+    let bench = Bench::new(settings()).await;
+    bench.generate(&request("a", "o", 1, 1)).await;
+    let running = bench
+        .call(
+            Method::POST,
+            "/v1/generate",
+            &request("b", "o", 1, 1_000_000),
+        )
+        .await;
+    let crash = json!({"crash": true});
+    let _: Value = bench.json(Method::POST, "/faults", &crash).await;
+    assert_eq!(events(running).await, None);
+    assert_eq!(bench.engine.incarnation(), 2);
+    let after = bench.generate(&request("c", "o", 1, 1)).await;
+    assert_eq!(cached_tokens(&after), 0);
+}
+
+/// Guards against a resumed answer with missing or repeated tokens, after a cut and after a cancel.
+#[tokio::test]
+async fn cut_or_cancelled_answer_is_resumed_without_gap() {
+    let bench = Bench::new(settings()).await;
+    let cut = bench
+        .call(Method::POST, "/v1/generate", &request("a", "o", 0, 2_000))
+        .await;
+    let _: Value = bench
+        .json(Method::POST, "/faults", &json!({"cut": true}))
+        .await;
+    assert_eq!(events(cut).await, None);
+    let cancelled: CancelResponse = bench
+        .json(Method::POST, "/v1/cancel", &json!({"request_id": "a"}))
+        .await;
+    assert!(cancelled.cancelled && cancelled.tokens < 2_000);
+    let from = json!({"request_id": "a", "from_index": 3});
+    let resumed = bench.call(Method::POST, "/v1/resume", &from).await;
+    let resumed = events(resumed).await.unwrap();
+    assert_eq!(text(&resumed), answer_text("a", 2_000)[12..]);
+}
+
+/// Guards against an engine of either kind that treats an old fencing number as the other kind does.
+#[tokio::test]
+async fn old_fence_is_refused_only_by_engines_that_check() {
+    for (checks_fence, wanted) in [(true, StatusCode::CONFLICT), (false, StatusCode::OK)] {
+        let mut settings = settings();
+        settings.checks_fence = checks_fence;
+        let bench = Bench::new(settings).await;
+        let order =
+            |fence| json!({"fence": fence, "order": {"type": "load_adapter", "adapter": "x"}});
+        let _: EngineState = bench.json(Method::POST, "/v1/orders", &order(5)).await;
+        let old = bench.call(Method::POST, "/v1/orders", &order(4)).await;
+        assert_eq!(old.status(), wanted);
+    }
+}
+
+/// Guards against generations that start during a load, and against blocks that outlive it.
+#[tokio::test]
+async fn weight_load_blocks_generations_and_clears_the_cache() {
+    let bench = Bench::new(settings()).await;
+    bench.generate(&request("a", "o", 1, 1)).await;
+    let order = json!({
+        "fence": 1,
+        "order": {"type": "load_weights", "model": "model", "weights_version": 2},
+    });
+    let state: EngineState = bench.json(Method::POST, "/v1/orders", &order).await;
+    assert!(state.loading);
+    let wait = "/v1/cache/events?after=1&wait_ms=30000";
+    let found: CacheEvents = bench.json(Method::GET, wait, &json!(null)).await;
+    assert_eq!(found.weights_version, 2);
+    let mut old = request("b", "o", 1, 1);
+    old["weights_version"] = json!(1);
+    let refused = bench.call(Method::POST, "/v1/generate", &old).await;
+    assert_eq!(refused.status(), StatusCode::CONFLICT);
+    let after = bench.generate(&request("c", "o", 1, 1)).await;
+    assert_eq!(cached_tokens(&after), 0);
+}
+
+/// Guards against exported blocks that a second engine does not reuse, or takes from other weights.
+#[tokio::test]
+async fn exported_blocks_are_reused_after_import() {
+    let (from, to) = (Bench::new(settings()).await, Bench::new(settings()).await);
+    from.generate(&request("a", "o", 2, 1)).await;
+    let snapshot: Value = from.json(Method::GET, "/v1/cache", &json!(null)).await;
+    let wanted = json!({"hashes": snapshot["hashes"]});
+    let mut blocks: KvBlocks = from.json(Method::POST, "/v1/cache/export", &wanted).await;
+    assert_eq!(blocks.blocks.len(), 2);
+    let _: Value = to
+        .json(Method::POST, "/v1/cache/import", &json!(blocks))
+        .await;
+    let answer = to.generate(&request("b", "o", 2, 1)).await;
+    assert_eq!(cached_tokens(&answer), 4_096);
+    blocks.weights_version = 9;
+    let refused = to
+        .call(Method::POST, "/v1/cache/import", &json!(blocks))
+        .await;
+    assert_eq!(refused.status(), StatusCode::CONFLICT);
+}
