--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use dw_api::engine::LoadReport;
 use tokio::sync::Notify;
@@ -26,8 +27,8 @@
 /// Time between evictions by age while the engine is idle.
 const IDLE_STEP_MS: f64 = 100.0;
 
-/// Most steps made up for after a delay of the process; later ones are given up.
-const MAX_LATE_STEPS: u32 = 64;
+/// Longest delay of the process that is made up for; the steps of a longer one are given up.
+const MAX_LATE: Duration = Duration::from_millis(100);
 
 /// A model engine that computes nothing and takes the time that an engine would take.
 #[derive(Debug)]
@@ -171,7 +172,7 @@
                     .real(core.settings.decode_ms_per_token * core.faults.slow_factor)
             };
             next += step;
-            if next + step * MAX_LATE_STEPS < Instant::now() {
+            if next + MAX_LATE < Instant::now() {
                 next = Instant::now();
             }
             sleep_until(next).await;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -47,6 +47,7 @@
 //! back into the queue when it is resumed.
 
 mod engine;
+mod fleet;
 mod objects;
 mod platform;
 mod server;
@@ -65,6 +66,15 @@
 pub use engine::EngineSettings;
 pub use engine::LoadGate;
 pub use engine::Stamp;
+pub use fleet::EngineEntry;
+pub use fleet::Fleet;
+pub use fleet::FleetError;
+pub use fleet::PlatformEntry;
+pub use fleet::RunningFleet;
+pub use fleet::ServiceEntry;
+pub use fleet::Started;
+pub use fleet::VmsEntry;
+pub use fleet::WeightsEntry;
 pub use objects::start_objects;
 pub use objects::MemoryObjects;
 pub use platform::Counters;
