Add the library of the agent

Cause: each upstream needs a process that queues, runs and relays its work. Ruled out: a kept connection for calls that run at most once, because a call written to a connection that closes may or may not have run; an answer buffer per connection, because a resumed stream needs the frames of the broken one. Before: empty crate. Conclusion: frames of an attempt are kept apart from its connections, and any connection can follow them from any chunk.

--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,206 @@
+//! Start and shutdown of an agent.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use dw_base::Incarnation;
+use dw_store::VmSource;
+use dw_wire::Status;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::client::UpstreamClient;
+use crate::control;
+use crate::engine::Engine;
+use crate::feed::Feed;
+use crate::orders::Orders;
+use crate::parts::Parts;
+use crate::queue::Queue;
+use crate::server;
+use crate::shared::Shared;
+use crate::shared::UpstreamView;
+use crate::writer::Writer;
+
+/// Time between two looks at the queue for requests that have become too late.
+const POLL_QUEUE_EVERY: Duration = Duration::from_millis(20);
+
+/// Queue looks between two sweeps of kept answers.
+const SWEEP_EVERY: u32 = 50;
+
+/// An agent cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[error("address {addr} of key {key} cannot be bound: {source}; choose a free address")]
+    Bind {
+        /// Key in the settings.
+        key: &'static str,
+        /// Address.
+        addr: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("the cache thread cannot be started: {0}; raise the limit on threads")]
+    Thread(std::io::Error),
+}
+
+/// A running agent; dropping it stops it like a crash.
+pub struct Agent {
+    shared: Arc<Shared>,
+    vms: Option<Arc<dyn VmSource>>,
+    data_addr: SocketAddr,
+    control_addr: SocketAddr,
+    stop_serving: CancellationToken,
+    server: Option<JoinHandle<()>>,
+}
+
+impl Agent {
+    /// Binds the addresses and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub async fn start(parts: Parts) -> Result<Self, StartError> {
+        let data = bind("data_addr", parts.settings.data_addr).await?;
+        let control = bind("control_addr", parts.settings.control_addr).await?;
+        let local = |listener: &TcpListener, fallback| listener.local_addr().unwrap_or(fallback);
+        let data_addr = local(&data, parts.settings.data_addr);
+        let control_addr = local(&control, parts.settings.control_addr);
+        let vms = parts.vms.clone();
+        let shared = shared(parts)?;
+        let stop_serving = CancellationToken::new();
+        let serving = server::serve(Arc::clone(&shared), data, stop_serving.clone());
+        let server = spawn_until_killed(&shared, serving);
+        spawn_until_killed(&shared, control::serve(Arc::clone(&shared), control));
+        spawn_until_killed(&shared, shared.feed.clone().poll(shared.engine.clone()));
+        spawn_until_killed(&shared, poll_queue(Arc::clone(&shared)));
+        spawn_until_killed(&shared, orders(&shared).run());
+        Ok(Agent {
+            shared,
+            vms,
+            data_addr,
+            control_addr,
+            stop_serving,
+            server: Some(server),
+        })
+    }
+
+    /// Returns the address of the data path.
+    pub fn data_addr(&self) -> SocketAddr {
+        self.data_addr
+    }
+
+    /// Returns the address of the control path.
+    pub fn control_addr(&self) -> SocketAddr {
+        self.control_addr
+    }
+
+    /// Returns the state as routers see it.
+    pub fn status(&self) -> Status {
+        self.shared.status(None)
+    }
+
+    /// Refuses new work, notifies the routers, finishes all work, and stops.
+    pub async fn shutdown(mut self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+        log::info!("event=leaving node={}", self.shared.settings.node);
+        control::send_leaving_notices(&self.shared, self.vms.as_ref()).await;
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
+        self.stop_serving.cancel();
+        if let Some(server) = self.server.take() {
+            let _ = server.await;
+        }
+        log::info!("event=stopped node={}", self.shared.settings.node);
+    }
+
+    /// Stops all tasks at once, as a crash of the process would.
+    pub fn kill(self) {}
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.shared.killed.cancel();
+    }
+}
+
+async fn bind(key: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|source| StartError::Bind { key, addr, source })
+}
+
+fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
+    let url = parts.settings.upstream_url.clone();
+    let clock = parts.clock;
+    let incarnation = parts.incarnation.unwrap_or(Incarnation(clock.now().0));
+    Ok(Arc::new(Shared {
+        queue: Queue::new(parts.gate, Arc::clone(&clock)),
+        feed: Feed::spawn(Arc::clone(&clock)).map_err(StartError::Thread)?,
+        engine: Engine::new(&url),
+        plain: UpstreamClient::unpooled(&url),
+        writer: Writer::spawn(Arc::clone(&parts.table), Arc::clone(&clock)),
+        settings: parts.settings,
+        config: parts.config,
+        peer: parts.peer,
+        table: parts.table,
+        objects: parts.objects,
+        clock,
+        incarnation,
+        known: Mutex::default(),
+        tasks: TaskTracker::new(),
+        killed: CancellationToken::new(),
+        upstream: Mutex::new(UpstreamView::default()),
+        calls: Mutex::new(HashMap::new()),
+        explained: Mutex::new(VecDeque::new()),
+        leaving: AtomicBool::new(false),
+        next_ticket: AtomicU64::new(1),
+        next_report: AtomicU64::new(0),
+    }))
+}
+
+fn orders(shared: &Arc<Shared>) -> Orders {
+    let changed = Arc::new(Notify::new());
+    let listener = Arc::clone(&changed);
+    shared
+        .config
+        .subscribe(Box::new(move |_| listener.notify_one()));
+    Orders::new(Arc::clone(shared), changed)
+}
+
+fn spawn_until_killed(
+    shared: &Shared,
+    task: impl Future<Output = ()> + Send + 'static,
+) -> JoinHandle<()> {
+    let killed = shared.killed.clone();
+    tokio::spawn(async move {
+        killed.run_until_cancelled_owned(task).await;
+    })
+}
+
+async fn poll_queue(shared: Arc<Shared>) {
+    let mut polls = 0u32;
+    loop {
+        tokio::time::sleep(POLL_QUEUE_EVERY).await;
+        if shared.queue.load().0.queued > 0 {
+            shared.queue.poll();
+        }
+        polls = polls.wrapping_add(1);
+        if polls.is_multiple_of(SWEEP_EVERY) {
+            server::sweep(&shared);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/generate.rs
@@ -0,0 +1,421 @@
+//! Runs a generation on the engine and relays its tokens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dw_admit::Finished;
+use dw_api::engine::GenerateEvent;
+use dw_api::engine::GenerateRequest;
+use dw_api::engine::ResumeRequest;
+use dw_base::Chain;
+use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::ModelId;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::WeightsVersion;
+use dw_base::PIECE_TOKENS;
+use dw_cache::Prediction;
+use dw_wire::FailureKind;
+use dw_wire::Frame;
+use dw_wire::RefusalReason;
+use dw_wire::RunRequest;
+use dw_wire::StreamEnd;
+use dw_wire::StreamStart;
+
+use crate::client::UpstreamError;
+use crate::engine::EventStream;
+use crate::kv;
+use crate::live::Live;
+use crate::queue::Slot;
+use crate::shared::Explained;
+use crate::shared::Shared;
+use crate::wait::failed;
+use crate::wait::wait_for_slot;
+
+/// Times that one generation is resumed after its connection broke.
+const MAX_RESUMES: u32 = 5;
+
+/// Pause before the first resume; it doubles with each further one.
+const RESUME_BACKOFF_MS: u64 = 10;
+
+/// What to generate.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) model: ModelId,
+    pub(crate) weights: WeightsVersion,
+    pub(crate) chain: Chain,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u64,
+}
+
+enum Outcome {
+    Ended(Box<Frame>),
+    Preempted,
+}
+
+enum Signal {
+    Event(Result<GenerateEvent, UpstreamError>),
+    Preempted,
+    Abandoned,
+    Deadline,
+}
+
+/// One generation over all its rounds; a pre-emption starts another round.
+pub(crate) struct Generation {
+    shared: Arc<Shared>,
+    request: RunRequest,
+    job: Job,
+    live: Arc<Live>,
+    arrived: TimeMs,
+    deadline: TimeMs,
+    round: u32,
+    text: String,
+    tokens: u64,
+    explained: Explained,
+}
+
+/// State of one round on the engine.
+struct Round {
+    engine_id: String,
+    predicted: Prediction,
+    imported: u64,
+    opened: TimeMs,
+    first_token: Option<TimeMs>,
+    computed_tokens: u64,
+    next_index: u64,
+    resumes: u32,
+}
+
+impl Generation {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        request: RunRequest,
+        job: Job,
+        live: Arc<Live>,
+        arrived: TimeMs,
+    ) -> Self {
+        let explained = Explained {
+            request_id: request.request_id.clone(),
+            attempt: request.attempt,
+            arrived,
+            warm_depth: shared.feed.predict(&job.chain).depth,
+            imported_pieces: 0,
+            cached_tokens: None,
+            queued_ms: None,
+            result: String::new(),
+        };
+        Generation {
+            deadline: arrived + request.budget_ms,
+            shared,
+            request,
+            job,
+            live,
+            arrived,
+            round: 0,
+            text: String::new(),
+            tokens: 0,
+            explained,
+        }
+    }
+
+    /// Runs the generation to its end.
+    pub(crate) async fn run(mut self) {
+        let end = loop {
+            let slot = wait_for_slot(&self.shared, &self.request, &self.live, self.deadline).await;
+            let slot = match slot {
+                Ok(slot) => slot,
+                // After a pre-emption "not run" would be false.
+                Err(_) if self.round > 0 => {
+                    break self.fail(FailureKind::Cancelled, "pre-empted and not started again")
+                }
+                Err(refused) => break *refused,
+            };
+            match self.run_round(&slot).await {
+                (Outcome::Ended(frame), finished) => {
+                    slot.finish(finished);
+                    break *frame;
+                }
+                (Outcome::Preempted, finished) => slot.finish(finished),
+            }
+            self.round += 1;
+        };
+        self.explained.result = match &end {
+            Frame::End(_) => "complete".to_owned(),
+            Frame::Refused(refusal) => format!("refused {:?}", refusal.reason),
+            Frame::Failed(failure) => format!("failed {:?}", failure.kind),
+            _ => "unexpected".to_owned(),
+        };
+        if matches!(end, Frame::End(_)) {
+            kv::used(&self.shared, &self.job.chain);
+        }
+        self.live.end(&end, self.shared.clock.now());
+        self.shared.explain(self.explained);
+    }
+
+    async fn run_round(&mut self, slot: &Slot) -> (Outcome, Finished) {
+        let predicted = self.shared.feed.predict(&self.job.chain);
+        let (chain, org) = (&self.job.chain, &self.request.org);
+        let imported = kv::import(&self.shared, chain, org, predicted.depth).await;
+        self.explained.imported_pieces = imported;
+        let now = self.shared.clock.now();
+        self.explained
+            .queued_ms
+            .get_or_insert(now.since(self.arrived));
+        let mut round = Round {
+            engine_id: format!(
+                "{}.{}.{}",
+                self.request.request_id, self.request.attempt, self.round
+            ),
+            predicted,
+            imported,
+            opened: now,
+            first_token: None,
+            computed_tokens: 0,
+            next_index: 0,
+            resumes: 0,
+        };
+        let outcome = self.relay(slot, &mut round).await;
+        let now = self.shared.clock.now();
+        let finished = Finished {
+            id: 0,
+            computed_tokens: Tokens(round.computed_tokens),
+            generated_tokens: Tokens(round.next_index),
+            prefill_ms: round
+                .first_token
+                .map_or(DurationMs::ZERO, |at| at.since(round.opened)),
+            total_ms: now.since(round.opened),
+        };
+        (outcome, finished)
+    }
+
+    async fn relay(&mut self, slot: &Slot, round: &mut Round) -> Outcome {
+        let live = Arc::clone(&self.live);
+        let abandoned = live.abandoned();
+        let deadline =
+            tokio::time::sleep(Duration::from(self.deadline.since(self.shared.clock.now())));
+        tokio::pin!(abandoned, deadline);
+        let mut stream: Option<EventStream> = None;
+        loop {
+            let signal = {
+                let event = next_event(&self.shared, &mut stream, || self.engine_request(round));
+                tokio::select! {
+                    biased;
+                    event = event => Signal::Event(event),
+                    () = &mut abandoned => Signal::Abandoned,
+                    () = slot.preempted() => Signal::Preempted,
+                    () = &mut deadline, if !live.started() => Signal::Deadline,
+                }
+            };
+            let event = match signal {
+                Signal::Event(event) => event,
+                Signal::Preempted => {
+                    self.cancel(round).await;
+                    return Outcome::Preempted;
+                }
+                Signal::Abandoned => {
+                    self.cancel(round).await;
+                    return self.ended(FailureKind::Cancelled, "the caller has left");
+                }
+                Signal::Deadline => {
+                    self.cancel(round).await;
+                    return self.ended(FailureKind::DeadlineExceeded, "no token by the deadline");
+                }
+            };
+            let result = match event {
+                Ok(event) => self.on_event(round, event).await,
+                // The engine may have accepted a request whose answer was lost.
+                Err(UpstreamError::Lost(cause)) => Err(Some(cause)),
+                Err(error) => return self.not_opened(&error),
+            };
+            match result {
+                Ok(None) => {}
+                Ok(Some(frame)) => return Outcome::Ended(Box::new(frame)),
+                Err(None) => return self.ended(FailureKind::UpstreamError, "weights changed"),
+                Err(Some(cause)) => match self.resume(round, &cause).await {
+                    Ok(resumed) => stream = Some(resumed),
+                    Err(outcome) => return outcome,
+                },
+            }
+        }
+    }
+
+    fn engine_request(&self, round: &Round) -> GenerateRequest {
+        GenerateRequest {
+            cache_salt: self.job.chain.root.to_string(),
+            max_tokens: self.job.max_tokens.saturating_sub(self.tokens),
+            model: self.job.model.to_string(),
+            priority: self.request.priority.index() as u64,
+            prompt: format!("{}{}", self.job.prompt, self.text),
+            request_id: round.engine_id.clone(),
+            user: self.request.org.to_string(),
+            weights_version: Some(self.job.weights.0),
+        }
+    }
+
+    /// Returns the last frame, or an error: a cause to resume, or `None` if the weights differ.
+    async fn on_event(
+        &mut self,
+        round: &mut Round,
+        event: GenerateEvent,
+    ) -> Result<Option<Frame>, Option<String>> {
+        match event {
+            GenerateEvent::Start {
+                cached_tokens,
+                incarnation,
+                prompt_tokens,
+                weights_version,
+            } => {
+                let weights = WeightsVersion(weights_version);
+                self.shared.observe(Incarnation(incarnation), weights);
+                if weights != self.job.weights {
+                    self.cancel(round).await;
+                    return Err(None);
+                }
+                self.on_start(round, prompt_tokens, cached_tokens);
+                Ok(None)
+            }
+            GenerateEvent::Token { index, .. } if index < round.next_index => Ok(None),
+            GenerateEvent::Token { index, .. } if index > round.next_index => {
+                Err(Some(format!("token {} is missing", round.next_index)))
+            }
+            GenerateEvent::Token { text, .. } => {
+                if !self.live.started() {
+                    // The start event was lost with the connection; nothing is known of the cache.
+                    self.on_start(round, self.job.chain.prompt_tokens.0, 0);
+                }
+                round.next_index += 1;
+                self.tokens += 1;
+                self.text.push_str(&text);
+                self.live.chunk(text);
+                Ok(None)
+            }
+            GenerateEvent::End {
+                finish_reason,
+                tokens,
+            } if tokens == round.next_index => Ok(Some(self.end(finish_reason))),
+            GenerateEvent::End { tokens, .. } => Err(Some(format!(
+                "the engine counts {tokens} tokens, {} arrived",
+                round.next_index
+            ))),
+        }
+    }
+
+    fn on_start(&mut self, round: &mut Round, prompt_tokens: u64, cached_tokens: u64) {
+        let now = self.shared.clock.now();
+        if round.first_token.is_some() {
+            return;
+        }
+        round.first_token = Some(now);
+        round.computed_tokens = prompt_tokens.saturating_sub(cached_tokens);
+        let found = usize::try_from(cached_tokens / PIECE_TOKENS).unwrap_or(usize::MAX);
+        let chain = self.job.chain.clone();
+        self.shared.feed.report(chain, round.predicted, found);
+        if self.live.started() {
+            return;
+        }
+        self.explained.cached_tokens = Some(cached_tokens);
+        self.live.start(&Frame::Start(StreamStart {
+            request_id: self.request.request_id.clone(),
+            prompt_tokens,
+            cached_tokens,
+            imported_tokens: round.imported * PIECE_TOKENS,
+            queued_ms: round.opened.since(self.arrived),
+            status: self.shared.status(Some(&self.job.chain)),
+        }));
+    }
+
+    fn end(&self, finish_reason: String) -> Frame {
+        Frame::End(StreamEnd {
+            request_id: self.request.request_id.clone(),
+            chunks: self.tokens,
+            tokens: self.tokens,
+            finish_reason,
+            status: self.shared.status(Some(&self.job.chain)),
+        })
+    }
+
+    /// Continues on a new connection; fails if the engine does not know the generation.
+    async fn resume(&self, round: &mut Round, cause: &str) -> Result<EventStream, Outcome> {
+        log::info!(
+            "event=engine_stream_broken request_id={} from_index={} cause={cause:?}",
+            self.request.request_id,
+            round.next_index
+        );
+        let request = ResumeRequest {
+            from_index: round.next_index,
+            request_id: round.engine_id.clone(),
+        };
+        while round.resumes < MAX_RESUMES {
+            let backoff_ms = RESUME_BACKOFF_MS << round.resumes;
+            round.resumes += 1;
+            tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+            match self.shared.engine.resume(&request).await {
+                Ok(stream) => return Ok(stream),
+                Err(UpstreamError::Rejected { message, .. }) => {
+                    return Err(self.ended(FailureKind::UpstreamLost, message));
+                }
+                Err(_) => {}
+            }
+        }
+        Err(self.ended(FailureKind::UpstreamLost, cause))
+    }
+
+    /// Ends a round that the engine did not begin.
+    fn not_opened(&self, error: &UpstreamError) -> Outcome {
+        let reason = match error {
+            UpstreamError::NotSent(_) => Some(RefusalReason::NotReady),
+            UpstreamError::Rejected { kind, .. } => match kind.as_str() {
+                "loading" | "wrong_weights" => Some(RefusalReason::NotReady),
+                "overloaded" => Some(RefusalReason::QueueFull),
+                _ => None,
+            },
+            UpstreamError::Lost(_) => None,
+        };
+        match (reason, error) {
+            (Some(reason), _) if self.round == 0 => Outcome::Ended(Box::new(self.shared.refusal(
+                &self.request.request_id,
+                reason,
+                None,
+                Some(&self.job.chain),
+            ))),
+            (_, UpstreamError::Rejected { .. }) => {
+                self.ended(FailureKind::UpstreamError, error.to_string())
+            }
+            _ => self.ended(FailureKind::UpstreamLost, error.to_string()),
+        }
+    }
+
+    async fn cancel(&self, round: &Round) {
+        if let Err(error) = self.shared.engine.cancel(&round.engine_id).await {
+            log::warn!(
+                "event=cancel_failed request_id={} error={:?}",
+                self.request.request_id,
+                error.to_string()
+            );
+        }
+    }
+
+    fn ended(&self, kind: FailureKind, message: impl Into<String>) -> Outcome {
+        Outcome::Ended(Box::new(self.fail(kind, message)))
+    }
+
+    fn fail(&self, kind: FailureKind, message: impl Into<String>) -> Frame {
+        failed(&self.shared, &self.request, kind, true, message)
+    }
+}
+
+/// Opens the stream if there is none, and returns its next event.
+async fn next_event(
+    shared: &Shared,
+    stream: &mut Option<EventStream>,
+    request: impl Fn() -> GenerateRequest,
+) -> Result<GenerateEvent, UpstreamError> {
+    match stream {
+        Some(stream) => stream.next().await,
+        None => {
+            let opened = shared.engine.generate(&request()).await?;
+            stream.insert(opened).next().await
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/live.rs
@@ -0,0 +1,194 @@
+//! A call with the frames of its answer, from which any connection can be served.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dw_base::TimeMs;
+use dw_stream::ResumeBuffer;
+use dw_wire::encode_frame;
+use dw_wire::Frame;
+use tokio::sync::watch;
+
+/// Time for which a call without a connection waits for the router to resume it. A router that
+/// lost the connection resumes within one round trip; one that has left does not.
+const ABANDONED_AFTER: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+struct Frames {
+    start: Option<Bytes>,
+    chunks: ResumeBuffer<Bytes>,
+    end: Option<Bytes>,
+}
+
+/// Answer of one attempt.
+#[derive(Debug)]
+pub(crate) struct Live {
+    frames: Mutex<Frames>,
+    changed: watch::Sender<u64>,
+    attached: watch::Sender<usize>,
+}
+
+/// What a connection sends next.
+#[derive(Debug)]
+pub(crate) enum Next {
+    /// A frame, and whether it is the last one.
+    Frame(Bytes, bool),
+    /// Nothing yet.
+    Pending,
+    /// The chunk is no longer kept.
+    Gone,
+}
+
+/// Position of one connection in the answer.
+#[derive(Debug)]
+pub(crate) struct Cursor {
+    start_sent: bool,
+    next_seq: u64,
+}
+
+impl Cursor {
+    /// Creates the position before chunk `from_seq`; with chunk 0 the start is sent as well.
+    pub(crate) fn new(from_seq: u64) -> Self {
+        Cursor {
+            start_sent: from_seq > 0,
+            next_seq: from_seq,
+        }
+    }
+}
+
+impl Live {
+    pub(crate) fn new(limit_bytes: usize) -> Self {
+        Live {
+            frames: Mutex::new(Frames {
+                start: None,
+                chunks: ResumeBuffer::new(limit_bytes),
+                end: None,
+            }),
+            changed: watch::Sender::new(0),
+            attached: watch::Sender::new(0),
+        }
+    }
+
+    /// Adds the first frame of a stream.
+    pub(crate) fn start(&self, frame: &Frame) {
+        if let Ok(bytes) = encode_frame(frame) {
+            self.lock().start = Some(bytes);
+        }
+        self.notify();
+    }
+
+    /// Adds a chunk and returns its number.
+    pub(crate) fn chunk(&self, text: String) -> u64 {
+        let mut frames = self.lock();
+        let seq = frames.chunks.next_seq();
+        let frame = Frame::Chunk {
+            seq,
+            text,
+            tokens: 1,
+        };
+        if let Ok(bytes) = encode_frame(&frame) {
+            let size_bytes = bytes.len();
+            frames.chunks.push(bytes, size_bytes);
+        }
+        drop(frames);
+        self.notify();
+        seq
+    }
+
+    /// Adds the last frame; later ones are ignored.
+    pub(crate) fn end(&self, frame: &Frame, now: TimeMs) {
+        let mut frames = self.lock();
+        if frames.end.is_none() {
+            frames.end = encode_frame(frame).ok();
+            frames.chunks.finish(now);
+        }
+        drop(frames);
+        self.notify();
+    }
+
+    /// Returns whether the answer has ended.
+    pub(crate) fn ended(&self) -> bool {
+        self.lock().end.is_some()
+    }
+
+    /// Returns whether the first frame has been sent.
+    pub(crate) fn started(&self) -> bool {
+        self.lock().start.is_some()
+    }
+
+    /// Returns whether the answer need not be kept.
+    pub(crate) fn expired(&self, now: TimeMs) -> bool {
+        self.lock().chunks.expired(now)
+    }
+
+    /// Returns what to send at `cursor` and moves it.
+    pub(crate) fn next(&self, cursor: &mut Cursor) -> Next {
+        let frames = self.lock();
+        if !cursor.start_sent {
+            if let Some(start) = &frames.start {
+                cursor.start_sent = true;
+                return Next::Frame(start.clone(), false);
+            }
+        }
+        match frames.chunks.get(cursor.next_seq) {
+            Ok(Some(chunk)) => {
+                cursor.next_seq += 1;
+                Next::Frame(chunk, false)
+            }
+            Ok(None) => match &frames.end {
+                Some(end) => Next::Frame(end.clone(), true),
+                None => Next::Pending,
+            },
+            Err(_) => Next::Gone,
+        }
+    }
+
+    /// Returns a receiver that wakes after each new frame.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn attach(&self) -> Attached<'_> {
+        self.attached.send_modify(|count| *count += 1);
+        Attached { live: self }
+    }
+
+    /// Returns when no connection has been there for [`ABANDONED_AFTER`].
+    pub(crate) async fn abandoned(&self) {
+        let mut attached = self.attached.subscribe();
+        loop {
+            if attached.wait_for(|count| *count == 0).await.is_err() {
+                return;
+            }
+            let back = attached.wait_for(|count| *count > 0);
+            if tokio::time::timeout(ABANDONED_AFTER, back).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Frames> {
+        self.frames
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// Counts one connection.
+#[derive(Debug)]
+pub(crate) struct Attached<'a> {
+    live: &'a Live,
+}
+
+impl Drop for Attached<'_> {
+    fn drop(&mut self) {
+        self.live.attached.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/wait.rs
@@ -0,0 +1,124 @@
+//! The way of a request through the queue.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dw_admit::Ticket;
+use dw_base::Chain;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_wire::Failure;
+use dw_wire::FailureKind;
+use dw_wire::Frame;
+use dw_wire::RefusalReason;
+use dw_wire::RepeatRule;
+use dw_wire::RunRequest;
+use dw_wire::Work;
+
+use crate::check::ready;
+use crate::live::Live;
+use crate::queue::Slot;
+use crate::queue::Verdict;
+use crate::shared::Shared;
+
+/// Cost in tokens of one call of a plain service.
+const CALL_TOKENS: Tokens = Tokens(1);
+
+/// Returns the block chain of a request that generates.
+pub(crate) fn chain_of(request: &RunRequest) -> Option<&Chain> {
+    match &request.work {
+        Work::Generate { chain, .. } => Some(chain),
+        Work::Call { .. } => None,
+    }
+}
+
+/// Waits for a slot; the error is the last frame of the answer.
+pub(crate) async fn wait_for_slot(
+    shared: &Shared,
+    request: &RunRequest,
+    live: &Live,
+    deadline: TimeMs,
+) -> Result<Slot, Box<Frame>> {
+    let ticket = ticket(shared, request, deadline);
+    let id = ticket.id;
+    let mut verdict = shared.queue.offer(ticket);
+    let too_late = tokio::time::sleep(Duration::from(deadline.since(shared.clock.now())));
+    let interrupted = tokio::select! {
+        biased;
+        verdict = &mut verdict => return decide(shared, request, verdict.ok()),
+        () = live.abandoned() => RefusalReason::QueueFull,
+        () = too_late => RefusalReason::DeadlineUnmeetable,
+    };
+    if !shared.queue.withdraw(id) {
+        // The verdict was given in the meantime; a slot in it is returned by its drop.
+        drop(verdict);
+    }
+    let (_, wait_ms) = shared.queue.load();
+    let retry_after_ms = Some(wait_ms[request.priority.index()]);
+    let chain = chain_of(request);
+    let frame = shared.refusal(&request.request_id, interrupted, retry_after_ms, chain);
+    Err(Box::new(frame))
+}
+
+fn decide(
+    shared: &Shared,
+    request: &RunRequest,
+    verdict: Option<Verdict>,
+) -> Result<Slot, Box<Frame>> {
+    let refuse = |reason, retry_after_ms| {
+        let chain = chain_of(request);
+        let frame = shared.refusal(&request.request_id, reason, retry_after_ms, chain);
+        Err(Box::new(frame))
+    };
+    match verdict {
+        Some(Verdict::Start(slot)) => match ready(shared, request) {
+            Ok(()) => Ok(slot),
+            Err((reason, retry_after_ms)) => refuse(reason, retry_after_ms),
+        },
+        Some(Verdict::Refuse(reason, retry_after_ms)) => refuse(reason, retry_after_ms),
+        None => refuse(RefusalReason::QueueFull, None),
+    }
+}
+
+fn ticket(shared: &Shared, request: &RunRequest, deadline: TimeMs) -> Ticket {
+    let config = shared.config();
+    let (uncached_tokens, max_tokens) = match &request.work {
+        Work::Generate {
+            chain, max_tokens, ..
+        } => {
+            let depth = shared.feed.predict(chain).depth;
+            (chain.uncached_tokens(depth), Tokens(*max_tokens))
+        }
+        Work::Call { .. } => (CALL_TOKENS, Tokens(0)),
+    };
+    Ticket {
+        id: shared.next_ticket.fetch_add(1, Ordering::SeqCst),
+        org: request.org.clone(),
+        share: config
+            .organisation(&request.org)
+            .map_or(1.0, |org| org.share),
+        priority: request.priority,
+        worth: request.worth,
+        uncached_tokens,
+        max_tokens,
+        deadline,
+        repeatable: request.repeat != RepeatRule::AtMostOnce && chain_of(request).is_some(),
+    }
+}
+
+/// Creates the frame of a failed request.
+pub(crate) fn failed(
+    shared: &Shared,
+    request: &RunRequest,
+    kind: FailureKind,
+    may_have_run: bool,
+    message: impl Into<String>,
+) -> Frame {
+    Frame::Failed(Failure {
+        request_id: request.request_id.clone(),
+        kind,
+        may_have_run,
+        message: message.into(),
+        status: shared.status(chain_of(request)),
+    })
+}
--- a/crates/order/src/decide.rs
+++ b/crates/order/src/decide.rs
@@ -64,7 +64,7 @@
     RaiseFence,
     /// Write a lease, new or held; serve what the engine has unless it loads.
     TakeLease,
-    /// Delete the held lease; serve what the engine has.
+    /// Delete the held lease and ask again.
     GiveBackLease(Held),
     /// Take no new work and wait for the running work.
     Drain,
@@ -89,7 +89,12 @@
         };
     }
     let Some(order) = needed(view.desired.as_ref(), observed) else {
-        return view.lease.map_or(Step::Serve, Step::GiveBackLease);
+        let idle = if observed.serving {
+            Step::Serve
+        } else {
+            Step::Wait
+        };
+        return view.lease.map_or(idle, Step::GiveBackLease);
     };
     let Some(fence) = view.fence else {
         return Step::RaiseFence;
