config, sync: commit changes and keep every node's configuration current

Cause: nothing wrote a change to the table, and no node learnt of one.

The commit is a state machine that checks the head and the touched objects in one transaction. A lost answer is settled by the change id. While a transaction may still take effect the outcome is reported as unknown, never as refused; that ends as soon as the head has moved on, because the transaction checks it.

Ruled out: a node that has just restarted while the table is down counting another such node as current. Such a node announces version 0 until it has reached the table or an established peer.

--- a/crates/config/src/in_force.rs
+++ b/crates/config/src/in_force.rs
@@ -48,6 +48,11 @@
         *known = in_force.max(*known);
     }
 
+    /// Returns the version that a node has confirmed.
+    pub fn confirmed(&self, node: &NodeId) -> Option<ConfigVersion> {
+        self.confirmed.get(node).copied()
+    }
+
     /// Returns the nodes of `live` that have not confirmed.
     pub fn missing(&self, live: &[NodeId]) -> Vec<NodeId> {
         let has = |node| self.confirmed.get(node).is_some_and(|v| *v >= self.version);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,9 @@
 //! Configuration objects, changes, versions and snapshots.
 
 mod change;
+mod commit;
 mod in_force;
+mod key;
 mod object;
 mod snapshot;
 mod source;
@@ -14,11 +16,26 @@
 pub use change::CommittedChange;
 pub use change::Edit;
 pub use change::ObjectWrite;
+pub use commit::decode_changes;
+pub use commit::read_changes;
+pub use commit::Commit;
+pub use commit::CommitAction;
+pub use commit::CommitError;
+pub use commit::CommitEvent;
+pub use commit::Committed;
+pub use commit::CHANGES_PER_READ;
 pub use in_force::Confirmation;
 pub use in_force::InForce;
 pub use in_force::Isolation;
 pub use in_force::IN_FORCE_TIMEOUT_MS;
 pub use in_force::ISOLATION_TIMEOUT_MS;
+pub use key::change_id_key;
+pub use key::change_key;
+pub use key::object_key;
+pub use key::snapshot_key;
+pub use key::snapshot_version;
+pub use key::HEAD_KEY;
+pub use key::SNAPSHOT_PREFIX;
 pub use object::Limit;
 pub use object::Model;
 pub use object::Object;
