Join the router with configuration sync and the statement handler

Cause: the router had a trait of its own for statements, fixed configuration in its binary, and error types that differed from docs/api.md. Ruled out: starting configuration sync before the router, because peers are found through the router's VM list; the router refuses requests as isolated until the configuration is known. The binary with `store` is not run yet. Conclusion: NodeHandle gives sync and administration access to a router created after them.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -5,14 +5,12 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::Weak;
 use std::time::Duration;
 
+use dw_admin::StatementHandler;
 use dw_api::admin::StatementError;
 use dw_api::admin::StatementErrorKind;
 use dw_api::admin::StatementRequest;
-use dw_api::admin::StatementResponse;
-use dw_base::RequestId;
 use dw_telem::Metrics;
 use http::header::CONTENT_TYPE;
 use http::StatusCode;
@@ -37,52 +35,12 @@
 /// Attempts to find a free port when the settings name none.
 const PORT_ATTEMPTS: usize = 16;
 
-/// What a router can tell about itself.
-pub trait NodeView: Send + Sync {
-    /// Returns the placement record of a recent request as JSON.
-    fn explain(&self, request_id: &RequestId) -> Option<String>;
-
-    /// Returns the state of the node as JSON.
-    fn node_state(&self) -> String;
-}
-
-/// Executes statements of operators. Calls arrive on threads of the administration port.
-pub trait Statements: Send + Sync {
-    /// Receives access to the router before the first call.
-    fn attach(&self, view: Arc<dyn NodeView>);
-
-    /// Executes statements on behalf of the holder of `token`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that the operator sees.
-    fn execute(
-        &self,
-        token: Option<&str>,
-        request: StatementRequest,
-    ) -> Result<StatementResponse, StatementError>;
-}
-
-/// A view that does not keep the router alive.
-pub(crate) struct View(pub(crate) Weak<Shared>);
-
-impl NodeView for View {
-    fn explain(&self, request_id: &RequestId) -> Option<String> {
-        self.0.upgrade()?.explain(request_id)
-    }
-
-    fn node_state(&self) -> String {
-        let shared = self.0.upgrade();
-        shared.map_or_else(|| "{}".to_owned(), |shared| shared.node_state())
-    }
-}
-
 /// Starts the port and returns its address. The server has no shutdown, so that its handler holds
 /// the router weakly and answers 503 once the router is gone.
 pub(crate) fn start(
     addr: SocketAddr,
     shared: &Arc<Shared>,
-    statements: Option<&Arc<dyn Statements>>,
+    statements: Option<&Arc<dyn StatementHandler>>,
 ) -> io::Result<SocketAddr> {
     let mut failure = io::Error::other("no free port for the administration API");
     for _ in 0..PORT_ATTEMPTS {
@@ -115,7 +73,7 @@
 
 fn answer(
     shared: &Shared,
-    statements: Option<&dyn Statements>,
+    statements: Option<&dyn StatementHandler>,
     request: &mut Request<Body>,
 ) -> Response<Body> {
     match (request.method().as_str(), request.uri().path()) {
@@ -131,11 +89,14 @@
     }
 }
 
-fn execute(statements: Option<&dyn Statements>, request: &mut Request<Body>) -> Response<Body> {
+fn execute(
+    statements: Option<&dyn StatementHandler>,
+    request: &mut Request<Body>,
+) -> Response<Body> {
     let result = read_statement(request).and_then(|statement| {
         let token = bearer(request.headers());
         match statements {
-            Some(statements) => statements.execute(token, statement),
+            Some(statements) => statements.handle(token, statement),
             None => Err(fault(
                 StatementErrorKind::Unavailable,
                 "this router executes no statements",
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -154,11 +154,8 @@
     request_id: &RequestId,
     token: TaskTrackerToken,
 ) -> Result<Response<AnswerBody>, CallerError> {
-    if !shared.is_ready() {
-        return Err(CallerError::unavailable(
-            "not_ready",
-            "this router takes no new requests",
-        ));
+    if let Some(error) = shared.not_ready() {
+        return Err(error);
     }
     let arrived = shared.clock.now();
     let endpoint = endpoint(request.method(), request.uri().path())?;
@@ -226,7 +223,7 @@
     begun: Begun,
     held: Held,
 ) -> Result<Response<AnswerBody>, CallerError> {
-    let mismatch = || CallerError::unavailable("upstream_failed", "the answer has the wrong form");
+    let mismatch = || CallerError::unavailable("unavailable", "the answer has the wrong form");
     match (begun, shape) {
         (Begun::Answer(upstream, answer), None) => {
             let status = StatusCode::from_u16(answer.http_status);
@@ -326,7 +323,7 @@
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(CallerError::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
+            "too_large",
             "the body is too large",
             format!("send at most {most}"),
         )),
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -27,6 +27,9 @@
     /// Learns the configuration version of another node.
     fn version_seen(&self, hello: &Hello);
 
+    /// Returns the version to announce, if it is not the one in force.
+    fn announced_version(&self) -> Option<ConfigVersion>;
+
     /// Lends allowance.
     async fn borrow(&self, request: LoanRequest) -> Result<Loan, LoanDenied>;
 
@@ -48,6 +51,10 @@
 
     fn version_seen(&self, _hello: &Hello) {}
 
+    fn announced_version(&self) -> Option<ConfigVersion> {
+        None
+    }
+
     async fn borrow(&self, _request: LoanRequest) -> Result<Loan, LoanDenied> {
         Err(LoanDenied::NoLimit)
     }
@@ -64,6 +71,8 @@
 pub(crate) fn heard(shared: &Shared, hello: &Hello) {
     if hello.leaving {
         shared.members.left(&hello.node, hello.incarnation);
+    } else {
+        shared.members.returned(&hello.node, hello.incarnation);
     }
     if let Some(status) = &hello.status {
         shared.report(&status.upstream, status, None);
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -45,7 +45,7 @@
 
     /// Creates an error for a malformed or unacceptable request.
     pub fn bad_request(message: impl Into<String>, remedy: impl Into<String>) -> Self {
-        Self::not_run(StatusCode::BAD_REQUEST, "invalid_request", message, remedy)
+        Self::not_run(StatusCode::BAD_REQUEST, "bad_request", message, remedy)
     }
 
     /// Creates an error for the time that no upstream can take the request.
--- a/crates/router/src/filter/resolve.rs
+++ b/crates/router/src/filter/resolve.rs
@@ -59,7 +59,7 @@
     if prompt_tokens > service.max_prompt_tokens {
         return Err(CallerError::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
-            "prompt_too_long",
+            "too_large",
             format!("the prompt has {prompt_tokens}"),
             format!("send at most {}", service.max_prompt_tokens),
         ));
@@ -86,7 +86,7 @@
     }
     Err(CallerError::not_run(
         StatusCode::FORBIDDEN,
-        "priority_not_allowed",
+        "forbidden",
         format!("service {} does not allow {priority}", service.name),
         format!("use {} or a lower priority", service.priority),
     ))
--- a/crates/router/src/hello.rs
+++ b/crates/router/src/hello.rs
@@ -3,18 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use dw_wire::connect_control;
 use dw_wire::Hello;
 use futures::StreamExt;
 
 use crate::control::heard;
 use crate::shared::Shared;
 
-/// Longest wait for one exchange.
-const WAIT: Duration = Duration::from_millis(500);
-
 /// Pause between two rounds of heartbeats.
 const ROUND: Duration = Duration::from_millis(500);
 
@@ -26,14 +21,12 @@
 const NOTICES_AT_ONCE: usize = 64;
 
 /// Exchanges state with one node.
-async fn exchange(addr: SocketAddr, hello: Hello) -> Option<Hello> {
-    let talk = async {
-        let client = connect_control(addr).await.ok()?;
-        let mut context = tarpc::context::current();
-        context.deadline = Instant::now() + WAIT;
-        client.hello(context, hello).await.ok()
-    };
-    tokio::time::timeout(WAIT, talk).await.ok().flatten()
+async fn exchange(shared: &Shared, addr: SocketAddr) -> Option<Hello> {
+    let hello = shared.hello();
+    let answer = shared.pool.call(addr, |client, context| async move {
+        client.hello(context, hello).await
+    });
+    answer.await.ok()
 }
 
 /// Sends heartbeats to the agents that were silent for longest.
@@ -46,7 +39,7 @@
         let calls = silent.into_iter().map(|(upstream, agent)| {
             let shared = &shared;
             async move {
-                match exchange(agent.control_addr, shared.hello()).await {
+                match exchange(shared, agent.control_addr).await {
                     Some(answer) => heard(shared, &answer),
                     None => shared.members.failed(&upstream, shared.clock.now()),
                 }
@@ -58,12 +51,11 @@
 
 /// Tells all nodes that this one is leaving.
 pub(crate) async fn leaving(shared: &Shared) {
-    let hello = shared.hello();
     let notices = shared
         .members
         .control_addrs()
         .into_iter()
-        .map(|addr| exchange(addr, hello.clone()));
+        .map(|addr| exchange(shared, addr));
     let sent = futures::stream::iter(notices)
         .buffer_unordered(NOTICES_AT_ONCE)
         .filter(|answer| std::future::ready(answer.is_some()))
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,22 +6,38 @@
 use std::sync::Arc;
 
 use dw_api::vms::VmList;
+use dw_base::SystemClock;
 use dw_config::Config;
 use dw_config::FixedConfig;
 use dw_place::RoundRobin;
 use dw_router::FixedVms;
+use dw_router::NodeHandle;
 use dw_router::Parts;
 use dw_router::Router;
 use dw_router::Settings;
+use dw_router::Store;
+use dw_router::SyncDelegate;
 use dw_settings::open;
 use dw_settings::Opened;
 use dw_settings::EXIT_BAD_SETTINGS;
+use dw_store::Endpoint;
+use dw_store::HttpObjects;
+use dw_store::HttpTable;
+use dw_store::HttpVms;
+use dw_store::NodeBudget;
+use dw_sync::ConfigNode;
 use dw_telem::start_logs;
 use dw_telem::start_spans;
 use eyre::WrapErr;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
+/// Reads per second of this node; 1,120 nodes share about 2,000 and most read every 4 s.
+const READS_PER_S: f64 = 20.0;
+
+/// Writes per second of this node; a router writes only operators' changes and snapshots.
+const WRITES_PER_S: f64 = 10.0;
+
 const PROGRAM: &str = "dandelionwall-router";
 
 fn main() -> ExitCode {
@@ -67,19 +83,72 @@
 
 async fn serve(settings: Settings, config: Config) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let peers = settings.peers.clone().unwrap_or(VmList {
-        as_of_ms: 0,
-        seq: 0,
-        vms: Vec::new(),
-    });
+    match settings.store.clone() {
+        Some(store) => {
+            let (router, syncing) = start_synced(settings, &store).await?;
+            terminate.recv().await;
+            router.shutdown().await;
+            syncing.abort();
+        }
+        None => {
+            let router = start_fixed(settings, config).await?;
+            terminate.recv().await;
+            router.shutdown().await;
+        }
+    }
+    Ok(())
+}
+
+/// Starts a router whose configuration and peers come from its settings.
+async fn start_fixed(settings: Settings, config: Config) -> eyre::Result<Router> {
     let parts = Parts::builder()
         .settings(settings)
         .config(Arc::new(FixedConfig::new(config)))
-        .vms(Arc::new(FixedVms(peers)))
+        .vms(Arc::new(FixedVms(VmList {
+            as_of_ms: 0,
+            seq: 0,
+            vms: Vec::new(),
+        })))
         .policy(Box::new(RoundRobin::default()))
         .build();
+    Ok(Router::start(parts).await?)
+}
+
+/// Starts a router that keeps its configuration current.
+async fn start_synced(
+    settings: Settings,
+    store: &Store,
+) -> eyre::Result<(Router, tokio::task::JoinHandle<()>)> {
+    let budget = Arc::new(NodeBudget::new(READS_PER_S, WRITES_PER_S));
+    let endpoint = |addr: dw_settings::Addr| Endpoint {
+        addr: addr.0,
+        deadline: store.wait.0,
+        budget: budget.clone(),
+    };
+    let handle = NodeHandle::new();
+    let node = ConfigNode::builder()
+        .id(settings.node.clone())
+        .table(Arc::new(HttpTable::new(endpoint(store.table))))
+        .objects(Arc::new(HttpObjects::new(endpoint(store.objects))))
+        .peers(handle.clone())
+        .clock(Arc::new(SystemClock::new()))
+        .seed(rand::random())
+        .build();
+    let node = Arc::new(node);
+    let parts = Parts::builder()
+        .settings(settings)
+        .config(node.clone())
+        .vms(Arc::new(HttpVms::new(endpoint(store.vms))))
+        .policy(Box::new(RoundRobin::default()))
+        .delegate(Arc::new(SyncDelegate(node.clone())))
+        .handle(handle)
+        .build();
+    // The router starts first, because peers are found through its VM list. It refuses requests
+    // until the configuration is known.
     let router = Router::start(parts).await?;
-    terminate.recv().await;
-    router.shutdown().await;
-    Ok(())
+    let syncing = tokio::spawn(async move {
+        node.start().await;
+        node.run().await;
+    });
+    Ok((router, syncing))
 }
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -45,11 +45,15 @@
 }
 
 impl Agent {
+    /// Returns whether the VM list or the node itself has announced its end.
+    fn is_leaving(&self) -> bool {
+        self.listed_leaving || self.leaving.is_some_and(|left| left >= self.incarnation)
+    }
+
     /// Returns whether new work may be sent, a probe of a suspect agent included.
     fn takes_work(&self, now: TimeMs) -> bool {
-        let left = self.leaving.is_some_and(|left| left >= self.incarnation);
         let paused = self.pause_until.is_some_and(|until| now < until);
-        let away = self.listed_leaving || self.reported_leaving || left || paused;
+        let away = self.is_leaving() || self.reported_leaving || paused;
         !away && self.probe_at.is_none_or(|at| now >= at)
     }
 }
@@ -79,6 +83,7 @@
     seq: u64,
     agents: BTreeMap<UpstreamId, Agent>,
     routers: BTreeMap<NodeId, SocketAddr>,
+    left_routers: BTreeMap<NodeId, Incarnation>,
 }
 
 /// Known agents and routers.
@@ -171,7 +176,40 @@
         for agent in inner.agents.values_mut().filter(same) {
             agent.leaving = agent.leaving.max(Some(incarnation));
         }
-        inner.routers.remove(node);
+        if inner.routers.remove(node).is_some() {
+            inner.left_routers.insert(node.clone(), incarnation);
+        }
+    }
+
+    /// Ends the effect of a leaving notice if it came from an earlier process.
+    pub(crate) fn returned(&self, node: &NodeId, incarnation: Incarnation) {
+        let mut inner = self.lock();
+        if inner
+            .left_routers
+            .get(node)
+            .is_some_and(|left| *left < incarnation)
+        {
+            inner.left_routers.remove(node);
+        }
+    }
+
+    /// Returns the control address of a node.
+    pub(crate) fn control_addr(&self, node: &NodeId) -> Option<SocketAddr> {
+        let inner = self.lock();
+        let mut agents = inner.agents.values();
+        let agent = agents.find(|agent| agent.node == *node);
+        agent
+            .map(|agent| agent.control_addr)
+            .or_else(|| inner.routers.get(node).copied())
+    }
+
+    /// Returns all nodes that are not leaving.
+    pub(crate) fn live_nodes(&self) -> Vec<NodeId> {
+        let inner = self.lock();
+        let agents = inner.agents.values();
+        let agents = agents.filter(|agent| !agent.is_leaving());
+        let agents = agents.map(|agent| agent.node.clone());
+        agents.chain(inner.routers.keys().cloned()).collect()
     }
 
     /// Returns up to `most` agents that were not heard of for `idle`, the longest silent first.
@@ -217,7 +255,9 @@
     let node: NodeId = vm.name.parse().ok()?;
     let control_addr = vm.control_addr.parse().ok()?;
     if vm.role == VmRole::Router {
-        inner.routers.insert(node, control_addr);
+        if !inner.left_routers.contains_key(&node) && vm.state == VmState::Live {
+            inner.routers.insert(node, control_addr);
+        }
         return Some(());
     }
     let upstream: UpstreamId = vm.upstream.as_ref()?.parse().ok()?;
--- a/crates/router/src/parts.rs
+++ b/crates/router/src/parts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bon::Builder;
+use dw_admin::StatementHandler;
 use dw_base::Clock;
 use dw_base::SystemClock;
 use dw_config::ConfigSource;
@@ -10,11 +11,11 @@
 use dw_store::VmSource;
 use dw_telem::Metrics;
 
-use crate::admin::Statements;
 use crate::control::ControlDelegate;
 use crate::control::NoDelegate;
 use crate::filter::limit::Limiter;
 use crate::filter::limit::Unlimited;
+use crate::handle::NodeHandle;
 use crate::retry::RetryBudget;
 use crate::retry::SimpleBudget;
 use crate::settings::Settings;
@@ -40,7 +41,10 @@
     #[builder(default = Arc::new(NoDelegate))]
     pub delegate: Arc<dyn ControlDelegate>,
     /// Executes statements; absent to refuse them.
-    pub statements: Option<Arc<dyn Statements>>,
+    pub statements: Option<Arc<dyn StatementHandler>>,
+    /// Handle that is filled at the start.
+    #[builder(default)]
+    pub handle: Arc<NodeHandle>,
     /// Source of time.
     #[builder(default = Arc::new(SystemClock::new()))]
     pub clock: Arc<dyn Clock>,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -26,6 +26,7 @@
 use crate::hello;
 use crate::members::Members;
 use crate::parts::Parts;
+use crate::pool::Pool;
 use crate::shared::Counters;
 use crate::shared::Placer;
 use crate::shared::Shared;
@@ -59,13 +60,12 @@
     /// Returns an error if an address cannot be bound.
     pub async fn start(parts: Parts) -> Result<Router, StartError> {
         let settings = parts.settings.clone();
-        let (callers, callers_addr) = bind("callers", settings.callers.0).await?;
+        let (callers, callers_addr) = bind("listen", settings.listen.0).await?;
         let (control, control_addr) = bind("control", settings.control.0).await?;
         let statements = parts.statements.clone();
+        let handle = parts.handle.clone();
         let shared = share(parts);
-        if let Some(statements) = &statements {
-            statements.attach(Arc::new(admin::View(Arc::downgrade(&shared))));
-        }
+        handle.fill(&shared);
         let admin_addr = match settings.admin {
             None => None,
             Some(addr) => {
@@ -77,7 +77,7 @@
                 })?)
             }
         };
-        vms::poll_once(&shared).await;
+        vms::start(&shared).await;
         let stop = CancellationToken::new();
         let mut servers = JoinSet::new();
         servers.spawn(callers::serve(shared.clone(), callers, stop.clone()));
@@ -176,6 +176,7 @@
         members: Members::default(),
         records: Records::default(),
         agents: Agents::new(),
+        pool: Pool::default(),
         work: TaskTracker::new(),
         draining: AtomicBool::new(false),
     })
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -234,7 +234,7 @@
 
     fn lost(&mut self, lost: &Lost) -> Result<CallerError, CallerError> {
         match lost {
-            Lost::NotSent(detail) => Ok(CallerError::unavailable("upstream_unreachable", detail)),
+            Lost::NotSent(detail) => Ok(CallerError::unavailable("unavailable", detail)),
             Lost::Deadline => {
                 self.may_have_run = true;
                 Err(deadline_exceeded())
@@ -278,7 +278,7 @@
         .may_have_run(true)
         .retry_after(DurationMs(1_000));
     }
-    CallerError::unavailable("upstream_lost", detail).may_have_run(true)
+    CallerError::unavailable("unavailable", detail).may_have_run(true)
 }
 
 /// Returns the error for a failure that an agent has reported.
@@ -286,7 +286,7 @@
     match failure.kind {
         FailureKind::DeadlineExceeded => deadline_exceeded().may_have_run(failure.may_have_run),
         _ if failure.may_have_run => lost_error(job, &failure.message),
-        _ => CallerError::unavailable("upstream_failed", &failure.message),
+        _ => CallerError::unavailable("unavailable", &failure.message),
     }
 }
 
@@ -302,7 +302,7 @@
 
 fn no_upstream(job: &Job) -> CallerError {
     CallerError::unavailable(
-        "no_upstream",
+        "unavailable",
         format!("no upstream serves {} now", job.service.name),
     )
 }
@@ -311,13 +311,13 @@
     let unavailable = |kind, message: &str| CallerError::unavailable(kind, message);
     let error = match refusal.reason {
         RefusalReason::QueueFull => CallerError::not_run(
-            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
             "queue_full",
             "the upstreams are overloaded",
             "send the request again after the stated time",
         ),
         RefusalReason::DeadlineUnmeetable => CallerError::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::GATEWAY_TIMEOUT,
             "deadline_unmeetable",
             "the deadline cannot be met under the present load",
             "send the request after the stated time or with a longer X-Deadline-Ms",
@@ -343,18 +343,19 @@
             "use a new key for another call",
         ),
         RefusalReason::TableUnavailable => unavailable(
-            "table_unavailable",
+            "unavailable",
             "calls that run at most once cannot be recorded now",
         ),
-        RefusalReason::BadRequest => unavailable(
-            "version_mismatch",
-            "router and agent run different releases",
-        ),
+        RefusalReason::BadRequest => {
+            unavailable("unavailable", "router and agent run different releases")
+        }
         RefusalReason::BetterHome
         | RefusalReason::Leaving
         | RefusalReason::NotReady
         | RefusalReason::WrongUpstream
-        | RefusalReason::Isolated => unavailable("not_ready", "the chosen upstreams are not ready"),
+        | RefusalReason::Isolated => {
+            unavailable("unavailable", "the chosen upstreams are not ready")
+        }
     };
     match refusal.retry_after_ms {
         Some(after) => error.retry_after(after),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -22,7 +22,7 @@
     /// Data centre in which it runs.
     pub data_centre: DataCentreId,
     /// Address for callers.
-    pub callers: Addr,
+    pub listen: Addr,
     /// Address for control traffic.
     pub control: Addr,
     /// Address of the administration API; absent to serve none.
@@ -39,14 +39,35 @@
     /// Largest body of a request.
     #[serde(default = "default_max_body")]
     pub max_body_bytes: Bytes,
-    /// File with the configuration as JSON, used until a newer one is received.
+    /// Platform services; absent to use `config_file` and `peers` only.
+    pub store: Option<Store>,
+    /// File with the configuration as JSON, used without `store`.
     pub config_file: Option<PathBuf>,
-    /// Nodes to use while the VM list cannot be read.
+    /// Nodes to use until the VM list can be read.
     pub peers: Option<VmList>,
     /// OTLP endpoint for spans, for example `http://127.0.0.1:4318/v1/traces`.
     pub otlp: Option<String>,
 }
 
+/// Addresses of the platform's services.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Table service.
+    pub table: Addr,
+    /// Object store.
+    pub objects: Addr,
+    /// VM list.
+    pub vms: Addr,
+    /// Longest wait for one call.
+    #[serde(default = "default_store_wait")]
+    pub wait: Delay,
+}
+
+fn default_store_wait() -> Delay {
+    Delay(DurationMs(2_000))
+}
+
 fn default_vm_poll() -> Delay {
     Delay(DurationMs(1_000))
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -23,10 +23,12 @@
 
 use crate::agents::Agents;
 use crate::control::ControlDelegate;
+use crate::error::CallerError;
 use crate::explain::Records;
 use crate::filter::limit::Limiter;
 use crate::members::Fresh;
 use crate::members::Members;
+use crate::pool::Pool;
 use crate::retry::RetryBudget;
 use crate::settings::Settings;
 
@@ -75,6 +77,7 @@
     pub(crate) members: Members,
     pub(crate) records: Records,
     pub(crate) agents: Agents,
+    pub(crate) pool: Pool,
     pub(crate) work: TaskTracker,
     pub(crate) draining: AtomicBool,
 }
@@ -128,15 +131,31 @@
 
     /// Returns whether new requests are taken.
     pub(crate) fn is_ready(&self) -> bool {
-        let configured = !self.config.current().entries.is_empty();
-        configured && !self.is_draining() && !self.delegate.isolated()
+        self.not_ready().is_none()
+    }
+
+    /// Returns why no new requests are taken.
+    pub(crate) fn not_ready(&self) -> Option<CallerError> {
+        let (kind, message) = if self.is_draining() {
+            ("draining", "this router is leaving")
+        } else if self.delegate.isolated() {
+            ("isolated", "this router cannot confirm its configuration")
+        } else if self.config.current().entries.is_empty() {
+            ("unavailable", "this router has no configuration yet")
+        } else {
+            return None;
+        };
+        Some(CallerError::unavailable(kind, message))
     }
 
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
-            config_version: self.config.current().version,
+            config_version: self
+                .delegate
+                .announced_version()
+                .unwrap_or_else(|| self.config.current().version),
             leaving: self.is_draining(),
             status: None,
         }
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -18,6 +18,19 @@
     }
 }
 
+/// Takes the peers of the settings, then reads the list once.
+pub(crate) async fn start(shared: &Shared) {
+    if let Some(peers) = &shared.settings.peers {
+        // Any list that is read later counts as newer.
+        let peers = VmList {
+            seq: 0,
+            ..peers.clone()
+        };
+        shared.members.listed(&peers, shared.clock.now());
+    }
+    poll_once(shared).await;
+}
+
 /// Reads the list once. On a failure the last known list stays in use.
 pub(crate) async fn poll_once(shared: &Shared) {
     match shared.vms.vms().await {
