Add dandelionwall-local with example requests of both deployments

Cause: a newcomer needs one command that shows where requests run and why. Ruled out: starting the binaries as processes, because every role is a library; the lag of the stand-in VM list, which is set to 0 so that nobody waits for the agents. Before: empty crate.

--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,1 +1,21 @@
 //! Every role and stand-in in one process.
+
+mod cluster;
+mod config;
+mod example;
+mod report;
+
+pub use cluster::Cluster;
+pub use config::declare;
+pub use config::TOKEN;
+pub use example::examples;
+pub use example::Example;
+pub use report::run_examples;
+pub use report::Row;
+pub use report::Table;
+
+/// Description of the Division's stand-ins.
+pub const DIVISION: &str = include_str!("../../../examples/division.yaml");
+
+/// Description of Letargo's stand-ins.
+pub const LETARGO: &str = include_str!("../../../examples/letargo.yaml");
