agent: follow the new form of ConfigSource

Cause: ConfigSource got `changes` in place of `subscribe` while the agent was written, so the merged agent did not compile. Ruled out: keeping both methods, since nothing else used the old one. Before: `cargo check -p dw-agent` failed with E0599. Conclusion: the listener is a task that ends with the agent.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -175,9 +175,12 @@
 fn orders(shared: &Arc<Shared>) -> Orders {
     let changed = Arc::new(Notify::new());
     let listener = Arc::clone(&changed);
-    shared
-        .config
-        .subscribe(Box::new(move |_| listener.notify_one()));
+    let mut changes = shared.config.changes();
+    spawn_until_killed(shared, async move {
+        while changes.changed().await.is_ok() {
+            listener.notify_one();
+        }
+    });
     Orders::new(Arc::clone(shared), changed)
 }
 
