Add workload generator, open-loop sender and report

Ruled out: a closed loop, and times counted from the actual sending; both hide waits of an overloaded system. Times count from the planned sending.

Before: an empty crate.

Shares, worths and deadlines of the mixes are chosen, not measured.

--- /dev/null
+++ b/crates/load/src/mix.rs
@@ -0,0 +1,181 @@
+//! The mixes of services of both deployments.
+
+use std::fmt;
+use std::str::FromStr;
+
+use dw_base::DurationMs;
+use dw_base::Priority;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::prompt::LevelSizes;
+
+/// A deployment whose load is generated.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Deployment {
+    /// Balloon arches.
+    Division,
+    /// Boarding of tortoises.
+    Letargo,
+}
+
+/// A text names no deployment.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("deployment {0:?} does not exist: use division or letargo")]
+pub struct ParseDeploymentError(String);
+
+impl fmt::Display for Deployment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Deployment::Division => "division",
+            Deployment::Letargo => "letargo",
+        })
+    }
+}
+
+impl FromStr for Deployment {
+    type Err = ParseDeploymentError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        [Deployment::Division, Deployment::Letargo]
+            .into_iter()
+            .find(|deployment| deployment.to_string() == text)
+            .ok_or_else(|| ParseDeploymentError(text.to_owned()))
+    }
+}
+
+/// What a request of a service is sent to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Target {
+    /// A model that generates text.
+    Generate {
+        /// Model.
+        model: &'static str,
+        /// Pieces that the levels of a prompt have.
+        levels: LevelSizes,
+        /// Tokens of the request's own text after its levels.
+        own_tokens: u64,
+        /// Tokens to generate.
+        max_tokens: u64,
+    },
+    /// A plain service.
+    Call {
+        /// Whether calls run at most once and carry an idempotency key.
+        at_most_once: bool,
+    },
+}
+
+/// Load of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceLoad {
+    /// Name.
+    pub service: &'static str,
+    /// Share of the arrivals.
+    pub share: f64,
+    /// Priority.
+    pub priority: Priority,
+    /// Worth of one request that is answered in time.
+    pub worth: f64,
+    /// Time for the whole answer.
+    pub deadline: DurationMs,
+    /// What it is sent to.
+    pub target: Target,
+}
+
+/// Returns the organisations of a deployment, the largest first.
+pub fn organisations() -> Vec<String> {
+    (1..=8).map(|number| format!("org-{number}")).collect()
+}
+
+fn generate(model: &'static str, levels: [usize; 3], own_tokens: u64, max_tokens: u64) -> Target {
+    let [catalogue, venue, client] = levels;
+    Target::Generate {
+        model,
+        levels: LevelSizes {
+            catalogue,
+            venue,
+            client,
+        },
+        own_tokens,
+        max_tokens,
+    }
+}
+
+const ONCE: Target = Target::Call { at_most_once: true };
+
+const REPEATABLE: Target = Target::Call {
+    at_most_once: false,
+};
+
+type Row = (&'static str, f64, Priority, f64, u64, Target);
+
+fn rows(deployment: Deployment) -> Vec<Row> {
+    use Priority::Batch;
+    use Priority::Normal;
+    use Priority::Urgent;
+    match deployment {
+        Deployment::Division => vec![
+            (
+                "quote",
+                0.45,
+                Normal,
+                10.0,
+                15_000,
+                generate("quote-writer", [4, 2, 1], 200, 120),
+            ),
+            (
+                "classify",
+                0.25,
+                Normal,
+                2.0,
+                3_000,
+                generate("order-desk", [1, 0, 0], 80, 4),
+            ),
+            ("deposit", 0.05, Normal, 20.0, 5_000, ONCE),
+            ("booking", 0.10, Normal, 15.0, 5_000, ONCE),
+            ("order-status", 0.15, Normal, 1.0, 2_000, REPEATABLE),
+        ],
+        Deployment::Letargo => vec![
+            (
+                "summary",
+                0.35,
+                Batch,
+                4.0,
+                30_000,
+                generate("care-note", [3, 2, 2], 200, 150),
+            ),
+            (
+                "flag",
+                0.30,
+                Urgent,
+                20.0,
+                3_000,
+                generate("care-note", [3, 1, 0], 60, 8),
+            ),
+            ("booking", 0.08, Normal, 10.0, 5_000, ONCE),
+            ("fridge-move", 0.07, Normal, 10.0, 5_000, ONCE),
+            ("lookup", 0.20, Normal, 1.0, 2_000, REPEATABLE),
+        ],
+    }
+}
+
+impl Deployment {
+    /// Returns the mix of services.
+    pub fn services(self) -> Vec<ServiceLoad> {
+        rows(self)
+            .into_iter()
+            .map(
+                |(service, share, priority, worth, deadline_ms, target)| ServiceLoad {
+                    service,
+                    share,
+                    priority,
+                    worth,
+                    deadline: DurationMs(deadline_ms),
+                    target,
+                },
+            )
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,207 @@
+//! Sums of samples per service, as a table and as JSON.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::sample::Outcome;
+use crate::sample::Sample;
+
+/// Longest latency recorded; longer ones count as this one.
+const MAX_LATENCY_US: u64 = 3_600_000_000;
+
+/// Significant digits of latencies.
+const LATENCY_DIGITS: u8 = 3;
+
+/// Percentiles of a latency in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Latency {
+    /// Values.
+    pub count: u64,
+    /// 50th percentile.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Greatest value.
+    pub max_ms: f64,
+}
+
+impl Latency {
+    /// Returns the percentiles of `values`; all are 0 if there are none.
+    pub fn of(values: impl Iterator<Item = Duration>) -> Latency {
+        let Ok(mut histogram) =
+            Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS)
+        else {
+            return Latency::default();
+        };
+        for value in values {
+            let value_us = u64::try_from(value.as_micros()).unwrap_or(MAX_LATENCY_US);
+            histogram.saturating_record(value_us.max(1));
+        }
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        Latency {
+            count: histogram.len(),
+            p50_ms: ms(0.50),
+            p95_ms: ms(0.95),
+            p99_ms: ms(0.99),
+            max_ms: histogram.max() as f64 / 1000.0,
+        }
+    }
+}
+
+/// Sums of one service.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ServiceReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Whole answers before the deadline.
+    pub in_time: u64,
+    /// Error answers.
+    pub refused: u64,
+    /// Error answers that say that the request was not run.
+    pub refused_not_run: u64,
+    /// Answers that ended with an error event.
+    pub failed: u64,
+    /// Answers that ended early without an error.
+    pub incomplete: u64,
+    /// Requests without an answer.
+    pub unreachable: u64,
+    /// Worth of the answers before the deadline.
+    pub worth: f64,
+    /// Worth of all requests.
+    pub offered_worth: f64,
+    /// Prompt tokens of whole answers.
+    pub prompt_tokens: u64,
+    /// Those of them that came from a prefix cache.
+    pub cached_tokens: u64,
+    /// Time to first token.
+    pub first_token: Latency,
+    /// Time of whole answers.
+    pub total: Latency,
+    /// Time of error answers.
+    pub refusal: Latency,
+}
+
+impl ServiceReport {
+    /// Returns the share of prompt tokens that came from a prefix cache.
+    pub fn hit_rate(&self) -> f64 {
+        if self.prompt_tokens == 0 {
+            return 0.0;
+        }
+        self.cached_tokens as f64 / self.prompt_tokens as f64
+    }
+
+    fn of(samples: &[&Sample]) -> ServiceReport {
+        let mut report = ServiceReport::default();
+        for sample in samples {
+            report.add(sample);
+        }
+        let totals = |wanted: fn(&Outcome) -> bool| {
+            let chosen = samples.iter().filter(move |s| wanted(&s.outcome));
+            Latency::of(chosen.map(|s| s.total))
+        };
+        report.first_token = Latency::of(samples.iter().filter_map(|s| s.first_token));
+        report.total = totals(|outcome| matches!(outcome, Outcome::Answered { .. }));
+        report.refusal = totals(|outcome| matches!(outcome, Outcome::Refused { .. }));
+        report
+    }
+
+    fn add(&mut self, sample: &Sample) {
+        self.sent += 1;
+        self.offered_worth += sample.load.worth;
+        if sample.is_in_time() {
+            self.in_time += 1;
+            self.worth += sample.load.worth;
+        }
+        match &sample.outcome {
+            Outcome::Answered { usage } => {
+                self.answered += 1;
+                self.prompt_tokens += usage.as_ref().map_or(0, |u| u.prompt_tokens);
+                self.cached_tokens += usage.as_ref().map_or(0, |u| u.cached_tokens);
+            }
+            Outcome::Refused { not_run, .. } => {
+                self.refused += 1;
+                self.refused_not_run += u64::from(*not_run);
+            }
+            Outcome::Failed => self.failed += 1,
+            Outcome::Incomplete { .. } => self.incomplete += 1,
+            Outcome::Unreachable { .. } => self.unreachable += 1,
+        }
+    }
+}
+
+/// Report of one run; displays as a table.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Sums by service.
+    pub services: BTreeMap<String, ServiceReport>,
+    /// Sums over all services.
+    pub all: ServiceReport,
+}
+
+impl Report {
+    /// Sums up samples.
+    pub fn new(samples: &[Sample]) -> Report {
+        let mut by_service: BTreeMap<String, Vec<&Sample>> = BTreeMap::new();
+        for sample in samples {
+            let service = sample.load.service.to_owned();
+            by_service.entry(service).or_default().push(sample);
+        }
+        Report {
+            services: by_service
+                .into_iter()
+                .map(|(service, samples)| (service, ServiceReport::of(&samples)))
+                .collect(),
+            all: ServiceReport::of(&samples.iter().collect::<Vec<_>>()),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<14}{:>7}{:>9}{:>8}{:>8}{:>7}{:>11}{:>12}{:>8}{:>10}{:>10}{:>10}",
+            "service",
+            "sent",
+            "answered",
+            "in time",
+            "refused",
+            "failed",
+            "incomplete",
+            "unreachable",
+            "hits",
+            "worth",
+            "ttft p50",
+            "ttft p99"
+        )?;
+        let all = std::iter::once(("all", &self.all));
+        let services = self.services.iter().map(|(name, row)| (name.as_str(), row));
+        for (name, row) in services.chain(all) {
+            writeln!(
+                f,
+                "{name:<14}{:>7}{:>9}{:>8}{:>8}{:>7}{:>11}{:>12}{:>7.1}%{:>10.0}{:>10.1}{:>10.1}",
+                row.sent,
+                row.answered,
+                row.in_time,
+                row.refused,
+                row.failed,
+                row.incomplete,
+                row.unreachable,
+                row.hit_rate() * 100.0,
+                row.worth,
+                row.first_token.p50_ms,
+                row.first_token.p99_ms
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/src/sender.rs
@@ -0,0 +1,267 @@
+//! The open-loop sender.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dw_api::callers::CompletionChunk;
+use dw_api::callers::CompletionRequest;
+use dw_api::callers::ErrorBody;
+use dw_api::callers::Usage;
+use dw_base::BYTES_PER_TOKEN;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_TYPE;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use thiserror::Error;
+use tokio::task::JoinSet;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::mix::Target;
+use crate::sample::Outcome;
+use crate::sample::Sample;
+use crate::sse::SseParser;
+use crate::workload::org_token;
+use crate::workload::Arrival;
+
+/// Time after its deadline at which the caller gives a request up.
+const GRACE: Duration = Duration::from_secs(30);
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Load cannot be sent.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// There is nowhere to send it to.
+    #[error("no router was named; name at least one address")]
+    NoRouter,
+}
+
+/// Sends each arrival at its time to the routers in turn and returns the samples by number.
+///
+/// Times count from the planned sending, so that a sender that falls behind does not hide waits.
+pub async fn send(
+    arrivals: impl Iterator<Item = Arrival>,
+    routers: &[SocketAddr],
+) -> Result<Vec<Sample>, SendError> {
+    if routers.is_empty() {
+        return Err(SendError::NoRouter);
+    }
+    let mut connector = HttpConnector::new();
+    // Without this, a request of several segments waits for acknowledgements.
+    connector.set_nodelay(true);
+    let client: Arc<HttpClient> = Arc::new(Client::builder(TokioExecutor::new()).build(connector));
+    let start = Instant::now();
+    let mut running = JoinSet::new();
+    for arrival in arrivals {
+        let router = routers[arrival.number as usize % routers.len()];
+        let body = body(&arrival);
+        let planned = start + arrival.at;
+        sleep_until(planned).await;
+        running.spawn(exchange(
+            Arc::clone(&client),
+            router,
+            arrival,
+            body,
+            planned,
+        ));
+    }
+    let mut samples = Vec::new();
+    while let Some(ended) = running.join_next().await {
+        samples.extend(ended.ok());
+    }
+    samples.sort_by_key(|sample| sample.number);
+    Ok(samples)
+}
+
+fn body(arrival: &Arrival) -> Vec<u8> {
+    let encoded = match arrival.load.target {
+        Target::Generate {
+            model, max_tokens, ..
+        } => serde_json::to_vec(&CompletionRequest {
+            max_tokens: Some(max_tokens),
+            model: model.to_owned(),
+            prompt: arrival.prompt_text(),
+            stream: Some(true),
+        }),
+        Target::Call { .. } => serde_json::to_vec(&serde_json::json!({
+            "venue": arrival.prompt.venue,
+            "client": arrival.prompt.client,
+            "number": arrival.number,
+        })),
+    };
+    encoded.unwrap_or_default()
+}
+
+fn request(
+    router: SocketAddr,
+    arrival: &Arrival,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let load = &arrival.load;
+    let path = match load.target {
+        Target::Generate { .. } => "/v1/completions".to_owned(),
+        Target::Call { .. } => format!("/v1/services/{}/calls", load.service),
+    };
+    let mut builder = Request::post(format!("http://{router}{path}"))
+        .header(CONTENT_TYPE, "application/json")
+        .header(AUTHORIZATION, format!("Bearer {}", org_token(&arrival.org)))
+        .header("x-service", load.service)
+        .header("x-priority", load.priority.to_string())
+        .header("x-deadline-ms", load.deadline.0);
+    if let Some(key) = &arrival.idempotency_key {
+        builder = builder.header("idempotency-key", key);
+    }
+    builder.body(Full::new(Bytes::from(body)))
+}
+
+async fn exchange(
+    client: Arc<HttpClient>,
+    router: SocketAddr,
+    arrival: Arrival,
+    body: Vec<u8>,
+    planned: Instant,
+) -> Sample {
+    let mut first_token = None;
+    let limit = Duration::from(arrival.load.deadline) + GRACE;
+    let outcome = match request(router, &arrival, body) {
+        Ok(request) => {
+            let mut on_text = || {
+                first_token.get_or_insert_with(|| planned.elapsed());
+            };
+            timeout(limit, answer(&client, request, &arrival, &mut on_text))
+                .await
+                .unwrap_or_else(|_| incomplete("no end long after the deadline"))
+        }
+        Err(error) => Outcome::Unreachable {
+            detail: error.to_string(),
+        },
+    };
+    Sample {
+        number: arrival.number,
+        org: arrival.org,
+        load: arrival.load,
+        first_token,
+        total: planned.elapsed(),
+        outcome,
+    }
+}
+
+fn incomplete(detail: impl Into<String>) -> Outcome {
+    Outcome::Incomplete {
+        detail: detail.into(),
+    }
+}
+
+async fn answer(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+    arrival: &Arrival,
+    on_text: &mut (impl FnMut() + Send),
+) -> Outcome {
+    let response = match client.request(request).await {
+        Ok(response) => response,
+        Err(error) => {
+            return Outcome::Unreachable {
+                detail: error.to_string(),
+            }
+        }
+    };
+    if !response.status().is_success() {
+        return refused(response).await;
+    }
+    match arrival.load.target {
+        Target::Generate { .. } => streamed(response, on_text).await,
+        Target::Call { .. } => match response.into_body().collect().await {
+            Ok(_) => Outcome::Answered { usage: None },
+            Err(error) => incomplete(error.to_string()),
+        },
+    }
+}
+
+async fn refused(response: Response<Incoming>) -> Outcome {
+    let status = response.status().as_u16();
+    let bytes = match response.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return incomplete(error.to_string()),
+    };
+    match serde_json::from_slice::<ErrorBody>(&bytes) {
+        Ok(body) => Outcome::Refused {
+            status,
+            not_run: body.error.not_run,
+        },
+        Err(error) => incomplete(format!("status {status} without an error body: {error}")),
+    }
+}
+
+#[derive(Default)]
+struct Answer {
+    text_bytes: u64,
+    usage: Option<Usage>,
+    finished: bool,
+}
+
+async fn streamed(response: Response<Incoming>, on_text: &mut (impl FnMut() + Send)) -> Outcome {
+    let mut body = response.into_body();
+    let mut parser = SseParser::default();
+    let mut answer = Answer::default();
+    while let Some(frame) = body.frame().await {
+        let chunk = match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(chunk)) => chunk,
+            Ok(Err(_)) => continue,
+            Err(error) => return incomplete(error.to_string()),
+        };
+        for (kind, data) in parser.push(&chunk) {
+            if let Some(outcome) = answer.event(&kind, &data, on_text) {
+                return outcome;
+            }
+        }
+    }
+    incomplete("the stream ended without [DONE]")
+}
+
+impl Answer {
+    /// Takes one event; returns the outcome if it is the last one.
+    fn event(&mut self, kind: &str, data: &str, on_text: &mut impl FnMut()) -> Option<Outcome> {
+        if data == "[DONE]" {
+            return Some(self.end());
+        }
+        if kind == "error" || serde_json::from_str::<ErrorBody>(data).is_ok() {
+            return Some(Outcome::Failed);
+        }
+        let chunk: CompletionChunk = match serde_json::from_str(data) {
+            Ok(chunk) => chunk,
+            Err(error) => return Some(incomplete(error.to_string())),
+        };
+        for choice in &chunk.choices {
+            if !choice.text.is_empty() {
+                on_text();
+            }
+            self.text_bytes += choice.text.len() as u64;
+            self.finished |= choice.finish_reason.is_some();
+        }
+        self.usage = chunk.usage.or(self.usage.take());
+        None
+    }
+
+    fn end(&mut self) -> Outcome {
+        let Some(usage) = self.usage.take() else {
+            return incomplete("no usage before [DONE]");
+        };
+        let tokens = self.text_bytes.div_ceil(BYTES_PER_TOKEN);
+        if !self.finished || tokens != usage.completion_tokens {
+            let stated = usage.completion_tokens;
+            return incomplete(format!("{tokens} tokens of text, {stated} stated"));
+        }
+        Outcome::Answered { usage: Some(usage) }
+    }
+}
--- /dev/null
+++ b/crates/load/src/skew.rs
@@ -0,0 +1,42 @@
+//! Choice among ranked items, of which a few are chosen very often.
+
+use dw_base::Rng;
+use rand::seq::SliceRandom;
+use rand::RngExt;
+
+/// A Zipf distribution over items whose ranks can be shuffled.
+#[derive(Clone, Debug)]
+pub struct Skew {
+    cumulative: Vec<f64>,
+    item_of_rank: Vec<usize>,
+}
+
+impl Skew {
+    /// Creates a distribution over `count` items in which rank `r` has weight `1 / r^exponent`.
+    pub fn new(count: usize, exponent: f64) -> Self {
+        let mut sum = 0.0;
+        let cumulative = (1..=count.max(1))
+            .map(|rank| {
+                sum += (rank as f64).powf(-exponent);
+                sum
+            })
+            .collect();
+        Skew {
+            cumulative,
+            item_of_rank: (0..count.max(1)).collect(),
+        }
+    }
+
+    /// Gives the ranks to other items.
+    pub fn shuffle(&mut self, rng: &mut Rng) {
+        self.item_of_rank.shuffle(rng);
+    }
+
+    /// Chooses an item.
+    pub fn choose(&self, rng: &mut Rng) -> usize {
+        let total = self.cumulative.last().copied().unwrap_or(1.0);
+        let wanted = rng.random::<f64>() * total;
+        let rank = self.cumulative.partition_point(|sum| *sum <= wanted);
+        self.item_of_rank[rank.min(self.item_of_rank.len() - 1)]
+    }
+}
--- /dev/null
+++ b/crates/load/src/sse.rs
@@ -0,0 +1,55 @@
+//! Parser of server-sent events.
+
+/// Takes chunks of bytes and returns the data of whole events.
+#[derive(Clone, Debug, Default)]
+pub struct SseParser {
+    pending: Vec<u8>,
+    event: String,
+    data: String,
+    has_data: bool,
+}
+
+impl SseParser {
+    /// Adds a chunk and returns type (`message` unless named) and data of each event it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Vec<(String, String)> {
+        self.pending.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(length) = self.pending[start..].iter().position(|b| *b == b'\n') {
+            let line = String::from_utf8_lossy(&self.pending[start..start + length]).into_owned();
+            start += length + 1;
+            events.extend(self.line(line.trim_end_matches('\r')));
+        }
+        self.pending.drain(..start);
+        events
+    }
+
+    fn line(&mut self, line: &str) -> Option<(String, String)> {
+        if line.is_empty() {
+            return self.dispatch();
+        }
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "event" => self.event = value.to_owned(),
+            "data" => {
+                if self.has_data {
+                    self.data.push('\n');
+                }
+                self.has_data = true;
+                self.data.push_str(value);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn dispatch(&mut self) -> Option<(String, String)> {
+        let mut event = std::mem::take(&mut self.event);
+        let data = std::mem::take(&mut self.data);
+        if event.is_empty() {
+            "message".clone_into(&mut event);
+        }
+        std::mem::take(&mut self.has_data).then_some((event, data))
+    }
+}
--- /dev/null
+++ b/crates/load/src/workload.rs
@@ -0,0 +1,175 @@
+//! The workload generator.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bon::Builder;
+use dw_base::seeded_rng;
+use dw_base::Rng;
+use rand::RngExt;
+
+use crate::mix::organisations;
+use crate::mix::Deployment;
+use crate::mix::ServiceLoad;
+use crate::mix::Target;
+use crate::prompt::Prompt;
+use crate::skew::Skew;
+
+/// Settings of a workload.
+#[derive(Builder, Clone, Debug, PartialEq)]
+pub struct WorkloadSettings {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Seed of all choices.
+    #[builder(default = 1)]
+    pub seed: u64,
+    /// Arrivals per second, of all services together.
+    #[builder(default = 10.0)]
+    pub rate_per_s: f64,
+    /// Length.
+    #[builder(default = Duration::from_secs(30))]
+    pub duration: Duration,
+    /// Catalogues of an organisation.
+    #[builder(default = 4)]
+    pub catalogues: usize,
+    /// Venues of a catalogue.
+    #[builder(default = 8)]
+    pub venues: usize,
+    /// Clients of a venue.
+    #[builder(default = 12)]
+    pub clients: usize,
+    /// Exponent of the sizes of organisations.
+    #[builder(default = 1.2)]
+    pub org_exponent: f64,
+    /// Exponent of the popularity of catalogues, venues and clients.
+    #[builder(default = 1.3)]
+    pub prefix_exponent: f64,
+    /// Times at which other prefixes become hot, in order.
+    #[builder(default)]
+    pub shifts: Vec<Duration>,
+}
+
+/// One request and when it is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Position among all arrivals.
+    pub number: u64,
+    /// Time after the start.
+    pub at: Duration,
+    /// Organisation.
+    pub org: String,
+    /// Service with priority, worth and deadline.
+    pub load: ServiceLoad,
+    /// Prompt or body.
+    pub prompt: Prompt,
+    /// Idempotency key of calls that run at most once.
+    pub idempotency_key: Option<String>,
+}
+
+/// Returns the token with which the load identifies an organisation.
+pub fn org_token(org: &str) -> String {
+    format!("token-{org}")
+}
+
+impl Arrival {
+    /// Returns the text of the prompt, or nothing for a plain service.
+    pub fn prompt_text(&self) -> String {
+        match self.load.target {
+            Target::Generate {
+                levels, own_tokens, ..
+            } => self.prompt.text(levels, own_tokens),
+            Target::Call { .. } => String::new(),
+        }
+    }
+}
+
+/// Iterator over the arrivals of a workload, in order of their times.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    settings: WorkloadSettings,
+    services: Vec<ServiceLoad>,
+    orgs: Vec<String>,
+    rng: Rng,
+    org_skew: Skew,
+    catalogue_skew: Skew,
+    venue_skew: Skew,
+    client_skew: Skew,
+    shifts: VecDeque<Duration>,
+    at_s: f64,
+    next: u64,
+}
+
+impl Workload {
+    /// Creates the workload; equal settings give equal arrivals.
+    pub fn new(settings: WorkloadSettings) -> Self {
+        let orgs = organisations();
+        Workload {
+            services: settings.deployment.services(),
+            rng: seeded_rng(settings.seed),
+            org_skew: Skew::new(orgs.len(), settings.org_exponent),
+            catalogue_skew: Skew::new(settings.catalogues, settings.prefix_exponent),
+            venue_skew: Skew::new(settings.venues, settings.prefix_exponent),
+            client_skew: Skew::new(settings.clients, settings.prefix_exponent),
+            shifts: settings.shifts.iter().copied().collect(),
+            orgs,
+            settings,
+            at_s: 0.0,
+            next: 0,
+        }
+    }
+
+    /// Makes other prefixes hot; the organisations keep their sizes.
+    fn shift(&mut self) {
+        self.catalogue_skew.shuffle(&mut self.rng);
+        self.venue_skew.shuffle(&mut self.rng);
+        self.client_skew.shuffle(&mut self.rng);
+    }
+
+    fn service(&mut self) -> Option<ServiceLoad> {
+        let total: f64 = self.services.iter().map(|service| service.share).sum();
+        let mut wanted = self.rng.random::<f64>() * total;
+        let chosen = self.services.iter().find(|service| {
+            wanted -= service.share;
+            wanted < 0.0
+        });
+        chosen.or(self.services.last()).copied()
+    }
+}
+
+impl Iterator for Workload {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        // Exponential gaps make the arrivals a Poisson process.
+        let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.settings.rate_per_s;
+        self.at_s += gap_s;
+        let at = Duration::try_from_secs_f64(self.at_s).ok()?;
+        if at >= self.settings.duration {
+            return None;
+        }
+        while self.shifts.front().is_some_and(|shift| *shift <= at) {
+            self.shifts.pop_front();
+            self.shift();
+        }
+        let load = self.service()?;
+        let org = self.orgs[self.org_skew.choose(&mut self.rng)].clone();
+        let number = self.next;
+        self.next += 1;
+        let once = load.target == Target::Call { at_most_once: true };
+        Some(Arrival {
+            number,
+            at,
+            prompt: Prompt {
+                org: org.clone(),
+                service: load.service,
+                catalogue: self.catalogue_skew.choose(&mut self.rng),
+                venue: self.venue_skew.choose(&mut self.rng),
+                client: self.client_skew.choose(&mut self.rng),
+                own: number,
+            },
+            idempotency_key: once.then(|| format!("{}-{number}", self.settings.seed)),
+            org,
+            load,
+        })
+    }
+}
