Bound the engine's load history and test streaming, priority, age and loads

Cause: the stand-in engine kept every load sample until a report was read, so a long measurement would have grown without bound; a list of cache events was searched from its start at each poll; and several of its rules had no test.

Ruled out: dropping samples by count, which would shorten the lag under load.

Before: one sample per step kept for ever. After: samples replaced by a newer visible one are dropped. Platform clients send without waiting for acknowledgements. MemoryVms::update is atomic. PlatformLimits::unlimited() is for tests that do not measure rates.

--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -345,6 +345,12 @@
             .unwrap_or(self.settings.event_delay_ms)
     }
 
+    /// Returns the time up to which load samples are reported.
+    pub(crate) fn load_visible_ms(&self, now_ms: f64) -> u64 {
+        let lag_ms = self.faults.load_lag_ms.unwrap_or(self.settings.load_lag_ms);
+        (now_ms - lag_ms).max(0.0) as u64
+    }
+
     /// Returns the load at this moment.
     pub(crate) fn load(&self, now_ms: f64) -> LoadReport {
         let waiting = |g: &Generation| {
--- a/crates/standin/src/engine/events.rs
+++ b/crates/standin/src/engine/events.rs
@@ -57,9 +57,10 @@
 
     /// Returns the events after `after` that are published by now.
     pub(crate) fn published(&self, after: u64, now_ms: f64) -> Vec<CacheEvent> {
+        let first = self.events.partition_point(|(_, event)| event.seq <= after);
         self.events
-            .iter()
-            .filter(|(at_ms, event)| event.seq > after && *at_ms <= now_ms)
+            .range(first..)
+            .filter(|(at_ms, _)| *at_ms <= now_ms)
             .map(|(_, event)| event.clone())
             .collect()
     }
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -40,7 +40,7 @@
 use crate::server::Reply;
 
 /// Time between two looks for new events while a reader waits.
-const EVENT_POLL: Duration = Duration::from_millis(2);
+const EVENT_POLL: Duration = Duration::from_millis(5);
 
 /// Longest wait of a reader of events.
 const MAX_WAIT_MS: u64 = 30_000;
@@ -309,7 +309,7 @@
         let time = {
             let core = self.core();
             core.settings
-                .real(core.settings.weight_load_ms * loading.factor)
+                .real(core.settings.weight_load_ms * loading.factor())
         };
         sleep(time).await;
         let now_ms = self.now_ms();
--- a/crates/standin/src/engine/load_gate.rs
+++ b/crates/standin/src/engine/load_gate.rs
@@ -14,10 +14,16 @@
 
 /// One load in progress; dropping it ends the load.
 #[derive(Debug)]
-pub(crate) struct Loading {
+pub struct Loading {
     gate: Arc<LoadGate>,
-    /// Factor by which this load is slower.
-    pub(crate) factor: f64,
+    factor: f64,
+}
+
+impl Loading {
+    /// Returns the factor by which this load is slower than one within the limit.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
 }
 
 impl LoadGate {
@@ -35,7 +41,8 @@
         self.most.load(Ordering::SeqCst)
     }
 
-    pub(crate) fn enter(self: &Arc<Self>) -> Loading {
+    /// Begins a load.
+    pub fn enter(self: &Arc<Self>) -> Loading {
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         self.most.fetch_max(running, Ordering::SeqCst);
         Loading {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -16,6 +16,7 @@
 pub use self::audit::Crossing;
 pub use self::audit::Stamp;
 pub use self::load_gate::LoadGate;
+pub use self::load_gate::Loading;
 pub use self::runner::start_engine;
 pub use self::runner::Engine;
 pub use self::settings::EngineFaults;
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -45,11 +45,13 @@
 impl Engine {
     /// Creates an idle engine; the engines of a deployment share `gate`.
     pub fn new(settings: EngineSettings, gate: Arc<LoadGate>) -> Self {
+        let speedup = settings.speedup;
+        let core = Core::new(settings);
         Engine {
-            speedup: settings.speedup,
-            core: Mutex::new(Core::new(settings)),
+            speedup,
+            samples: Mutex::new(VecDeque::from([core.load(0.0)])),
+            core: Mutex::new(core),
             cut: Mutex::default(),
-            samples: Mutex::default(),
             wake: Notify::new(),
             gate,
             origin: Instant::now(),
@@ -77,7 +79,7 @@
             }
             if std::mem::take(&mut faults.crash) {
                 core.crash(now_ms);
-                self.samples().clear();
+                *self.samples() = VecDeque::from([core.load(now_ms)]);
             }
             faults.cut = false;
             core.faults = faults;
@@ -112,41 +114,25 @@
     /// Records the load after a change.
     pub(crate) fn sample(&self) {
         let now_ms = self.now_ms();
-        let sample = self.core().load(now_ms);
-        self.samples().push_back(sample);
+        let (sample, visible_ms) = {
+            let core = self.core();
+            (core.load(now_ms), core.load_visible_ms(now_ms))
+        };
+        let mut samples = self.samples();
+        samples.push_back(sample);
+        drop_superseded(&mut samples, visible_ms);
     }
 
     /// Returns the newest load report that is at least as old as the lag.
     pub(crate) fn load_report(&self) -> LoadReport {
         let now_ms = self.now_ms();
-        let (incarnation, lag_ms) = {
-            let core = self.core();
-            let lag_ms = core.faults.load_lag_ms;
-            (
-                core.incarnation,
-                lag_ms.unwrap_or(core.settings.load_lag_ms),
-            )
-        };
-        let visible_ms = (now_ms - lag_ms).max(0.0) as u64;
+        let visible_ms = self.core().load_visible_ms(now_ms);
         let mut samples = self.samples();
-        while samples.get(1).is_some_and(|s| s.sampled_ms <= visible_ms) {
-            samples.pop_front();
-        }
-        let newest = samples.front().filter(|s| s.sampled_ms <= visible_ms);
-        // The load stays as sampled until the next change.
-        newest.cloned().map_or(
-            LoadReport {
-                incarnation,
-                queued: 0,
-                queued_tokens: 0,
-                running: 0,
-                sampled_ms: visible_ms,
-            },
-            |sample| LoadReport {
-                sampled_ms: visible_ms,
-                ..sample
-            },
-        )
+        drop_superseded(&mut samples, visible_ms);
+        samples
+            .front()
+            .cloned()
+            .unwrap_or_else(|| self.core().load(now_ms))
     }
 
     async fn run(self: Arc<Self>) {
@@ -182,6 +168,13 @@
     }
 }
 
+/// Removes the samples that a newer visible one has replaced.
+fn drop_superseded(samples: &mut VecDeque<LoadReport>, visible_ms: u64) {
+    while samples.get(1).is_some_and(|s| s.sampled_ms <= visible_ms) {
+        samples.pop_front();
+    }
+}
+
 /// Starts the engine on `addr`.
 pub async fn start_engine(addr: SocketAddr, engine: Arc<Engine>) -> io::Result<Running> {
     let running = serve(addr, Arc::new(Arc::clone(&engine))).await?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -65,6 +65,7 @@
 pub use engine::EngineFaults;
 pub use engine::EngineSettings;
 pub use engine::LoadGate;
+pub use engine::Loading;
 pub use engine::Stamp;
 pub use fleet::EngineEntry;
 pub use fleet::Fleet;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -78,6 +78,16 @@
     }
 }
 
+impl PlatformLimits {
+    /// Returns rates that no test reaches.
+    pub fn unlimited() -> Self {
+        PlatformLimits {
+            reads_per_s: 1e12,
+            writes_per_s: 1e12,
+        }
+    }
+}
+
 /// Gate that each call of a platform service passes before it is carried out.
 #[derive(Debug)]
 pub(crate) struct Gate {
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -73,16 +73,22 @@
 
     /// Replaces the VMs; readers see the change after the lag.
     pub fn set_vms(&self, vms: Vec<Vm>) {
-        let mut history = self.history();
-        let seq = history.back().map_or(0, |(_, list)| list.seq) + 1;
-        let as_of_ms = self.clock.now().0;
-        history.push_back((Instant::now() + self.lag, VmList { as_of_ms, seq, vms }));
+        self.update(|_| vms);
     }
 
-    /// Replaces the VMs with those that `change` returns; readers see it after the lag.
+    /// Replaces the VMs with those that `change` returns; readers see the change after the lag.
     pub fn update(&self, change: impl FnOnce(Vec<Vm>) -> Vec<Vm>) {
-        let newest = self.history().back().map(|(_, list)| list.vms.clone());
-        self.set_vms(change(newest.unwrap_or_default()));
+        let mut history = self.history();
+        let (seq, vms) = history
+            .back()
+            .map(|(_, list)| (list.seq, list.vms.clone()))
+            .unwrap_or_default();
+        let list = VmList {
+            as_of_ms: self.clock.now().0,
+            seq: seq + 1,
+            vms: change(vms),
+        };
+        history.push_back((Instant::now() + self.lag, list));
     }
 
     fn visible(&self) -> Option<VmList> {
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -8,6 +8,7 @@
 use dw_api::engine::EngineState;
 use dw_api::engine::GenerateEvent;
 use dw_api::engine::KvBlocks;
+use dw_api::engine::LoadReport;
 use dw_base::BlockHash;
 use dw_base::PIECE_BYTES;
 use dw_standin::answer_text;
@@ -18,6 +19,7 @@
 use dw_standin::EngineFaults;
 use dw_standin::EngineSettings;
 use dw_standin::LoadGate;
+use dw_standin::Loading;
 use dw_standin::Running;
 use http::Method;
 use http::Request;
@@ -41,7 +43,11 @@
 
 impl Bench {
     async fn new(settings: EngineSettings) -> Bench {
-        let engine = Arc::new(Engine::new(settings, Arc::new(LoadGate::new(2))));
+        Bench::with_gate(settings, Arc::new(LoadGate::new(2))).await
+    }
+
+    async fn with_gate(settings: EngineSettings, gate: Arc<LoadGate>) -> Bench {
+        let engine = Arc::new(Engine::new(settings, gate));
         let running = start_engine(ephemeral(), Arc::clone(&engine))
             .await
             .expect("the engine starts");
@@ -279,3 +285,102 @@
         .await;
     assert_eq!(refused.status(), StatusCode::CONFLICT);
 }
+
+/// Guards against events that are held back until the answer ends, or that share a chunk.
+#[tokio::test]
+async fn events_arrive_one_by_one_while_the_answer_runs() {
+    let mut settings = settings();
+    // Slow enough that the unread answer never exceeds a read buffer, which would split a chunk.
+    settings.decode_ms_per_token = 500.0;
+    let bench = Bench::new(settings).await;
+    let endless = request("a", "o", 0, u64::MAX);
+    let response = bench.call(Method::POST, "/v1/generate", &endless).await;
+    let mut body = response.into_body();
+    for _ in 0..20 {
+        let frame = body.frame().await.unwrap().unwrap();
+        let chunk = frame.into_data().unwrap();
+        assert_eq!(chunk.windows(2).filter(|end| end == b"\n\n").count(), 1);
+    }
+}
+
+/// Guards against an urgent generation that waits behind earlier ones of lower priority.
+#[tokio::test]
+async fn urgent_generation_leaves_the_queue_first() {
+    let mut settings = settings();
+    settings.max_batch = 1;
+    let bench = Bench::new(settings).await;
+    bench.engine.set_faults(EngineFaults {
+        paused: true,
+        ..EngineFaults::default()
+    });
+    let batch = bench
+        .call(Method::POST, "/v1/generate", &request("a", "o", 1, 1))
+        .await;
+    let mut urgent = request("b", "o", 1, 1);
+    urgent["priority"] = json!(0);
+    let urgent = bench.call(Method::POST, "/v1/generate", &urgent).await;
+    bench.engine.set_faults(EngineFaults::default());
+    // The one that runs first computes the prefix that the other finds cached.
+    assert_eq!(cached_tokens(&events(urgent).await.unwrap()), 0);
+    assert_eq!(cached_tokens(&events(batch).await.unwrap()), 2_048);
+}
+
+/// Guards against blocks that stay cached beyond their age, and against evictions without an event.
+#[tokio::test]
+async fn unused_blocks_are_evicted_by_age() {
+    let mut settings = settings();
+    settings.cache_age_ms = 500.0;
+    let bench = Bench::new(settings).await;
+    bench.generate(&request("a", "o", 1, 1)).await;
+    let wait = "/v1/cache/events?after=1&wait_ms=30000";
+    let found: CacheEvents = bench.json(Method::GET, wait, &json!(null)).await;
+    assert_eq!(found.events[0].kind.to_string(), "evicted");
+    let after = bench.generate(&request("b", "o", 1, 1)).await;
+    assert_eq!(cached_tokens(&after), 0);
+}
+
+/// Guards against a load report that shows the present instead of the past.
+#[tokio::test]
+async fn load_report_lags() {
+    let mut settings = settings();
+    settings.load_lag_ms = 1e9;
+    let bench = Bench::new(settings).await;
+    let endless = request("a", "o", 0, u64::MAX);
+    let _running = bench.call(Method::POST, "/v1/generate", &endless).await;
+    let late: LoadReport = bench.json(Method::GET, "/v1/load", &json!(null)).await;
+    assert_eq!(late.running + late.queued, 0);
+    let no_lag = json!({"load_lag_ms": 0.0});
+    let _: Value = bench.json(Method::POST, "/faults", &no_lag).await;
+    let now: LoadReport = bench.json(Method::GET, "/v1/load", &json!(null)).await;
+    assert_eq!(now.running + now.queued, 1);
+}
+
+/// Guards against loads beyond the limit that take no longer than others.
+#[test]
+fn loads_beyond_the_limit_take_longer() {
+    let gate = Arc::new(LoadGate::new(2));
+    let loads = [gate.enter(), gate.enter(), gate.enter()];
+    assert_eq!(loads.each_ref().map(Loading::factor), [1.0, 1.0, 1.5]);
+    drop(loads);
+    assert_eq!((gate.enter().factor(), gate.most()), (1.0, 3));
+}
+
+/// Guards against a gate that does not see loads of several engines running at once.
+#[tokio::test]
+async fn load_gate_counts_loads_of_all_engines() {
+    let gate = Arc::new(LoadGate::new(1));
+    let mut settings = settings();
+    settings.weight_load_ms = 1e6;
+    let order = json!({
+        "fence": 1,
+        "order": {"type": "load_weights", "model": "model", "weights_version": 2},
+    });
+    for running in 1..=2 {
+        let bench = Bench::with_gate(settings.clone(), Arc::clone(&gate)).await;
+        let state: EngineState = bench.json(Method::POST, "/v1/orders", &order).await;
+        assert!(state.loading);
+        while gate.most() < running {
+            tokio::task::yield_now().await;
+        }
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -61,10 +61,13 @@
 
 impl HttpClient {
     pub(crate) fn new(service: &'static str, endpoint: Endpoint) -> Self {
+        let mut connector = HttpConnector::new();
+        // Without this, a request of several segments waits for acknowledgements.
+        connector.set_nodelay(true);
         HttpClient {
             service,
             endpoint,
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
 
