--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -23,6 +23,10 @@
 /// Longest pause before a suspect agent is probed.
 const LAST_PROBE_MS: DurationMs = DurationMs(2_000);
 
+/// How long a report counts that the upstream takes no work. Reports of an agent that gets no
+/// requests can be a minute apart at the target size, because heartbeats are limited.
+const PAUSE_MS: DurationMs = DurationMs(1_000);
+
 /// An agent that can be sent work.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Agent {
@@ -30,6 +34,8 @@
     pub(crate) data_addr: SocketAddr,
     pub(crate) control_addr: SocketAddr,
     listed_leaving: bool,
+    reported_leaving: bool,
+    pause_until: Option<TimeMs>,
     incarnation: Incarnation,
     leaving: Option<Incarnation>,
     report_seq: u64,
@@ -39,10 +45,25 @@
 }
 
 impl Agent {
+    /// Returns whether the VM list or the node itself has announced its end.
+    fn is_leaving(&self) -> bool {
+        self.listed_leaving || self.leaving.is_some_and(|left| left >= self.incarnation)
+    }
+
     /// Returns whether new work may be sent, a probe of a suspect agent included.
     fn takes_work(&self, now: TimeMs) -> bool {
-        let left = self.leaving.is_some_and(|left| left >= self.incarnation);
-        !self.listed_leaving && !left && self.probe_at.is_none_or(|at| now >= at)
+        let paused = self.pause_until.is_some_and(|until| now < until);
+        let away = self.is_leaving() || self.reported_leaving || paused;
+        !away && self.probe_at.is_none_or(|at| now >= at)
+    }
+}
+
+impl Agent {
+    /// Takes a report. Unlike a leaving notice, a reported drain ends when an operator ends it.
+    fn take(&mut self, status: &Status, now: TimeMs) {
+        self.report_seq = status.report_seq;
+        self.reported_leaving = status.leaving;
+        self.pause_until = (!status.accepting).then(|| now + PAUSE_MS);
     }
 }
 
@@ -62,6 +83,7 @@
     seq: u64,
     agents: BTreeMap<UpstreamId, Agent>,
     routers: BTreeMap<NodeId, SocketAddr>,
+    left_routers: BTreeMap<NodeId, Incarnation>,
 }
 
 /// Known agents and routers.
@@ -99,6 +121,16 @@
         agent.takes_work(now).then(|| agent.clone())
     }
 
+    /// Counts a placement on a suspect agent as its probe, so that it gets no other request before
+    /// the next one is due.
+    pub(crate) fn placed(&self, upstream: &UpstreamId, now: TimeMs) {
+        if let Some(agent) = self.lock().agents.get_mut(upstream) {
+            if agent.probe_at.is_some() {
+                agent.probe_at = Some(now + agent.backoff);
+            }
+        }
+    }
+
     /// Makes an agent suspect after a failed connection.
     pub(crate) fn failed(&self, upstream: &UpstreamId, now: TimeMs) {
         if let Some(agent) = self.lock().agents.get_mut(upstream) {
@@ -120,13 +152,10 @@
         agent.heard_at = now;
         agent.probe_at = None;
         agent.backoff = DurationMs::ZERO;
-        if status.leaving {
-            agent.leaving = agent.leaving.max(Some(status.agent_incarnation));
-        }
         if status.agent_incarnation > agent.incarnation {
             let first = agent.incarnation == Incarnation(0);
             agent.incarnation = status.agent_incarnation;
-            agent.report_seq = status.report_seq;
+            agent.take(status, now);
             return if first {
                 Fresh::Newer
             } else {
@@ -136,7 +165,7 @@
         if status.report_seq <= agent.report_seq {
             return Fresh::Old;
         }
-        agent.report_seq = status.report_seq;
+        agent.take(status, now);
         Fresh::Newer
     }
 
@@ -147,7 +176,40 @@
         for agent in inner.agents.values_mut().filter(same) {
             agent.leaving = agent.leaving.max(Some(incarnation));
         }
-        inner.routers.remove(node);
+        if inner.routers.remove(node).is_some() {
+            inner.left_routers.insert(node.clone(), incarnation);
+        }
+    }
+
+    /// Ends the effect of a leaving notice if it came from an earlier process.
+    pub(crate) fn returned(&self, node: &NodeId, incarnation: Incarnation) {
+        let mut inner = self.lock();
+        if inner
+            .left_routers
+            .get(node)
+            .is_some_and(|left| *left < incarnation)
+        {
+            inner.left_routers.remove(node);
+        }
+    }
+
+    /// Returns the control address of a node.
+    pub(crate) fn control_addr(&self, node: &NodeId) -> Option<SocketAddr> {
+        let inner = self.lock();
+        let mut agents = inner.agents.values();
+        let agent = agents.find(|agent| agent.node == *node);
+        agent
+            .map(|agent| agent.control_addr)
+            .or_else(|| inner.routers.get(node).copied())
+    }
+
+    /// Returns all nodes that are not leaving.
+    pub(crate) fn live_nodes(&self) -> Vec<NodeId> {
+        let inner = self.lock();
+        let agents = inner.agents.values();
+        let agents = agents.filter(|agent| !agent.is_leaving());
+        let agents = agents.map(|agent| agent.node.clone());
+        agents.chain(inner.routers.keys().cloned()).collect()
     }
 
     /// Returns up to `most` agents that were not heard of for `idle`, the longest silent first.
@@ -193,7 +255,9 @@
     let node: NodeId = vm.name.parse().ok()?;
     let control_addr = vm.control_addr.parse().ok()?;
     if vm.role == VmRole::Router {
-        inner.routers.insert(node, control_addr);
+        if !inner.left_routers.contains_key(&node) && vm.state == VmState::Live {
+            inner.routers.insert(node, control_addr);
+        }
         return Some(());
     }
     let upstream: UpstreamId = vm.upstream.as_ref()?.parse().ok()?;
@@ -213,6 +277,8 @@
             data_addr,
             control_addr,
             listed_leaving,
+            reported_leaving: false,
+            pause_until: None,
             incarnation: Incarnation(0),
             leaving: None,
             report_seq: 0,
