--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -2,18 +2,42 @@
 //!
 //! | event | effect |
 //! | --- | --- |
-//! | [`Policy::place`] | chooses an upstream for a request |
-//! | [`Policy::observe`] | learns from an answer, refusal, failure or heartbeat |
+//! | [`Policy::place`] | chooses an upstream; [`Nested`] also counts the work and the heat |
+//! | [`Observation::FirstToken`] | learns speed, cache lifetime and which prefixes are warm |
+//! | [`Observation::Report`] | replaces the expected waits, blends the measured speed |
+//! | [`Observation::CacheLost`] | forgets what the upstream had cached |
+//! | [`Observation::Sent`], [`Observation::Finished`] | count requests in [`LeastLoaded`] |
+//!
+//! The state of [`Nested`] is bounded: 4,096 prefixes of 64 bytes, and less than 256 bytes for
+//! each upstream, whatever the number of blocks. None of it is needed to compute the home sets.
 
+mod cost;
 mod decision;
+mod flat_block;
+mod flat_prompt;
+mod heat;
+mod homes;
+mod least_loaded;
+mod load;
+mod nested;
 mod observation;
+mod oracle;
 mod policy;
 mod round_robin;
+mod speed;
 mod target;
 
+pub use cost::ImportCost;
 pub use decision::Candidate;
 pub use decision::Decision;
+pub use flat_block::FlatBlock;
+pub use flat_prompt::FlatPrompt;
+pub use least_loaded::LeastLoaded;
+pub use nested::Nested;
+pub use nested::NestedSettings;
 pub use observation::Observation;
+pub use oracle::FleetView;
+pub use oracle::Oracle;
 pub use policy::PlaceRequest;
 pub use policy::Policy;
 pub use round_robin::RoundRobin;
--- /dev/null
+++ b/crates/place/tests/fleet/mod.rs
@@ -0,0 +1,520 @@
+//! A deterministic model of a fleet that drives placement policies in virtual time.
+
+pub(crate) mod engine;
+pub(crate) mod workload;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use dw_base::seeded_rng;
+use dw_base::Chain;
+use dw_base::DurationMs;
+use dw_base::Priority;
+use dw_base::Rng;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::TokensPerS;
+use dw_base::UpstreamId;
+use dw_base::PIECE_TOKENS;
+use dw_place::FlatBlock;
+use dw_place::FlatPrompt;
+use dw_place::FleetView;
+use dw_place::LeastLoaded;
+use dw_place::Nested;
+use dw_place::NestedSettings;
+use dw_place::Observation;
+use dw_place::Oracle;
+use dw_place::PlaceRequest;
+use dw_place::Policy;
+use dw_place::RoundRobin;
+use dw_place::Target;
+use rand::RngExt;
+
+use engine::Engine;
+use engine::Job;
+use workload::Deployment;
+use workload::Workload;
+
+/// Routers in the model.
+const ROUTERS: usize = 4;
+
+/// Time between the reports of an engine.
+const REPORT_MS: f64 = 200.0;
+
+/// Virtual time of a run, and the part at its start that is not counted.
+pub(crate) const RUN_MS: f64 = 90_000.0;
+const WARM_UP_MS: f64 = 20_000.0;
+
+/// When a fault starts, and how long a crashed engine is away.
+const FAULT_MS: f64 = 45_000.0;
+const AWAY_MS: f64 = 10_000.0;
+
+/// One way between data centres.
+const REMOTE_MS: f64 = 3.0;
+
+/// What goes wrong in a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Fault {
+    None,
+    Crash,
+    Slow,
+    Shift,
+    Restart,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Figures {
+    pub(crate) answered: u64,
+    pub(crate) lost: u64,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) cached_tokens: u64,
+    /// Recomputed tokens that some live engine held.
+    pub(crate) wasted_tokens: u64,
+    /// Recomputed tokens that had been computed before.
+    pub(crate) repeated_tokens: u64,
+    pub(crate) busy: f64,
+    urgent_ms: Vec<f64>,
+    normal_ms: Vec<f64>,
+}
+
+impl Figures {
+    pub(crate) fn hit_rate(&self) -> f64 {
+        self.cached_tokens as f64 / self.prompt_tokens as f64
+    }
+
+    pub(crate) fn wasted_per_answer(&self) -> f64 {
+        self.wasted_tokens as f64 / self.answered as f64
+    }
+
+    pub(crate) fn quantile(&self, priority: Priority, q: f64) -> f64 {
+        let mut times = match priority {
+            Priority::Urgent => self.urgent_ms.clone(),
+            _ => self.normal_ms.clone(),
+        };
+        times.sort_by(f64::total_cmp);
+        let at = (times.len() as f64 * q) as usize;
+        times
+            .get(at.min(times.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(0.0)
+    }
+
+    /// Adds the figures of another seed.
+    pub(crate) fn add(&mut self, other: &Figures) {
+        self.answered += other.answered;
+        self.lost += other.lost;
+        self.prompt_tokens += other.prompt_tokens;
+        self.cached_tokens += other.cached_tokens;
+        self.wasted_tokens += other.wasted_tokens;
+        self.repeated_tokens += other.repeated_tokens;
+        self.busy += other.busy;
+        self.urgent_ms.extend(&other.urgent_ms);
+        self.normal_ms.extend(&other.normal_ms);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive,
+    Report,
+    PrefillEnd {
+        engine: usize,
+        life: u32,
+    },
+    DecodeEnd {
+        engine: usize,
+        life: u32,
+        job: usize,
+    },
+    Fault,
+    Return {
+        engine: usize,
+    },
+}
+
+type Shared = Arc<Mutex<(f64, Vec<Engine>)>>;
+
+type MakePolicy = Box<dyn Fn(&Shared) -> Box<dyn Policy>>;
+
+struct View(Shared);
+
+impl View {
+    fn with<T>(&self, upstream: &UpstreamId, f: impl Fn(&Engine, f64) -> T) -> T {
+        let guard = self.0.lock().expect("valid in the model");
+        let engine = guard.1.iter().find(|e| e.target.upstream == *upstream);
+        f(engine.expect("valid in the model"), guard.0)
+    }
+}
+
+impl FleetView for View {
+    fn cached_tokens(&self, upstream: &UpstreamId, chain: &Chain) -> Tokens {
+        self.with(upstream, |engine, _| Tokens(engine.cached_tokens(chain)))
+    }
+
+    fn wait_ms(&self, upstream: &UpstreamId, priority: Priority) -> DurationMs {
+        self.with(upstream, |e, now| {
+            DurationMs(e.wait_ms(priority, now) as u64)
+        })
+    }
+
+    fn prefill_tokens_per_s(&self, upstream: &UpstreamId) -> TokensPerS {
+        self.with(upstream, |engine, _| engine.measured())
+    }
+}
+
+/// The fleet, its routers and its clock.
+pub(crate) struct Fleet {
+    shared: Shared,
+    routers: Vec<Box<dyn Policy>>,
+    make: MakePolicy,
+    workload: Workload,
+    rng: Rng,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    now: f64,
+    fault: Fault,
+    seen: HashSet<u128>,
+    figures: Figures,
+}
+
+pub(crate) const POLICIES: [&str; 6] = [
+    "nested",
+    "round-robin",
+    "least-loaded",
+    "flat-prompt",
+    "flat-block",
+    "oracle",
+];
+
+fn make(policy: &'static str, settings: NestedSettings, shared: &Shared) -> Box<dyn Policy> {
+    match policy {
+        "nested" => Box::new(Nested::new(settings)),
+        "round-robin" => Box::new(RoundRobin::default()),
+        "least-loaded" => Box::new(LeastLoaded::default()),
+        "flat-prompt" => Box::new(FlatPrompt),
+        "flat-block" => Box::new(FlatBlock),
+        "oracle" => Box::new(Oracle::new(Box::new(View(shared.clone())))),
+        other => panic!("policy {other} does not exist"),
+    }
+}
+
+/// Returns the targets of a deployment.
+pub(crate) fn targets(deployment: &Deployment) -> Vec<Target> {
+    let speeds = deployment.speeds.iter().enumerate();
+    speeds
+        .map(|(i, speed)| Target {
+            upstream: format!("engine-{i}").parse().expect("valid in the model"),
+            data_centre: format!("dc-{}", i % 3).parse().expect("valid in the model"),
+            prefill_tokens_per_s: TokensPerS::new(*speed).expect("valid in the model"),
+            decode_tokens_per_s: TokensPerS::new(50.0).expect("valid in the model"),
+            max_batch: deployment.max_batch,
+        })
+        .collect()
+}
+
+/// Runs a policy and returns its figures.
+pub(crate) fn run(
+    policy: &'static str,
+    deployment: &Deployment,
+    fault: Fault,
+    seed: u64,
+) -> Figures {
+    let settings = NestedSettings::builder().routers(ROUTERS as u32).build();
+    run_with(policy, settings, deployment, fault, seed)
+}
+
+/// Runs a policy with other settings of `nested`.
+pub(crate) fn run_with(
+    policy: &'static str,
+    settings: NestedSettings,
+    deployment: &Deployment,
+    fault: Fault,
+    seed: u64,
+) -> Figures {
+    let blocks = deployment.cache_blocks;
+    let engines = targets(deployment)
+        .into_iter()
+        .map(|t| Engine::new(t, blocks));
+    let shared: Shared = Arc::new(Mutex::new((0.0, engines.collect())));
+    let make: MakePolicy = Box::new(move |shared| make(policy, settings.clone(), shared));
+    let mut fleet = Fleet {
+        routers: (0..ROUTERS).map(|_| make(&shared)).collect(),
+        make,
+        shared,
+        workload: Workload::new(deployment, seed),
+        rng: seeded_rng(seed ^ 0x5eed),
+        events: BinaryHeap::new(),
+        sequence: 0,
+        now: 0.0,
+        fault,
+        seen: HashSet::new(),
+        figures: Figures::default(),
+    };
+    fleet.run()
+}
+
+impl Fleet {
+    fn at(&mut self, time: f64, event: Event) {
+        self.sequence += 1;
+        let micros = (time * 1_000.0) as u64;
+        self.events.push(Reverse((micros, self.sequence, event)));
+    }
+
+    fn counted(&self) -> bool {
+        self.now >= WARM_UP_MS
+    }
+
+    fn time(&self) -> TimeMs {
+        TimeMs(1_000_000 + self.now as u64)
+    }
+
+    fn engine<T>(&self, engine: usize, f: impl FnOnce(&mut Engine) -> T) -> T {
+        f(&mut self.shared.lock().expect("valid in the model").1[engine])
+    }
+
+    fn run(&mut self) -> Figures {
+        self.at(0.0, Event::Arrive);
+        self.at(REPORT_MS, Event::Report);
+        if self.fault != Fault::None {
+            self.at(FAULT_MS, Event::Fault);
+        }
+        while let Some(Reverse((micros, _, event))) = self.events.pop() {
+            self.now = micros as f64 / 1_000.0;
+            self.shared.lock().expect("valid in the model").0 = self.now;
+            if self.now > RUN_MS {
+                break;
+            }
+            self.step(event);
+        }
+        let guard = self.shared.lock().expect("valid in the model");
+        let busy: f64 = guard.1.iter().map(|e| e.busy_ms).sum();
+        self.figures.busy = busy / RUN_MS / guard.1.len() as f64;
+        self.figures.clone()
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive => {
+                let router = self.rng.random_range(0..ROUTERS);
+                let job = self.workload.request(router, self.now);
+                self.place(job, None);
+                let gap = self.workload.gap_ms();
+                self.at(self.now + gap, Event::Arrive);
+            }
+            Event::Report => {
+                for router in 0..ROUTERS {
+                    self.report_all(router);
+                }
+                self.at(self.now + REPORT_MS, Event::Report);
+            }
+            Event::PrefillEnd { engine, life } => self.prefill_end(engine, life),
+            Event::DecodeEnd { engine, life, job } => {
+                let done = self.engine(engine, |e| {
+                    let at = (e.life == life).then(|| e.decoding.iter().position(|j| j.id == job));
+                    at.flatten().map(|at| e.decoding.swap_remove(at))
+                });
+                if let Some(job) = done {
+                    let upstream = self.engine(engine, |e| e.target.upstream.clone());
+                    let now = self.time();
+                    self.routers[job.router].observe(&Observation::Finished { upstream }, now);
+                    self.start(engine);
+                }
+            }
+            Event::Fault => self.strike(),
+            Event::Return { engine } => self.engine(engine, |e| e.alive = true),
+        }
+    }
+
+    fn strike(&mut self) {
+        match self.fault {
+            Fault::None => {}
+            Fault::Crash => {
+                let engine = self.engine_with_most_work();
+                let lost = self.engine(engine, Engine::crash);
+                let upstream = self.engine(engine, |e| e.target.upstream.clone());
+                let now = self.time();
+                for router in &mut self.routers {
+                    let upstream = upstream.clone();
+                    router.observe(&Observation::CacheLost { upstream }, now);
+                }
+                for job in lost {
+                    self.place(job, None);
+                }
+                self.at(self.now + AWAY_MS, Event::Return { engine });
+            }
+            Fault::Slow => {
+                for engine in self
+                    .shared
+                    .lock()
+                    .expect("valid in the model")
+                    .1
+                    .iter_mut()
+                    .step_by(3)
+                {
+                    engine.slow = 4.0;
+                }
+            }
+            Fault::Shift => self.workload.shift(),
+            Fault::Restart => {
+                let make = &self.make;
+                self.routers = (0..ROUTERS).map(|_| make(&self.shared)).collect();
+            }
+        }
+    }
+
+    fn engine_with_most_work(&self) -> usize {
+        let guard = self.shared.lock().expect("valid in the model");
+        let busy = |i: &usize| guard.1[*i].busy_ms;
+        let all = 0..guard.1.len();
+        all.max_by(|a, b| busy(a).total_cmp(&busy(b)))
+            .expect("valid in the model")
+    }
+
+    fn report(&mut self, router: usize, engine: usize) {
+        let now = self.now;
+        let observation = self.engine(engine, |e| Observation::Report {
+            upstream: e.target.upstream.clone(),
+            queue_wait_ms: e.waits(now),
+            running: (e.decoding.len() + usize::from(e.prefill.is_some())) as u32,
+            queued: e.queues.iter().map(|q| q.len() as u32).sum(),
+            prefill_tokens_per_s: e.measured(),
+            warm: None,
+        });
+        let now = self.time();
+        self.routers[router].observe(&observation, now);
+    }
+
+    fn report_all(&mut self, router: usize) {
+        let count = self.shared.lock().expect("valid in the model").1.len();
+        for engine in 0..count {
+            if self.engine(engine, |e| e.alive) {
+                self.report(router, engine);
+            }
+        }
+    }
+
+    fn place(&mut self, mut job: Job, hint: Option<UpstreamId>) {
+        let targets: Vec<Target> = {
+            let guard = self.shared.lock().expect("valid in the model");
+            let alive = guard.1.iter().filter(|e| e.alive);
+            alive.map(|e| e.target.clone()).collect()
+        };
+        let data_centre: dw_base::DataCentreId = format!("dc-{}", job.router % 3)
+            .parse()
+            .expect("valid in the model");
+        let request = PlaceRequest {
+            chain: Some(job.chain.clone()),
+            priority: job.priority,
+            budget_ms: DurationMs((job.deadline_ms - self.now).max(0.0) as u64),
+            data_centre,
+            hint,
+            excluded: job.excluded.clone(),
+        };
+        let now = self.time();
+        let router = &mut self.routers[job.router];
+        let Some(decision) = router.place(&request, &targets, now, &mut self.rng) else {
+            self.figures.lost += u64::from(self.counted());
+            return;
+        };
+        let upstream = decision.upstream;
+        let engine: usize = upstream.as_str()[7..].parse().expect("valid in the model");
+        let expected = self.engine(engine, |e| {
+            e.wait_ms(job.priority, self.now) + e.prefill_ms(&job.chain)
+        });
+        if self.now + expected > job.deadline_ms {
+            self.report(job.router, engine);
+            job.excluded.push(upstream);
+            if job.excluded.len() > 2 {
+                self.figures.lost += u64::from(self.counted());
+                return;
+            }
+            return self.place(job, None);
+        }
+        let sent = Observation::Sent {
+            upstream,
+            uncached_tokens: job.chain.prompt_tokens,
+        };
+        self.routers[job.router].observe(&sent, now);
+        job.queued_ms = self.now;
+        self.engine(engine, |e| e.push(job));
+        self.start(engine);
+    }
+
+    fn start(&mut self, engine: usize) {
+        let now = self.now;
+        let Some((end, computed)) = self.engine(engine, |e| e.start(now)) else {
+            return;
+        };
+        let counted = self.counted();
+        let guard = self.shared.lock().expect("valid in the model");
+        let held = |hash: &u128| {
+            let others = guard.1.iter().enumerate();
+            others
+                .filter(|(i, _)| *i != engine)
+                .any(|(_, e)| e.holds(*hash))
+        };
+        let wasted = computed.iter().filter(|hash| held(hash)).count() as u64;
+        let life = guard.1[engine].life;
+        drop(guard);
+        let new = computed
+            .iter()
+            .filter(|hash| self.seen.insert(**hash))
+            .count();
+        if counted {
+            self.figures.wasted_tokens += wasted * PIECE_TOKENS;
+            self.figures.repeated_tokens += (computed.len() - new) as u64 * PIECE_TOKENS;
+        }
+        self.at(end, Event::PrefillEnd { engine, life });
+    }
+
+    fn prefill_end(&mut self, engine: usize, life: u32) {
+        let taken = self.engine(engine, |e| {
+            let prefill = (e.life == life).then(|| e.prefill.take()).flatten();
+            if let Some((job, _, _)) = &prefill {
+                e.decoding.push(job.clone());
+            }
+            prefill.map(|p| (p, e.target.upstream.clone(), e.target.data_centre.clone()))
+        });
+        let Some(((job, cached, _), upstream, data_centre)) = taken else {
+            return;
+        };
+        let remote = data_centre.as_str() != format!("dc-{}", job.router % 3);
+        let network = if remote { REMOTE_MS } else { 0.0 };
+        let first_token = self.now - job.arrived_ms + network;
+        if self.counted() {
+            self.figures.answered += 1;
+            self.figures.prompt_tokens += job.chain.prompt_tokens.0;
+            self.figures.cached_tokens += cached;
+            match job.priority {
+                Priority::Urgent => self.figures.urgent_ms.push(first_token),
+                _ => self.figures.normal_ms.push(first_token),
+            }
+        }
+        let since_queued = self.now - job.queued_ms;
+        let uncached = job.chain.prompt_tokens.0 - cached;
+        let speed = self.engine(engine, |e| e.target.prefill_tokens_per_s.get() / e.slow);
+        let prefill = uncached as f64 * 1_000.0 / speed;
+        let observation = Observation::FirstToken {
+            upstream,
+            chain: job.chain.clone(),
+            cached_tokens: Tokens(cached),
+            queued_ms: DurationMs((since_queued - prefill).max(0.0) as u64),
+            first_token_ms: DurationMs((since_queued + network) as u64),
+        };
+        let now = self.time();
+        self.routers[job.router].observe(&observation, now);
+        self.report(job.router, engine);
+        let end = self.now + job.decode_ms;
+        let event = Event::DecodeEnd {
+            engine,
+            life,
+            job: job.id,
+        };
+        self.at(end, event);
+        self.start(engine);
+    }
+}
