--- a/crates/lang/tests/language.rs
+++ b/crates/lang/tests/language.rs
@@ -173,7 +173,9 @@
     check("", expect!["0: the end of the text is not expected here: write explain, show, list, history, declare, alter, delete, drain, resume, load or limit"]);
     check(
         "show upstrem ikeja-1",
-        expect![[r#"5: "upstrem" is not expected here: write limit, model, node, operator, organisation, service, setting, upstream, prefix or config"#]],
+        expect![[
+            r#"5: "upstrem" is not expected here: write limit, model, node, operator, organisation, service, setting, upstream, prefix or config"#
+        ]],
     );
     check(
         "drain upstream",
@@ -227,7 +229,9 @@
     );
     check(
         "declare limit x",
-        expect![[r#"8: "limit" is not expected here: write model, operator, organisation, service, setting or upstream"#]],
+        expect![[
+            r#"8: "limit" is not expected here: write model, operator, organisation, service, setting or upstream"#
+        ]],
     );
 }
 
--- a/crates/sync/src/error.rs
+++ b/crates/sync/src/error.rs
@@ -8,7 +8,7 @@
 
 /// The configuration could not be read or kept.
 #[derive(Clone, Debug, Error, PartialEq)]
-pub(crate) enum SyncError {
+pub enum SyncError {
     /// A platform service failed.
     #[error(transparent)]
     Store(#[from] StoreError),
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -7,6 +7,7 @@
 mod peers;
 
 pub use commit::CommitReport;
+pub use error::SyncError;
 pub use node::ConfigNode;
 pub use peers::PeerError;
 pub use peers::Peers;
--- a/crates/sync/src/node.rs
+++ b/crates/sync/src/node.rs
@@ -22,6 +22,7 @@
 use dw_config::read_changes;
 use dw_config::snapshot_key;
 use dw_config::whole;
+use dw_config::CommittedChange;
 use dw_config::Config;
 use dw_config::ConfigSource;
 use dw_config::Isolation;
@@ -210,6 +211,28 @@
         })
     }
 
+    /// Returns the newest `limit` changes in the table, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the table cannot be read or holds something else.
+    pub async fn history(&self, limit: u64) -> Result<Vec<CommittedChange>, SyncError> {
+        let head = self.read_head().await?;
+        let mut after = ConfigVersion(head.0.saturating_sub(limit));
+        let mut changes = Vec::new();
+        while after < head {
+            let answer = self.read(&read_changes(after, head)).await?;
+            let part = decode_changes(&answer)?;
+            after = match part.last() {
+                Some(last) => last.version,
+                None => return Err(SyncError::MissingChange(after)),
+            };
+            changes.extend(part);
+        }
+        changes.reverse();
+        Ok(changes)
+    }
+
     fn is_established(&self) -> bool {
         locked(&self.contact).established
     }
