--- a/crates/admin/src/administration.rs
+++ b/crates/admin/src/administration.rs
@@ -112,6 +112,9 @@
             let result = self.result(statement, outcome.as_ref()).await;
             results.push(result.map_err(|error| at(error, *offset))?);
         }
+        if let (Some(outcome), Some(last)) = (&outcome, last_command(&statements)) {
+            results[last].messages.push(outcome.message.clone());
+        }
         let unconfirmed = outcome
             .map(|outcome| outcome.unconfirmed)
             .unwrap_or_default();
@@ -196,18 +199,17 @@
         statement: &Statement,
         outcome: Option<&Outcome>,
     ) -> Result<StatementResult, StatementError> {
-        let (rows, messages) = match (statement, outcome) {
-            (Statement::Query(query), _) => (self.query(query).await?, Vec::new()),
+        let rows = match (statement, outcome) {
+            (Statement::Query(query), _) => self.query(query).await?,
             (Statement::Command(command), Some(outcome)) => {
                 let key = edit_of(command)?.key();
-                let rows = difference(&key, &outcome.before, &outcome.after);
-                (rows, vec![outcome.message.clone()])
+                difference(&key, &outcome.before, &outcome.after)
             }
-            (Statement::Command(_), None) => (Rows::default(), Vec::new()),
+            (Statement::Command(_), None) => Rows::default(),
         };
         Ok(StatementResult {
             columns: rows.columns,
-            messages,
+            messages: Vec::new(),
             rows: rows.rows,
             statement: statement.to_string(),
         })
@@ -318,6 +320,13 @@
     Ok(edits)
 }
 
+/// Returns the position of the last command, which shows what became of the change.
+fn last_command(statements: &[Spanned]) -> Option<usize> {
+    statements
+        .iter()
+        .rposition(|spanned| matches!(spanned.statement, Statement::Command(_)))
+}
+
 fn command_text(statements: &[Spanned]) -> String {
     let commands = statements
         .iter()
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -114,6 +114,9 @@
     /// A patch would give the object another name.
     #[error("{0} cannot be renamed: declare the new object and delete this one")]
     Renamed(ObjectKey),
+    /// Another change has the id.
+    #[error("change id {0} belongs to another change, version {1}: leave the id out")]
+    IdUsed(ChangeId, ConfigVersion),
     /// The configuration would be wrong after the change.
     #[error("{}", .0.first().map(ToString::to_string).unwrap_or_default())]
     Invalid(Vec<InvalidConfig>),
--- a/crates/config/src/commit.rs
+++ b/crates/config/src/commit.rs
@@ -3,7 +3,7 @@
 //! | event | actions |
 //! | --- | --- |
 //! | start | read head, change id and touched objects |
-//! | `Read` with the change id | done: committed with that version |
+//! | `Read` with the change id | done: committed with that version, after a look at its text if this commit did not write it |
 //! | `Read` with a touched object newer than the base | done: refused, naming the version |
 //! | `Read` with a head that moved | read the changes since, then check and transact |
 //! | `Read` otherwise | transact |
@@ -121,6 +121,8 @@
 enum State {
     Looking,
     CatchingUp(Seen),
+    /// Reads the change that has the id, to see whether it is this one.
+    Settling(ConfigVersion),
     /// Waits for the answer to a transaction that checks this head item.
     Writing(u64),
 }
@@ -197,6 +199,7 @@
         let result = match self.state.clone() {
             State::Looking => self.on_look(response),
             State::CatchingUp(seen) => self.on_changes(&response, seen),
+            State::Settling(version) => self.on_settling(&response, version),
             State::Writing(_) => Ok(self.look_again()),
         };
         result.unwrap_or_else(|error| self.fail(error))
@@ -205,7 +208,7 @@
     fn on_look(&mut self, response: ReadResponse) -> Result<CommitAction, CommitError> {
         let items = by_key(response);
         if let Some(item) = items.get(&change_id_key(&self.change.id)) {
-            return Ok(self.settle(value(item)?));
+            return Ok(self.on_id_found(value(item)?));
         }
         let head_item = items.get(HEAD_KEY);
         let head_item_version = head_item.map_or(0, |item| item.version);
@@ -221,6 +224,32 @@
         self.catch_up(seen)
     }
 
+    /// An id that this commit has not written may belong to another change.
+    fn on_id_found(&mut self, version: ConfigVersion) -> CommitAction {
+        let prepared = self.prepared.as_ref();
+        if prepared.is_some_and(|change| change.version == version) {
+            return self.settle(version);
+        }
+        self.doubt = None;
+        self.state = State::Settling(version);
+        CommitAction::Read(read_keys(vec![change_key(version)]))
+    }
+
+    fn on_settling(
+        &mut self,
+        response: &ReadResponse,
+        version: ConfigVersion,
+    ) -> Result<CommitAction, CommitError> {
+        let logged = decode_changes(response)?.pop();
+        let same = logged.is_some_and(|logged| {
+            logged.text == self.change.text && logged.operator == self.change.operator
+        });
+        if !same {
+            return Err(ChangeError::IdUsed(self.change.id.clone(), version).into());
+        }
+        Ok(self.settle(version))
+    }
+
     fn check_base(&self, items: &BTreeMap<String, Item>) -> Result<(), CommitError> {
         for key in self.change.touched() {
             let Some(item) = items.get(&object_key(&key)) else {
--- a/crates/sync/tests/sync/node.rs
+++ b/crates/sync/tests/sync/node.rs
@@ -77,6 +77,8 @@
             .unwrap();
         assert_eq!(report.version, ConfigVersion(1));
     }
+    let other = node.commit(change("a", "m", 2), NEWEST).await.unwrap_err();
+    assert!(matches!(other, CommitError::Refused(_)), "{other}");
     assert_eq!(world.stores.head(), 1);
 }
 
