sync, admin, cli: cover hostile data, dead peers and stale bases

Cause: with the table down, a node asked three random peers at each poll. If all three were dead, it could count as isolated although other peers answered.

The remaining peers are now asked if none of the three answers. Asking all peers at each poll was ruled out: it would cost every node a call to each other node every 4 s.

Conclusion: hostile bodies of the administration port get status 400, and hostile items of the table leave the node's configuration as it was.

--- a/crates/admin/tests/language_page.rs
+++ b/crates/admin/tests/language_page.rs
@@ -7,9 +7,12 @@
 use std::sync::Mutex;
 
 use async_trait::async_trait;
+use dw_admin::post_statements;
 use dw_admin::Administration;
 use dw_admin::ChangeLog;
 use dw_admin::ClusterState;
+use dw_admin::RuntimeHandler;
+use dw_api::admin::StatementError;
 use dw_api::admin::StatementErrorKind;
 use dw_api::admin::StatementRequest;
 use dw_base::BlockHash;
@@ -25,6 +28,10 @@
 use dw_config::ConfigSource;
 use dw_config::FixedConfig;
 use dw_sync::CommitReport;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
 use serde_json::json;
 use serde_json::Map;
 use serde_json::Value;
@@ -247,3 +254,21 @@
         .rows
         .is_empty());
 }
+
+proptest! {
+    /// Guards against panics and misleading statuses on hostile bodies, and against a handler that
+    /// cannot be called from a thread of the administration server.
+    #[test]
+    fn hostile_bodies_are_refused(noise in any::<Vec<u8>>(), text in "\\PC{0,40}") {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+        let handler = RuntimeHandler::new(administration(), runtime.handle().clone());
+        let bearer = format!("Bearer {TOKEN}");
+        prop_assert_eq!(post_statements(&handler, Some(&bearer), &noise).status, 400);
+        let body = json!({"text": text}).to_string();
+        let answer = post_statements(&handler, Some(&bearer), body.as_bytes());
+        prop_assert_eq!(answer.status, 400, "{}", text);
+        let error: StatementError = serde_json::from_str(&answer.body).expect("an error");
+        prop_assert!(text.is_char_boundary(error.offset.expect("a position") as usize));
+        prop_assert_eq!(post_statements(&handler, Some("Bearer x"), body.as_bytes()).status, 401);
+    }
+}
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -35,6 +35,8 @@
     pub format: Format,
     /// Whether to show only what would change.
     pub dry_run: bool,
+    /// Configuration version on which the change is based; the router's if absent.
+    pub base_version: Option<u64>,
     /// Id of the change, to send a change again whose outcome is unknown.
     pub change_id: Option<String>,
     /// Where the statements come from.
@@ -75,6 +77,12 @@
             "send a change again whose outcome is unknown",
             "ID",
         )
+        .optopt(
+            "",
+            "base-version",
+            "refuse if what is changed is newer than this",
+            "N",
+        )
         .optflag("h", "help", "print this text");
     options
 }
@@ -114,6 +122,7 @@
             router,
             token_file: matches.opt_str("token-file").map(PathBuf::from),
             format: format(matches.opt_str("format").as_deref())?,
+            base_version: base_version(matches.opt_str("base-version").as_deref())?,
             dry_run: matches.opt_present("dry-run"),
             change_id,
             source,
@@ -131,6 +140,11 @@
     }
 }
 
+fn base_version(text: Option<&str>) -> Result<Option<u64>, UsageError> {
+    let parsed = text.map(str::parse).transpose();
+    parsed.map_err(|_| UsageError("--base-version must be a whole number".to_owned()))
+}
+
 fn source(file: Option<String>, words: &[String]) -> Result<Source, UsageError> {
     match (file, words) {
         (None, []) => Ok(Source::Interactive),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -98,7 +98,7 @@
     let change_id = options.change_id.clone();
     let change_id = change_id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
     let request = StatementRequest {
-        base_version: None,
+        base_version: options.base_version,
         change_id: Some(change_id.clone()),
         dry_run: Some(options.dry_run),
         text: text.to_owned(),
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -152,6 +152,8 @@
         "-t",
         token_file,
         "--dry-run",
+        "--base-version",
+        "2",
         "show",
         "config",
     ];
@@ -168,6 +170,7 @@
     let (token, request) = &requests[0];
     assert_eq!(token.as_deref(), Some("secret"));
     assert_eq!(request.dry_run, Some(true));
+    assert_eq!(request.base_version, Some(2));
     assert!(request.change_id.is_some());
 }
 
@@ -213,7 +216,8 @@
 #[test]
 fn a_wrong_command_line_exits_with_2() {
     let (router, handler) = serve();
-    let cases: [&[&str]; 5] = [
+    let cases: [&[&str]; 6] = [
+        &["-r", &router, "--base-version", "x", "show config"],
         &["show", "config"],
         &["-r", &router, "--format", "xml", "show config"],
         &["-r", &router, "--unknown"],
--- a/crates/sync/src/node.rs
+++ b/crates/sync/src/node.rs
@@ -326,8 +326,13 @@
     async fn poll_peers(&self) {
         let mut nodes = self.peers.live();
         nodes.shuffle(&mut *locked(&self.rng));
-        nodes.truncate(PEERS_PER_POLL);
-        for (version, node) in self.versions_of(nodes).await {
+        let rest = nodes.split_off(PEERS_PER_POLL.min(nodes.len()));
+        let mut found = self.versions_of(nodes).await;
+        // A few dead peers must not make the node count as isolated.
+        if found.is_empty() {
+            found = self.versions_of(rest).await;
+        }
+        for (version, node) in found {
             self.note_contact();
             if version > self.cell.current().version {
                 self.fetch_from(&node).await;
--- a/crates/sync/tests/sync/common.rs
+++ b/crates/sync/tests/sync/common.rs
@@ -119,6 +119,18 @@
         data.items.get(key).map(|item| item.value.clone())
     }
 
+    /// Writes a value as another program would.
+    pub(crate) fn put(&self, key: &str, value: serde_json::Value) {
+        let write = dw_api::table::Write {
+            key: key.to_owned(),
+            value: Some(value),
+        };
+        self.apply(&TxnRequest {
+            checks: Vec::new(),
+            writes: vec![write],
+        });
+    }
+
     pub(crate) fn head(&self) -> u64 {
         self.item("config/head")
             .and_then(|v| v.as_u64())
--- a/crates/sync/tests/sync/node.rs
+++ b/crates/sync/tests/sync/node.rs
@@ -167,3 +167,47 @@
     sleep_ms(50).await;
     assert_eq!(second.current().version, ConfigVersion(2));
 }
+
+/// Guards against a node that takes hostile data from the table, or loses its configuration by it.
+#[tokio::test(start_paused = true)]
+async fn hostile_items_change_nothing() {
+    let world = World::new(8);
+    let node = world.start("r1", 1).await;
+    make_changes(&node, "a", 1).await;
+    let before = node.current();
+    let hostile = [
+        ("config/head", serde_json::json!("newest")),
+        ("config/head", serde_json::json!(2)),
+        ("config/change/2", serde_json::json!({"version": 2})),
+        ("config/object/model/arches", serde_json::json!([1])),
+    ];
+    for (key, value) in hostile {
+        world.stores.put(key, value);
+        let error = node
+            .commit(change("b", "arches", 2), NEWEST)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, CommitError::Malformed(_)), "{key}: {error}");
+        sleep_ms(6_000).await;
+        assert_eq!(node.current(), before);
+    }
+}
+
+/// Guards against a node that counts as isolated although one of many dead peers answers.
+#[tokio::test(start_paused = true)]
+async fn one_live_peer_among_dead_ones_is_enough() {
+    let world = World::new(9);
+    let first = world.start("r1", 1).await;
+    make_changes(&first, "a", 1).await;
+    for index in 2..12 {
+        world.start(&format!("r{index}"), index).await;
+    }
+    for index in 3..12 {
+        world.cut(&format!("r{index}"), true);
+    }
+    world.faults(|faults| faults.table_down = true);
+    for _ in 0..60 {
+        sleep_ms(1_000).await;
+        assert!(first.is_current());
+    }
+}
