Start routers with synced configuration, statements and the product policy

Cause: the binary had the round-robin policy and no administration; node queries had no source. Ruled out: a second mapping of statement errors to HTTP in the router, because the administration crate has one. Conclusion: a router that is missing from the VM list learns of a change only at its next poll.

--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -14,7 +14,8 @@
 use dw_config::Config;
 use dw_config::FixedConfig;
 use dw_config::Upstream;
-use dw_place::RoundRobin;
+use dw_place::Nested;
+use dw_place::NestedSettings;
 use dw_router::Parts;
 use dw_router::Router;
 use dw_standin::Fleet;
@@ -196,7 +197,7 @@
         .settings(dw_settings::from_text("router", &settings)?)
         .config(Arc::new(FixedConfig::new(config)))
         .vms(Arc::new(HttpVms::new(endpoint(running.vms.running.addr()))))
-        .policy(Box::new(RoundRobin::default()))
+        .policy(Box::new(Nested::new(NestedSettings::builder().build())))
         .build();
     Ok(Router::start(parts).await?)
 }
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -7,11 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dw_admin::post_statements;
 use dw_admin::StatementHandler;
-use dw_api::admin::StatementError;
-use dw_api::admin::StatementErrorKind;
-use dw_api::admin::StatementRequest;
 use dw_telem::Metrics;
+use http::header::AUTHORIZATION;
 use http::header::CONTENT_TYPE;
 use http::StatusCode;
 use oxhttp::model::Body;
@@ -19,8 +18,6 @@
 use oxhttp::model::Response;
 use oxhttp::Server;
 
-use crate::filter::authenticate::bearer;
-use crate::filter::relay::json;
 use crate::shared::Shared;
 
 /// Largest body of a statement request.
@@ -93,61 +90,30 @@
     statements: Option<&dyn StatementHandler>,
     request: &mut Request<Body>,
 ) -> Response<Body> {
-    let result = read_statement(request).and_then(|statement| {
-        let token = bearer(request.headers());
-        match statements {
-            Some(statements) => statements.handle(token, statement),
-            None => Err(fault(
-                StatementErrorKind::Unavailable,
-                "this router executes no statements",
-                "send them to another router",
-            )),
-        }
-    });
-    match result {
-        Ok(response) => with_type(StatusCode::OK, "application/json", json(&response)),
-        Err(e) => with_type(status_of(e.kind), "application/json", json(&e)),
-    }
-}
-
-fn read_statement(request: &mut Request<Body>) -> Result<StatementRequest, StatementError> {
-    let invalid = |message: &str| {
-        let remedy = "send JSON as docs/api.md describes it";
-        fault(StatementErrorKind::Invalid, message, remedy)
+    let Some(statements) = statements else {
+        return text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this router executes no statements; send them to another router\n",
+        );
     };
     let mut body = Vec::new();
-    let read = request
-        .body_mut()
-        .take(MOST_BODY_BYTES + 1)
-        .read_to_end(&mut body);
-    read.map_err(|e| invalid(&format!("the body is incomplete: {e}")))?;
-    if body.len() as u64 > MOST_BODY_BYTES {
-        return Err(invalid(&format!(
-            "the body exceeds {MOST_BODY_BYTES} bytes"
-        )));
+    let mut limited = request.body_mut().take(MOST_BODY_BYTES + 1);
+    if limited.read_to_end(&mut body).is_err() {
+        return text(
+            StatusCode::BAD_REQUEST,
+            "the body is incomplete; send it again\n",
+        );
     }
-    serde_json::from_slice(&body).map_err(|e| invalid(&format!("the body is not valid: {e}")))
-}
-
-fn fault(kind: StatementErrorKind, message: &str, remedy: &str) -> StatementError {
-    StatementError {
-        kind,
-        message: message.to_owned(),
-        remedy: remedy.to_owned(),
-        expected: Vec::new(),
-        lost_to_version: None,
-        offset: None,
-    }
-}
-
-fn status_of(kind: StatementErrorKind) -> StatusCode {
-    match kind {
-        StatementErrorKind::Syntax | StatementErrorKind::Invalid => StatusCode::BAD_REQUEST,
-        StatementErrorKind::UnknownObject => StatusCode::NOT_FOUND,
-        StatementErrorKind::Conflict => StatusCode::CONFLICT,
-        StatementErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
-        StatementErrorKind::Unauthorized => StatusCode::UNAUTHORIZED,
+    if body.len() as u64 > MOST_BODY_BYTES {
+        let message = "the body is too large; send fewer statements\n";
+        return text(StatusCode::PAYLOAD_TOO_LARGE, message);
     }
+    let authorization = request.headers().get(AUTHORIZATION);
+    let authorization = authorization.and_then(|value| value.to_str().ok());
+    let answer = post_statements(statements, authorization, &body);
+    let status = StatusCode::from_u16(answer.status);
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    with_type(status, "application/json", answer.body.into_bytes())
 }
 
 fn text(status: StatusCode, body: &'static str) -> Response<Body> {
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use dw_base::BlockHash;
 use dw_base::RequestId;
 use dw_base::TimeMs;
 use dw_place::Decision;
@@ -23,6 +24,9 @@
     pub at: TimeMs,
     /// Where, and why.
     pub decision: Decision,
+    /// Block hashes of the prompt.
+    #[serde(skip)]
+    pub blocks: Vec<BlockHash>,
 }
 
 /// Ring of the most recent placements.
@@ -44,4 +48,11 @@
         let same = |placed: &&Placed| placed.request_id == *request_id;
         ring.iter().filter(same).cloned().collect()
     }
+
+    /// Returns the placements of prompts that contain a block, the newest first.
+    pub(crate) fn with_block(&self, block: BlockHash) -> Vec<Placed> {
+        let ring = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let holds = |placed: &&Placed| placed.blocks.contains(&block);
+        ring.iter().rev().filter(holds).cloned().collect()
+    }
 }
--- a/crates/router/src/filter/place.rs
+++ b/crates/router/src/filter/place.rs
@@ -65,6 +65,7 @@
         attempt: tried.attempt + 1,
         at: now,
         decision: decision.clone(),
+        blocks: chain_of(&job.work).map_or_else(Vec::new, |chain| chain.blocks.clone()),
     });
     Some((decision, agent))
 }
--- a/crates/router/src/handle.rs
+++ b/crates/router/src/handle.rs
@@ -6,6 +6,8 @@
 use std::sync::Weak;
 
 use async_trait::async_trait;
+use dw_admin::ClusterState;
+use dw_base::BlockHash;
 use dw_base::ConfigVersion;
 use dw_base::NodeId;
 use dw_base::RequestId;
@@ -13,9 +15,15 @@
 use dw_sync::Peers;
 use dw_wire::ConfigAck;
 use dw_wire::ConfigUpdate;
+use futures::StreamExt;
+use serde_json::Map;
+use serde_json::Value;
 
 use crate::shared::Shared;
 
+/// Nodes that are asked at the same time.
+const ASKED_AT_ONCE: usize = 64;
+
 /// Access to a router. It is empty until the router has started and after it has stopped.
 #[derive(Default)]
 pub struct NodeHandle(OnceLock<Weak<Shared>>);
@@ -133,3 +141,84 @@
         answer.await.map_err(|detail| failed(node, detail))
     }
 }
+
+fn object(json: &str) -> Option<Map<String, Value>> {
+    serde_json::from_str(json).ok()
+}
+
+#[async_trait]
+impl ClusterState for NodeHandle {
+    async fn nodes(&self) -> Vec<Map<String, Value>> {
+        let others = futures::stream::iter(self.live())
+            .map(|node| async move {
+                let state = self.state_of(&node).await;
+                let mut state = match state.as_deref().map(object) {
+                    Ok(Some(state)) => state,
+                    Ok(None) => Map::from_iter([("error".to_owned(), "not readable".into())]),
+                    Err(e) => Map::from_iter([("error".to_owned(), e.to_string().into())]),
+                };
+                state.insert("name".to_owned(), node.to_string().into());
+                state
+            })
+            .buffered(ASKED_AT_ONCE);
+        let mut states: Vec<_> = others.collect().await;
+        if let Some(mut own) = self.node_state().as_deref().and_then(object) {
+            let name = own.get("node").cloned().unwrap_or_default();
+            own.insert("name".to_owned(), name);
+            states.push(own);
+        }
+        states
+    }
+
+    async fn explain(&self, request_id: &RequestId) -> Option<Map<String, Value>> {
+        let wrap = |record: String| {
+            let attempts: Value = serde_json::from_str(&record).ok()?;
+            let id = request_id.to_string().into();
+            let fields = [
+                ("request_id".to_owned(), id),
+                ("attempts".to_owned(), attempts),
+            ];
+            Some(Map::from_iter(fields))
+        };
+        if let Some(record) = NodeHandle::explain(self, request_id) {
+            return wrap(record);
+        }
+        let routers = self.shared()?.members.live_routers();
+        let mut answers = futures::stream::iter(routers)
+            .map(|node| async move { self.explain_at(&node, request_id.clone()).await })
+            .buffer_unordered(ASKED_AT_ONCE);
+        while let Some(answer) = answers.next().await {
+            if let Ok(Some(record)) = answer {
+                return wrap(record);
+            }
+        }
+        None
+    }
+
+    /// Answers from the placements that this router has kept, each upstream once.
+    async fn prefix(&self, hash: BlockHash) -> Vec<Map<String, Value>> {
+        let Some(shared) = self.shared() else {
+            return Vec::new();
+        };
+        let mut rows: Vec<Map<String, Value>> = Vec::new();
+        for placed in shared.records.with_block(hash) {
+            for candidate in placed.decision.candidates {
+                let known = rows
+                    .iter()
+                    .any(|row| row["upstream"] == candidate.upstream.as_str());
+                if known || !(candidate.home || candidate.warm_depth > 0) {
+                    continue;
+                }
+                let fields = [
+                    ("upstream", candidate.upstream.to_string().into()),
+                    ("home", candidate.home.into()),
+                    ("warm_depth", candidate.warm_depth.into()),
+                    ("placed_at_ms", placed.at.0.into()),
+                ];
+                let fields = fields.map(|(key, value): (&str, Value)| (key.to_owned(), value));
+                rows.push(Map::from_iter(fields));
+            }
+        }
+        rows
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod shared;
 mod sync;
+mod synced;
 mod vms;
 
 pub use control::ControlDelegate;
@@ -32,7 +33,10 @@
 pub use retry::RetryBudget;
 pub use retry::SimpleBudget;
 pub use router::Router;
+pub use router::StartError;
 pub use settings::Settings;
 pub use settings::Store;
 pub use sync::SyncDelegate;
+pub use synced::SyncedParts;
+pub use synced::SyncedRouter;
 pub use vms::FixedVms;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,17 +6,18 @@
 use std::sync::Arc;
 
 use dw_api::vms::VmList;
-use dw_base::SystemClock;
 use dw_config::Config;
 use dw_config::FixedConfig;
-use dw_place::RoundRobin;
+use dw_place::Nested;
+use dw_place::NestedSettings;
+use dw_place::Policy;
 use dw_router::FixedVms;
-use dw_router::NodeHandle;
 use dw_router::Parts;
 use dw_router::Router;
 use dw_router::Settings;
 use dw_router::Store;
-use dw_router::SyncDelegate;
+use dw_router::SyncedParts;
+use dw_router::SyncedRouter;
 use dw_settings::open;
 use dw_settings::Opened;
 use dw_settings::EXIT_BAD_SETTINGS;
@@ -25,7 +26,6 @@
 use dw_store::HttpTable;
 use dw_store::HttpVms;
 use dw_store::NodeBudget;
-use dw_sync::ConfigNode;
 use dw_telem::start_logs;
 use dw_telem::start_spans;
 use eyre::WrapErr;
@@ -85,10 +85,9 @@
     let mut terminate = signal(SignalKind::terminate())?;
     match settings.store.clone() {
         Some(store) => {
-            let (router, syncing) = start_synced(settings, &store).await?;
+            let router = start_synced(settings, &store).await?;
             terminate.recv().await;
             router.shutdown().await;
-            syncing.abort();
         }
         None => {
             let router = start_fixed(settings, config).await?;
@@ -109,46 +108,29 @@
             seq: 0,
             vms: Vec::new(),
         })))
-        .policy(Box::new(RoundRobin::default()))
+        .policy(policy())
         .build();
     Ok(Router::start(parts).await?)
 }
 
 /// Starts a router that keeps its configuration current.
-async fn start_synced(
-    settings: Settings,
-    store: &Store,
-) -> eyre::Result<(Router, tokio::task::JoinHandle<()>)> {
+async fn start_synced(settings: Settings, store: &Store) -> eyre::Result<SyncedRouter> {
     let budget = Arc::new(NodeBudget::new(READS_PER_S, WRITES_PER_S));
     let endpoint = |addr: dw_settings::Addr| Endpoint {
         addr: addr.0,
         deadline: store.wait.0,
         budget: budget.clone(),
     };
-    let handle = NodeHandle::new();
-    let node = ConfigNode::builder()
-        .id(settings.node.clone())
+    let parts = SyncedParts::builder()
+        .settings(settings)
         .table(Arc::new(HttpTable::new(endpoint(store.table))))
         .objects(Arc::new(HttpObjects::new(endpoint(store.objects))))
-        .peers(handle.clone())
-        .clock(Arc::new(SystemClock::new()))
-        .seed(rand::random())
-        .build();
-    let node = Arc::new(node);
-    let parts = Parts::builder()
-        .settings(settings)
-        .config(node.clone())
         .vms(Arc::new(HttpVms::new(endpoint(store.vms))))
-        .policy(Box::new(RoundRobin::default()))
-        .delegate(Arc::new(SyncDelegate(node.clone())))
-        .handle(handle)
+        .policy(policy())
         .build();
-    // The router starts first, because peers are found through its VM list. It refuses requests
-    // until the configuration is known.
-    let router = Router::start(parts).await?;
-    let syncing = tokio::spawn(async move {
-        node.start().await;
-        node.run().await;
-    });
-    Ok((router, syncing))
+    Ok(SyncedRouter::start(parts).await?)
+}
+
+fn policy() -> Box<dyn Policy> {
+    Box::new(Nested::new(NestedSettings::builder().build()))
 }
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -203,6 +203,11 @@
             .or_else(|| inner.routers.get(node).copied())
     }
 
+    /// Returns all routers that are not leaving.
+    pub(crate) fn live_routers(&self) -> Vec<NodeId> {
+        self.lock().routers.keys().cloned().collect()
+    }
+
     /// Returns all nodes that are not leaving.
     pub(crate) fn live_nodes(&self) -> Vec<NodeId> {
         let inner = self.lock();
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -45,6 +45,8 @@
     pub config_file: Option<PathBuf>,
     /// Nodes to use until the VM list can be read.
     pub peers: Option<VmList>,
+    /// SHA-256 of the token that may declare the first operator, in hexadecimal digits.
+    pub bootstrap_token_sha256: Option<String>,
     /// OTLP endpoint for spans, for example `http://127.0.0.1:4318/v1/traces`.
     pub otlp: Option<String>,
 }
@@ -95,6 +97,14 @@
                 return Err(Fault::new(key, "is zero", "write at least 1ms"));
             }
         }
+        let is_digest = |text: &str| {
+            text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+        };
+        if !self.bootstrap_token_sha256.as_deref().is_none_or(is_digest) {
+            let remedy = "write 64 digits 0 to 9 and a to f";
+            let problem = "is not a SHA-256";
+            return Err(Fault::new("bootstrap_token_sha256", problem, remedy));
+        }
         if self.max_body_bytes.0 == 0 {
             return Err(Fault::new("max_body_bytes", "is zero", "write at least 1"));
         }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -179,6 +179,7 @@
             "draining": self.is_draining(),
             "ready": self.is_ready(),
             "policy": self.placer().policy.name(),
+            "routers": self.members.live_routers(),
             "agents": agents,
         })
         .to_string()
