--- a/crates/router/tests/answers.rs
+++ b/crates/router/tests/answers.rs
@@ -7,6 +7,7 @@
 use common::frames;
 use common::good;
 use common::id;
+use common::parts;
 use common::refused;
 use common::request_id;
 use common::send;
@@ -19,6 +20,9 @@
 use common::Seen;
 use common::CHAT;
 use common::STREAM;
+use dw_base::ManualClock;
+use dw_base::TimeMs;
+use dw_router::Router;
 use dw_wire::Answer;
 use dw_wire::Failure;
 use dw_wire::FailureKind;
@@ -325,3 +329,41 @@
     let (code, _, text) = ask.send(router.callers_addr()).await;
     assert_eq!((code.as_u16(), text.as_str()), (202, r#"{"arch":1}"#));
 }
+
+/// Guards against a late answer that reaches another request, and against a false "not run" after
+/// a deadline.
+#[tokio::test]
+async fn late_answer_reaches_nobody() {
+    let gate = Arc::new(Semaphore::new(0));
+    let held = gate.clone();
+    let agent = Agent::start("a", move |seen, index| {
+        let mut parts = send(frames(&request_id(seen), "a", 3));
+        if index == 0 {
+            parts.insert(0, Part::Gate(held.clone()));
+            parts.push(Part::Send(late_chunk("late")));
+        }
+        parts
+    })
+    .await;
+    let mut parts = parts(&[&agent]);
+    // The clock stands still, so that the request certainly reaches the agent.
+    parts.clock = Arc::new(ManualClock::new(TimeMs(1_000_000)));
+    let router = Router::start(parts).await.expect("started");
+    let first = Ask::chat(CHAT).with("x-deadline-ms", "1");
+    let (code, _, text) = first.send(router.callers_addr()).await;
+    assert_eq!(code, StatusCode::GATEWAY_TIMEOUT, "{text}");
+    assert_eq!(json(&text)["error"]["not_run"], false, "{text}");
+    gate.add_permits(1);
+    for _ in 0..3 {
+        let (_, _, text) = Ask::chat(CHAT).send(router.callers_addr()).await;
+        assert_eq!(json(&text)["choices"][0]["message"]["content"], WHOLE);
+    }
+}
+
+fn late_chunk(text: &str) -> Frame {
+    Frame::Chunk {
+        seq: 3,
+        text: text.to_owned(),
+        tokens: 1,
+    }
+}
