--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -16,7 +16,6 @@
 use dw_wire::Status;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -74,11 +73,11 @@
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub async fn start(parts: Parts) -> Result<Self, StartError> {
-        let data = bind("data_addr", parts.settings.data_addr).await?;
-        let control = bind("control_addr", parts.settings.control_addr).await?;
+        let data = bind("data_addr", parts.settings.data_addr.0).await?;
+        let control = bind("control_addr", parts.settings.control_addr.0).await?;
         let local = |listener: &TcpListener, fallback| listener.local_addr().unwrap_or(fallback);
-        let data_addr = local(&data, parts.settings.data_addr);
-        let control_addr = local(&control, parts.settings.control_addr);
+        let data_addr = local(&data, parts.settings.data_addr.0);
+        let control_addr = local(&control, parts.settings.control_addr.0);
         let vms = parts.vms.clone();
         let shared = shared(parts)?;
         let stop_serving = CancellationToken::new();
@@ -87,7 +86,8 @@
         spawn_until_killed(&shared, control::serve(Arc::clone(&shared), control));
         spawn_until_killed(&shared, shared.feed.clone().poll(shared.engine.clone()));
         spawn_until_killed(&shared, poll_queue(Arc::clone(&shared)));
-        spawn_until_killed(&shared, orders(&shared).run());
+        let orders = Orders::new(Arc::clone(&shared));
+        spawn_until_killed(&shared, orders.run());
         Ok(Agent {
             shared,
             vms,
@@ -144,7 +144,7 @@
 }
 
 fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
-    let url = parts.settings.upstream_url.clone();
+    let url = format!("http://{}", parts.settings.upstream_addr);
     let clock = parts.clock;
     let incarnation = parts.incarnation.unwrap_or(Incarnation(clock.now().0));
     Ok(Arc::new(Shared {
@@ -172,15 +172,6 @@
     }))
 }
 
-fn orders(shared: &Arc<Shared>) -> Orders {
-    let changed = Arc::new(Notify::new());
-    let listener = Arc::clone(&changed);
-    shared
-        .config
-        .subscribe(Box::new(move |_| listener.notify_one()));
-    Orders::new(Arc::clone(shared), changed)
-}
-
 fn spawn_until_killed(
     shared: &Shared,
     task: impl Future<Output = ()> + Send + 'static,
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -156,7 +156,7 @@
 async fn routers(shared: &Shared, vms: Option<&Arc<dyn VmSource>>) -> Vec<SocketAddr> {
     let listed = match vms {
         Some(vms) => tokio::time::timeout(NOTICE_TIMEOUT, vms.vms()).await,
-        None => return shared.settings.peers.clone(),
+        None => return configured_peers(shared),
     };
     match listed {
         Ok(Ok(list)) => list
@@ -165,10 +165,14 @@
             .filter(|vm| vm.role == VmRole::Router)
             .filter_map(|vm| vm.control_addr.parse().ok())
             .collect(),
-        _ => shared.settings.peers.clone(),
+        _ => configured_peers(shared),
     }
 }
 
+fn configured_peers(shared: &Shared) -> Vec<SocketAddr> {
+    shared.settings.peers.iter().map(|peer| peer.0).collect()
+}
+
 async fn notify(shared: &Shared, router: SocketAddr) {
     let transport = match serde_transport::tcp::connect(router, Bincode::default).await {
         Ok(transport) => transport,
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,1 +1,40 @@
-fn main() {}
+//! The agent beside each upstream.
+
+use std::io;
+use std::process::ExitCode;
+
+use dw_agent::ProcessSettings;
+use dw_settings::open;
+use dw_settings::Opened;
+use dw_settings::EXIT_BAD_SETTINGS;
+
+const PROGRAM: &str = "dandelionwall-agent";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match open::<ProcessSettings>(PROGRAM, &args) {
+        Opened::Done(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Opened::Bad(text) => {
+            eprintln!("{text}");
+            ExitCode::from(EXIT_BAD_SETTINGS)
+        }
+        Opened::Run(settings) => match run(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{error:#}");
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn run(settings: ProcessSettings) -> eyre::Result<()> {
+    let _logs = dw_telem::start_logs(log::LevelFilter::Info, io::stderr())?;
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(dw_agent::run(settings))
+}
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -33,7 +33,7 @@
 use dw_wire::RefusalReason;
 use serde_json::json;
 use serde_json::Value;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::client::UpstreamError;
 use crate::shared::lock;
@@ -57,18 +57,18 @@
 /// Sender of orders to one upstream.
 pub(crate) struct Orders {
     shared: Arc<Shared>,
-    changed: Arc<Notify>,
+    changes: watch::Receiver<Arc<Config>>,
     fence: Option<FenceNumber>,
     seen_fence: u64,
     lease: Option<Held>,
 }
 
 impl Orders {
-    /// Creates a sender; `changed` wakes it after a change of the configuration.
-    pub(crate) fn new(shared: Arc<Shared>, changed: Arc<Notify>) -> Self {
+    /// Creates a sender that looks at once after a change of the configuration.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Orders {
+            changes: shared.config.changes(),
             shared,
-            changed,
             fence: None,
             seen_fence: 0,
             lease: None,
@@ -79,8 +79,10 @@
     pub(crate) async fn run(mut self) {
         loop {
             let pause = self.look().await;
-            let changed = Arc::clone(&self.changed);
-            let _ = tokio::time::timeout(pause, changed.notified()).await;
+            match tokio::time::timeout(pause, self.changes.changed()).await {
+                Ok(Err(_)) => tokio::time::sleep(pause).await,
+                Ok(Ok(())) | Err(_) => {}
+            }
         }
     }
 
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,45 +1,19 @@
 //! Settings of an agent.
 
-use std::fs;
-use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 
 use dw_base::DataCentreId;
+use dw_base::DurationMs;
 use dw_base::NodeId;
 use dw_base::UpstreamId;
+use dw_settings::Addr;
+use dw_settings::Check;
+use dw_settings::Delay;
+use dw_settings::Fault;
 use serde::Deserialize;
-use thiserror::Error;
 
-/// Settings cannot be used.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("settings file {file} cannot be read: {source}; check the path and its permissions")]
-    Unreadable {
-        /// File.
-        file: String,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// The file is not valid YAML or a key is wrong.
-    #[error("settings file {file}: {detail}; correct this key, see docs/settings.md")]
-    Malformed {
-        /// File.
-        file: String,
-        /// Position, key and cause.
-        detail: String,
-    },
-    /// A value is outside its range.
-    #[error("settings file {file}: key {key}: {remedy}")]
-    OutOfRange {
-        /// File.
-        file: String,
-        /// Key.
-        key: &'static str,
-        /// What to write instead.
-        remedy: &'static str,
-    },
-}
+/// Fewest bytes of an answer that are kept; one frame with its length must fit.
+const MIN_RESUME_BYTES: usize = 4_096;
 
 /// Settings of an agent.
 #[derive(Clone, Debug, Deserialize)]
@@ -51,15 +25,15 @@
     pub data_centre: DataCentreId,
     /// Upstream in the same slot.
     pub upstream: UpstreamId,
-    /// Address of the upstream, for example `http://127.0.0.1:9000`.
-    pub upstream_url: String,
+    /// Address of the upstream.
+    pub upstream_addr: Addr,
     /// Address of the data path.
-    pub data_addr: SocketAddr,
+    pub data_addr: Addr,
     /// Address of the control path.
-    pub control_addr: SocketAddr,
+    pub control_addr: Addr,
     /// Control addresses of routers, used when the VM list is down.
     #[serde(default)]
-    pub peers: Vec<SocketAddr>,
+    pub peers: Vec<Addr>,
     /// Most requests that wait.
     #[serde(default = "default_max_queued")]
     pub max_queued: usize,
@@ -71,6 +45,39 @@
     pub import_bytes_per_s: u64,
 }
 
+/// Settings of the platform's services, used by the binary only.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Address of the table service.
+    pub table_addr: Addr,
+    /// Address of the object store.
+    pub objects_addr: Addr,
+    /// Address of the VM list.
+    pub vms_addr: Addr,
+    /// Longest time that a call of these services is waited for.
+    #[serde(default = "default_deadline")]
+    pub deadline: Delay,
+    /// Most reads per second of this node.
+    #[serde(default = "default_rate")]
+    pub reads_per_s: f64,
+    /// Most writes per second of this node.
+    #[serde(default = "default_rate")]
+    pub writes_per_s: f64,
+}
+
+/// Content of the settings file of the binary.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessSettings {
+    /// Settings of the agent.
+    pub agent: Settings,
+    /// Settings of the platform's services.
+    pub platform: Platform,
+    /// JSON file with the configuration.
+    pub config_file: PathBuf,
+}
+
 fn default_max_queued() -> usize {
     256
 }
@@ -83,65 +90,43 @@
     2_000_000_000
 }
 
-impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names the file, the key and the remedy.
-    pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            file: file.clone(),
-            source,
-        })?;
-        Self::parse(&file, &text)
+fn default_deadline() -> Delay {
+    Delay(DurationMs(500))
+}
+
+/// With 3 agents of plain services this is a tenth of the calls that the platform sustains.
+fn default_rate() -> f64 {
+    50.0
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), Fault> {
+        positive("max_queued", self.max_queued as f64)?;
+        positive("import_bytes_per_s", self.import_bytes_per_s as f64)?;
+        if self.resume_bytes < MIN_RESUME_BYTES {
+            let problem = format!("{} is too small for one frame", self.resume_bytes);
+            let remedy = format!("write at least {MIN_RESUME_BYTES}");
+            return Err(Fault::new("resume_bytes", problem, remedy));
+        }
+        Ok(())
     }
+}
 
-    /// Parses and checks the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names the file, the key and the remedy.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Settings =
-            serde_norway::from_str(text).map_err(|e| SettingsError::Malformed {
-                file: file.to_owned(),
-                detail: e.to_string(),
-            })?;
-        settings.check(file)?;
-        Ok(settings)
+impl Check for ProcessSettings {
+    fn check(&self) -> Result<(), Fault> {
+        self.agent.check().map_err(|fault| {
+            Fault::new(format!("agent.{}", fault.key), fault.problem, fault.remedy)
+        })?;
+        positive("platform.deadline", self.platform.deadline.0 .0 as f64)?;
+        positive("platform.reads_per_s", self.platform.reads_per_s)?;
+        positive("platform.writes_per_s", self.platform.writes_per_s)
     }
+}
 
-    fn check(&self, file: &str) -> Result<(), SettingsError> {
-        let url: Result<http::Uri, _> = self.upstream_url.parse();
-        let url_is_valid =
-            url.is_ok_and(|u| u.scheme_str() == Some("http") && u.authority().is_some());
-        let rules = [
-            (
-                url_is_valid,
-                "upstream_url",
-                "write a URL like http://127.0.0.1:9000",
-            ),
-            (self.max_queued > 0, "max_queued", "write at least 1"),
-            (
-                self.resume_bytes >= 4_096,
-                "resume_bytes",
-                "write at least 4096",
-            ),
-            (
-                self.import_bytes_per_s > 0,
-                "import_bytes_per_s",
-                "write at least 1",
-            ),
-        ];
-        match rules.into_iter().find(|(holds, ..)| !holds) {
-            Some((_, key, remedy)) => Err(SettingsError::OutOfRange {
-                file: file.to_owned(),
-                key,
-                remedy,
-            }),
-            None => Ok(()),
-        }
+fn positive(key: &str, value: f64) -> Result<(), Fault> {
+    if value.is_finite() && value > 0.0 {
+        return Ok(());
     }
+    let problem = format!("{value} is not greater than 0");
+    Err(Fault::new(key, problem, "write a number greater than 0"))
 }
