Complete the tests of the agent and its orders

Cause: the first run of the integration tests did not end. The test cut the engine's connection before its earlier tokens had been written and then waited for a resume from the token at the cut; the agent had resumed from an earlier one, which is right. Ruled out: a lost wake-up in the agent; the other nine tests of that file ended. Before: one test of ten did not end.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -79,9 +79,10 @@
     pub(crate) async fn run(mut self) {
         loop {
             let pause = self.look().await;
-            match tokio::time::timeout(pause, self.changes.changed()).await {
-                Ok(Err(_)) => tokio::time::sleep(pause).await,
-                Ok(Ok(())) | Err(_) => {}
+            let changed = tokio::time::timeout(pause, self.changes.changed()).await;
+            if let Ok(Err(_)) = changed {
+                // The source is gone, so nothing will wake the loop earlier.
+                tokio::time::sleep(pause).await;
             }
         }
     }
--- a/crates/agent/tests/generate.rs
+++ b/crates/agent/tests/generate.rs
@@ -47,12 +47,23 @@
 async fn broken_engine_connection_is_resumed() {
     for cut in 0..=4 {
         let setup = Setup::new().await;
-        setup.upstream.set(|fake| fake.cut_at = Some(cut));
+        setup.upstream.set(|fake| fake.allowed = cut);
         let agent = setup.agent("e").await;
-        let frames = run(&agent, &generate_request("r", "hello", 4))
-            .await
-            .all()
-            .await;
+        let mut answer = run(&agent, &generate_request("r", "hello", 4)).await;
+        let mut frames = Vec::new();
+        for _ in 0..=cut {
+            frames.push(
+                answer
+                    .next()
+                    .await
+                    .expect("start and the chunks before the cut"),
+            );
+        }
+        setup.upstream.set(|fake| {
+            fake.cut_at = Some(cut);
+            fake.allowed = u64::MAX;
+        });
+        frames.extend(answer.all().await);
         assert_eq!(
             text_of(&frames, 0),
             "t0 t1 t2 t3 ",
