--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -10,6 +10,7 @@
 use dw_settings::Check;
 use dw_settings::Delay;
 use dw_settings::Fault;
+use dw_settings::SettingsError;
 use serde::Deserialize;
 
 /// Fewest bytes of an answer that are kept; one frame with its length must fit.
@@ -99,6 +100,17 @@
     50.0
 }
 
+impl Settings {
+    /// Parses and checks YAML text; `file` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the key and the remedy.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        dw_settings::from_text(file, text)
+    }
+}
+
 impl Check for Settings {
     fn check(&self) -> Result<(), Fault> {
         positive("max_queued", self.max_queued as f64)?;
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -125,7 +125,7 @@
     fleet: &RunningFleet,
 ) -> eyre::Result<Agent> {
     let settings = format!(
-        "{{node: agent-{name}, data_centre: {dc}, upstream: {name}, upstream_url: 'http://{addr}', \
+        "{{node: agent-{name}, data_centre: {dc}, upstream: {name}, upstream_addr: '{addr}', \
          data_addr: '127.0.0.1:0', control_addr: '127.0.0.1:0'}}",
         name = upstream.name,
         dc = upstream.data_centre,
