agent: take the configuration from crates/sync, test the command line

Cause: the binary read its configuration from a file and never changed it. Ruled out: an own poll of the table, because ConfigNode does that and knows when a node is isolated. Before: a fixed configuration. The binary with a running platform was not run. Conclusion: hello announces version 0 until the version is known to be current.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -79,7 +79,7 @@
     Hello {
         node: shared.settings.node.clone(),
         incarnation: shared.incarnation,
-        config_version: status.config_version,
+        config_version: shared.peer.announced(),
         leaving: status.leaving,
         status: Some(status),
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod live;
 mod orders;
 mod parts;
+mod peers;
 mod process;
 mod queue;
 mod relay;
--- a/crates/agent/src/parts.rs
+++ b/crates/agent/src/parts.rs
@@ -27,6 +27,9 @@
 
     /// Returns whether the node cannot know that its version is current.
     fn isolated(&self) -> bool;
+
+    /// Returns the version to announce to peers; 0 until it is known to be current.
+    fn announced(&self) -> ConfigVersion;
 }
 
 /// A peer with a configuration that never changes.
@@ -46,6 +49,10 @@
     fn isolated(&self) -> bool {
         false
     }
+
+    fn announced(&self) -> ConfigVersion {
+        self.0
+    }
 }
 
 /// What an agent is built from.
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -1,25 +1,29 @@
 //! The agent as a process of its own.
 
-use std::fs;
 use std::sync::Arc;
 
 use dw_admit::Fifo;
 use dw_admit::Gate;
-use dw_config::Config;
-use dw_config::FixedConfig;
+use dw_base::Clock;
+use dw_base::Incarnation;
+use dw_base::SystemClock;
+use dw_config::ConfigSource;
 use dw_store::Endpoint;
 use dw_store::HttpObjects;
 use dw_store::HttpTable;
 use dw_store::HttpVms;
 use dw_store::NodeBudget;
+use dw_store::Objects;
+use dw_store::Table;
+use dw_store::VmSource;
+use dw_sync::ConfigNode;
 use eyre::eyre;
-use eyre::WrapErr;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
 use crate::agent::Agent;
-use crate::parts::FixedPeer;
 use crate::parts::Parts;
+use crate::peers::ListedPeers;
 use crate::settings::ProcessSettings;
 use crate::settings::Settings;
 
@@ -31,12 +35,6 @@
 pub async fn run(settings: ProcessSettings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let file = &settings.config_file;
-    let json = fs::read(file)
-        .wrap_err_with(|| format!("config_file {}: check the path", file.display()))?;
-    let config: Config = serde_json::from_slice(&json)
-        .wrap_err_with(|| format!("config_file {}: correct the file", file.display()))?;
-    let gate = gate(&settings.agent, &config)?;
     let platform = settings.platform;
     let budget = Arc::new(NodeBudget::new(platform.reads_per_s, platform.writes_per_s));
     let endpoint = |addr: dw_settings::Addr| Endpoint {
@@ -44,14 +42,49 @@
         deadline: platform.deadline.0,
         budget: Arc::clone(&budget),
     };
+    let table: Arc<dyn Table> = Arc::new(HttpTable::new(endpoint(platform.table_addr)));
+    let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(endpoint(platform.objects_addr)));
+    let vms: Arc<dyn VmSource> = Arc::new(HttpVms::new(endpoint(platform.vms_addr)));
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let incarnation = Incarnation(clock.now().0);
+    let agent = settings.agent;
+    let configured = agent.peers.iter().map(|peer| peer.0);
+    let peers = ListedPeers::new(
+        agent.node.clone(),
+        incarnation,
+        Arc::clone(&vms),
+        configured,
+    );
+    let peers = Arc::new(peers);
+    peers.refresh().await;
+    let node = ConfigNode::builder()
+        .id(agent.node.clone())
+        .table(Arc::clone(&table))
+        .objects(Arc::clone(&objects))
+        .peers(peers.clone())
+        .clock(Arc::clone(&clock))
+        .seed(incarnation.0)
+        .build();
+    let node = Arc::new(node);
+    node.start().await;
+    let polling = Arc::clone(&node);
+    tokio::spawn(async move { polling.run().await });
+    tokio::spawn(async move { peers.run().await });
+    let gate = tokio::select! {
+        gate = gate(&agent, node.as_ref()) => gate?,
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    };
     let parts = Parts::builder()
-        .peer(Arc::new(FixedPeer(config.version)))
-        .config(Arc::new(FixedConfig::new(config)))
-        .table(Arc::new(HttpTable::new(endpoint(platform.table_addr))))
-        .objects(Arc::new(HttpObjects::new(endpoint(platform.objects_addr))))
-        .vms(Arc::new(HttpVms::new(endpoint(platform.vms_addr))))
+        .config(node.clone())
+        .peer(node)
+        .table(table)
+        .objects(objects)
+        .vms(vms)
+        .clock(clock)
+        .incarnation(incarnation)
         .gate(gate)
-        .settings(settings.agent)
+        .settings(agent)
         .build();
     let agent = Agent::start(parts).await?;
     log::info!(
@@ -67,11 +100,15 @@
     Ok(())
 }
 
-fn gate(settings: &Settings, config: &Config) -> eyre::Result<Box<dyn Gate>> {
-    let name = &settings.upstream;
-    let declared = config.upstream(name).ok_or_else(|| {
-        eyre!("upstream {name} is not declared; declare it or correct agent.upstream")
-    })?;
+/// Waits until the upstream is declared, because its declaration bounds the batch.
+async fn gate(settings: &Settings, config: &ConfigNode) -> eyre::Result<Box<dyn Gate>> {
+    let mut changes = config.changes();
+    let config = changes
+        .wait_for(|config| config.upstream(&settings.upstream).is_some())
+        .await?;
+    let declared = config
+        .upstream(&settings.upstream)
+        .ok_or_else(|| eyre!("upstream {} is not declared", settings.upstream))?;
     Ok(Box::new(Fifo::new(
         declared.max_batch,
         settings.max_queued,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,7 +1,5 @@
 //! Settings of an agent.
 
-use std::path::PathBuf;
-
 use dw_base::DataCentreId;
 use dw_base::DurationMs;
 use dw_base::NodeId;
@@ -75,8 +73,6 @@
     pub agent: Settings,
     /// Settings of the platform's services.
     pub platform: Platform,
-    /// JSON file with the configuration.
-    pub config_file: PathBuf,
 }
 
 fn default_max_queued() -> usize {
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -138,7 +138,7 @@
 /// Guards against settings errors that do not name the key.
 #[test]
 fn settings_errors_name_the_key() {
-    let text = "agent:\n  node: a\n  data_centre: dc\n  upstream: e\n  upstream_addr: 127.0.0.1:1\n  data_addr: 127.0.0.1:0\n  control_addr: 127.0.0.1:0\n  max_queued: 0\nplatform:\n  table_addr: 127.0.0.1:1\n  objects_addr: 127.0.0.1:1\n  vms_addr: 127.0.0.1:1\nconfig_file: c.json\n";
+    let text = "agent:\n  node: a\n  data_centre: dc\n  upstream: e\n  upstream_addr: 127.0.0.1:1\n  data_addr: 127.0.0.1:0\n  control_addr: 127.0.0.1:0\n  max_queued: 0\nplatform:\n  table_addr: 127.0.0.1:1\n  objects_addr: 127.0.0.1:1\n  vms_addr: 127.0.0.1:1\n";
     let error = dw_settings::from_text::<ProcessSettings>("a.yaml", text).expect_err("invalid");
     let message = error.to_string();
     assert!(message.contains("agent.max_queued"), "{message}");
