--- /dev/null
+++ b/crates/sync/tests/platform.rs
@@ -0,0 +1,144 @@
+//! A node against the stand-ins of the platform, over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use dw_base::ConfigVersion;
+use dw_base::DurationMs;
+use dw_base::NodeId;
+use dw_base::SystemClock;
+use dw_config::Change;
+use dw_config::CommitError;
+use dw_config::ConfigSource;
+use dw_config::Edit;
+use dw_standin::ephemeral;
+use dw_standin::start_objects;
+use dw_standin::start_table;
+use dw_standin::MemoryTable;
+use dw_standin::Outage;
+use dw_standin::PlatformFaults;
+use dw_store::Endpoint;
+use dw_store::HttpObjects;
+use dw_store::HttpTable;
+use dw_store::NodeBudget;
+use dw_sync::ConfigNode;
+use dw_sync::PeerError;
+use dw_sync::Peers;
+use dw_wire::ConfigAck;
+use dw_wire::ConfigUpdate;
+use serde_json::json;
+
+/// A deployment of one node.
+struct NoPeers;
+
+fn nobody(node: &NodeId) -> PeerError {
+    PeerError {
+        node: node.clone(),
+        detail: "there are no peers".to_owned(),
+    }
+}
+
+#[async_trait]
+impl Peers for NoPeers {
+    fn live(&self) -> Vec<NodeId> {
+        Vec::new()
+    }
+
+    async fn version(&self, node: &NodeId) -> Result<ConfigVersion, PeerError> {
+        Err(nobody(node))
+    }
+
+    async fn offer(&self, node: &NodeId, _: ConfigUpdate) -> Result<ConfigAck, PeerError> {
+        Err(nobody(node))
+    }
+
+    async fn newer(
+        &self,
+        node: &NodeId,
+        _: ConfigVersion,
+    ) -> Result<Option<ConfigUpdate>, PeerError> {
+        Err(nobody(node))
+    }
+}
+
+fn endpoint(addr: SocketAddr) -> Endpoint {
+    Endpoint {
+        addr,
+        deadline: DurationMs(60_000),
+        budget: Arc::new(NodeBudget::new(10_000.0, 10_000.0)),
+    }
+}
+
+fn node(table: SocketAddr, objects: SocketAddr) -> ConfigNode {
+    ConfigNode::builder()
+        .id("r1".parse().expect("a name"))
+        .table(Arc::new(HttpTable::new(endpoint(table))))
+        .objects(Arc::new(HttpObjects::new(endpoint(objects))))
+        .peers(Arc::new(NoPeers))
+        .clock(Arc::new(SystemClock::new()))
+        .seed(1)
+        .build()
+}
+
+fn change(id: &str, weights: u64) -> Change {
+    let model = json!({"object": "model", "name": "m", "weights": weights});
+    Change {
+        id: id.parse().expect("an id"),
+        operator: "ngozi".parse().expect("a name"),
+        text: format!("load model m weights {weights}"),
+        edits: vec![Edit::Put(serde_json::from_value(model).expect("an object"))],
+    }
+}
+
+/// Guards against a commit that fits the table in memory of the other tests only, and against a
+/// restart that finds another configuration than the one committed.
+#[tokio::test]
+async fn changes_survive_lost_answers_outages_and_a_restart() {
+    let memory = Arc::new(MemoryTable::default());
+    let table = start_table(ephemeral(), Arc::clone(&memory))
+        .await
+        .expect("a port is free");
+    let objects = start_objects(ephemeral(), Arc::default())
+        .await
+        .expect("a port is free");
+    let first = node(table.addr(), objects.addr());
+    assert!(first.start().await);
+    for weights in 1..=64 {
+        memory.set_faults(PlatformFaults {
+            lose_answers: u64::from(weights % 3 == 0),
+            ..PlatformFaults::default()
+        });
+        let id = format!("c-{weights}");
+        let base = ConfigVersion(weights - 1);
+        let report = first
+            .commit(change(&id, weights), base)
+            .await
+            .expect("accepted");
+        assert_eq!(report.version, ConfigVersion(weights));
+    }
+    memory.set_faults(PlatformFaults {
+        outage: Outage::Refuse,
+        ..PlatformFaults::default()
+    });
+    let refused = first.commit(change("c-65", 65), ConfigVersion(64)).await;
+    assert!(
+        matches!(refused, Err(CommitError::Unavailable(_))),
+        "{refused:?}"
+    );
+    let without_table = node(table.addr(), objects.addr());
+    assert!(!without_table.start().await);
+    assert_eq!(*without_table.current(), *first.current());
+    memory.set_faults(PlatformFaults::default());
+    let restarted = node(table.addr(), objects.addr());
+    assert!(restarted.start().await);
+    assert_eq!(*restarted.current(), *first.current());
+    assert_eq!(
+        restarted
+            .history(100)
+            .await
+            .expect("the log is readable")
+            .len(),
+        64
+    );
+}
