--- a/crates/sync/src/node.rs
+++ b/crates/sync/src/node.rs
@@ -21,6 +21,7 @@
 use dw_config::encode_snapshot;
 use dw_config::read_changes;
 use dw_config::snapshot_key;
+use dw_config::snapshot_version;
 use dw_config::whole;
 use dw_config::CommittedChange;
 use dw_config::Config;
@@ -385,7 +386,12 @@
     async fn load_snapshot(&self) -> Result<(), SyncError> {
         let listed = timeout(STORE_TIMEOUT, self.objects.list(SNAPSHOT_PREFIX)).await;
         let keys = listed.map_err(|_| silent("object store"))??;
-        let Some(key) = keys.last() else {
+        let newest = keys
+            .last()
+            .and_then(|key| Some((key, snapshot_version(key)?)));
+        let current = self.cell.current().version;
+        // A snapshot is about 1 MB, too much to read again at every poll.
+        let Some((key, _)) = newest.filter(|(_, version)| *version > current) else {
             return Ok(());
         };
         let got = timeout(STORE_TIMEOUT, self.objects.get(key)).await;
@@ -396,10 +402,11 @@
         Ok(self.cell.apply_update(&whole(&config)?)?)
     }
 
-    /// Notes that the current configuration is to be kept as a snapshot, if its version is due.
+    /// Notes that a snapshot is due if this node made a version that asks for one. The snapshot may
+    /// be of a later version, if other changes have been applied in the meantime.
     pub(crate) fn note_snapshot(&self, version: ConfigVersion) {
         let current = self.cell.current();
-        if current.version == version && version.0.is_multiple_of(SNAPSHOT_INTERVAL) {
+        if current.version >= version && version.0.is_multiple_of(SNAPSHOT_INTERVAL) {
             *locked(&self.due_snapshot) = Some(current);
         }
     }
