--- a/crates/local/src/config.rs
+++ b/crates/local/src/config.rs
@@ -13,9 +13,11 @@
 use dw_config::Entry;
 use dw_config::Model;
 use dw_config::Object;
+use dw_config::Operator;
 use dw_config::Organisation;
 use dw_config::Service;
 use dw_config::ServiceKind;
+use dw_config::Setting;
 use dw_config::Upstream;
 use dw_config::UpstreamKind;
 use dw_config::UpstreamState;
@@ -29,8 +31,11 @@
 /// Token of the example organisation.
 pub const TOKEN: &str = "example-token";
 
-/// Name of the example organisation.
-const ORGANISATION: &str = "example";
+/// Token of the example operator, who is declared first and therefore also the bootstrap token.
+pub const OPERATOR_TOKEN: &str = "example-operator-token";
+
+/// Name of the example organisation and of its operator.
+const EXAMPLE: &str = "example";
 
 /// Services whose calls move money, slots or animals.
 const AT_MOST_ONCE: [&str; 3] = ["booking", "deposit", "fridge-move"];
@@ -44,17 +49,32 @@
 /// Plain services have no tokens; the speeds only satisfy the declaration.
 const PLAIN_TOKENS_PER_S: f64 = 1_000.0;
 
-/// Declares everything that a fleet contains, and one organisation.
+/// Returns the SHA-256 of a token as the configuration keeps it.
+pub fn token_sha256(token: &str) -> String {
+    hex::encode(Sha256::digest(token))
+}
+
+/// Declares everything that a fleet contains, one organisation and one operator.
 ///
 /// # Errors
 ///
 /// Returns an error if a name or number of the fleet is not valid.
 pub fn declare(fleet: &Fleet) -> eyre::Result<Config> {
-    let mut objects = vec![Object::Organisation(Organisation {
-        name: ORGANISATION.parse()?,
-        token_sha256: vec![hex::encode(Sha256::digest(TOKEN))],
-        share: 1.0,
-    })];
+    let mut objects = vec![
+        Object::Operator(Operator {
+            name: EXAMPLE.parse()?,
+            token_sha256: vec![token_sha256(OPERATOR_TOKEN)],
+        }),
+        Object::Organisation(Organisation {
+            name: EXAMPLE.parse()?,
+            token_sha256: vec![token_sha256(TOKEN)],
+            share: 1.0,
+        }),
+        Object::Setting(Setting {
+            name: Setting::WEIGHT_LOADS.to_owned(),
+            value: u64::try_from(fleet.weight_loads)?,
+        }),
+    ];
     for engine in &fleet.engines {
         objects.push(Object::Model(Model {
             name: engine.engine.model.parse()?,
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -4,15 +4,19 @@
 mod config;
 mod example;
 mod report;
+mod statements;
 
 pub use cluster::Cluster;
 pub use config::declare;
+pub use config::token_sha256;
+pub use config::OPERATOR_TOKEN;
 pub use config::TOKEN;
 pub use example::examples;
 pub use example::Example;
 pub use report::run_examples;
 pub use report::Row;
 pub use report::Table;
+pub use statements::statements;
 
 /// Description of the Division's stand-ins.
 pub const DIVISION: &str = include_str!("../../../examples/division.yaml");
