--- /dev/null
+++ b/crates/admit/tests/fair.rs
@@ -0,0 +1,291 @@
+//! Checks the product gate in virtual time.
+
+use std::collections::BTreeMap;
+
+use dw_admit::Action;
+use dw_admit::Cause;
+use dw_admit::Fair;
+use dw_admit::FairSettings;
+use dw_admit::Finished;
+use dw_admit::Gate;
+use dw_admit::Ticket;
+use dw_base::seeded_rng;
+use dw_base::DurationMs;
+use dw_base::Priority;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::TokensPerS;
+use dw_base::Worth;
+use proptest::prelude::*;
+use rand::RngExt;
+
+fn gate(max_running: u32, max_queued: usize, preempts: bool) -> Fair {
+    let speed = |value| TokensPerS::new(value).expect("speed is valid");
+    let settings = FairSettings::builder()
+        .max_running(max_running)
+        .max_queued(max_queued)
+        .max_wait_ms(DurationMs(1_000_000_000))
+        .prefill_tokens_per_s(speed(8_000.0))
+        .decode_tokens_per_s(speed(50.0))
+        .preempts(preempts)
+        .build();
+    Fair::new(settings)
+}
+
+fn ticket(id: u64, org: u64, priority: Priority, tokens: u64) -> Ticket {
+    Ticket {
+        id,
+        org: format!("org-{org}").parse().expect("id is valid"),
+        share: 1.0,
+        priority,
+        worth: Worth::new(1.0).expect("worth is valid"),
+        uncached_tokens: Tokens(tokens),
+        max_tokens: Tokens(50),
+        deadline: TimeMs(1_000_000_000),
+        repeatable: true,
+    }
+}
+
+fn finished(ticket: &Ticket, speed: f64) -> Finished {
+    let prefill = ticket.uncached_tokens.0 as f64 * 1_000.0 / speed;
+    Finished {
+        id: ticket.id,
+        computed_tokens: ticket.uncached_tokens,
+        generated_tokens: ticket.max_tokens,
+        prefill_ms: DurationMs(prefill as u64),
+        total_ms: DurationMs(prefill as u64 + ticket.max_tokens.0 * 20),
+    }
+}
+
+/// State of a request as the agent sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Waiting,
+    Running,
+    Ended,
+    Refused,
+}
+
+proptest! {
+    /// Guards against requests that are lost, started twice, or both started and refused, and
+    /// against urgent requests that start after others which wait.
+    #[test]
+    fn every_request_has_one_fate(
+        steps in prop::collection::vec((0u8..5, 0u64..3, 1u64..20_000, 0u64..4_000), 1..120),
+        preempts in any::<bool>(),
+    ) {
+        let mut gate = gate(3, 6, preempts);
+        let mut states: BTreeMap<u64, (Ticket, State)> = BTreeMap::new();
+        let mut now = TimeMs(1);
+        for (id, (kind, pick, tokens, wait)) in steps.into_iter().enumerate() {
+            now = now + DurationMs(wait / 4);
+            let mut actions = Vec::new();
+            match kind {
+                0..=2 => {
+                    let mut ticket = ticket(id as u64, pick, Priority::ALL[pick as usize], tokens);
+                    ticket.deadline = now + DurationMs(wait);
+                    ticket.repeatable = tokens % 2 == 0;
+                    states.insert(ticket.id, (ticket.clone(), State::Waiting));
+                    actions = gate.offer(ticket, now);
+                }
+                3 => {
+                    let running = states.values_mut().find(|(_, s)| *s == State::Running);
+                    if let Some((ticket, state)) = running {
+                        gate.finished(&finished(ticket, 4_000.0), now);
+                        *state = State::Ended;
+                    }
+                }
+                _ => actions = gate.next(now),
+            }
+            let mut again = Vec::new();
+            for action in actions {
+                match action {
+                    Action::Refuse { id, .. } => {
+                        prop_assert_eq!(states[&id].1, State::Waiting);
+                        states.get_mut(&id).expect("id is known").1 = State::Refused;
+                    }
+                    Action::Start(ticket) => {
+                        prop_assert_eq!(states[&ticket.id].1, State::Waiting);
+                        let urgent_waits = states.values().any(|(other, state)| {
+                            *state == State::Waiting
+                                && other.priority == Priority::Urgent
+                                && ticket.priority != Priority::Urgent
+                        });
+                        prop_assert!(!urgent_waits);
+                        states.get_mut(&ticket.id).expect("id is known").1 = State::Running;
+                    }
+                    Action::Preempt { id } => {
+                        let (ticket, state) = states.get_mut(&id).expect("id is known");
+                        prop_assert_eq!(*state, State::Running);
+                        prop_assert!(ticket.repeatable && ticket.priority != Priority::Urgent);
+                        *state = State::Waiting;
+                        again.push(ticket.clone());
+                    }
+                }
+            }
+            for ticket in again {
+                let id = ticket.id;
+                for action in gate.offer(ticket, now) {
+                    if let Action::Refuse { id: refused, .. } = action {
+                        prop_assert_ne!(refused, id);
+                        states.get_mut(&refused).expect("id is known").1 = State::Refused;
+                    }
+                }
+            }
+            let count = |wanted| states.values().filter(|(_, s)| *s == wanted).count() as u32;
+            prop_assert_eq!(gate.load().queued, count(State::Waiting));
+            prop_assert_eq!(gate.load().running, count(State::Running));
+            prop_assert!(count(State::Running) <= 3);
+        }
+    }
+
+    /// Guards against an organisation that gets more than its share while others wait: in
+    /// start-time fair queueing two backlogged flows differ by at most one request of each.
+    #[test]
+    fn served_work_is_fair(
+        sizes in prop::collection::vec((1u64..5_000, 1u64..5_000), 60),
+        share in 1u32..5,
+    ) {
+        let mut gate = gate(1, 1_000, false);
+        let now = TimeMs(1);
+        for (i, (first, second)) in sizes.iter().enumerate() {
+            let mut favoured = ticket(2 * i as u64, 0, Priority::Normal, *first);
+            favoured.share = f64::from(share);
+            gate.offer(favoured, now);
+            gate.offer(ticket(2 * i as u64 + 1, 1, Priority::Normal, *second), now);
+        }
+        prop_assert_eq!(gate.load().queued, 120);
+        let mut served = [0.0, 0.0];
+        let mut left = [60, 60];
+        for _ in 0..120 {
+            if left[0] == 0 || left[1] == 0 {
+                break;
+            }
+            for action in gate.next(now) {
+                if let Action::Start(ticket) = action {
+                    let org = (ticket.id % 2) as usize;
+                    let cost = ticket.uncached_tokens.0 as f64 + 4.0 * 50.0;
+                    served[org] += cost / ticket.share;
+                    left[org] -= 1;
+                    gate.finished(&finished(&ticket, 8_000.0), now);
+                }
+            }
+            let bound = 5_200.0 / f64::from(share) + 5_200.0;
+            prop_assert!((served[0] - served[1]).abs() <= bound, "{:?}", served);
+        }
+    }
+}
+
+/// Guards against a full queue that keeps cheap work out, or sheds urgent work for batch work.
+#[test]
+fn lowest_worth_per_cost_is_shed() {
+    let mut gate = gate(1, 2, false);
+    let now = TimeMs(1);
+    gate.offer(ticket(1, 0, Priority::Urgent, 20_000), now);
+    gate.offer(ticket(2, 0, Priority::Normal, 9_000), now);
+    let shed = |actions: Vec<Action>| match actions.as_slice() {
+        [Action::Refuse { id, cause, .. }] => (*id, *cause),
+        other => panic!("one refusal expected, got {other:?}"),
+    };
+    assert_eq!(
+        shed(gate.offer(ticket(3, 1, Priority::Normal, 100), now)),
+        (2, Cause::QueueFull)
+    );
+    assert_eq!(
+        shed(gate.offer(ticket(4, 1, Priority::Batch, 100), now)),
+        (4, Cause::QueueFull)
+    );
+}
+
+/// Guards against a request that is held until its deadline although it cannot be met.
+#[test]
+fn unmeetable_deadline_is_refused_at_once() {
+    let mut gate = gate(1, 10, false);
+    let now = TimeMs(1_000);
+    gate.offer(ticket(1, 0, Priority::Normal, 80_000), now);
+    gate.next(now);
+    let mut late = ticket(2, 0, Priority::Normal, 100);
+    late.deadline = now + DurationMs(5_000);
+    match gate.offer(late, now).as_slice() {
+        [Action::Refuse {
+            id: 2,
+            cause: Cause::DeadlineUnmeetable,
+            retry_after_ms,
+        }] => assert!(
+            (10_000..=12_000).contains(&retry_after_ms.0),
+            "{retry_after_ms}"
+        ),
+        other => panic!("refusal expected, got {other:?}"),
+    }
+}
+
+/// Answered worth in time at a multiple of the capacity, in virtual time of 1 ms steps.
+fn goodput(load: f64, seed: u64) -> f64 {
+    const SLOTS: usize = 4;
+    // Half the declared speed, so that the gate must learn it.
+    const SPEED: f64 = 4_000.0;
+    let mut gate = gate(SLOTS as u32, 64, false);
+    let mut rng = seeded_rng(seed);
+    let mut running: Vec<(TimeMs, TimeMs, Ticket)> = Vec::new();
+    let mut good = 0.0;
+    // Mean service time is 750 ms prefill and 1,000 ms decode.
+    let chance = load * SLOTS as f64 / 1_750.0;
+    for step in 1..=120_000 {
+        let now = TimeMs(step);
+        running.retain(|(end, started, ticket)| {
+            if *end <= now {
+                gate.finished(&finished(ticket, SPEED), now);
+                let first_token = *started + finished(ticket, SPEED).prefill_ms;
+                if first_token <= ticket.deadline && step > 20_000 {
+                    good += ticket.worth.get();
+                }
+            }
+            *end > now
+        });
+        if rng.random::<f64>() < chance {
+            let tokens = rng.random_range(1_000..5_000);
+            let mut ticket = ticket(step, step % 5, Priority::Normal, tokens);
+            ticket.deadline = now + DurationMs(3_000);
+            gate.offer(ticket, now);
+        }
+        for action in gate.next(now) {
+            if let Action::Start(ticket) = action {
+                let end = now + finished(&ticket, SPEED).total_ms;
+                running.push((end, now, ticket));
+            }
+        }
+    }
+    good
+}
+
+/// Guards against collapse: work on requests that end too late must not displace useful work.
+#[test]
+fn goodput_holds_under_overload() {
+    for seed in [1, 2, 3] {
+        let loads = [0.8, 0.9, 1.0, 1.5, 3.0];
+        let good: Vec<f64> = loads.iter().map(|load| goodput(*load, seed)).collect();
+        println!("seed {seed}: goodput {good:?} at loads {loads:?}");
+        let peak = good.iter().copied().fold(0.0, f64::max);
+        assert!(good[3] >= 0.9 * peak && good[4] >= 0.9 * peak, "{good:?}");
+    }
+}
+
+/// Guards against urgent work that waits for batch work although the upstream can resume it.
+#[test]
+fn urgent_work_preempts_once() {
+    let mut gate = gate(1, 10, true);
+    let now = TimeMs(1);
+    let batch = ticket(1, 0, Priority::Batch, 50_000);
+    gate.offer(batch.clone(), now);
+    gate.next(now);
+    assert_eq!(gate.expected_wait_ms(Priority::Urgent, now), DurationMs(0));
+    let urgent = ticket(2, 1, Priority::Urgent, 100);
+    gate.offer(urgent.clone(), now);
+    let expected = vec![Action::Preempt { id: 1 }, Action::Start(urgent.clone())];
+    assert_eq!(gate.next(now), expected);
+    assert_eq!(gate.offer(batch.clone(), now), Vec::new());
+    gate.finished(&finished(&urgent, 8_000.0), now);
+    assert_eq!(gate.next(now), vec![Action::Start(batch)]);
+    gate.offer(ticket(3, 1, Priority::Urgent, 100), now);
+    assert_eq!(gate.next(now), Vec::new());
+}
