--- /dev/null
+++ b/crates/retry/tests/retry.rs
@@ -0,0 +1,111 @@
+//! Checks retry decisions and the amplification under overload.
+
+use dw_base::seeded_rng;
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_retry::decide;
+use dw_retry::Attempt;
+use dw_retry::Backoff;
+use dw_retry::Budget;
+use dw_retry::Decision;
+use dw_retry::GiveUp;
+use dw_retry::Outcome;
+use dw_wire::RepeatRule;
+use rand::RngExt;
+
+fn attempt(outcome: Outcome, rule: RepeatRule) -> Attempt {
+    Attempt {
+        outcome,
+        rule,
+        bytes_sent: 0,
+        deadline: TimeMs(10_000),
+        attempt: 0,
+    }
+}
+
+fn outcome_of(attempt: &Attempt) -> Decision {
+    let (mut budget, mut rng) = (Budget::default(), seeded_rng(1));
+    decide(
+        attempt,
+        &mut budget,
+        &Backoff::default(),
+        TimeMs(0),
+        &mut rng,
+    )
+}
+
+/// Guards against a deposit that runs twice, and against a spliced answer.
+#[test]
+fn only_safe_attempts_are_retried() {
+    let lost = |rule| outcome_of(&attempt(Outcome::MayHaveRun, rule));
+    assert_eq!(
+        lost(RepeatRule::AtMostOnce),
+        Decision::GiveUp(GiveUp::MayHaveRun)
+    );
+    assert!(matches!(
+        lost(RepeatRule::Repeatable),
+        Decision::Retry { .. }
+    ));
+    assert!(matches!(
+        lost(RepeatRule::Idempotent),
+        Decision::Retry { .. }
+    ));
+    let failed = attempt(Outcome::ConnectFailed, RepeatRule::AtMostOnce);
+    assert!(matches!(outcome_of(&failed), Decision::Retry { .. }));
+    let mut started = attempt(Outcome::MayHaveRun, RepeatRule::Idempotent);
+    started.bytes_sent = 1;
+    assert_eq!(
+        outcome_of(&started),
+        Decision::GiveUp(GiveUp::AnswerStarted)
+    );
+}
+
+/// Guards against a request that is held although the refusal says it cannot be served in time.
+#[test]
+fn late_refusal_ends_the_request() {
+    let retry_after_ms = DurationMs(10_000);
+    let refused = attempt(Outcome::Refused { retry_after_ms }, RepeatRule::Idempotent);
+    assert_eq!(outcome_of(&refused), Decision::GiveUp(GiveUp::Deadline));
+}
+
+/// Attempts per request when `answered` of all attempts are answered.
+fn amplification(answered: f64, limited: bool) -> f64 {
+    const REQUESTS: u32 = 20_000;
+    let mut budget = Budget::default();
+    let mut rng = seeded_rng(7);
+    let mut attempts = 0;
+    for _ in 0..REQUESTS {
+        for number in 0..4 {
+            attempts += 1;
+            if rng.random::<f64>() < answered {
+                if number == 0 {
+                    budget.answered();
+                }
+                break;
+            }
+            let mut failed = attempt(Outcome::MayHaveRun, RepeatRule::Idempotent);
+            failed.attempt = number;
+            let mut free = Budget::default();
+            let budget = if limited { &mut budget } else { &mut free };
+            let decision = decide(&failed, budget, &Backoff::default(), TimeMs(0), &mut rng);
+            if matches!(decision, Decision::GiveUp(_)) {
+                break;
+            }
+        }
+    }
+    f64::from(attempts) / f64::from(REQUESTS)
+}
+
+/// Guards against retries that multiply an overload.
+#[test]
+fn budget_bounds_amplification() {
+    for answered in [0.0, 0.1, 0.3, 0.6] {
+        let (with, without) = (
+            amplification(answered, true),
+            amplification(answered, false),
+        );
+        println!("answered {answered}: {with:.3} with the budget, {without:.3} without");
+        assert!(with <= 1.1, "{with}");
+        assert!(without > 1.5, "{without}");
+    }
+}
