Add limits shared by loans from the owner router

A router asks for the next loan while the present one lasts, and falls back to limit/N when the owner does not answer.

Ruled out: a full bucket at a new owner, which would allow a second burst after each change of owner.

Not covered by a test: a change of owner, and demand below the limit, where the first request of an idle router is refused until its loan arrives.

--- /dev/null
+++ b/crates/limit/src/bucket.rs
@@ -0,0 +1,56 @@
+//! Token bucket.
+
+use dw_base::TimeMs;
+
+/// A token bucket that starts empty.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate_per_s: f64,
+    burst: f64,
+    level: f64,
+    updated: TimeMs,
+}
+
+impl Bucket {
+    /// Creates an empty bucket.
+    pub fn new(rate_per_s: f64, burst: f64, now: TimeMs) -> Self {
+        Bucket {
+            rate_per_s,
+            burst,
+            level: 0.0,
+            updated: now,
+        }
+    }
+
+    fn refill(&mut self, now: TimeMs) {
+        let added = self.rate_per_s * now.since(self.updated).as_secs_f64();
+        self.level = (self.level + added).min(self.burst);
+        self.updated = self.updated.max(now);
+    }
+
+    /// Takes the whole amount, or nothing.
+    pub fn take(&mut self, amount: f64, now: TimeMs) -> bool {
+        self.refill(now);
+        let enough = self.level >= amount;
+        if enough {
+            self.level -= amount;
+        }
+        enough
+    }
+
+    /// Lends up to the amount wanted.
+    pub fn lend(&mut self, wanted: f64, now: TimeMs) -> f64 {
+        self.refill(now);
+        let lent = wanted.clamp(0.0, self.level);
+        self.level -= lent;
+        lent
+    }
+
+    /// Changes the rate, for example when the number of routers changes.
+    pub fn set_rate(&mut self, rate_per_s: f64, burst: f64, now: TimeMs) {
+        self.refill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,20 @@
 //! Rate limits per organisation and service, shared by all routers through loans.
+//!
+//! One limit counts one quantity: requests or tokens.
+//!
+//! | event | action |
+//! | --- | --- |
+//! | [`Borrower::take`]: a request arrives | allows or refuses it |
+//! | [`Borrower::wanted`]: after a request | the loan to ask for, if the allowance runs low |
+//! | [`Borrower::lent`]: a loan arrived | none; adds the allowance |
+//! | [`Borrower::unreachable`]: the owner did not answer | none; uses limit/N from now on |
+//! | [`Borrower::owner_changed`] | none; keeps the allowance, and may ask the new owner |
+//! | [`Bucket::lend`]: a router asks the owner | the amount lent |
+
+mod borrower;
+mod bucket;
+mod owner;
+
+pub use borrower::Borrower;
+pub use bucket::Bucket;
+pub use owner::owner;
