Share limits by loans, take membership and retries from their crates

The router had its own membership, a second retry budget, and no limits at all: a declared limit was accepted and never applied. Membership now decides targets, probes, owners of limits and the number of routers that the policy scales by; a node with fresh evidence stays although the lagging list lacks it. A suspect router keeps its limits until the list drops it, because two owners would lend the limit twice.

The borrower's loans alone refused the first request after each pause, and any request with more tokens than a tenth of a second of use. Raising the loan alone was ruled out, since a loan only arrives after the request. Each router may now owe one request a limit and repays it from the next loan.

--- a/crates/limit/src/borrower.rs
+++ b/crates/limit/src/borrower.rs
@@ -73,6 +73,11 @@
         self.used_at = now;
     }
 
+    /// Takes back an amount that was allowed and not used.
+    pub fn give_back(&mut self, amount: f64) {
+        self.allowance += amount;
+    }
+
     /// Uses limit/N until a loan arrives again.
     pub fn unreachable(&mut self, routers: u32, now: TimeMs) {
         self.asked = false;
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -91,6 +91,11 @@
         self.nodes.iter().filter(live).map(|(id, _)| id)
     }
 
+    /// Returns whether a probe of a suspect node is due, without using it up.
+    pub fn probe_due(&self, node: &NodeId, now: TimeMs) -> bool {
+        self.nodes.get(node).is_some_and(|node| node.probe_due(now))
+    }
+
     /// Returns whether one probe may be sent to a suspect node now.
     pub fn probe(&mut self, node: &NodeId, now: TimeMs) -> bool {
         let node = self.nodes.get_mut(node);
--- a/crates/member/src/node.rs
+++ b/crates/member/src/node.rs
@@ -66,9 +66,14 @@
         }
     }
 
+    /// Returns whether a probe is due.
+    pub(crate) fn probe_due(&self, now: TimeMs) -> bool {
+        self.state == State::Suspect && now >= self.probe_at
+    }
+
     /// Returns whether a probe is due, and schedules the next one.
     pub(crate) fn probe(&mut self, now: TimeMs) -> bool {
-        let due = self.state == State::Suspect && now >= self.probe_at;
+        let due = self.probe_due(now);
         if due {
             self.probe_wait = DurationMs((self.probe_wait.0 * 2).min(PROBE_MS.1));
             self.probe_at = now + self.probe_wait;
--- a/crates/place/src/nested.rs
+++ b/crates/place/src/nested.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Sets the number of routers that share the traffic.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.settings.routers = routers.max(1);
-    }
-
     /// Returns the size of the hints, without the upstreams' names.
     pub fn state_bytes(&self) -> usize {
         let upstream = size_of::<Upstream>() + size_of::<UpstreamId>() + 2 * size_of::<u16>();
@@ -422,6 +417,10 @@
         })
     }
 
+    fn set_routers(&mut self, routers: u32) {
+        self.settings.routers = routers.max(1);
+    }
+
     fn observe(&mut self, observation: &Observation, now: TimeMs) {
         match observation {
             // Work is counted by `place`, which knows its priority.
--- a/crates/place/src/policy.rs
+++ b/crates/place/src/policy.rs
@@ -45,4 +45,7 @@
 
     /// Learns from an observation.
     fn observe(&mut self, observation: &Observation, now: TimeMs);
+
+    /// Learns how many routers share the traffic.
+    fn set_routers(&mut self, _routers: u32) {}
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -15,7 +15,7 @@
 
 use crate::shared::Shared;
 
-/// Answers the control calls that concern configuration and limits.
+/// Answers the control calls that concern the configuration.
 #[async_trait]
 pub trait ControlDelegate: Send + Sync {
     /// Takes an offered configuration if it is newer.
@@ -30,14 +30,11 @@
     /// Returns the version to announce, if it is not the one in force.
     fn announced_version(&self) -> Option<ConfigVersion>;
 
-    /// Lends allowance.
-    async fn borrow(&self, request: LoanRequest) -> Result<Loan, LoanDenied>;
-
     /// Returns whether the node cannot know that its configuration is current.
     fn isolated(&self) -> bool;
 }
 
-/// Takes no configuration and lends nothing, for a router with a fixed configuration.
+/// Takes no configuration, for a router with a fixed configuration.
 #[derive(Clone, Copy, Debug)]
 pub struct NoDelegate;
 
@@ -55,10 +52,6 @@
         None
     }
 
-    async fn borrow(&self, _request: LoanRequest) -> Result<Loan, LoanDenied> {
-        Err(LoanDenied::NoLimit)
-    }
-
     fn isolated(&self) -> bool {
         false
     }
@@ -69,11 +62,13 @@
 
 /// Records what another node has said of itself.
 pub(crate) fn heard(shared: &Shared, hello: &Hello) {
+    let now = shared.clock.now();
     if hello.leaving {
-        shared.members.left(&hello.node, hello.incarnation);
+        shared.members.left(&hello.node, hello.incarnation, now);
     } else {
-        shared.members.returned(&hello.node, hello.incarnation);
+        shared.members.answered(&hello.node, hello.incarnation, now);
     }
+    shared.count_routers();
     if let Some(status) = &hello.status {
         shared.report(&status.upstream, status, None);
     }
@@ -100,7 +95,7 @@
     }
 
     async fn borrow(&self, request: LoanRequest) -> Result<Loan, LoanDenied> {
-        self.0.delegate.borrow(request).await
+        self.0.limiter.lend(&request, self.0.clock.now())
     }
 
     async fn explain(&self, request_id: RequestId) -> Option<String> {
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -85,7 +85,7 @@
     let frames = match answer {
         Err(_) => return Err(Lost::Deadline),
         Ok(Err(AgentError::NotSent(detail))) => {
-            shared.members.failed(&decision.upstream, sent_at);
+            shared.members.failed(&agent.node, sent_at);
             return Err(Lost::NotSent(detail));
         }
         Ok(other) => other,
@@ -282,7 +282,7 @@
                 }
                 Ok(Err(AgentError::NotSent(detail))) => {
                     let now = self.shared.clock.now();
-                    self.shared.members.failed(&self.upstream, now);
+                    self.shared.members.failed(&self.agent.node, now);
                     // The first request was sent, so that this is not "not sent".
                     return Err(Lost::Broken(detail));
                 }
--- a/crates/router/src/filter/limit.rs
+++ b/crates/router/src/filter/limit.rs
@@ -5,6 +5,9 @@
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_wire::Loan;
+use dw_wire::LoanDenied;
+use dw_wire::LoanRequest;
 use http::StatusCode;
 
 use crate::error::CallerError;
@@ -40,6 +43,15 @@
 
     /// Returns allowance of a request that was not run or used fewer tokens.
     fn give_back(&self, request: &LimitRequest, unused: Tokens);
+
+    /// Lends allowance to another router.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this router does not own the limit or knows no such limit.
+    fn lend(&self, _request: &LoanRequest, _now: TimeMs) -> Result<Loan, LoanDenied> {
+        Err(LoanDenied::NoLimit)
+    }
 }
 
 /// Grants everything.
--- a/crates/router/src/handle.rs
+++ b/crates/router/src/handle.rs
@@ -11,10 +11,14 @@
 use dw_base::ConfigVersion;
 use dw_base::NodeId;
 use dw_base::RequestId;
+use dw_base::TimeMs;
 use dw_sync::PeerError;
 use dw_sync::Peers;
 use dw_wire::ConfigAck;
 use dw_wire::ConfigUpdate;
+use dw_wire::Loan;
+use dw_wire::LoanDenied;
+use dw_wire::LoanRequest;
 use futures::StreamExt;
 use serde_json::Map;
 use serde_json::Value;
@@ -83,6 +87,34 @@
         answer.await.map_err(|detail| failed(node, detail))
     }
 
+    /// Returns the routers that are not leaving.
+    pub(crate) fn routers(&self) -> Vec<NodeId> {
+        let shared = self.shared();
+        shared.map_or_else(Vec::new, |shared| shared.members.routers())
+    }
+
+    /// Returns the time; zero before the start.
+    pub(crate) fn now(&self) -> TimeMs {
+        let shared = self.shared();
+        shared.map_or(TimeMs(0), |shared| shared.clock.now())
+    }
+
+    /// Asks another router for allowance; a router that does not answer becomes suspect.
+    pub(crate) async fn borrow_from(
+        &self,
+        node: &NodeId,
+        request: LoanRequest,
+    ) -> Result<Result<Loan, LoanDenied>, PeerError> {
+        let (shared, addr) = self.peer(node)?;
+        let answer = shared.pool.call(addr, |client, context| async move {
+            client.borrow(context, request).await
+        });
+        answer.await.map_err(|detail| {
+            shared.members.failed(node, shared.clock.now());
+            failed(node, detail)
+        })
+    }
+
     fn peer(&self, node: &NodeId) -> Result<(Arc<Shared>, SocketAddr), PeerError> {
         let shared = self
             .shared()
@@ -183,7 +215,7 @@
         if let Some(record) = NodeHandle::explain(self, request_id) {
             return wrap(record);
         }
-        let routers = self.shared()?.members.live_routers();
+        let routers = self.shared()?.members.routers();
         let mut answers = futures::stream::iter(routers)
             .map(|node| async move { self.explain_at(&node, request_id.clone()).await })
             .buffer_unordered(ASKED_AT_ONCE);
--- a/crates/router/src/hello.rs
+++ b/crates/router/src/hello.rs
@@ -29,19 +29,19 @@
     answer.await.ok()
 }
 
-/// Sends heartbeats to the agents that were silent for longest.
+/// Sends heartbeats to suspect nodes and to the agents that were silent for longest.
 pub(crate) async fn heartbeats(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(ROUND).await;
         let now = shared.clock.now();
         let idle = shared.settings.heartbeat.0;
-        let silent = shared.members.idle(idle, PER_ROUND, now);
-        let calls = silent.into_iter().map(|(upstream, agent)| {
+        let silent = shared.members.silent(idle, PER_ROUND, now);
+        let calls = silent.into_iter().map(|(node, addr)| {
             let shared = &shared;
             async move {
-                match exchange(shared, agent.control_addr).await {
+                match exchange(shared, addr).await {
                     Some(answer) => heard(shared, &answer),
-                    None => shared.members.failed(&upstream, shared.clock.now()),
+                    None => shared.members.failed(&node, shared.clock.now()),
                 }
             }
         });
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -1,4 +1,4 @@
-//! Agents and routers as the VM list and fresher evidence show them.
+//! Addresses and reports of the nodes whose state [`dw_member::Members`] decides.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,16 +15,12 @@
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
+use dw_member::Event;
+use dw_member::State;
 use dw_wire::Status;
 
-/// First pause before a suspect agent is probed by a request.
-const FIRST_PROBE_MS: DurationMs = DurationMs(100);
-
-/// Longest pause before a suspect agent is probed.
-const LAST_PROBE_MS: DurationMs = DurationMs(2_000);
-
 /// How long a report counts that the upstream takes no work. Reports of an agent that gets no
-/// requests can be a minute apart at the target size, because heartbeats are limited.
+/// requests can be minutes apart at the target size, because heartbeats are limited.
 const PAUSE_MS: DurationMs = DurationMs(1_000);
 
 /// An agent that can be sent work.
@@ -36,31 +32,16 @@
     listed_leaving: bool,
     reported_leaving: bool,
     pause_until: Option<TimeMs>,
-    incarnation: Incarnation,
-    leaving: Option<Incarnation>,
+    /// Process that made the newest report.
+    reporter: Option<Incarnation>,
     report_seq: u64,
-    probe_at: Option<TimeMs>,
-    backoff: DurationMs,
-    pub(crate) heard_at: TimeMs,
-}
-
-impl Agent {
-    /// Returns whether the VM list or the node itself has announced its end.
-    fn is_leaving(&self) -> bool {
-        self.listed_leaving || self.leaving.is_some_and(|left| left >= self.incarnation)
-    }
-
-    /// Returns whether new work may be sent, a probe of a suspect agent included.
-    fn takes_work(&self, now: TimeMs) -> bool {
-        let paused = self.pause_until.is_some_and(|until| now < until);
-        let away = self.is_leaving() || self.reported_leaving || paused;
-        !away && self.probe_at.is_none_or(|at| now >= at)
-    }
+    heard_at: TimeMs,
 }
 
 impl Agent {
     /// Takes a report. Unlike a leaving notice, a reported drain ends when an operator ends it.
     fn take(&mut self, status: &Status, now: TimeMs) {
+        self.reporter = Some(status.agent_incarnation);
         self.report_seq = status.report_seq;
         self.reported_leaving = status.leaving;
         self.pause_until = (!status.accepting).then(|| now + PAUSE_MS);
@@ -81,9 +62,39 @@
 #[derive(Debug, Default)]
 struct Inner {
     seq: u64,
+    nodes: dw_member::Members,
     agents: BTreeMap<UpstreamId, Agent>,
     routers: BTreeMap<NodeId, SocketAddr>,
-    left_routers: BTreeMap<NodeId, Incarnation>,
+}
+
+impl Inner {
+    /// Returns whether the VM list or the node itself has announced its end.
+    fn is_leaving(&self, agent: &Agent) -> bool {
+        let gone = matches!(self.nodes.state(&agent.node), None | Some(State::Leaving));
+        agent.listed_leaving || gone
+    }
+
+    /// Returns whether new work may be sent, a probe of a suspect agent included.
+    fn takes_work(&self, agent: &Agent, now: TimeMs) -> bool {
+        let paused = agent.pause_until.is_some_and(|until| now < until);
+        let away = agent.listed_leaving || agent.reported_leaving || paused;
+        let reachable = match self.nodes.state(&agent.node) {
+            Some(State::Live) => true,
+            Some(State::Suspect) => self.nodes.probe_due(&agent.node, now),
+            Some(State::Leaving) | None => false,
+        };
+        !away && reachable
+    }
+
+    /// Returns the routers that are not leaving. A suspect one counts, because limits would have
+    /// two owners if only some routers lost the connection to it.
+    fn present_routers(&self) -> impl Iterator<Item = (&NodeId, &SocketAddr)> {
+        let stays = |node: &NodeId| {
+            let state = self.nodes.state(node);
+            matches!(state, Some(State::Live | State::Suspect))
+        };
+        self.routers.iter().filter(move |(node, _)| stays(node))
+    }
 }
 
 /// Known agents and routers.
@@ -103,14 +114,27 @@
             return Vec::new();
         }
         inner.seq = list.seq;
+        let names = list.vms.iter().filter_map(|vm| vm.name.parse().ok());
+        inner.nodes.apply(&Event::Listed(names.collect()), now);
+        let old_agents = std::mem::take(&mut inner.agents);
+        let old_routers = std::mem::take(&mut inner.routers);
         let mut bad = Vec::new();
-        let old = std::mem::take(&mut inner.agents);
-        inner.routers.clear();
         for vm in &list.vms {
-            if add(&mut inner, &old, vm, now).is_none() {
+            if add(&mut inner, &old_agents, vm).is_none() {
                 bad.push(vm.name.clone());
             }
         }
+        // The list lags, so that a node with fresher evidence stays although it is not listed.
+        for (upstream, agent) in old_agents {
+            if inner.nodes.state(&agent.node).is_some() {
+                inner.agents.entry(upstream).or_insert(agent);
+            }
+        }
+        for (node, addr) in old_routers {
+            if inner.nodes.state(&node).is_some() {
+                inner.routers.entry(node).or_insert(addr);
+            }
+        }
         bad
     }
 
@@ -118,79 +142,60 @@
     pub(crate) fn usable(&self, upstream: &UpstreamId, now: TimeMs) -> Option<Agent> {
         let inner = self.lock();
         let agent = inner.agents.get(upstream)?;
-        agent.takes_work(now).then(|| agent.clone())
+        inner.takes_work(agent, now).then(|| agent.clone())
     }
 
     /// Counts a placement on a suspect agent as its probe, so that it gets no other request before
     /// the next one is due.
     pub(crate) fn placed(&self, upstream: &UpstreamId, now: TimeMs) {
-        if let Some(agent) = self.lock().agents.get_mut(upstream) {
-            if agent.probe_at.is_some() {
-                agent.probe_at = Some(now + agent.backoff);
-            }
+        let mut inner = self.lock();
+        if let Some(node) = inner.agents.get(upstream).map(|agent| agent.node.clone()) {
+            inner.nodes.probe(&node, now);
         }
     }
 
-    /// Makes an agent suspect after a failed connection.
-    pub(crate) fn failed(&self, upstream: &UpstreamId, now: TimeMs) {
-        if let Some(agent) = self.lock().agents.get_mut(upstream) {
-            agent.backoff =
-                DurationMs((agent.backoff.0 * 2).clamp(FIRST_PROBE_MS.0, LAST_PROBE_MS.0));
-            agent.probe_at = Some(now + agent.backoff);
-        }
+    /// Makes a node suspect after a failed connection.
+    pub(crate) fn failed(&self, node: &NodeId, now: TimeMs) {
+        let node = node.clone();
+        self.lock().nodes.apply(&Event::Failed { node }, now);
     }
 
     /// Records a report of an agent.
     pub(crate) fn report(&self, upstream: &UpstreamId, status: &Status, now: TimeMs) -> Fresh {
         let mut inner = self.lock();
+        let inner = &mut *inner;
         let Some(agent) = inner.agents.get_mut(upstream) else {
             return Fresh::Old;
         };
-        if status.agent_incarnation < agent.incarnation {
+        let incarnation = status.agent_incarnation;
+        if agent.reporter.is_some_and(|known| incarnation < known) {
             return Fresh::Old;
         }
+        let node = agent.node.clone();
+        let answered = Event::Answered { node, incarnation };
+        inner.nodes.apply(&answered, now);
         agent.heard_at = now;
-        agent.probe_at = None;
-        agent.backoff = DurationMs::ZERO;
-        if status.agent_incarnation > agent.incarnation {
-            let first = agent.incarnation == Incarnation(0);
-            agent.incarnation = status.agent_incarnation;
-            agent.take(status, now);
-            return if first {
-                Fresh::Newer
-            } else {
-                Fresh::Restarted
-            };
-        }
-        if status.report_seq <= agent.report_seq {
-            return Fresh::Old;
-        }
+        let fresh = match agent.reporter {
+            Some(known) if known < incarnation => Fresh::Restarted,
+            Some(_) if status.report_seq <= agent.report_seq => return Fresh::Old,
+            _ => Fresh::Newer,
+        };
         agent.take(status, now);
-        Fresh::Newer
+        fresh
     }
 
     /// Records the leaving notice of a node.
-    pub(crate) fn left(&self, node: &NodeId, incarnation: Incarnation) {
-        let mut inner = self.lock();
-        let same = |agent: &&mut Agent| agent.node == *node;
-        for agent in inner.agents.values_mut().filter(same) {
-            agent.leaving = agent.leaving.max(Some(incarnation));
-        }
-        if inner.routers.remove(node).is_some() {
-            inner.left_routers.insert(node.clone(), incarnation);
-        }
+    pub(crate) fn left(&self, node: &NodeId, incarnation: Incarnation, now: TimeMs) {
+        let node = node.clone();
+        let event = Event::Leaving { node, incarnation };
+        self.lock().nodes.apply(&event, now);
     }
 
-    /// Ends the effect of a leaving notice if it came from an earlier process.
-    pub(crate) fn returned(&self, node: &NodeId, incarnation: Incarnation) {
-        let mut inner = self.lock();
-        if inner
-            .left_routers
-            .get(node)
-            .is_some_and(|left| *left < incarnation)
-        {
-            inner.left_routers.remove(node);
-        }
+    /// Records that a node has answered.
+    pub(crate) fn answered(&self, node: &NodeId, incarnation: Incarnation, now: TimeMs) {
+        let node = node.clone();
+        let event = Event::Answered { node, incarnation };
+        self.lock().nodes.apply(&event, now);
     }
 
     /// Returns the control address of a node.
@@ -204,36 +209,56 @@
     }
 
     /// Returns all routers that are not leaving.
-    pub(crate) fn live_routers(&self) -> Vec<NodeId> {
-        self.lock().routers.keys().cloned().collect()
+    pub(crate) fn routers(&self) -> Vec<NodeId> {
+        let inner = self.lock();
+        let routers = inner.present_routers().map(|(node, _)| node.clone());
+        routers.collect()
     }
 
     /// Returns all nodes that are not leaving.
     pub(crate) fn live_nodes(&self) -> Vec<NodeId> {
         let inner = self.lock();
         let agents = inner.agents.values();
-        let agents = agents.filter(|agent| !agent.is_leaving());
+        let agents = agents.filter(|agent| !inner.is_leaving(agent));
         let agents = agents.map(|agent| agent.node.clone());
-        agents.chain(inner.routers.keys().cloned()).collect()
+        let routers = inner.present_routers().map(|(node, _)| node.clone());
+        agents.chain(routers).collect()
     }
 
-    /// Returns up to `most` agents that were not heard of for `idle`, the longest silent first.
-    pub(crate) fn idle(
+    /// Returns up to `most` nodes to exchange heartbeats with: first suspect nodes whose probe is
+    /// due, then agents that were not heard of for `idle`, the longest silent first.
+    pub(crate) fn silent(
         &self,
         idle: DurationMs,
         most: usize,
         now: TimeMs,
-    ) -> Vec<(UpstreamId, Agent)> {
-        let inner = self.lock();
-        let mut agents: Vec<_> = inner
-            .agents
-            .iter()
-            .filter(|(_, agent)| now.since(agent.heard_at) >= idle)
-            .map(|(upstream, agent)| (upstream.clone(), agent.clone()))
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let agents = inner.agents.values();
+        let agents = agents.map(|agent| (agent.heard_at, &agent.node, agent.control_addr));
+        let routers = inner.routers.iter();
+        let routers = routers.map(|(node, addr)| (TimeMs(0), node, *addr));
+        let mut chosen: Vec<_> = agents
+            .chain(routers)
+            .filter_map(|(heard_at, node, addr)| {
+                let suspect = match inner.nodes.state(node) {
+                    Some(State::Suspect) if inner.nodes.probe_due(node, now) => true,
+                    Some(State::Suspect) | None => return None,
+                    Some(_) => false,
+                };
+                let agent = !inner.routers.contains_key(node);
+                let idle = agent && now.since(heard_at) >= idle;
+                (suspect || idle).then(|| (!suspect, heard_at, node.clone(), addr))
+            })
             .collect();
-        agents.sort_by_key(|(_, agent)| agent.heard_at);
-        agents.truncate(most);
-        agents
+        chosen.sort();
+        chosen.truncate(most);
+        for (_, _, node, _) in &chosen {
+            inner.nodes.probe(node, now);
+        }
+        let nodes = chosen.into_iter();
+        nodes.map(|(_, _, node, addr)| (node, addr)).collect()
     }
 
     /// Returns the control addresses of all nodes.
@@ -249,18 +274,18 @@
         let agents = inner.agents.iter();
         agents
             .map(|(upstream, agent)| {
-                let usable = agent.takes_work(now);
+                let usable = inner.takes_work(agent, now);
                 (upstream.clone(), agent.node.clone(), usable)
             })
             .collect()
     }
 }
 
-fn add(inner: &mut Inner, old: &BTreeMap<UpstreamId, Agent>, vm: &Vm, now: TimeMs) -> Option<()> {
+fn add(inner: &mut Inner, old: &BTreeMap<UpstreamId, Agent>, vm: &Vm) -> Option<()> {
     let node: NodeId = vm.name.parse().ok()?;
     let control_addr = vm.control_addr.parse().ok()?;
     if vm.role == VmRole::Router {
-        if !inner.left_routers.contains_key(&node) && vm.state == VmState::Live {
+        if vm.state == VmState::Live {
             inner.routers.insert(node, control_addr);
         }
         return Some(());
@@ -284,20 +309,14 @@
             listed_leaving,
             reported_leaving: false,
             pause_until: None,
-            incarnation: Incarnation(0),
-            leaving: None,
+            reporter: None,
             report_seq: 0,
-            probe_at: None,
-            backoff: DurationMs::ZERO,
-            heard_at: TimeMs(now.0.saturating_sub(LAST_PROBE_MS.0)),
+            heard_at: TimeMs(0),
         },
     };
     // A replaced VM can be listed beside its leaving predecessor; the live one takes precedence.
-    let keep = inner
-        .agents
-        .get(&upstream)
-        .is_some_and(|a| !a.listed_leaving)
-        && listed_leaving;
+    let other = inner.agents.get(&upstream);
+    let keep = other.is_some_and(|other| !inner.is_leaving(other)) && inner.is_leaving(&agent);
     if !keep {
         inner.agents.insert(upstream, agent);
     }
--- a/crates/router/src/parts.rs
+++ b/crates/router/src/parts.rs
@@ -14,10 +14,7 @@
 use crate::control::ControlDelegate;
 use crate::control::NoDelegate;
 use crate::filter::limit::Limiter;
-use crate::filter::limit::Unlimited;
 use crate::handle::NodeHandle;
-use crate::retry::RetryBudget;
-use crate::retry::SimpleBudget;
 use crate::settings::Settings;
 
 /// What a router is made of.
@@ -31,13 +28,9 @@
     pub vms: Arc<dyn VmSource>,
     /// Placement policy.
     pub policy: Box<dyn Policy>,
-    /// Limits of organisations.
-    #[builder(default = Arc::new(Unlimited))]
-    pub limiter: Arc<dyn Limiter>,
-    /// Budget of retries.
-    #[builder(default = Box::new(SimpleBudget::default()))]
-    pub retries: Box<dyn RetryBudget>,
-    /// Answers configuration and loan calls.
+    /// Limits of organisations; those of the configuration, shared by loans, if absent.
+    pub limiter: Option<Arc<dyn Limiter>>,
+    /// Answers configuration calls.
     #[builder(default = Arc::new(NoDelegate))]
     pub delegate: Arc<dyn ControlDelegate>,
     /// Executes statements; absent to refuse them.
@@ -51,7 +44,7 @@
     /// Registry of metrics.
     #[builder(default)]
     pub metrics: Metrics,
-    /// Seed of the placement policy's generator.
+    /// Seed of the generators for placement and backoff.
     #[builder(default = rand::random())]
     pub seed: u64,
 }
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -1,45 +1,46 @@
-//! Budget of retries.
+//! Budgets of retries, one for each destination service.
 
 use std::collections::HashMap;
 
+use dw_base::seeded_rng;
+use dw_base::Rng;
 use dw_base::ServiceId;
-
-/// Retries earned by one answered first attempt (section 5.4 of the design).
-const EARNED: f64 = 0.1;
-
-/// Most retries saved up.
-const MOST: f64 = 10.0;
-
-/// Retries available before any answer.
-const FIRST: f64 = 1.0;
-
-/// Decides whether a destination service can bear another attempt.
-pub trait RetryBudget: Send {
-    /// Earns from an answered first attempt.
-    fn answered(&mut self, service: &ServiceId);
-
-    /// Spends one retry; returns false if none is left.
-    fn spend(&mut self, service: &ServiceId) -> bool;
+use dw_base::TimeMs;
+use dw_retry::decide;
+use dw_retry::Attempt;
+use dw_retry::Backoff;
+use dw_retry::Budget;
+use dw_retry::Decision;
+
+/// Budgets of retries, with the generator of backoff.
+pub(crate) struct Retries {
+    budgets: HashMap<ServiceId, Budget>,
+    backoff: Backoff,
+    rng: Rng,
 }
 
-/// A token bucket for each service.
-#[derive(Debug, Default)]
-pub struct SimpleBudget {
-    tokens: HashMap<ServiceId, f64>,
-}
+impl Retries {
+    pub(crate) fn new(seed: u64) -> Self {
+        Retries {
+            budgets: HashMap::new(),
+            backoff: Backoff::default(),
+            rng: seeded_rng(seed),
+        }
+    }
 
-impl RetryBudget for SimpleBudget {
-    fn answered(&mut self, service: &ServiceId) {
-        let tokens = self.tokens.entry(service.clone()).or_insert(FIRST);
-        *tokens = (*tokens + EARNED).min(MOST);
+    /// Earns from an answered first attempt.
+    pub(crate) fn answered(&mut self, service: &ServiceId) {
+        self.budgets.entry(service.clone()).or_default().answered();
     }
 
-    fn spend(&mut self, service: &ServiceId) -> bool {
-        let tokens = self.tokens.entry(service.clone()).or_insert(FIRST);
-        if *tokens < 1.0 {
-            return false;
-        }
-        *tokens -= 1.0;
-        true
+    /// Decides whether a failed attempt is made again.
+    pub(crate) fn decide(
+        &mut self,
+        service: &ServiceId,
+        attempt: &Attempt,
+        now: TimeMs,
+    ) -> Decision {
+        let budget = self.budgets.entry(service.clone()).or_default();
+        decide(attempt, budget, &self.backoff, now, &mut self.rng)
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -24,9 +24,11 @@
 use crate::control::Handler;
 use crate::explain::Records;
 use crate::hello;
+use crate::loans::Loans;
 use crate::members::Members;
 use crate::parts::Parts;
 use crate::pool::Pool;
+use crate::retry::Retries;
 use crate::shared::Counters;
 use crate::shared::Placer;
 use crate::shared::Shared;
@@ -157,6 +159,10 @@
 
 fn share(parts: Parts) -> Arc<Shared> {
     let counters = Counters::new(&parts.metrics);
+    let node = parts.settings.node.clone();
+    let limiter = parts
+        .limiter
+        .unwrap_or_else(|| Arc::new(Loans::new(parts.config.clone(), parts.handle.clone(), node)));
     Arc::new(Shared {
         // A later start has a later time, so that the incarnation grows.
         incarnation: Incarnation(parts.clock.now().0),
@@ -167,8 +173,8 @@
             policy: parts.policy,
             rng: seeded_rng(parts.seed),
         }),
-        limiter: parts.limiter,
-        retries: Mutex::new(parts.retries),
+        limiter,
+        retries: Mutex::new(Retries::new(parts.seed)),
         delegate: parts.delegate,
         clock: parts.clock,
         metrics: parts.metrics,
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,6 +11,9 @@
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_config::Service;
+use dw_retry::Attempt;
+use dw_retry::Decision;
+use dw_retry::Outcome;
 use dw_telem::TraceParent;
 use dw_wire::Answer;
 use dw_wire::Failure;
@@ -23,7 +26,6 @@
 use dw_wire::StreamStart;
 use dw_wire::Work;
 use http::StatusCode;
-use rand::RngExt;
 
 use crate::error::CallerError;
 use crate::filter::forward::forward;
@@ -36,12 +38,6 @@
 /// Most hops to a better home (section 5.1 of the design).
 const MOST_HOPS: u32 = 2;
 
-/// Upper bound of the first backoff; it doubles with each retry.
-const FIRST_BACKOFF_MS: u64 = 20;
-
-/// Upper bound of any backoff.
-const LAST_BACKOFF_MS: u64 = 500;
-
 /// A request that is ready to be placed.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -62,10 +58,6 @@
     pub(crate) fn remaining(&self, now: TimeMs) -> DurationMs {
         self.deadline.since(now)
     }
-
-    fn may_repeat(&self) -> bool {
-        self.service.repeat != RepeatRule::AtMostOnce
-    }
 }
 
 /// An answer of which nothing has been sent to the caller.
@@ -129,7 +121,7 @@
             let result = self.attempt(placed).await;
             self.tried.attempt += 1;
             self.tried.hint = None;
-            let error = match result {
+            let (error, outcome) = match result {
                 Ok(Ended::Begun(begun)) => {
                     if self.tried.attempt == 1 {
                         self.shared.retries().answered(&self.job.service.name);
@@ -152,7 +144,7 @@
                     self.lost(&lost)?
                 }
             };
-            self.retry(error.clone()).await?;
+            self.retry(&error, outcome).await?;
             last = Some(error);
         }
     }
@@ -198,7 +190,7 @@
     }
 
     /// Returns the error to report if no retry is possible; fails at once if none would help.
-    fn refused(&mut self, refusal: &Refusal) -> Result<CallerError, CallerError> {
+    fn refused(&self, refusal: &Refusal) -> Result<(CallerError, Outcome), CallerError> {
         let error = refusal_error(refusal);
         let final_reason = matches!(
             refusal.reason,
@@ -208,61 +200,70 @@
                 | RefusalReason::TableUnavailable
                 | RefusalReason::BadRequest
         );
-        let remaining = self.job.remaining(self.shared.clock.now());
-        let too_late = refusal
-            .retry_after_ms
-            .is_some_and(|after| after > remaining);
-        if final_reason || too_late {
+        if final_reason {
             return Err(error);
         }
-        Ok(error)
+        let retry_after_ms = refusal.retry_after_ms.unwrap_or(DurationMs::ZERO);
+        Ok((error, Outcome::Refused { retry_after_ms }))
     }
 
-    fn failed(&mut self, failure: &Failure) -> Result<CallerError, CallerError> {
+    fn failed(&mut self, failure: &Failure) -> Result<(CallerError, Outcome), CallerError> {
         self.may_have_run |= failure.may_have_run;
         let error = failure_error(self.job, failure);
-        let repeatable = !failure.may_have_run || self.job.may_repeat();
         let final_kind = matches!(
             failure.kind,
             FailureKind::DeadlineExceeded | FailureKind::Cancelled
         );
-        if !repeatable || final_kind {
+        if final_kind {
             return Err(error);
         }
-        Ok(error)
+        let outcome = match failure.may_have_run {
+            true => Outcome::MayHaveRun,
+            false => Outcome::Refused {
+                retry_after_ms: DurationMs::ZERO,
+            },
+        };
+        Ok((error, outcome))
     }
 
-    fn lost(&mut self, lost: &Lost) -> Result<CallerError, CallerError> {
+    fn lost(&mut self, lost: &Lost) -> Result<(CallerError, Outcome), CallerError> {
         match lost {
-            Lost::NotSent(detail) => Ok(CallerError::unavailable("unavailable", detail)),
+            Lost::NotSent(detail) => {
+                let error = CallerError::unavailable("unavailable", detail);
+                Ok((error, Outcome::ConnectFailed))
+            }
             Lost::Deadline => {
                 self.may_have_run = true;
                 Err(deadline_exceeded())
             }
             Lost::Broken(detail) => {
                 self.may_have_run = true;
-                let error = lost_error(self.job, detail);
-                if self.job.may_repeat() {
-                    return Ok(error);
-                }
-                Err(error)
+                Ok((lost_error(self.job, detail), Outcome::MayHaveRun))
             }
         }
     }
 
-    /// Spends a retry and waits, or returns the error if the budget is exhausted.
-    async fn retry(&mut self, error: CallerError) -> Result<(), CallerError> {
-        if !self.shared.retries().spend(&self.job.service.name) {
-            return Err(error);
-        }
-        let bound = (FIRST_BACKOFF_MS << self.retries.min(8)).min(LAST_BACKOFF_MS);
-        let wait = rand::rng().random_range(0..=bound);
-        self.retries += 1;
-        if DurationMs(wait) >= self.job.remaining(self.shared.clock.now()) {
-            return Err(error);
+    /// Spends a retry and waits, or returns the error if no retry is allowed.
+    async fn retry(&mut self, error: &CallerError, outcome: Outcome) -> Result<(), CallerError> {
+        let attempt = Attempt {
+            outcome,
+            rule: self.job.service.repeat,
+            // Nothing is passed on before an attempt has begun to answer.
+            bytes_sent: 0,
+            deadline: self.job.deadline,
+            attempt: self.retries,
+        };
+        let now = self.shared.clock.now();
+        let service = &self.job.service.name;
+        let decision = self.shared.retries().decide(service, &attempt, now);
+        match decision {
+            Decision::Retry { delay_ms } => {
+                self.retries += 1;
+                tokio::time::sleep(Duration::from(delay_ms)).await;
+                Ok(())
+            }
+            Decision::GiveUp(_) => Err(error.clone()),
         }
-        tokio::time::sleep(Duration::from_millis(wait)).await;
-        Ok(())
     }
 }
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -29,7 +29,7 @@
 use crate::members::Fresh;
 use crate::members::Members;
 use crate::pool::Pool;
-use crate::retry::RetryBudget;
+use crate::retry::Retries;
 use crate::settings::Settings;
 
 /// Counters of the request path.
@@ -69,7 +69,7 @@
     pub(crate) vms: Arc<dyn VmSource>,
     pub(crate) placer: Mutex<Placer>,
     pub(crate) limiter: Arc<dyn Limiter>,
-    pub(crate) retries: Mutex<Box<dyn RetryBudget>>,
+    pub(crate) retries: Mutex<Retries>,
     pub(crate) delegate: Arc<dyn ControlDelegate>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) metrics: Metrics,
@@ -87,10 +87,20 @@
         self.placer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn retries(&self) -> MutexGuard<'_, Box<dyn RetryBudget>> {
+    pub(crate) fn retries(&self) -> MutexGuard<'_, Retries> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells the policy how many routers share the traffic.
+    pub(crate) fn count_routers(&self) {
+        let mut routers = self.members.routers();
+        if !routers.contains(&self.settings.node) {
+            routers.push(self.settings.node.clone());
+        }
+        let routers = u32::try_from(routers.len()).unwrap_or(u32::MAX);
+        self.placer().policy.set_routers(routers);
+    }
+
     pub(crate) fn observe(&self, observation: &Observation) {
         let now = self.clock.now();
         self.placer().policy.observe(observation, now);
@@ -179,7 +189,7 @@
             "draining": self.is_draining(),
             "ready": self.is_ready(),
             "policy": self.placer().policy.name(),
-            "routers": self.members.live_routers(),
+            "routers": self.members.routers(),
             "agents": agents,
         })
         .to_string()
--- a/crates/router/src/sync.rs
+++ b/crates/router/src/sync.rs
@@ -7,13 +7,10 @@
 use dw_sync::ConfigNode;
 use dw_wire::ConfigUpdate;
 use dw_wire::Hello;
-use dw_wire::Loan;
-use dw_wire::LoanDenied;
-use dw_wire::LoanRequest;
 
 use crate::control::ControlDelegate;
 
-/// Answers configuration calls from a [`ConfigNode`]; lends nothing.
+/// Answers configuration calls from a [`ConfigNode`].
 pub struct SyncDelegate(pub Arc<ConfigNode>);
 
 #[async_trait]
@@ -34,10 +31,6 @@
         Some(self.0.announced_version())
     }
 
-    async fn borrow(&self, _request: LoanRequest) -> Result<Loan, LoanDenied> {
-        Err(LoanDenied::NoLimit)
-    }
-
     fn isolated(&self) -> bool {
         !self.0.is_current()
     }
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -27,6 +27,7 @@
             ..peers.clone()
         };
         shared.members.listed(&peers, shared.clock.now());
+        shared.count_routers();
     }
     poll_once(shared).await;
 }
@@ -38,6 +39,7 @@
             for name in shared.members.listed(&list, shared.clock.now()) {
                 log::warn!(vm = name.as_str(); "entry of the VM list is ignored because it is malformed");
             }
+            shared.count_routers();
         }
         Err(e) => log::warn!(error:% = e; "VM list is not available"),
     }
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -152,7 +152,7 @@
 async fn exhausted_limit_is_refused() {
     let agent = Agent::start("a", good("a")).await;
     let mut parts = parts(&[&agent]);
-    parts.limiter = Arc::new(Exhausted);
+    parts.limiter = Some(Arc::new(Exhausted));
     let router = Router::start(parts).await.expect("started");
     let (code, headers, text) = Ask::chat(CHAT).send(router.callers_addr()).await;
     assert_eq!(code, StatusCode::TOO_MANY_REQUESTS, "{text}");
@@ -181,7 +181,7 @@
     let agent = Agent::start("a", good("a")).await;
     let recorder = Arc::new(Recorder::default());
     let mut parts = parts(&[&agent]);
-    parts.limiter = recorder.clone();
+    parts.limiter = Some(recorder.clone());
     let router = Router::start(parts).await.expect("started");
     for body in [CHAT, STREAM] {
         let (code, _, text) = Ask::chat(body).send(router.callers_addr()).await;
