Tell routers what engines hold; refuse poor placements with the exact cost

Cause: with 4 routers each sees a quarter of the answers, so its hints miss what the other routers' requests have warmed, and agents had no exact figure to compare a placement with. The fleet model also lacked what the stand-in engine does: urgent prefill goes first, and pieces are exchanged through the KV store; and it reported load to all routers every 200 ms, where the design has answers and a heartbeat of 2 s.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -166,6 +166,7 @@
         upstream: Mutex::new(UpstreamView::default()),
         calls: Mutex::new(HashMap::new()),
         explained: Mutex::new(VecDeque::new()),
+        recent: Mutex::default(),
         leaving: AtomicBool::new(false),
         next_ticket: AtomicU64::new(1),
         next_report: AtomicU64::new(0),
--- a/crates/agent/src/check.rs
+++ b/crates/agent/src/check.rs
@@ -1,10 +1,10 @@
 //! Checks of an arriving request that need no queue.
 
-use dw_base::Chain;
 use dw_base::DurationMs;
 use dw_base::Salt;
 use dw_config::Config;
 use dw_config::UpstreamKind;
+use dw_place::ImportCost;
 use dw_wire::RefusalReason;
 use dw_wire::RepeatRule;
 use dw_wire::RunRequest;
@@ -16,8 +16,8 @@
 /// Most refusals with [`RefusalReason::BetterHome`] that one request gets.
 const MAX_HOPS: u32 = 2;
 
-/// Queue wait below which a placement is never called poor; a hop costs about 3 ms.
-const GOOD_WAIT_MS: DurationMs = DurationMs(50);
+/// Advantage that the second choice must have; a hop itself costs a few milliseconds.
+const HOP_MARGIN_MS: DurationMs = DurationMs(50);
 
 /// When to come back to an upstream that is not ready. Weights load in 0.25 s to 1.3 s.
 const NOT_READY_RETRY_MS: DurationMs = DurationMs(250);
@@ -37,7 +37,7 @@
         return Err((RefusalReason::Isolated, None));
     }
     ready(shared, request)?;
-    good_placement(shared, &config, request)
+    good_placement(shared, request)
 }
 
 /// Checks whether the upstream can take the work now; it is checked again after the queue.
@@ -99,28 +99,22 @@
     Err((RefusalReason::WrongUpstream, None))
 }
 
-/// Refuses a request whose prefix is cold here while the queue wait exceeds the time that
-/// another upstream needs to compute the prefix.
-fn good_placement(shared: &Shared, config: &Config, request: &RunRequest) -> Result<(), Refused> {
-    let Work::Generate { model, chain, .. } = &request.work else {
+/// Refuses a request that is better placed at the router's second choice.
+fn good_placement(shared: &Shared, request: &RunRequest) -> Result<(), Refused> {
+    let Work::Generate { chain, .. } = &request.work else {
         return Ok(());
     };
-    let alternatives = config
-        .upstreams()
-        .filter(|upstream| upstream.model.as_ref() == Some(model))
-        .count();
-    if request.hops >= MAX_HOPS || alternatives < 2 || is_warm(shared, chain) {
+    let Some(other) = request.alternative.filter(|_| request.hops < MAX_HOPS) else {
         return Ok(());
-    }
+    };
     let (load, wait_ms) = shared.queue.load();
     let wait_ms = wait_ms[request.priority.index()];
-    let recompute_s = chain.prompt_tokens.0 as f64 / load.prefill_tokens_per_s.get().max(1.0);
-    if wait_ms > GOOD_WAIT_MS && wait_ms.as_secs_f64() > recompute_s {
+    let uncached = chain.uncached_tokens(shared.feed.predict(chain).depth);
+    let speed = load.prefill_tokens_per_s.get().max(1.0);
+    let prefill_ms = ImportCost::default().prefill_ms(uncached, speed);
+    let cost_ms = wait_ms.0 as f64 + other.prefill_weight * prefill_ms;
+    if cost_ms > (other.cost_ms + HOP_MARGIN_MS).0 as f64 {
         return Err((RefusalReason::BetterHome, Some(wait_ms)));
     }
     Ok(())
 }
-
-fn is_warm(shared: &Shared, chain: &Chain) -> bool {
-    shared.feed.predict(chain).depth > 0
-}
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -28,6 +28,7 @@
 use crate::kv;
 use crate::live::Live;
 use crate::queue::Slot;
+use crate::shared::lock;
 use crate::shared::Explained;
 use crate::shared::Shared;
 use crate::wait::failed;
@@ -315,13 +316,18 @@
             return;
         }
         self.explained.cached_tokens = Some(cached_tokens);
+        let incarnation = self.shared.upstream().incarnation;
+        let router = &self.request.router;
+        lock(&self.shared.recent).add(incarnation, router, &self.job.chain);
         self.live.start(&Frame::Start(StreamStart {
             request_id: self.request.request_id.clone(),
             prompt_tokens,
             cached_tokens,
             imported_tokens: round.imported * PIECE_TOKENS,
             queued_ms: round.opened.since(self.arrived),
-            status: self.shared.status(Some(&self.job.chain)),
+            status: self
+                .shared
+                .status_for(&self.request.router, Some(&self.job.chain)),
         }));
     }
 
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -14,9 +14,11 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_base::Incarnation;
+use dw_base::NodeId;
 use dw_base::RequestId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
+use dw_cache::RecentChains;
 use dw_config::Config;
 use dw_config::ConfigSource;
 use dw_config::Upstream;
@@ -91,6 +93,7 @@
     pub(crate) upstream: Mutex<UpstreamView>,
     pub(crate) calls: Mutex<HashMap<(RequestId, u32), Arc<Live>>>,
     pub(crate) explained: Mutex<VecDeque<Explained>>,
+    pub(crate) recent: Mutex<RecentChains>,
     pub(crate) leaving: AtomicBool,
     pub(crate) next_ticket: AtomicU64,
     pub(crate) next_report: AtomicU64,
@@ -172,9 +175,17 @@
             accepting: view.ready && !leaving && !self.peer.isolated(),
             leaving,
             warm_depth: u32::try_from(depth).unwrap_or(u32::MAX),
+            recent: Vec::new(),
         }
     }
 
+    /// Returns the state for a router, with what it has not been told of the cache.
+    pub(crate) fn status_for(&self, router: &NodeId, chain: Option<&Chain>) -> Status {
+        let mut status = self.status(chain);
+        status.recent = lock(&self.recent).tell(router);
+        status
+    }
+
     /// Creates a refusal.
     pub(crate) fn refusal(
         &self,
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -483,6 +483,7 @@
         request_id: id.parse().expect("valid id"),
         attempt: 1,
         hops: 0,
+        alternative: None,
         router: "router".parse().expect("valid id"),
         upstream: upstream.parse().expect("valid id"),
         org: "org".parse().expect("valid id"),
--- a/crates/agent/tests/generate.rs
+++ b/crates/agent/tests/generate.rs
@@ -7,7 +7,9 @@
 use common::run;
 use common::text_of;
 use common::Setup;
+use dw_base::DurationMs;
 use dw_base::PIECE_BYTES;
+use dw_wire::Alternative;
 use dw_wire::FailureKind;
 use dw_wire::Frame;
 use dw_wire::RefusalReason;
@@ -19,6 +21,41 @@
     }
 }
 
+/// Guards against a poor placement that is served although the second choice is better, and
+/// against one that is refused without end.
+#[tokio::test]
+async fn poor_placement_is_refused_at_most_twice() {
+    let setup = Setup::new().await;
+    let agent = setup.agent("e").await;
+    let prompt = "p".repeat(4 * PIECE_BYTES);
+    let mut request = generate_request("r", &prompt, 1);
+    request.alternative = Some(Alternative {
+        cost_ms: DurationMs(0),
+        prefill_weight: 3.0,
+    });
+    for hops in 0..2 {
+        request.hops = hops;
+        let frames = run(&agent, &request).await.all().await;
+        assert_eq!(refusal(&frames), RefusalReason::BetterHome);
+    }
+    request.hops = 2;
+    let frames = run(&agent, &request).await.all().await;
+    assert!(matches!(frames[0], Frame::Start(_)), "{frames:?}");
+
+    // Once the prompt is cached the agent itself is the better place.
+    let mut hops = 0;
+    loop {
+        let mut again = generate_request(&format!("s{hops}"), &prompt, 1);
+        again.alternative = request.alternative;
+        hops += 1;
+        let frames = run(&agent, &again).await.all().await;
+        if matches!(frames[0], Frame::Start(_)) {
+            break;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Guards against tokens that are held back until later ones exist.
 #[tokio::test]
 async fn token_arrives_before_the_next_exists() {
--- a/crates/base/src/chain.rs
+++ b/crates/base/src/chain.rs
@@ -23,11 +23,21 @@
 /// Bytes of prompt text in one cached piece.
 pub const PIECE_BYTES: usize = (PIECE_TOKENS * BYTES_PER_TOKEN) as usize;
 
+/// Short form of a block hash, for hints, where a collision costs time and nothing else.
+pub type Fingerprint = u64;
+
 /// Hash of a prefix that ends at a piece boundary.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct BlockHash(pub u128);
 
+impl BlockHash {
+    /// Returns the low 64 bits.
+    pub fn fingerprint(self) -> Fingerprint {
+        self.0 as Fingerprint
+    }
+}
+
 impl fmt::Display for BlockHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub use chain::BlockHash;
 pub use chain::Chain;
+pub use chain::Fingerprint;
 pub use chain::Salt;
 pub use chain::BYTES_PER_TOKEN;
 pub use chain::PIECE_BYTES;
--- /dev/null
+++ b/crates/cache/tests/recent.rs
@@ -0,0 +1,61 @@
+//! Tests of the memory of the newest chains.
+
+use dw_base::Chain;
+use dw_base::Incarnation;
+use dw_base::NodeId;
+use dw_base::Salt;
+use dw_base::WeightsVersion;
+use dw_base::PIECE_BYTES;
+use dw_cache::RecentChains;
+
+const LIFE: Incarnation = Incarnation(1);
+
+fn chain(text: u8, pieces: usize) -> Chain {
+    let salt = Salt {
+        org: "org".parse().expect("valid id"),
+        model: "model".parse().expect("valid id"),
+        weights: WeightsVersion(1),
+    };
+    Chain::new(&salt, &vec![text; PIECE_BYTES * pieces])
+}
+
+fn node(name: &str) -> NodeId {
+    name.parse().expect("valid id")
+}
+
+/// Guards against a router that is told the same chain again, or misses one of another router.
+#[test]
+fn each_router_is_told_once() {
+    let mut recent = RecentChains::new();
+    recent.add(LIFE, &node("asker"), &chain(1, 3));
+    assert_eq!(recent.tell(&node("a")).len(), 3);
+    assert_eq!(recent.tell(&node("a")).len(), 0);
+    recent.add(LIFE, &node("asker"), &chain(2, 2));
+    assert_eq!(recent.tell(&node("a")).len(), 2);
+    assert_eq!(recent.tell(&node("b")).len(), 5);
+    assert_eq!(recent.tell(&node("asker")).len(), 0);
+}
+
+/// Guards against answers that grow with the number of requests or the length of prompts.
+#[test]
+fn what_is_told_is_bounded() {
+    let mut recent = RecentChains::new();
+    for text in 0..200 {
+        recent.add(LIFE, &node("asker"), &chain(text, 30));
+    }
+    assert_eq!(recent.tell(&node("a")).len(), 4 * 24);
+    for router in 0..2_000 {
+        recent.tell(&node(&format!("router-{router}")));
+    }
+    recent.add(Incarnation(2), &node("asker"), &chain(1, 1));
+    assert_eq!(recent.tell(&node("new")).len(), 1);
+}
+
+/// Guards against a block that is told twice because two chains share it.
+#[test]
+fn shared_blocks_are_told_once() {
+    let mut recent = RecentChains::new();
+    recent.add(LIFE, &node("asker"), &chain(1, 3));
+    recent.add(LIFE, &node("asker"), &chain(1, 5));
+    assert_eq!(recent.tell(&node("a")).len(), 5);
+}
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -197,7 +197,7 @@
         .settings(dw_settings::from_text("router", &settings)?)
         .config(Arc::new(FixedConfig::new(config)))
         .vms(Arc::new(HttpVms::new(endpoint(running.vms.running.addr()))))
-        .policy(Box::new(Nested::new(NestedSettings::builder().build())))
+        .policy(Box::new(Nested::new(NestedSettings::with_kv_store())))
         .build();
     Ok(Router::start(parts).await?)
 }
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -1,5 +1,7 @@
 //! Expected time to first token.
 
+use dw_base::Tokens;
+
 /// Expected time to first token in its parts, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Cost {
@@ -29,6 +31,25 @@
     pub coverage: f64,
 }
 
+impl Default for ImportCost {
+    /// Pieces of 2,048 tokens and 128 MiB at 5 GB/s, each with a lookup of 5 ms; after the first
+    /// computation of a piece the store holds it, so most of what is missing is expected there.
+    fn default() -> Self {
+        ImportCost {
+            fixed_ms: 0.0,
+            tokens_per_s: 64_000.0,
+            coverage: 0.8,
+        }
+    }
+}
+
+impl ImportCost {
+    /// Returns the time to obtain missing tokens by the cheaper of computation and import.
+    pub fn prefill_ms(&self, uncached: Tokens, speed_tokens_per_s: f64) -> f64 {
+        prefill_ms(uncached.0 as f64, speed_tokens_per_s, Some(*self))
+    }
+}
+
 /// Returns the time to obtain `uncached` tokens by the cheaper of computation and import.
 pub(crate) fn prefill_ms(uncached: f64, speed: f64, import: Option<ImportCost>) -> f64 {
     let computed = uncached * 1_000.0 / speed;
--- a/crates/place/src/decision.rs
+++ b/crates/place/src/decision.rs
@@ -24,6 +24,17 @@
     pub first_token_ms: DurationMs,
 }
 
+/// What the request would cost at the second choice.
+///
+/// The agent compares it with its exact cost and refuses a request that is better placed there.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Alternative {
+    /// Wait, network and weighted prefill time.
+    pub cost_ms: DurationMs,
+    /// Weight of the prefill time, relative to the wait.
+    pub prefill_weight: f64,
+}
+
 /// Chosen upstream, and why.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Decision {
@@ -33,6 +44,8 @@
     pub upstream: UpstreamId,
     /// All upstreams that were considered, the best first.
     pub candidates: Vec<Candidate>,
+    /// Second choice, if the policy wants agents to refuse poor placements.
+    pub alternative: Option<Alternative>,
     /// Why, in one sentence.
     pub reason: String,
 }
--- a/crates/place/src/flat_block.rs
+++ b/crates/place/src/flat_block.rs
@@ -39,6 +39,7 @@
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
             candidates: Vec::new(),
+            alternative: None,
             reason: "hash of the first block".to_owned(),
         })
     }
--- a/crates/place/src/flat_prompt.rs
+++ b/crates/place/src/flat_prompt.rs
@@ -42,6 +42,7 @@
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
             candidates: Vec::new(),
+            alternative: None,
             reason: "hash of the whole prompt".to_owned(),
         })
     }
--- a/crates/place/src/heat.rs
+++ b/crates/place/src/heat.rs
@@ -1,6 +1,6 @@
 //! Bounded table of hot prefixes.
 
-use dw_base::BlockHash;
+use dw_base::Fingerprint;
 use dw_base::TimeMs;
 
 /// Prefixes kept in the table.
@@ -43,7 +43,7 @@
 /// Heat, width and warm hints of one prefix: 64 bytes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Prefix {
-    hash: u128,
+    key: Fingerprint,
     heat_tokens: f32,
     error_tokens: f32,
     touched_ms: u32,
@@ -56,9 +56,9 @@
 }
 
 impl Prefix {
-    fn new(hash: BlockHash, inherited_tokens: f32, now: TimeMs) -> Self {
+    fn new(key: Fingerprint, inherited_tokens: f32, now: TimeMs) -> Self {
         Prefix {
-            hash: hash.0,
+            key,
             heat_tokens: inherited_tokens,
             error_tokens: inherited_tokens,
             touched_ms: now.0 as u32,
@@ -154,7 +154,7 @@
     /// Creates an empty table.
     pub(crate) fn new() -> Self {
         HeatSketch {
-            slots: vec![Prefix::new(BlockHash(0), 0.0, TimeMs(0)); PREFIXES],
+            slots: vec![Prefix::new(0, 0.0, TimeMs(0)); PREFIXES],
         }
     }
 
@@ -163,23 +163,23 @@
         self.slots.len() * size_of::<Prefix>()
     }
 
-    fn set(&self, hash: BlockHash) -> usize {
-        (hash.0 as usize % (PREFIXES / WAYS)) * WAYS
+    fn set(&self, key: Fingerprint) -> usize {
+        (key as usize % (PREFIXES / WAYS)) * WAYS
     }
 
     /// Returns a prefix if it is known.
-    pub(crate) fn get(&self, hash: BlockHash, now: TimeMs) -> Option<&Prefix> {
-        let start = self.set(hash);
+    pub(crate) fn get(&self, key: Fingerprint, now: TimeMs) -> Option<&Prefix> {
+        let start = self.set(key);
         self.slots[start..start + WAYS]
             .iter()
-            .find(|slot| slot.hash == hash.0 && slot.age_ms(now) < FORGET_MS)
+            .find(|slot| slot.key == key && slot.age_ms(now) < FORGET_MS)
     }
 
     /// Adds work to a prefix and returns it.
-    pub(crate) fn add(&mut self, hash: BlockHash, tokens: f64, now: TimeMs) -> &mut Prefix {
-        let start = self.set(hash);
+    pub(crate) fn add(&mut self, key: Fingerprint, tokens: f64, now: TimeMs) -> &mut Prefix {
+        let start = self.set(key);
         let set = &mut self.slots[start..start + WAYS];
-        let known = set.iter().position(|slot| slot.hash == hash.0);
+        let known = set.iter().position(|slot| slot.key == key);
         let at = known.unwrap_or_else(|| {
             let heat = |i: &usize| set[*i].heat_tokens * set[*i].decay(now);
             (0..WAYS)
@@ -189,7 +189,7 @@
         let slot = &mut set[at];
         let decay = slot.decay(now);
         if known.is_none() || slot.age_ms(now) >= FORGET_MS {
-            *slot = Prefix::new(hash, slot.heat_tokens * decay, now);
+            *slot = Prefix::new(key, slot.heat_tokens * decay, now);
         } else {
             slot.heat_tokens *= decay;
             slot.error_tokens *= decay;
--- a/crates/place/src/least_loaded.rs
+++ b/crates/place/src/least_loaded.rs
@@ -49,6 +49,7 @@
             policy: self.name().to_owned(),
             upstream,
             candidates: Vec::new(),
+            alternative: None,
             reason: "fewest requests for its speed".to_owned(),
         })
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -28,6 +28,7 @@
 mod target;
 
 pub use cost::ImportCost;
+pub use decision::Alternative;
 pub use decision::Candidate;
 pub use decision::Decision;
 pub use flat_block::FlatBlock;
@@ -38,6 +39,7 @@
 pub use observation::Observation;
 pub use oracle::FleetView;
 pub use oracle::Oracle;
+pub use policy::KnownCost;
 pub use policy::PlaceRequest;
 pub use policy::Policy;
 pub use round_robin::RoundRobin;
--- a/crates/place/src/nested.rs
+++ b/crates/place/src/nested.rs
@@ -6,6 +6,7 @@
 use dw_base::BlockHash;
 use dw_base::Chain;
 use dw_base::DurationMs;
+use dw_base::Fingerprint;
 use dw_base::Priority;
 use dw_base::Rng;
 use dw_base::TimeMs;
@@ -16,6 +17,7 @@
 use crate::cost::prefill_ms;
 use crate::cost::Cost;
 use crate::cost::ImportCost;
+use crate::decision::Alternative;
 use crate::decision::Candidate;
 use crate::decision::Decision;
 use crate::heat::HeatSketch;
@@ -56,10 +58,10 @@
     /// How much the computation counts for non-urgent requests, relative to their waiting time.
     ///
     /// Computation also delays later requests of the upstream and evicts their prefixes.
-    #[builder(default = 6.0)]
+    #[builder(default = 3.0)]
     pub computation_weight: f64,
     /// The same for urgent requests.
-    #[builder(default = 2.0)]
+    #[builder(default = 1.0)]
     pub urgent_computation_weight: f64,
     /// Network time to an upstream in another data centre.
     #[builder(default = 3.0)]
@@ -68,6 +70,15 @@
     pub import: Option<ImportCost>,
 }
 
+impl NestedSettings {
+    /// Returns the settings for agents that exchange pieces through a KV store.
+    pub fn with_kv_store() -> Self {
+        NestedSettings::builder()
+            .import(ImportCost::default())
+            .build()
+    }
+}
+
 /// The placement policy of the product.
 #[derive(Debug)]
 pub struct Nested {
@@ -183,7 +194,10 @@
     }
 
     fn width(&self, key: BlockHash, now: TimeMs) -> usize {
-        let learned = self.heat.get(key, now).map_or(0, |prefix| prefix.width);
+        let learned = self
+            .heat
+            .get(key.fingerprint(), now)
+            .map_or(0, |prefix| prefix.width);
         usize::from(match learned {
             0 => self.settings.initial_homes,
             width => width,
@@ -201,6 +215,9 @@
         let Some(chain) = &request.chain else {
             return 0.0;
         };
+        if let Some(known) = request.known(&round.targets[at].upstream) {
+            return f64::from(known.warm_depth) * PIECE_TOKENS as f64;
+        }
         let urgent = request.priority == Priority::Urgent;
         let number = round.numbers[at];
         let Some(state) = self.upstreams.get(&number) else {
@@ -215,7 +232,7 @@
         let mut cached = 0.0;
         let mut probability: f64 = 1.0;
         for (level, hash) in chain.blocks.iter().take(MAX_LEVELS).enumerate() {
-            let prefix = self.heat.get(*hash, now);
+            let prefix = self.heat.get(hash.fingerprint(), now);
             let age = prefix.and_then(|prefix| prefix.warm_age_ms(number, now));
             let hinted = age.map_or(0.0, |age| state.survival(age));
             let here = match level < round.home_levels[at] {
@@ -237,7 +254,10 @@
             chain.prompt_tokens.0 as f64 - self.cached_tokens(request, round, at, now)
         });
         Cost {
-            wait_ms: state.map_or(0.0, |s| s.wait_ms(request.priority, now)),
+            wait_ms: match request.known(&target.upstream) {
+                Some(known) => known.wait_ms.0 as f64,
+                None => state.map_or(0.0, |s| s.wait_ms(request.priority, now)),
+            },
             prefill_ms: prefill_ms(uncached.max(0.0), speed, self.settings.import),
             network_ms: match target.data_centre == request.data_centre {
                 true => 0.0,
@@ -248,11 +268,14 @@
 
     /// Returns what decides: the expected time, with the computation weighted.
     fn score(&self, cost: &Cost, priority: Priority) -> f64 {
-        let weight = match priority {
+        cost.first_token_ms() + (self.weight(priority) - 1.0) * cost.prefill_ms
+    }
+
+    fn weight(&self, priority: Priority) -> f64 {
+        match priority {
             Priority::Urgent => self.settings.urgent_computation_weight,
             _ => self.settings.computation_weight,
-        };
-        cost.first_token_ms() + (weight - 1.0) * cost.prefill_ms
+        }
     }
 
     /// Returns the considered targets with their scores, the best first.
@@ -303,7 +326,7 @@
             narrow(&mut set, key, width, &round.targets, &round.weights);
             let capacity: f64 = set.iter().map(|at| speeds[*at]).sum();
             let routers = f64::from(self.settings.routers);
-            let prefix = self.heat.add(key, 0.0, now);
+            let prefix = self.heat.add(key.fingerprint(), 0.0, now);
             let utilisation = prefix.work_tokens_per_s(now) * routers / capacity;
             prefix.adapt(
                 width,
@@ -319,7 +342,7 @@
     fn learn_warm(
         &mut self,
         number: u16,
-        keys: impl Iterator<Item = BlockHash>,
+        keys: impl Iterator<Item = Fingerprint>,
         computed_tokens: f64,
         now: TimeMs,
     ) {
@@ -332,7 +355,7 @@
     fn probe(&mut self, chain: &Chain, number: u16, now: TimeMs) {
         let heat = &self.heat;
         let blocks = chain.blocks.iter().take(MAX_LEVELS);
-        let ages = blocks.map(|hash| heat.get(*hash, now)?.warm_age_ms(number, now));
+        let ages = blocks.map(|hash| heat.get(hash.fingerprint(), now)?.warm_age_ms(number, now));
         if let Some(state) = self.upstreams.get_mut(&number) {
             state.probe(probe_key(chain), ages, now);
         }
@@ -419,6 +442,10 @@
                 best.cost.first_token_ms()
             ),
             candidates,
+            alternative: ranked.get(1).map(|second| Alternative {
+                cost_ms: DurationMs(second.score.round() as u64),
+                prefill_weight: self.weight(request.priority),
+            }),
         })
     }
 
@@ -439,7 +466,12 @@
                 let (number, state) = self.state(upstream, now);
                 state.answered(probe_key(chain), (cached_tokens.0 / PIECE_TOKENS) as usize);
                 state.speed.measured(uncached, prefill.0);
-                self.learn_warm(number, levels(chain), uncached as f64, now);
+                self.learn_warm(
+                    number,
+                    levels(chain).map(BlockHash::fingerprint),
+                    uncached as f64,
+                    now,
+                );
             }
             Observation::Report {
                 upstream,
@@ -454,10 +486,14 @@
                 if let Some((chain, depth)) = warm {
                     let number = self.number(upstream, now);
                     let held = (*depth as usize).min(MAX_LEVELS);
-                    let keys = chain.blocks.iter().take(held).copied();
+                    let keys = chain.blocks.iter().take(held).map(|b| b.fingerprint());
                     self.learn_warm(number, keys, 0.0, now);
                 }
             }
+            Observation::Cached { upstream, blocks } => {
+                let number = self.number(upstream, now);
+                self.learn_warm(number, blocks.iter().copied(), 0.0, now);
+            }
             Observation::CacheLost { upstream } => {
                 let number = self.number(upstream, now);
                 self.heat.cool(number);
--- a/crates/place/src/observation.rs
+++ b/crates/place/src/observation.rs
@@ -2,6 +2,7 @@
 
 use dw_base::Chain;
 use dw_base::DurationMs;
+use dw_base::Fingerprint;
 use dw_base::Tokens;
 use dw_base::TokensPerS;
 use dw_base::UpstreamId;
@@ -49,6 +50,13 @@
         /// Depth at which the agent holds a chain, if it said so.
         warm: Option<(Chain, u32)>,
     },
+    /// Blocks that requests of any router have recently used arrived with a state report.
+    Cached {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Blocks that the upstream holds.
+        blocks: Vec<Fingerprint>,
+    },
     /// The upstream lost its cache: it restarted or loaded other weights.
     CacheLost {
         /// Upstream.
--- a/crates/place/src/oracle.rs
+++ b/crates/place/src/oracle.rs
@@ -70,6 +70,7 @@
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
             candidates: Vec::new(),
+            alternative: None,
             reason: "earliest first token by exact state".to_owned(),
         })
     }
--- a/crates/place/src/policy.rs
+++ b/crates/place/src/policy.rs
@@ -12,6 +12,17 @@
 use crate::observation::Observation;
 use crate::target::Target;
 
+/// What an agent has reported about one request when it refused it as a poor placement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KnownCost {
+    /// Upstream of the agent.
+    pub upstream: UpstreamId,
+    /// Pieces of the chain that are cached there.
+    pub warm_depth: u32,
+    /// Wait of the request there.
+    pub wait_ms: DurationMs,
+}
+
 /// A request that needs an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlaceRequest {
@@ -25,10 +36,19 @@
     pub data_centre: DataCentreId,
     /// Upstream that an agent named as a better home.
     pub hint: Option<UpstreamId>,
+    /// Exact costs at the upstreams that have refused this request as a poor placement.
+    pub known: Vec<KnownCost>,
     /// Upstreams that have refused or failed this request.
     pub excluded: Vec<UpstreamId>,
 }
 
+impl PlaceRequest {
+    /// Returns the exact cost at an upstream, if its agent has reported it.
+    pub fn known(&self, upstream: &UpstreamId) -> Option<&KnownCost> {
+        self.known.iter().find(|known| known.upstream == *upstream)
+    }
+}
+
 /// Chooses upstreams.
 pub trait Policy: Send {
     /// Returns the name of the policy.
--- a/crates/place/src/round_robin.rs
+++ b/crates/place/src/round_robin.rs
@@ -37,6 +37,7 @@
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
             candidates: Vec::new(),
+            alternative: None,
             reason: "next in turn".to_owned(),
         })
     }
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -19,9 +19,12 @@
 use dw_base::TokensPerS;
 use dw_base::UpstreamId;
 use dw_base::PIECE_TOKENS;
+use dw_place::Alternative;
 use dw_place::FlatBlock;
 use dw_place::FlatPrompt;
 use dw_place::FleetView;
+use dw_place::ImportCost;
+use dw_place::KnownCost;
 use dw_place::LeastLoaded;
 use dw_place::Nested;
 use dw_place::NestedSettings;
@@ -35,6 +38,8 @@
 
 use engine::Engine;
 use engine::Job;
+use engine::KvStore;
+use engine::Started;
 use workload::Deployment;
 use workload::Workload;
 
@@ -42,7 +47,7 @@
 const ROUTERS: usize = 4;
 
 /// Time between the reports of an engine.
-const REPORT_MS: f64 = 200.0;
+const REPORT_MS: f64 = 2_000.0;
 
 /// Virtual time of a run, and the part at its start that is not counted.
 pub(crate) const RUN_MS: f64 = 90_000.0;
@@ -55,6 +60,12 @@
 /// One way between data centres.
 const REMOTE_MS: f64 = 3.0;
 
+/// Refusals of one request as a poor placement, at most.
+const MAX_HOPS: usize = 2;
+
+/// Advantage that the second choice must have; a hop itself takes a few milliseconds.
+const HOP_MARGIN_MS: f64 = 50.0;
+
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Fault {
@@ -70,8 +81,11 @@
 pub(crate) struct Figures {
     pub(crate) answered: u64,
     pub(crate) lost: u64,
+    /// Refusals as a poor placement.
+    pub(crate) hops: u64,
     pub(crate) prompt_tokens: u64,
     pub(crate) cached_tokens: u64,
+    pub(crate) imported_tokens: u64,
     /// Recomputed tokens that some live engine held.
     pub(crate) wasted_tokens: u64,
     /// Recomputed tokens that had been computed before.
@@ -86,6 +100,11 @@
         self.cached_tokens as f64 / self.prompt_tokens as f64
     }
 
+    /// Share of the prompt tokens that were cached or imported.
+    pub(crate) fn reuse_rate(&self) -> f64 {
+        (self.cached_tokens + self.imported_tokens) as f64 / self.prompt_tokens as f64
+    }
+
     pub(crate) fn wasted_per_answer(&self) -> f64 {
         self.wasted_tokens as f64 / self.answered as f64
     }
@@ -107,8 +126,10 @@
     pub(crate) fn add(&mut self, other: &Figures) {
         self.answered += other.answered;
         self.lost += other.lost;
+        self.hops += other.hops;
         self.prompt_tokens += other.prompt_tokens;
         self.cached_tokens += other.cached_tokens;
+        self.imported_tokens += other.imported_tokens;
         self.wasted_tokens += other.wasted_tokens;
         self.repeated_tokens += other.repeated_tokens;
         self.busy += other.busy;
@@ -123,7 +144,7 @@
     Report,
     PrefillEnd {
         engine: usize,
-        life: u32,
+        number: u64,
     },
     DecodeEnd {
         engine: usize,
@@ -178,18 +199,10 @@
     now: f64,
     fault: Fault,
     seen: HashSet<u128>,
+    store: Option<KvStore>,
     figures: Figures,
 }
 
-pub(crate) const POLICIES: [&str; 6] = [
-    "nested",
-    "round-robin",
-    "least-loaded",
-    "flat-prompt",
-    "flat-block",
-    "oracle",
-];
-
 fn make(policy: &'static str, settings: NestedSettings, shared: &Shared) -> Box<dyn Policy> {
     match policy {
         "nested" => Box::new(Nested::new(settings)),
@@ -223,7 +236,11 @@
     fault: Fault,
     seed: u64,
 ) -> Figures {
-    let settings = NestedSettings::builder().routers(ROUTERS as u32).build();
+    let import = deployment.kv_store.then(ImportCost::default);
+    let settings = NestedSettings::builder()
+        .routers(ROUTERS as u32)
+        .maybe_import(import)
+        .build();
     run_with(policy, settings, deployment, fault, seed)
 }
 
@@ -236,9 +253,10 @@
     seed: u64,
 ) -> Figures {
     let blocks = deployment.cache_blocks;
+    let kv_store = deployment.kv_store;
     let engines = targets(deployment)
         .into_iter()
-        .map(|t| Engine::new(t, blocks));
+        .map(|t| Engine::new(t, blocks, kv_store));
     let shared: Shared = Arc::new(Mutex::new((0.0, engines.collect())));
     let make: MakePolicy = Box::new(move |shared| make(policy, settings.clone(), shared));
     let mut fleet = Fleet {
@@ -252,6 +270,7 @@
         now: 0.0,
         fault,
         seen: HashSet::new(),
+        store: kv_store.then(KvStore::default),
         figures: Figures::default(),
     };
     fleet.run()
@@ -311,7 +330,7 @@
                 }
                 self.at(self.now + REPORT_MS, Event::Report);
             }
-            Event::PrefillEnd { engine, life } => self.prefill_end(engine, life),
+            Event::PrefillEnd { engine, number } => self.prefill_end(engine, number),
             Event::DecodeEnd { engine, life, job } => {
                 let done = self.engine(engine, |e| {
                     let at = (e.life == life).then(|| e.decoding.iter().position(|j| j.id == job));
@@ -384,8 +403,13 @@
             prefill_tokens_per_s: e.measured(),
             warm: None,
         });
+        let cached = self.engine(engine, |e| Observation::Cached {
+            upstream: e.target.upstream.clone(),
+            blocks: e.tell(router),
+        });
         let now = self.time();
         self.routers[router].observe(&observation, now);
+        self.routers[router].observe(&cached, now);
     }
 
     fn report_all(&mut self, router: usize) {
@@ -413,6 +437,7 @@
             data_centre,
             hint,
             excluded: job.excluded.clone(),
+            known: job.known.clone(),
         };
         let now = self.time();
         let router = &mut self.routers[job.router];
@@ -425,6 +450,17 @@
         let expected = self.engine(engine, |e| {
             e.wait_ms(job.priority, self.now) + e.prefill_ms(&job.chain)
         });
+        if self.poorly_placed(&decision.alternative, &job, engine) {
+            self.report(job.router, engine);
+            let known = self.engine(engine, |e| KnownCost {
+                upstream,
+                warm_depth: (e.cached_tokens(&job.chain) / PIECE_TOKENS) as u32,
+                wait_ms: DurationMs(e.wait_ms(job.priority, self.now) as u64),
+            });
+            job.known.push(known);
+            self.figures.hops += u64::from(self.counted());
+            return self.place(job, None);
+        }
         if self.now + expected > job.deadline_ms {
             self.report(job.router, engine);
             job.excluded.push(upstream);
@@ -440,40 +476,59 @@
         };
         self.routers[job.router].observe(&sent, now);
         job.queued_ms = self.now;
-        self.engine(engine, |e| e.push(job));
+        let now_ms = self.now;
+        self.engine(engine, |e| e.push(job, now_ms));
         self.start(engine);
     }
 
+    /// Returns whether the agent refuses a request in favour of the router's second choice.
+    fn poorly_placed(&self, other: &Option<Alternative>, job: &Job, engine: usize) -> bool {
+        let Some(other) = other.filter(|_| job.known.len() < MAX_HOPS) else {
+            return false;
+        };
+        let cost = self.engine(engine, |e| {
+            e.wait_ms(job.priority, self.now) + other.prefill_weight * e.prefill_ms(&job.chain)
+        });
+        cost > other.cost_ms.0 as f64 + HOP_MARGIN_MS
+    }
+
     fn start(&mut self, engine: usize) {
         let now = self.now;
-        let Some((end, computed)) = self.engine(engine, |e| e.start(now)) else {
+        let mut store = self.store.take();
+        let started = self.engine(engine, |e| e.start(now, store.as_mut()));
+        self.store = store;
+        let Some(Started {
+            end,
+            computed,
+            imported,
+            number,
+        }) = started
+        else {
             return;
         };
         let counted = self.counted();
         let guard = self.shared.lock().expect("valid in the model");
-        let held = |hash: &u128| {
-            let others = guard.1.iter().enumerate();
-            others
-                .filter(|(i, _)| *i != engine)
-                .any(|(_, e)| e.holds(*hash))
+        let held = |(hash, stored): &&(u128, bool)| {
+            let mut others = guard.1.iter().enumerate();
+            *stored || others.any(|(i, e)| i != engine && e.holds(*hash))
         };
-        let wasted = computed.iter().filter(|hash| held(hash)).count() as u64;
-        let life = guard.1[engine].life;
+        let wasted = computed.iter().filter(held).count() as u64;
         drop(guard);
         let new = computed
             .iter()
-            .filter(|hash| self.seen.insert(**hash))
+            .filter(|(hash, _)| self.seen.insert(*hash))
             .count();
         if counted {
+            self.figures.imported_tokens += imported as u64 * PIECE_TOKENS;
             self.figures.wasted_tokens += wasted * PIECE_TOKENS;
             self.figures.repeated_tokens += (computed.len() - new) as u64 * PIECE_TOKENS;
         }
-        self.at(end, Event::PrefillEnd { engine, life });
+        self.at(end, Event::PrefillEnd { engine, number });
     }
 
-    fn prefill_end(&mut self, engine: usize, life: u32) {
+    fn prefill_end(&mut self, engine: usize, number: u64) {
         let taken = self.engine(engine, |e| {
-            let prefill = (e.life == life).then(|| e.prefill.take()).flatten();
+            let prefill = (e.number == number).then(|| e.prefill.take()).flatten();
             if let Some((job, _, _)) = &prefill {
                 e.decoding.push(job.clone());
             }
@@ -484,7 +539,8 @@
         };
         let remote = data_centre.as_str() != format!("dc-{}", job.router % 3);
         let network = if remote { REMOTE_MS } else { 0.0 };
-        let first_token = self.now - job.arrived_ms + network;
+        let hops_ms = job.known.len() as f64 * 2.0 * REMOTE_MS;
+        let first_token = self.now - job.arrived_ms + network + hops_ms;
         if self.counted() {
             self.figures.answered += 1;
             self.figures.prompt_tokens += job.chain.prompt_tokens.0;
@@ -509,6 +565,7 @@
         self.routers[job.router].observe(&observation, now);
         self.report(job.router, engine);
         let end = self.now + job.decode_ms;
+        let life = self.engine(engine, |e| e.life);
         let event = Event::DecodeEnd {
             engine,
             life,
--- a/crates/place/tests/fleet/workload.rs
+++ b/crates/place/tests/fleet/workload.rs
@@ -25,6 +25,8 @@
     pub(crate) pieces: [u64; 3],
     pub(crate) decode_ms: (f64, f64),
     pub(crate) deadline_ms: f64,
+    /// Whether the agents exchange cache pieces through a KV store.
+    pub(crate) kv_store: bool,
 }
 
 impl Deployment {
@@ -40,6 +42,7 @@
             pieces: [3, 4, 12],
             decode_ms: (1_000.0, 5_000.0),
             deadline_ms: 15_000.0,
+            kv_store: true,
         }
     }
 
@@ -57,6 +60,7 @@
             pieces: [2, 2, 4],
             decode_ms: (500.0, 2_500.0),
             deadline_ms: 10_000.0,
+            kv_store: true,
         }
     }
 }
@@ -163,6 +167,8 @@
             deadline_ms: now + if urgent { 3_000.0 } else { d.deadline_ms },
             decode_ms: if urgent { decode / 5.0 } else { decode },
             excluded: Vec::new(),
+            known: Vec::new(),
+            interrupted: None,
         }
     }
 }
--- a/crates/place/tests/homes.rs
+++ b/crates/place/tests/homes.rs
@@ -47,6 +47,7 @@
         budget_ms: DurationMs(10_000),
         data_centre: "dc-1".parse().expect("valid in the model"),
         hint: None,
+        known: Vec::new(),
         excluded: Vec::new(),
     }
 }
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -10,6 +10,7 @@
 use dw_place::Observation;
 use dw_stream::Sequence;
 use dw_stream::Verdict;
+use dw_wire::Alternative;
 use dw_wire::Frame;
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
@@ -78,7 +79,7 @@
     (decision, agent): (Decision, Agent),
 ) -> Result<Live, Lost> {
     let sent_at = shared.clock.now();
-    let request = run_request(shared, job, tried, &decision.upstream);
+    let request = run_request(shared, job, tried, &decision);
     shared.counters.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
@@ -120,14 +121,18 @@
     Ok(live)
 }
 
-fn run_request(shared: &Shared, job: &Job, tried: &Tried, upstream: &UpstreamId) -> RunRequest {
+fn run_request(shared: &Shared, job: &Job, tried: &Tried, decision: &Decision) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
         request_id: job.request_id.clone(),
         attempt: tried.attempt + 1,
         hops: tried.hops,
+        alternative: decision.alternative.map(|other| Alternative {
+            cost_ms: other.cost_ms,
+            prefill_weight: other.prefill_weight,
+        }),
         router: shared.settings.node.clone(),
-        upstream: upstream.clone(),
+        upstream: decision.upstream.clone(),
         org: job.org.clone(),
         service: job.service.name.clone(),
         priority: job.priority,
--- a/crates/router/src/filter/place.rs
+++ b/crates/router/src/filter/place.rs
@@ -7,6 +7,7 @@
 use dw_config::Upstream;
 use dw_config::UpstreamState;
 use dw_place::Decision;
+use dw_place::KnownCost;
 use dw_place::PlaceRequest;
 use dw_place::Target;
 use dw_wire::Work;
@@ -22,6 +23,7 @@
     pub(crate) attempt: u32,
     pub(crate) hops: u32,
     pub(crate) hint: Option<UpstreamId>,
+    pub(crate) known: Vec<KnownCost>,
     pub(crate) excluded: Vec<UpstreamId>,
 }
 
@@ -49,6 +51,7 @@
         budget_ms,
         data_centre: shared.settings.data_centre.clone(),
         hint: tried.hint.clone(),
+        known: tried.known.clone(),
         excluded: tried.excluded.clone(),
     };
     let decision = {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -132,5 +132,5 @@
 }
 
 fn policy() -> Box<dyn Policy> {
-    Box::new(Nested::new(NestedSettings::builder().build()))
+    Box::new(Nested::new(NestedSettings::with_kv_store()))
 }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,6 +11,7 @@
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_config::Service;
+use dw_place::KnownCost;
 use dw_telem::TraceParent;
 use dw_wire::Answer;
 use dw_wire::Failure;
@@ -137,10 +138,10 @@
                     return Ok(*begun);
                 }
                 Ok(Ended::Refused(refusal)) => {
-                    self.tried.excluded.push(upstream);
-                    if self.hop(&refusal) {
+                    if self.hop(&upstream, &refusal) {
                         continue;
                     }
+                    self.tried.excluded.push(upstream);
                     self.refused(&refusal)?
                 }
                 Ok(Ended::Failed(failure)) => {
@@ -181,18 +182,26 @@
         }
     }
 
-    /// Follows an agent's advice; hops are not retries, because the agent ran nothing and knows a
-    /// better home.
-    fn hop(&mut self, refusal: &Refusal) -> bool {
-        let better = match (&refusal.reason, &refusal.better) {
-            (RefusalReason::BetterHome, Some(better)) => better,
-            _ => return false,
-        };
-        if self.tried.hops >= MOST_HOPS || self.tried.excluded.contains(better) {
+    /// Follows an agent's advice; hops are not retries, because the agent ran nothing and knows
+    /// its exact cost.
+    fn hop(&mut self, upstream: &UpstreamId, refusal: &Refusal) -> bool {
+        if refusal.reason != RefusalReason::BetterHome || self.tried.hops >= MOST_HOPS {
             return false;
         }
+        match (&refusal.better, &refusal.status) {
+            (Some(better), _) if self.tried.excluded.contains(better) => return false,
+            (Some(better), _) => {
+                self.tried.excluded.push(upstream.clone());
+                self.tried.hint = Some(better.clone());
+            }
+            (None, Some(status)) => self.tried.known.push(KnownCost {
+                upstream: upstream.clone(),
+                warm_depth: status.warm_depth,
+                wait_ms: status.queue_wait_ms[self.job.priority.index()],
+            }),
+            (None, None) => return false,
+        }
         self.tried.hops += 1;
-        self.tried.hint = Some(better.clone());
         self.shared.counters.hops.inc();
         true
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -123,6 +123,12 @@
             prefill_tokens_per_s: status.prefill_tokens_per_s,
             warm: chain.map(|chain| (chain.clone(), status.warm_depth)),
         });
+        if !status.recent.is_empty() {
+            self.observe(&Observation::Cached {
+                upstream: upstream.clone(),
+                blocks: status.recent.clone(),
+            });
+        }
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/router/tests/answers.rs
+++ b/crates/router/tests/answers.rs
@@ -40,7 +40,7 @@
 }
 
 fn unavailable(seen: &Seen, upstream: &str) -> Vec<Part> {
-    vec![Part::Send(Frame::Failed(Failure {
+    vec![Part::send(Frame::Failed(Failure {
         request_id: request_id(seen),
         kind: FailureKind::ResumeUnavailable,
         may_have_run: true,
@@ -251,6 +251,30 @@
     assert_eq!(hops.iter().max(), Some(&2));
 }
 
+/// Guards against a router that ignores the exact cost of a poor placement, and against a refusal
+/// as poorly placed that costs a retry or excludes the upstream for good.
+#[tokio::test]
+async fn poor_placements_are_refused_twice_and_then_served() {
+    let poor_twice = |own: &'static str| {
+        move |seen: &Seen, _| match seen {
+            Seen::Run(run) if run.hops < 2 => refused(seen, own, RefusalReason::BetterHome, None),
+            _ => good(own)(seen, 0),
+        }
+    };
+    let a = Agent::start("a", poor_twice("a")).await;
+    let b = Agent::start("b", poor_twice("b")).await;
+    let router = start(&[&a, &b]).await;
+    let (code, _, text) = Ask::chat(CHAT).send(router.callers_addr()).await;
+    assert_eq!(code, StatusCode::OK, "{text}");
+    let mut hops: Vec<u32> = [&a, &b]
+        .iter()
+        .flat_map(|agent| agent.runs())
+        .map(|run| run.hops)
+        .collect();
+    hops.sort_unstable();
+    assert_eq!(hops, [0, 1, 2]);
+}
+
 /// Guards against a refusal without its time, and against retries beyond the budget of one.
 #[tokio::test]
 async fn overload_is_reported_within_the_retry_budget() {
@@ -315,7 +339,7 @@
 #[tokio::test]
 async fn service_answer_is_passed_on() {
     let agent = Agent::start("a", |seen, _| {
-        vec![Part::Send(Frame::Answer(Answer {
+        vec![Part::send(Frame::Answer(Answer {
             request_id: request_id(seen),
             http_status: 202,
             body: br#"{"arch":1}"#.to_vec(),
@@ -340,7 +364,7 @@
         let mut parts = send(frames(&request_id(seen), "a", 3));
         if index == 0 {
             parts.insert(0, Part::Gate(held.clone()));
-            parts.push(Part::Send(late_chunk("late")));
+            parts.push(Part::send(late_chunk("late")));
         }
         parts
     })
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -78,13 +78,19 @@
 /// One part of a fake answer.
 #[derive(Clone)]
 pub(crate) enum Part {
-    Send(Frame),
+    Send(Box<Frame>),
     /// Waits for a permit.
     Gate(Arc<Semaphore>),
     /// Breaks the connection.
     Cut,
 }
 
+impl Part {
+    pub(crate) fn send(frame: Frame) -> Part {
+        Part::Send(Box::new(frame))
+    }
+}
+
 /// What arrived at a fake agent.
 #[derive(Clone, Debug)]
 pub(crate) enum Seen {
@@ -246,6 +252,7 @@
         accepting: true,
         leaving: false,
         warm_depth: 0,
+        recent: Vec::new(),
     }
 }
 
@@ -289,7 +296,7 @@
 }
 
 pub(crate) fn send(frames: Vec<Frame>) -> Vec<Part> {
-    frames.into_iter().map(Part::Send).collect()
+    frames.into_iter().map(Part::send).collect()
 }
 
 pub(crate) fn refused(
@@ -298,7 +305,7 @@
     reason: RefusalReason,
     better: Option<&str>,
 ) -> Vec<Part> {
-    vec![Part::Send(Frame::Refused(Refusal {
+    vec![Part::send(Frame::Refused(Refusal {
         request_id: request_id(seen),
         reason,
         retry_after_ms: Some(DurationMs(20)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,6 +36,7 @@
 pub use frame::RefusalReason;
 pub use frame::StreamEnd;
 pub use frame::StreamStart;
+pub use run::Alternative;
 pub use run::ParseRepeatRuleError;
 pub use run::RepeatRule;
 pub use run::ResumeRequest;
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -87,6 +87,15 @@
     },
 }
 
+/// What a request would cost at the router's second choice.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Alternative {
+    /// Expected wait, network time and weighted prefill time there.
+    pub cost_ms: DurationMs,
+    /// Weight of the prefill time, relative to the wait.
+    pub prefill_weight: f64,
+}
+
 /// Body of `POST /v1/run`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RunRequest {
@@ -100,6 +109,9 @@
     pub hops: u32,
     /// Router that sends the request.
     pub router: NodeId,
+    /// Second choice; an agent whose exact cost is higher refuses with
+    /// [`RefusalReason::BetterHome`](crate::RefusalReason::BetterHome).
+    pub alternative: Option<Alternative>,
     /// Upstream that the router believes the agent serves.
     pub upstream: UpstreamId,
     /// Organisation of the caller.
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -2,6 +2,7 @@
 
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
+use dw_base::Fingerprint;
 use dw_base::Incarnation;
 use dw_base::NodeId;
 use dw_base::TokensPerS;
@@ -43,4 +44,9 @@
     pub leaving: bool,
     /// Pieces of the request's own chain that are cached now; zero if unknown.
     pub warm_depth: u32,
+    /// Blocks of the newest requests of all routers that this router has not been told of.
+    ///
+    /// At most 4 chains, so about 400 bytes; a router that gets 5 answers a second at the target
+    /// size receives 2 KB/s of the 6 KB/s that control traffic may use.
+    pub recent: Vec<Fingerprint>,
 }
