--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -432,6 +432,12 @@
     }
 
     pub(crate) async fn unready_agent(&self, name: &str) -> Agent {
+        let speed = |value| TokensPerS::new(value).expect("valid speed");
+        let gate = Fifo::new(2, 8, speed(10_000.0), speed(50.0));
+        self.agent_with(name, Box::new(gate)).await
+    }
+
+    pub(crate) async fn agent_with(&self, name: &str, gate: Box<dyn dw_admit::Gate>) -> Agent {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("valid address");
         let settings = Settings {
             node: format!("agent-{name}").parse().expect("valid id"),
@@ -445,14 +451,13 @@
             resume_bytes: 1 << 16,
             import_bytes_per_s: 1 << 30,
         };
-        let speed = |value| TokensPerS::new(value).expect("valid speed");
         let parts = Parts::builder()
             .settings(settings)
             .config(self.config.clone())
             .peer(Arc::new(FixedPeer(ConfigVersion(1))))
             .table(self.table.clone())
             .objects(self.objects.clone())
-            .gate(Box::new(Fifo::new(2, 8, speed(10_000.0), speed(50.0))))
+            .gate(gate)
             .build();
         Agent::start(parts).await.expect("agent starts")
     }
