cache, agent: export pieces to the KV store at their first use

Cause: pieces were exported at their second use, by one object for each piece. A prompt that a second engine got in between was computed again.

Before: 2 uses, one write and one read a piece, no shared budget, every request of an outage waited for its own timeout. After: one object for each run from the first piece that no other run describes; all agents share 200 writes/s and 1,000 reads/s by the VM list; half of a share is left to pieces used twice; a failed call closes the store for 5 s. Decisions are pure in dw-cache.

Conclusion: another engine imports a prefix of 3 pieces after one use with one write and one read for the run, and an outage costs one call for several requests (both counted in tests).

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use dw_base::Incarnation;
+use dw_cache::Exchange;
 use dw_store::VmSource;
 use dw_wire::Status;
 use thiserror::Error;
@@ -24,6 +25,7 @@
 use crate::control;
 use crate::engine::Engine;
 use crate::feed::Feed;
+use crate::kv;
 use crate::orders::Orders;
 use crate::parts::Parts;
 use crate::queue::Queue;
@@ -86,6 +88,9 @@
         spawn_until_killed(&shared, control::serve(Arc::clone(&shared), control));
         spawn_until_killed(&shared, shared.feed.clone().poll(shared.engine.clone()));
         spawn_until_killed(&shared, poll_queue(Arc::clone(&shared)));
+        spawn_until_killed(&shared, kv::export_waiting(Arc::clone(&shared)));
+        let counting = kv::count_agents(Arc::clone(&shared), vms.clone());
+        spawn_until_killed(&shared, counting);
         let orders = Orders::new(Arc::clone(&shared));
         spawn_until_killed(&shared, orders.run());
         Ok(Agent {
@@ -146,7 +151,8 @@
 fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
     let url = format!("http://{}", parts.settings.upstream_addr);
     let clock = parts.clock;
-    let incarnation = parts.incarnation.unwrap_or(Incarnation(clock.now().0));
+    let started = clock.now();
+    let incarnation = parts.incarnation.unwrap_or(Incarnation(started.0));
     Ok(Arc::new(Shared {
         queue: Queue::new(parts.gate, Arc::clone(&clock)),
         feed: Feed::spawn(Arc::clone(&clock)).map_err(StartError::Thread)?,
@@ -160,7 +166,7 @@
         objects: parts.objects,
         clock,
         incarnation,
-        known: Mutex::default(),
+        exchange: Mutex::new(Exchange::new(started)),
         tasks: TaskTracker::new(),
         killed: CancellationToken::new(),
         upstream: Mutex::new(UpstreamView::default()),
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -146,9 +146,6 @@
             Frame::Failed(failure) => format!("failed {:?}", failure.kind),
             _ => "unexpected".to_owned(),
         };
-        if matches!(end, Frame::End(_)) {
-            kv::used(&self.shared, &self.job.chain);
-        }
         self.live.end(&end, self.shared.clock.now());
         self.shared.explain(self.explained);
     }
@@ -284,6 +281,10 @@
                     // The start event was lost with the connection; nothing is known of the cache.
                     self.on_start(round, self.job.chain.prompt_tokens.0, 0);
                 }
+                if self.tokens == 0 {
+                    // The prompt is computed now, so that other engines need not compute it.
+                    kv::computed(&self.shared, &self.job.chain);
+                }
                 round.next_index += 1;
                 self.tokens += 1;
                 self.text.push_str(&text);
--- a/crates/agent/src/kv.rs
+++ b/crates/agent/src/kv.rs
@@ -1,87 +1,62 @@
-//! Exchange of cache pieces with the KV store.
+//! Calls of the KV store that the exchange decides on.
 //!
-//! The object store holds one descriptor for each exported piece. A piece is imported when that is
-//! cheaper than computing it, and exported when two requests have used it.
+//! The object store holds one description for each exported run of pieces.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dw_api::engine::KvBlock;
 use dw_api::engine::KvBlocks;
+use dw_api::vms::VmRole;
 use dw_base::BlockHash;
 use dw_base::Chain;
-use dw_base::DurationMs;
 use dw_base::OrgId;
-use dw_base::TimeMs;
-use dw_base::TokensPerS;
 use dw_base::WeightsVersion;
-use dw_base::PIECE_TOKENS;
+use dw_cache::import_is_cheaper;
+use dw_cache::Kept;
+use dw_cache::Run;
+use dw_config::UpstreamKind;
+use dw_store::StoreError;
+use dw_store::VmSource;
 
 use crate::shared::lock;
 use crate::shared::Shared;
 
-/// Uses after which a piece is exported.
-const HOT_USES: u32 = 2;
-
-/// Pieces that are remembered. At 64 B each this is 0.5 MB.
-const MAX_KNOWN: usize = 8_192;
-
-/// Time for which an absent descriptor is not looked up again, because the object store sustains
-/// about 2,000 reads a second for all agents.
-const ABSENT_FOR_MS: DurationMs = DurationMs(10_000);
-
-/// Most descriptors read for one request.
+/// Most runs looked up for one request. A branch of the tree of prefixes is one run, and there are
+/// few levels.
 const MAX_LOOKUPS: usize = 8;
 
-/// Longest time that one descriptor is waited for.
+/// Longest time that one lookup is waited for.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Assumed time of one descriptor read, part of the cost of an import.
-const LOOKUP_COST_S: f64 = 0.005;
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Known {
-    uses: u32,
-    size_bytes: Option<u64>,
-    absent_since: Option<TimeMs>,
-    exporting: bool,
-}
+/// Longest time that the engine is waited for with an export or import.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// What the agent remembers about pieces; the whole memory is dropped when it is full.
-#[derive(Debug, Default)]
-pub(crate) struct KnownPieces {
-    pieces: HashMap<BlockHash, Known>,
-}
+/// Time between two counts of the agents that share the rates of the stores.
+const COUNT_EVERY: Duration = Duration::from_secs(30);
 
-impl KnownPieces {
-    fn entry(&mut self, hash: BlockHash) -> &mut Known {
-        if self.pieces.len() >= MAX_KNOWN && !self.pieces.contains_key(&hash) {
-            self.pieces.clear();
-        }
-        self.pieces.entry(hash).or_default()
-    }
-}
+/// Time between two looks at the runs that wait for the write allowance.
+const EXPORT_EVERY: Duration = Duration::from_millis(100);
 
 /// Imports pieces after the warm depth and returns how many the engine took.
 pub(crate) async fn import(shared: &Shared, chain: &Chain, org: &OrgId, depth: usize) -> u64 {
     let weights = shared.upstream().weights;
-    let missing = chain.blocks.iter().skip(depth).take(MAX_LOOKUPS);
+    let bytes_per_s = shared.settings.import_bytes_per_s;
     let speed = shared.queue.load().0.prefill_tokens_per_s;
-    let mut blocks = Vec::new();
-    for hash in missing {
-        let Some(size_bytes) = find(shared, *hash, org, weights).await else {
-            break;
-        };
-        if !cheaper(size_bytes, shared.settings.import_bytes_per_s, speed) {
-            break;
-        }
-        blocks.push(KvBlock {
-            hash: hash.to_string(),
-            size_bytes,
-        });
+    if depth >= chain.blocks.len() || !import_is_cheaper(0, bytes_per_s, speed) {
+        return 0;
     }
+    look_up(shared, chain, org, weights, depth).await;
+    let kept = lock(&shared.exchange).kept(chain, depth);
+    let blocks: Vec<KvBlock> = kept
+        .iter()
+        .take_while(|piece| import_is_cheaper(piece.size_bytes, bytes_per_s, speed))
+        .map(|piece| KvBlock {
+            hash: piece.hash.to_string(),
+            size_bytes: piece.size_bytes,
+        })
+        .collect();
     if blocks.is_empty() {
         return 0;
     }
@@ -90,111 +65,197 @@
         user: org.to_string(),
         weights_version: weights.0,
     };
-    match shared.engine.import(&blocks).await {
-        Ok(answer) => answer.imported,
-        Err(error) => {
+    match tokio::time::timeout(TRANSFER_TIMEOUT, shared.engine.import(&blocks)).await {
+        Ok(Ok(answer)) => answer.imported,
+        Ok(Err(error)) => {
             log::warn!("event=kv_import_failed error={:?}", error.to_string());
             0
         }
+        Err(_) => {
+            log::warn!("event=kv_import_timed_out pieces={}", blocks.blocks.len());
+            0
+        }
     }
 }
 
-/// Returns whether importing one piece takes less time than computing it.
-fn cheaper(size_bytes: u64, import_bytes_per_s: u64, prefill: TokensPerS) -> bool {
-    let import_s = LOOKUP_COST_S + size_bytes as f64 / import_bytes_per_s as f64;
-    prefill.get() <= 0.0 || import_s < PIECE_TOKENS as f64 / prefill.get()
-}
-
-async fn find(
+/// Looks up what may lead to pieces after `depth`; a failure ends the lookups of the request.
+async fn look_up(
     shared: &Shared,
-    hash: BlockHash,
+    chain: &Chain,
     org: &OrgId,
     weights: WeightsVersion,
-) -> Option<u64> {
-    let known = *lock(&shared.known).entry(hash);
-    let now = shared.clock.now();
-    if known.size_bytes.is_some() {
-        return known.size_bytes;
-    }
-    let recently = |since: TimeMs| now.since(since) < ABSENT_FOR_MS;
-    if known.absent_since.is_some_and(recently) {
-        return None;
+    depth: usize,
+) {
+    for _ in 0..MAX_LOOKUPS {
+        let now = shared.clock.now();
+        let next = lock(&shared.exchange).next_lookup(chain, depth, now);
+        let Some(hash) = next else {
+            return;
+        };
+        let Some(found) = read(shared, hash).await else {
+            return;
+        };
+        let found = found.filter(|found| found.user == org.as_str());
+        let found = found.filter(|found| found.weights_version == weights.0);
+        let kept = found.map_or_else(Vec::new, |found| kept_of(&found.blocks));
+        let now = shared.clock.now();
+        lock(&shared.exchange).found(hash, &kept, now);
     }
-    let key = descriptor_key(hash);
-    let read = tokio::time::timeout(LOOKUP_TIMEOUT, shared.objects.get(&key)).await;
-    let found = match read {
-        Ok(Ok(Some(bytes))) => serde_json::from_slice::<KvBlocks>(&bytes).ok(),
-        _ => None,
-    };
-    let size_bytes = found
-        .filter(|found| found.user == org.as_str() && found.weights_version == weights.0)
-        .and_then(|found| found.blocks.first().map(|block| block.size_bytes));
-    let mut known = lock(&shared.known);
-    let entry = known.entry(hash);
-    entry.size_bytes = size_bytes;
-    entry.absent_since = size_bytes.is_none().then_some(now);
-    size_bytes
 }
 
-/// Counts the use of the pieces of a chain and exports those that have become hot.
-pub(crate) fn used(shared: &Arc<Shared>, chain: &Chain) {
-    let mut hot = Vec::new();
-    let mut known = lock(&shared.known);
-    for hash in &chain.blocks {
-        let entry = known.entry(*hash);
-        entry.uses = entry.uses.saturating_add(1);
-        if entry.uses >= HOT_USES && entry.size_bytes.is_none() && !entry.exporting {
-            entry.exporting = true;
-            hot.push(*hash);
+/// Reads one description; returns `None` without an answer of the store.
+async fn read(shared: &Shared, hash: BlockHash) -> Option<Option<KvBlocks>> {
+    let key = object_key(hash);
+    let read = tokio::time::timeout(LOOKUP_TIMEOUT, shared.objects.get(&key)).await;
+    match read {
+        Ok(Ok(found)) => Some(found.and_then(|bytes| serde_json::from_slice(&bytes).ok())),
+        Ok(Err(error)) => {
+            failed(shared, "kv_lookup_failed", &error);
+            None
+        }
+        Err(_) => {
+            log::warn!("event=kv_lookup_timed_out");
+            lock(&shared.exchange).failed(shared.clock.now());
+            None
         }
     }
-    drop(known);
-    if !hot.is_empty() {
-        let shared_task = Arc::clone(shared);
-        shared.spawn(async move { export(&shared_task, &hot).await });
+}
+
+fn failed(shared: &Shared, event: &str, error: &StoreError) {
+    // The rate limit of this node says nothing about the store.
+    if matches!(error, StoreError::RateLimited { .. }) {
+        return;
     }
+    log::warn!("event={event} error={:?}", error.to_string());
+    lock(&shared.exchange).failed(shared.clock.now());
+}
+
+/// Counts the use of a prompt that the engine has computed, and exports what is due.
+pub(crate) fn computed(shared: &Arc<Shared>, chain: &Chain) {
+    let now = shared.clock.now();
+    lock(&shared.exchange).used(chain, now);
+    export_due(shared);
 }
 
-async fn export(shared: &Shared, hashes: &[BlockHash]) {
-    let texts = hashes.iter().map(BlockHash::to_string).collect();
-    let exported = match shared.engine.export(texts).await {
-        Ok(exported) => exported,
+fn export_due(shared: &Arc<Shared>) {
+    loop {
+        let now = shared.clock.now();
+        let due = lock(&shared.exchange).next_export(now);
+        let Some(run) = due else {
+            return;
+        };
+        let task_shared = Arc::clone(shared);
+        shared.spawn(async move { export(&task_shared, run).await });
+    }
+}
+
+async fn export(shared: &Shared, run: Run) {
+    let (kept, description) = from_engine(shared, &run).await;
+    let first = kept.first().map(|piece| piece.hash);
+    let (Some(first), Some(description)) = (first, description) else {
+        lock(&shared.exchange).exported(&run, &[]);
+        return;
+    };
+    match shared.objects.create(&object_key(first), description).await {
+        Ok(true) => {
+            let mut exchange = lock(&shared.exchange);
+            exchange.succeeded();
+            exchange.exported(&run, &kept);
+        }
+        // Another agent has described a run from this piece on, which may branch off earlier.
+        Ok(false) => {
+            lock(&shared.exchange).exported(&run, &[]);
+            if let Some(found) = read(shared, first).await {
+                let kept = found.map_or_else(Vec::new, |found| kept_of(&found.blocks));
+                let now = shared.clock.now();
+                lock(&shared.exchange).found(first, &kept, now);
+            }
+        }
         Err(error) => {
+            lock(&shared.exchange).exported(&run, &[]);
+            failed(shared, "kv_export_failed", &error);
+        }
+    }
+}
+
+/// Exports a run from the engine; returns the pieces from its start on, and their description.
+async fn from_engine(shared: &Shared, run: &Run) -> (Vec<Kept>, Option<Bytes>) {
+    let texts = run.hashes.iter().map(BlockHash::to_string).collect();
+    let exported = tokio::time::timeout(TRANSFER_TIMEOUT, shared.engine.export(texts)).await;
+    let exported = match exported {
+        Ok(Ok(exported)) => exported,
+        Ok(Err(error)) => {
             log::warn!("event=kv_export_failed error={:?}", error.to_string());
-            KvBlocks {
-                blocks: Vec::new(),
-                user: String::new(),
-                weights_version: 0,
-            }
+            return (Vec::new(), None);
         }
-    };
-    for block in exported.blocks {
-        let Ok(hash) = block.hash.parse::<BlockHash>() else {
-            continue;
-        };
-        let size_bytes = block.size_bytes;
-        let descriptor = KvBlocks {
-            blocks: vec![block],
-            user: exported.user.clone(),
-            weights_version: exported.weights_version,
-        };
-        let Ok(json) = serde_json::to_vec(&descriptor) else {
-            continue;
-        };
-        let created = shared
-            .objects
-            .create(&descriptor_key(hash), Bytes::from(json))
-            .await;
-        if created.is_ok() {
-            lock(&shared.known).entry(hash).size_bytes = Some(size_bytes);
+        Err(_) => {
+            log::warn!("event=kv_export_timed_out pieces={}", run.hashes.len());
+            return (Vec::new(), None);
         }
+    };
+    // The engine may have evicted some pieces meanwhile, and a run has no gaps.
+    let in_order = exported.blocks.into_iter().zip(&run.hashes);
+    let blocks: Vec<KvBlock> = in_order
+        .take_while(|(block, hash)| block.hash == hash.to_string())
+        .map(|(block, _)| block)
+        .collect();
+    let kept = kept_of(&blocks);
+    let description = KvBlocks {
+        blocks,
+        user: exported.user,
+        weights_version: exported.weights_version,
+    };
+    let json = serde_json::to_vec(&description).ok();
+    (kept, json.map(Bytes::from))
+}
+
+fn kept_of(blocks: &[KvBlock]) -> Vec<Kept> {
+    let kept = blocks.iter().map_while(|block| {
+        Some(Kept {
+            hash: block.hash.parse().ok()?,
+            size_bytes: block.size_bytes,
+        })
+    });
+    kept.collect()
+}
+
+fn object_key(hash: BlockHash) -> String {
+    format!("kv/{hash}")
+}
+
+/// Exports runs that waited for the write allowance, for ever.
+pub(crate) async fn export_waiting(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(EXPORT_EVERY).await;
+        export_due(&shared);
     }
-    let mut known = lock(&shared.known);
-    for hash in hashes {
-        known.entry(*hash).exporting = false;
+}
+
+/// Divides the rates of the stores among the agents that exist, for ever.
+pub(crate) async fn count_agents(shared: Arc<Shared>, vms: Option<Arc<dyn VmSource>>) {
+    loop {
+        let agents = match &vms {
+            Some(vms) => listed_agents(vms.as_ref()).await,
+            None => None,
+        };
+        // Without a list, each declared engine is taken to have an agent.
+        let agents = agents.unwrap_or_else(|| declared_engines(&shared));
+        let now = shared.clock.now();
+        lock(&shared.exchange).share(agents, now);
+        tokio::time::sleep(COUNT_EVERY).await;
     }
 }
 
-fn descriptor_key(hash: BlockHash) -> String {
-    format!("kv/{hash}")
+async fn listed_agents(vms: &dyn VmSource) -> Option<usize> {
+    let list = vms.vms().await.ok()?;
+    let agents = list.vms.iter().filter(|vm| vm.role == VmRole::Agent);
+    Some(agents.count()).filter(|count| *count > 0)
+}
+
+fn declared_engines(shared: &Shared) -> usize {
+    let config = shared.config();
+    let engines = config.upstreams();
+    engines
+        .filter(|upstream| upstream.kind == UpstreamKind::Engine)
+        .count()
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -17,6 +17,7 @@
 use dw_base::RequestId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
+use dw_cache::Exchange;
 use dw_config::Config;
 use dw_config::ConfigSource;
 use dw_config::Upstream;
@@ -35,7 +36,6 @@
 use crate::client::UpstreamClient;
 use crate::engine::Engine;
 use crate::feed::Feed;
-use crate::kv::KnownPieces;
 use crate::live::Live;
 use crate::parts::ConfigPeer;
 use crate::queue::Queue;
@@ -85,7 +85,7 @@
     pub(crate) engine: Engine,
     pub(crate) plain: UpstreamClient,
     pub(crate) writer: Writer,
-    pub(crate) known: Mutex<KnownPieces>,
+    pub(crate) exchange: Mutex<Exchange>,
     pub(crate) tasks: TaskTracker,
     pub(crate) killed: CancellationToken,
     pub(crate) upstream: Mutex<UpstreamView>,
--- /dev/null
+++ b/crates/cache/tests/exchange.rs
@@ -0,0 +1,192 @@
+//! Tests of the exchange with the KV store.
+
+use dw_base::BlockHash;
+use dw_base::Chain;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::TokensPerS;
+use dw_cache::import_is_cheaper;
+use dw_cache::Exchange;
+use dw_cache::Kept;
+use dw_cache::Run;
+use dw_cache::ABSENT_FOR_MS;
+use dw_cache::BREAKER_PAUSE_MS;
+use dw_cache::EXPORTS_PER_S;
+use dw_cache::MAX_KNOWN_PIECES;
+use dw_cache::MAX_WAITING_RUNS;
+
+const START: TimeMs = TimeMs(1_000_000);
+
+/// Agents with which each has an allowance of 2 writes and 10 reads.
+const AGENTS: usize = 100;
+
+fn chain(blocks: impl IntoIterator<Item = u128>) -> Chain {
+    Chain {
+        root: BlockHash(0),
+        blocks: blocks.into_iter().map(BlockHash).collect(),
+        prompt_tokens: Tokens(1),
+    }
+}
+
+fn hashes(run: &Run) -> Vec<u128> {
+    run.hashes.iter().map(|hash| hash.0).collect()
+}
+
+fn kept(hashes: &[u128]) -> Vec<Kept> {
+    let piece = |hash: &u128| Kept {
+        hash: BlockHash(*hash),
+        size_bytes: 10,
+    };
+    hashes.iter().map(piece).collect()
+}
+
+fn small() -> Exchange {
+    let mut exchange = Exchange::new(START);
+    exchange.share(AGENTS, START);
+    exchange
+}
+
+/// Guards against an export of each piece by a write of its own, and against a second export.
+#[test]
+fn first_use_exports_one_run() {
+    let mut exchange = Exchange::new(START);
+    exchange.used(&chain(1..=4), START);
+    let run = exchange.next_export(START).expect("allowance is full");
+    assert_eq!((hashes(&run), run.hot), (vec![1, 2, 3, 4], false));
+    exchange.used(&chain(1..=4), START);
+    assert_eq!(exchange.next_export(START), None, "it is being exported");
+    exchange.exported(&run, &kept(&[1, 2]));
+    exchange.used(&chain([1, 2, 3, 5]), START);
+    let hot = exchange.next_export(START).expect("piece 3 is missing");
+    assert_eq!((hashes(&hot), hot.depth, hot.hot), (vec![3], 2, true));
+    let cold = exchange.next_export(START).expect("piece 5 is new");
+    assert_eq!((hashes(&cold), cold.depth), (vec![5], 3));
+}
+
+/// Guards against pieces used once that use up the writes of pieces used twice, and against a
+/// deep run before a shallow one.
+#[test]
+fn hot_and_shallow_runs_go_first() {
+    let mut exchange = small();
+    exchange.used(&chain([1]), START);
+    assert!(exchange.next_export(START).is_some());
+    for cold in [2, 3] {
+        exchange.used(&chain([cold]), START);
+    }
+    assert_eq!(
+        exchange.next_export(START),
+        None,
+        "half is left to hot runs"
+    );
+    assert_eq!(exchange.waiting(), 0, "they wait for their second use");
+    exchange.used(&chain([9, 3]), START);
+    exchange.used(&chain([2]), START);
+    let order: Vec<_> = std::iter::from_fn(|| exchange.next_export(START)).collect();
+    let order: Vec<_> = order.iter().map(hashes).collect();
+    assert_eq!(order, [[2]], "one write was left, and 3 is deeper");
+    let later = TimeMs(START.0 + 500);
+    let next = exchange.next_export(later).expect("a write has accrued");
+    assert_eq!(hashes(&next), [3], "a hot run waits for the allowance");
+}
+
+/// Guards against agents that together write more than the stores sustain.
+#[test]
+fn writes_stay_within_the_share() {
+    for agents in [1, 10, 100] {
+        let mut exchange = Exchange::new(START);
+        exchange.share(agents, START);
+        let share = EXPORTS_PER_S / agents as f64;
+        let mut writes = 0;
+        for step in 0..10_000u64 {
+            let now = TimeMs(START.0 + step);
+            exchange.used(&chain([u128::from(step) % 5_000]), now);
+            while exchange.next_export(now).is_some() {
+                writes += 1;
+            }
+        }
+        let most = share.max(2.0) + 10.0 * share;
+        assert!(f64::from(writes) <= most, "{writes} with {agents} agents");
+        assert!(f64::from(writes) >= 9.0 * share, "{writes} with {agents}");
+    }
+}
+
+/// Guards against a prefix that another engine has saved and that is not found, and against a
+/// read for each of its pieces.
+#[test]
+fn lookups_follow_the_runs() {
+    let mut exchange = Exchange::new(START);
+    let prompt = chain([1, 2, 3, 4, 5]);
+    let ask = |exchange: &mut Exchange, now| exchange.next_lookup(&prompt, 1, now).map(|h| h.0);
+    assert_eq!(ask(&mut exchange, START), Some(1));
+    exchange.found(BlockHash(1), &kept(&[1, 2, 7, 8]), START);
+    assert_eq!(ask(&mut exchange, START), Some(3));
+    exchange.found(BlockHash(3), &kept(&[3, 4]), START);
+    assert_eq!(ask(&mut exchange, START), Some(5));
+    exchange.found(BlockHash(5), &[], START);
+    assert_eq!(ask(&mut exchange, START), None, "absence is remembered");
+    assert_eq!(exchange.kept(&prompt, 1), kept(&[2, 3, 4]));
+    let later = START + ABSENT_FOR_MS;
+    assert_eq!(ask(&mut exchange, later), Some(5));
+}
+
+/// Guards against a run that is not found because a shallower one is not in the store.
+#[test]
+fn run_below_the_warm_depth_is_found() {
+    let mut exchange = Exchange::new(START);
+    let prompt = chain([1, 2, 3]);
+    exchange.found(BlockHash(1), &[], START);
+    assert_eq!(exchange.next_lookup(&prompt, 2, START), Some(BlockHash(3)));
+    assert_eq!(exchange.next_lookup(&prompt, 0, START), None);
+    exchange.found(BlockHash(3), &kept(&[4]), START);
+    assert!(
+        exchange.kept(&prompt, 2).is_empty(),
+        "another run's content"
+    );
+}
+
+/// Guards against lookups beyond the share, and against a timeout for each request in an outage.
+#[test]
+fn lookups_stop_without_allowance_and_in_an_outage() {
+    let mut exchange = small();
+    let fresh = (0..100).filter(|n| exchange.next_lookup(&chain([*n]), 0, START).is_some());
+    assert_eq!(fresh.count(), 10);
+    let mut exchange = Exchange::new(START);
+    let mut calls = 0;
+    for step in 0..BREAKER_PAUSE_MS.0 * 4 {
+        let now = TimeMs(START.0 + step);
+        exchange.used(&chain([1]), now);
+        let asked = exchange.next_lookup(&chain([u128::from(step)]), 0, now);
+        if asked.is_some() || exchange.next_export(now).is_some() {
+            calls += 1;
+            exchange.failed(now);
+        }
+    }
+    assert_eq!(calls, 4, "one call for each pause");
+    let after = START + BREAKER_PAUSE_MS;
+    let after = TimeMs(after.0 * 2);
+    assert!(exchange.next_lookup(&chain([1]), 0, after).is_some());
+    assert!(exchange.next_lookup(&chain([2]), 0, after).is_none());
+    exchange.found(BlockHash(1), &[], after);
+    assert!(exchange.next_lookup(&chain([2]), 0, after).is_some());
+}
+
+/// Guards against memory that grows with the number of prompts.
+#[test]
+fn memory_is_bounded() {
+    let mut exchange = small();
+    for prompt in 0..2 * MAX_KNOWN_PIECES as u128 {
+        exchange.used(&chain([prompt * 2, prompt * 2 + 1]), START);
+        assert!(exchange.known() <= MAX_KNOWN_PIECES);
+        assert!(exchange.waiting() <= MAX_WAITING_RUNS);
+    }
+    assert!(exchange.known() >= MAX_KNOWN_PIECES / 2);
+}
+
+/// Guards against imports that take longer than the computation.
+#[test]
+fn import_is_compared_with_computation() {
+    let speed = |value| TokensPerS::new(value).expect("valid speed");
+    assert!(import_is_cheaper(1_000_000, 1_000_000_000, speed(10_000.0)));
+    assert!(!import_is_cheaper(1_000_000, 1_000_000, speed(10_000.0)));
+    assert!(!import_is_cheaper(0, 1_000_000, speed(1_000_000.0)));
+}
