agent: use the fair gate, resume what was pre-empted

Cause: the agent and the local cluster ran the Fifo baseline. A pre-empted generation was offered under a new number, so the fair gate could refuse it as late or shed it, and its text was computed again from a longer prompt.

Before: a pre-empted caller could get an error, and a change of weights refused it. After: the request keeps its ticket, the engine's resume continues it from the next token, and only an engine that has forgotten it gets the longer prompt. A drain lets pre-empted work finish. The setting gate: fair|fifo chooses the policy, fair by default.

Ruled out: reporting the pre-empted run as finished, which makes the gate treat its return as a new request.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -40,6 +40,7 @@
 use crate::shared::Explained;
 use crate::shared::Shared;
 use crate::wait::failed;
+use crate::wait::ticket;
 use crate::wait::wait_for_slot;
 
 /// Longest body that is kept in the outcome record; longer ones go to the object store.
@@ -96,7 +97,8 @@
             service: self.request.service.to_string(),
             user: self.request.org.to_string(),
         };
-        let slot = wait_for_slot(&self.shared, &self.request, &self.live, self.deadline).await;
+        let ticket = ticket(&self.shared, &self.request, self.deadline);
+        let slot = wait_for_slot(&self.shared, &self.request, &self.live, &ticket, false).await;
         let slot = match slot {
             Ok(slot) => slot,
             Err(refused) => return self.end(&refused),
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -31,6 +31,7 @@
 use crate::shared::Explained;
 use crate::shared::Shared;
 use crate::wait::failed;
+use crate::wait::ticket;
 use crate::wait::wait_for_slot;
 
 /// Times that one generation is resumed after its connection broke.
@@ -70,11 +71,18 @@
     arrived: TimeMs,
     deadline: TimeMs,
     round: u32,
+    suspended: Option<Suspended>,
     text: String,
     tokens: u64,
     explained: Explained,
 }
 
+/// A generation that was cancelled on the engine in order to be resumed.
+struct Suspended {
+    engine_id: String,
+    next_index: u64,
+}
+
 /// State of one round on the engine.
 struct Round {
     engine_id: String,
@@ -85,6 +93,8 @@
     computed_tokens: u64,
     next_index: u64,
     resumes: u32,
+    /// Whether the engine still has to be asked to resume what it cancelled.
+    suspended: bool,
 }
 
 impl Generation {
@@ -113,6 +123,7 @@
             live,
             arrived,
             round: 0,
+            suspended: None,
             text: String::new(),
             tokens: 0,
             explained,
@@ -121,8 +132,11 @@
 
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
+        let mut ticket = ticket(&self.shared, &self.request, self.deadline);
         let end = loop {
-            let slot = wait_for_slot(&self.shared, &self.request, &self.live, self.deadline).await;
+            let resumed = self.round > 0;
+            let (shared, request) = (&self.shared, &self.request);
+            let slot = wait_for_slot(shared, request, &self.live, &ticket, resumed).await;
             let slot = match slot {
                 Ok(slot) => slot,
                 // After a pre-emption "not run" would be false.
@@ -136,9 +150,10 @@
                     slot.finish(finished);
                     break *frame;
                 }
-                (Outcome::Preempted, finished) => slot.finish(finished),
+                (Outcome::Preempted, _) => slot.vacate(),
             }
             self.round += 1;
+            ticket.max_tokens = Tokens(self.job.max_tokens.saturating_sub(self.tokens));
         };
         self.explained.result = match &end {
             Frame::End(_) => "complete".to_owned(),
@@ -159,25 +174,25 @@
         self.explained
             .queued_ms
             .get_or_insert(now.since(self.arrived));
+        let suspended = self.suspended.take();
         let mut round = Round {
-            engine_id: format!(
-                "{}.{}.{}",
-                self.request.request_id, self.request.attempt, self.round
-            ),
+            suspended: suspended.is_some(),
+            next_index: suspended.as_ref().map_or(0, |earlier| earlier.next_index),
+            engine_id: suspended.map_or_else(|| self.engine_id(), |earlier| earlier.engine_id),
             predicted,
             imported,
             opened: now,
             first_token: None,
             computed_tokens: 0,
-            next_index: 0,
             resumes: 0,
         };
+        let first_index = round.next_index;
         let outcome = self.relay(slot, &mut round).await;
         let now = self.shared.clock.now();
         let finished = Finished {
             id: 0,
             computed_tokens: Tokens(round.computed_tokens),
-            generated_tokens: Tokens(round.next_index),
+            generated_tokens: Tokens(round.next_index.saturating_sub(first_index)),
             prefill_ms: round
                 .first_token
                 .map_or(DurationMs::ZERO, |at| at.since(round.opened)),
@@ -195,7 +210,7 @@
         let mut stream: Option<EventStream> = None;
         loop {
             let signal = {
-                let event = next_event(&self.shared, &mut stream, || self.engine_request(round));
+                let event = self.next_event(&mut stream, round);
                 tokio::select! {
                     biased;
                     event = event => Signal::Event(event),
@@ -208,6 +223,10 @@
                 Signal::Event(event) => event,
                 Signal::Preempted => {
                     self.cancel(round).await;
+                    self.suspended = Some(Suspended {
+                        engine_id: round.engine_id.clone(),
+                        next_index: round.next_index,
+                    });
                     return Outcome::Preempted;
                 }
                 Signal::Abandoned => {
@@ -220,7 +239,17 @@
                 }
             };
             let result = match event {
-                Ok(event) => self.on_event(round, event).await,
+                Ok(event) => {
+                    round.suspended = false;
+                    self.on_event(round, event).await
+                }
+                // The engine has forgotten what it cancelled. The text so far continues the prompt.
+                Err(UpstreamError::Rejected { .. }) if round.suspended => {
+                    round.suspended = false;
+                    round.engine_id = self.engine_id();
+                    round.next_index = 0;
+                    continue;
+                }
                 // The engine may have accepted a request whose answer was lost.
                 Err(UpstreamError::Lost(cause)) => Err(Some(cause)),
                 Err(error) => return self.not_opened(&error),
@@ -237,6 +266,29 @@
         }
     }
 
+    fn engine_id(&self) -> String {
+        let request = &self.request;
+        format!("{}.{}.{}", request.request_id, request.attempt, self.round)
+    }
+
+    /// Opens the stream if there is none, and returns its next event.
+    async fn next_event(
+        &self,
+        stream: &mut Option<EventStream>,
+        round: &Round,
+    ) -> Result<GenerateEvent, UpstreamError> {
+        if let Some(stream) = stream {
+            return stream.next().await;
+        }
+        let engine = &self.shared.engine;
+        let opened = if round.suspended {
+            engine.resume(&resume_request(round)).await?
+        } else {
+            engine.generate(&self.engine_request(round)).await?
+        };
+        stream.insert(opened).next().await
+    }
+
     fn engine_request(&self, round: &Round) -> GenerateRequest {
         GenerateRequest {
             cache_salt: self.job.chain.root.to_string(),
@@ -343,10 +395,7 @@
             self.request.request_id,
             round.next_index
         );
-        let request = ResumeRequest {
-            from_index: round.next_index,
-            request_id: round.engine_id.clone(),
-        };
+        let request = resume_request(round);
         while round.resumes < MAX_RESUMES {
             let backoff_ms = RESUME_BACKOFF_MS << round.resumes;
             round.resumes += 1;
@@ -406,17 +455,9 @@
     }
 }
 
-/// Opens the stream if there is none, and returns its next event.
-async fn next_event(
-    shared: &Shared,
-    stream: &mut Option<EventStream>,
-    request: impl Fn() -> GenerateRequest,
-) -> Result<GenerateEvent, UpstreamError> {
-    match stream {
-        Some(stream) => stream.next().await,
-        None => {
-            let opened = shared.engine.generate(&request()).await?;
-            stream.insert(opened).next().await
-        }
+fn resume_request(round: &Round) -> ResumeRequest {
+    ResumeRequest {
+        from_index: round.next_index,
+        request_id: round.engine_id.clone(),
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod control;
 mod engine;
 mod feed;
+mod gate;
 mod generate;
 mod kv;
 mod live;
@@ -32,6 +33,8 @@
 
 pub use agent::Agent;
 pub use agent::StartError;
+pub use gate::gate_for;
+pub use gate::GateKind;
 pub use parts::ConfigPeer;
 pub use parts::FixedPeer;
 pub use parts::Parts;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use dw_admit::Fifo;
 use dw_admit::Gate;
 use dw_base::Clock;
 use dw_base::Incarnation;
@@ -22,6 +21,7 @@
 use tokio::signal::unix::SignalKind;
 
 use crate::agent::Agent;
+use crate::gate::gate_for;
 use crate::parts::Parts;
 use crate::peers::ListedPeers;
 use crate::settings::ProcessSettings;
@@ -109,10 +109,5 @@
     let declared = config
         .upstream(&settings.upstream)
         .ok_or_else(|| eyre!("upstream {} is not declared", settings.upstream))?;
-    Ok(Box::new(Fifo::new(
-        declared.max_batch,
-        settings.max_queued,
-        declared.prefill_tokens_per_s,
-        declared.decode_tokens_per_s,
-    )))
+    Ok(gate_for(settings, declared))
 }
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -28,9 +28,14 @@
     Refuse(RefusalReason, Option<DurationMs>),
 }
 
+struct Waiting {
+    verdict: oneshot::Sender<Verdict>,
+    resumed: bool,
+}
+
 struct State {
     gate: Box<dyn Gate>,
-    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    waiting: HashMap<u64, Waiting>,
     running: HashMap<u64, Arc<Notify>>,
 }
 
@@ -54,11 +59,13 @@
         }
     }
 
-    /// Offers a request; the receiver gets exactly one verdict.
-    pub(crate) fn offer(&self, ticket: Ticket) -> oneshot::Receiver<Verdict> {
-        let (sender, receiver) = oneshot::channel();
+    /// Offers a request, again if it was pre-empted; the receiver gets exactly one verdict.
+    pub(crate) fn offer(&self, ticket: Ticket, resumed: bool) -> oneshot::Receiver<Verdict> {
+        let (verdict, receiver) = oneshot::channel();
         let mut state = self.lock();
-        state.waiting.insert(ticket.id, sender);
+        state
+            .waiting
+            .insert(ticket.id, Waiting { verdict, resumed });
         let now = self.clock.now();
         let actions = state.gate.offer(ticket, now);
         self.carry_out(&mut state, actions);
@@ -78,14 +85,15 @@
         state.waiting.remove(&id).is_some()
     }
 
-    /// Refuses everything that waits.
+    /// Refuses everything that waits and has not run; a pre-empted request must be finished.
     pub(crate) fn refuse_waiting(&self, reason: RefusalReason) {
         let mut state = self.lock();
-        let ids: Vec<u64> = state.waiting.keys().copied().collect();
+        let not_run = state.waiting.iter().filter(|(_, waiting)| !waiting.resumed);
+        let ids: Vec<u64> = not_run.map(|(id, _)| *id).collect();
         for id in ids {
             state.gate.withdraw(id);
-            if let Some(sender) = state.waiting.remove(&id) {
-                let _ = sender.send(Verdict::Refuse(reason, None));
+            if let Some(waiting) = state.waiting.remove(&id) {
+                let _ = waiting.verdict.send(Verdict::Refuse(reason, None));
             }
         }
     }
@@ -120,8 +128,9 @@
                         Cause::QueueFull => RefusalReason::QueueFull,
                         Cause::DeadlineUnmeetable => RefusalReason::DeadlineUnmeetable,
                     };
-                    if let Some(sender) = state.waiting.remove(&id) {
-                        let _ = sender.send(Verdict::Refuse(reason, Some(retry_after_ms)));
+                    if let Some(waiting) = state.waiting.remove(&id) {
+                        let refused = Verdict::Refuse(reason, Some(retry_after_ms));
+                        let _ = waiting.verdict.send(refused);
                     }
                 }
                 Action::Preempt { id } => {
@@ -143,7 +152,7 @@
             queue: Some(self.clone()),
         };
         let unclaimed = match state.waiting.remove(&ticket.id) {
-            Some(sender) => sender.send(Verdict::Start(slot)).err(),
+            Some(waiting) => waiting.verdict.send(Verdict::Start(slot)).err(),
             None => Some(Verdict::Start(slot)),
         };
         // The caller has left. The slot must not lock the queue again when it is dropped.
@@ -197,6 +206,14 @@
         self.preempted.notified().await;
     }
 
+    /// Gives the slot back after a pre-emption; the request must be offered again.
+    pub(crate) fn vacate(mut self) {
+        if let Some(queue) = self.queue.take() {
+            // The gate has counted the slot as free since it pre-empted the request.
+            queue.lock().running.remove(&self.id);
+        }
+    }
+
     /// Gives the slot back with the figures of the run.
     pub(crate) fn finish(mut self, finished: Finished) {
         if let Some(queue) = self.queue.take() {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -11,6 +11,8 @@
 use dw_settings::SettingsError;
 use serde::Deserialize;
 
+use crate::gate::GateKind;
+
 /// Fewest bytes of an answer that are kept; one frame with its length must fit.
 const MIN_RESUME_BYTES: usize = 4_096;
 
@@ -33,6 +35,9 @@
     /// Control addresses of routers, used when the VM list is down.
     #[serde(default)]
     pub peers: Vec<Addr>,
+    /// Admission policy.
+    #[serde(default)]
+    pub gate: GateKind,
     /// Most requests that wait.
     #[serde(default = "default_max_queued")]
     pub max_queued: usize,
--- a/crates/agent/src/wait.rs
+++ b/crates/agent/src/wait.rs
@@ -37,17 +37,19 @@
     shared: &Shared,
     request: &RunRequest,
     live: &Live,
-    deadline: TimeMs,
+    ticket: &Ticket,
+    resumed: bool,
 ) -> Result<Slot, Box<Frame>> {
-    let ticket = ticket(shared, request, deadline);
     let id = ticket.id;
-    let mut verdict = shared.queue.offer(ticket);
-    let too_late = tokio::time::sleep(Duration::from(deadline.since(shared.clock.now())));
+    let mut verdict = shared.queue.offer(ticket.clone(), resumed);
+    let left_ms = ticket.deadline.since(shared.clock.now());
+    let too_late = tokio::time::sleep(Duration::from(left_ms));
     let interrupted = tokio::select! {
         biased;
-        verdict = &mut verdict => return decide(shared, request, verdict.ok()),
+        verdict = &mut verdict => return decide(shared, request, verdict.ok(), resumed),
         () = live.abandoned() => RefusalReason::QueueFull,
-        () = too_late => RefusalReason::DeadlineUnmeetable,
+        // The deadline is that of the first token.
+        () = too_late, if !live.started() => RefusalReason::DeadlineUnmeetable,
     };
     if !shared.queue.withdraw(id) {
         // The verdict was given in the meantime; a slot in it is returned by its drop.
@@ -64,6 +66,7 @@
     shared: &Shared,
     request: &RunRequest,
     verdict: Option<Verdict>,
+    resumed: bool,
 ) -> Result<Slot, Box<Frame>> {
     let refuse = |reason, retry_after_ms| {
         let chain = chain_of(request);
@@ -72,6 +75,8 @@
     };
     match verdict {
         Some(Verdict::Start(slot)) => match ready(shared, request) {
+            // Work that has begun is finished before an order changes the upstream.
+            Err(_) if resumed => Ok(slot),
             Ok(()) => Ok(slot),
             Err((reason, retry_after_ms)) => refuse(reason, retry_after_ms),
         },
@@ -80,7 +85,8 @@
     }
 }
 
-fn ticket(shared: &Shared, request: &RunRequest, deadline: TimeMs) -> Ticket {
+/// Creates the ticket of a request that has arrived.
+pub(crate) fn ticket(shared: &Shared, request: &RunRequest, deadline: TimeMs) -> Ticket {
     let config = shared.config();
     let (uncached_tokens, max_tokens) = match &request.work {
         Work::Generate {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -12,9 +12,11 @@
 use std::sync::MutexGuard;
 
 use bytes::Bytes;
-use dw_admit::Fifo;
+use dw_admit::Fair;
+use dw_admit::FairSettings;
 use dw_agent::Agent;
 use dw_agent::FixedPeer;
+use dw_agent::GateKind;
 use dw_agent::Parts;
 use dw_agent::Settings;
 use dw_base::BlockHash;
@@ -84,6 +86,8 @@
     /// Prompt and length of each generation.
     pub(crate) generations: HashMap<String, (String, u64)>,
     pub(crate) cancelled: Vec<String>,
+    /// Whether a cancelled generation cannot be resumed.
+    pub(crate) forgets_cancelled: bool,
     pub(crate) resumed: Vec<u64>,
     pub(crate) orders: Vec<Value>,
     pub(crate) imported: Vec<String>,
@@ -170,7 +174,12 @@
             "/v1/generate" => self.generate(&id, &body),
             "/v1/resume" => self.resume(&id, body["from_index"].as_u64().unwrap_or(0)),
             "/v1/cancel" => {
-                self.set(|fake| fake.cancelled.push(id));
+                self.set(|fake| {
+                    if fake.forgets_cancelled {
+                        fake.generations.remove(&id);
+                    }
+                    fake.cancelled.push(id);
+                });
                 json_answer(200, &json!({"cancelled": true, "tokens": 0}))
             }
             "/v1/cache" => {
@@ -407,6 +416,19 @@
     })
 }
 
+/// The gate of the product with a batch of some size and a queue of 8.
+pub(crate) fn fair(max_running: u32) -> Box<dyn dw_admit::Gate> {
+    let speed = |value| TokensPerS::new(value).expect("valid speed");
+    let settings = FairSettings::builder()
+        .max_running(max_running)
+        .max_queued(8)
+        .prefill_tokens_per_s(speed(10_000.0))
+        .decode_tokens_per_s(speed(50.0))
+        .preempts(true)
+        .build();
+    Box::new(Fair::new(settings))
+}
+
 /// What an agent in a test is connected to.
 pub(crate) struct Setup {
     pub(crate) upstream: Upstream,
@@ -437,9 +459,7 @@
     }
 
     pub(crate) async fn unready_agent(&self, name: &str) -> Agent {
-        let speed = |value| TokensPerS::new(value).expect("valid speed");
-        let gate = Fifo::new(2, 8, speed(10_000.0), speed(50.0));
-        self.agent_with(name, Box::new(gate)).await
+        self.agent_with(name, fair(2)).await
     }
 
     pub(crate) async fn agent_with(&self, name: &str, gate: Box<dyn dw_admit::Gate>) -> Agent {
@@ -452,6 +472,7 @@
             data_addr: Addr(any),
             control_addr: Addr(any),
             peers: Vec::new(),
+            gate: GateKind::Fair,
             max_queued: 8,
             resume_bytes: 1 << 16,
             import_bytes_per_s: 1 << 30,
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dw_admit::Fifo;
 use dw_agent::Agent;
 use dw_agent::FixedPeer;
 use dw_api::vms::Vm;
@@ -133,12 +132,7 @@
         addr = upstream_addr(upstream, fleet)?,
     );
     let settings = dw_agent::Settings::parse("agent", &settings)?;
-    let gate = Fifo::new(
-        upstream.max_batch,
-        settings.max_queued,
-        upstream.prefill_tokens_per_s,
-        upstream.decode_tokens_per_s,
-    );
+    let gate = dw_agent::gate_for(&settings, upstream);
     let parts = dw_agent::Parts::builder()
         .settings(settings)
         .config(Arc::new(FixedConfig::new(config.clone())))
@@ -149,7 +143,7 @@
         .objects(Arc::new(HttpObjects::new(endpoint(
             fleet.objects.running.addr(),
         ))))
-        .gate(Box::new(gate))
+        .gate(gate)
         .build();
     Ok(Agent::start(parts).await?)
 }
