agent: test a pre-empted stream with the stand-in engine

Cause: pre-emption was tested with a fake whose text does not depend on the request, so a wrong continuation would not show. Before: no end-to-end test. After: the text equals that of an uninterrupted run.

--- a/crates/agent/tests/preempt.rs
+++ b/crates/agent/tests/preempt.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::config;
 use common::fair;
 use common::generate_request;
@@ -10,6 +12,13 @@
 use common::Setup;
 use dw_agent::Agent;
 use dw_base::Priority;
+use dw_standin::answer_text;
+use dw_standin::ephemeral;
+use dw_standin::start_engine;
+use dw_standin::Engine;
+use dw_standin::EngineFaults;
+use dw_standin::EngineSettings;
+use dw_standin::LoadGate;
 use dw_wire::Frame;
 
 async fn agent_with_batch_of_one(setup: &Setup) -> Agent {
@@ -88,3 +97,48 @@
     assert!(matches!(fast.all().await.last(), Some(Frame::End(_))));
     setup.upstream.until(|fake| fake.weights == 2).await;
 }
+
+/// Guards against an urgent request that waits for a long stream, and against a pre-empted caller
+/// whose text differs from that of an uninterrupted run, with the stand-in of an engine.
+#[tokio::test]
+async fn preempted_text_is_complete() {
+    const TOKENS: u64 = 50;
+    let settings = EngineSettings::builder()
+        .model("m")
+        .decode_ms_per_token(1.0)
+        .max_batch(1)
+        .build();
+    let engine = Arc::new(Engine::new(settings, Arc::new(LoadGate::new(2))));
+    // The stream lasts several seconds, so that it is paused before it ends.
+    let faults = |slow_factor, paused| EngineFaults {
+        slow_factor,
+        paused,
+        ..EngineFaults::default()
+    };
+    engine.set_faults(faults(100.0, false));
+    let running = start_engine(ephemeral(), Arc::clone(&engine))
+        .await
+        .expect("starts");
+    let mut setup = Setup::new().await;
+    setup.upstream.addr = running.addr();
+    let agent = agent_with_batch_of_one(&setup).await;
+    let mut slow = run(&agent, &generate_request("slow", "hello", TOKENS)).await;
+    let mut frames = vec![
+        slow.next().await.expect("start"),
+        slow.next().await.expect("chunk"),
+    ];
+    engine.set_faults(faults(1.0, true));
+    let mut urgent = generate_request("fast", "hello", 2);
+    urgent.priority = Priority::Urgent;
+    let fast = run(&agent, &urgent).await;
+    while agent.status().queued == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(agent.status().running, 1);
+    engine.set_faults(EngineFaults::default());
+    let fast = fast.all().await;
+    assert_eq!(text_of(&fast, 0), answer_text("fast.1.0", 2));
+    frames.extend(slow.all().await);
+    assert_eq!(text_of(&frames, 0), answer_text("slow.1.0", TOKENS));
+    assert!(matches!(frames.last(), Some(Frame::End(end)) if end.chunks == TOKENS));
+}
