stream, agent: bound the memory of all kept answers

Cause: each answer was bounded (1 MB), all together were not: 4,096 answers could hold 4 GB, against 256 MB a node. Before: no common bound. After: 64 MB by default (resume_total_bytes); the oldest finished answers are dropped first, and a running answer drops its oldest chunks only when no finished one is left. Whoever follows a dropped answer gets an explicit failure. Ruled out: one buffer size divided by the number of calls, which shrinks running answers for the sake of finished ones. Conclusion: tests count the kept bytes and the records for explain.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -26,6 +26,7 @@
 use crate::engine::Engine;
 use crate::feed::Feed;
 use crate::kv;
+use crate::memory::Memory;
 use crate::orders::Orders;
 use crate::parts::Parts;
 use crate::queue::Queue;
@@ -149,6 +150,7 @@
 }
 
 fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
+    let resume_total_bytes = parts.settings.resume_total_bytes;
     let url = format!("http://{}", parts.settings.upstream_addr);
     let clock = parts.clock;
     let started = clock.now();
@@ -171,6 +173,7 @@
         killed: CancellationToken::new(),
         upstream: Mutex::new(UpstreamView::default()),
         calls: Mutex::new(HashMap::new()),
+        memory: Arc::new(Memory::new(resume_total_bytes)),
         explained: Mutex::new(VecDeque::new()),
         leaving: AtomicBool::new(false),
         next_ticket: AtomicU64::new(1),
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -106,6 +106,9 @@
         "cached_blocks": cached_blocks,
         "cache_synchronised": synchronised,
         "kept_answers": lock(&shared.calls).len(),
+        "kept_answer_bytes": shared.memory.total_bytes(),
+        "explained_requests": lock(&shared.explained).len(),
+        "known_pieces": lock(&shared.exchange).known(),
         "weight_lease": view.lease.map(|lease| lease.slot),
     })
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,6 +19,7 @@
 mod generate;
 mod kv;
 mod live;
+mod memory;
 mod orders;
 mod parts;
 mod peers;
--- a/crates/agent/src/live.rs
+++ b/crates/agent/src/live.rs
@@ -1,5 +1,6 @@
 //! A call with the frames of its answer, from which any connection can be served.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use dw_wire::Frame;
 use tokio::sync::watch;
 
+use crate::memory::Memory;
+
 /// Time for which a call without a connection waits for the router to resume it. A router that
 /// lost the connection resumes within one round trip; one that has left does not.
 const ABANDONED_AFTER: Duration = Duration::from_secs(2);
@@ -20,11 +23,22 @@
     start: Option<Bytes>,
     chunks: ResumeBuffer<Bytes>,
     end: Option<Bytes>,
+    discarded: bool,
+}
+
+impl Frames {
+    fn size_bytes(&self) -> usize {
+        let ends = [&self.start, &self.end];
+        let ends = ends.into_iter().flatten().map(Bytes::len);
+        self.chunks.size_bytes() + ends.sum::<usize>()
+    }
 }
 
 /// Answer of one attempt.
 #[derive(Debug)]
 pub(crate) struct Live {
+    number: u64,
+    memory: Arc<Memory>,
     frames: Mutex<Frames>,
     changed: watch::Sender<u64>,
     attached: watch::Sender<usize>,
@@ -59,16 +73,20 @@
 }
 
 impl Live {
-    pub(crate) fn new(limit_bytes: usize) -> Self {
-        Live {
+    /// Creates an answer of which at most `limit_bytes` of chunks are kept.
+    pub(crate) fn new(limit_bytes: usize, memory: &Arc<Memory>) -> Arc<Self> {
+        Arc::new_cyclic(|answer| Live {
+            number: memory.open(answer.clone()),
+            memory: Arc::clone(memory),
             frames: Mutex::new(Frames {
                 start: None,
                 chunks: ResumeBuffer::new(limit_bytes),
                 end: None,
+                discarded: false,
             }),
             changed: watch::Sender::new(0),
             attached: watch::Sender::new(0),
-        }
+        })
     }
 
     /// Adds the first frame of a stream.
@@ -103,11 +121,25 @@
         if frames.end.is_none() {
             frames.end = encode_frame(frame).ok();
             frames.chunks.finish(now);
+            self.memory.finish(self.number);
         }
         drop(frames);
         self.notify();
     }
 
+    /// Drops all frames; whoever follows the answer is told so.
+    pub(crate) fn discard(&self) {
+        let mut frames = self.lock();
+        let size_bytes = frames.size_bytes();
+        frames.chunks.trim(size_bytes);
+        frames.start = None;
+        // The answer still counts as ended, so that nothing is added to it.
+        frames.end = Some(Bytes::new());
+        frames.discarded = true;
+        drop(frames);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Returns whether the answer has ended.
     pub(crate) fn ended(&self) -> bool {
         self.lock().end.is_some()
@@ -126,6 +158,9 @@
     /// Returns what to send at `cursor` and moves it.
     pub(crate) fn next(&self, cursor: &mut Cursor) -> Next {
         let frames = self.lock();
+        if frames.discarded {
+            return Next::Gone;
+        }
         if !cursor.start_sent {
             if let Some(start) = &frames.start {
                 cursor.start_sent = true;
@@ -170,7 +205,17 @@
         }
     }
 
+    /// Accounts for the new size and wakes the connections.
     fn notify(&self) {
+        let size_bytes = self.lock().size_bytes();
+        let overrun = self.memory.resize(self.number, size_bytes);
+        if overrun > 0 {
+            let mut frames = self.lock();
+            frames.chunks.trim(overrun);
+            let size_bytes = frames.size_bytes();
+            drop(frames);
+            self.memory.resize(self.number, size_bytes);
+        }
         self.changed.send_modify(|count| *count += 1);
     }
 
@@ -181,6 +226,12 @@
     }
 }
 
+impl Drop for Live {
+    fn drop(&mut self) {
+        self.memory.close(self.number);
+    }
+}
+
 /// Counts one connection.
 #[derive(Debug)]
 pub(crate) struct Attached<'a> {
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -137,7 +137,7 @@
         let chain = chain_of(&request);
         return single(&shared.refusal(&request.request_id, reason, retry_after_ms, chain));
     }
-    let live = Arc::new(Live::new(shared.settings.resume_bytes));
+    let live = Live::new(shared.settings.resume_bytes, &shared.memory);
     let mut calls = lock(&shared.calls);
     if calls.len() >= MAX_CALLS {
         drop(calls);
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -44,6 +44,9 @@
     /// Most bytes of one answer that are kept for resuming.
     #[serde(default = "default_resume_bytes")]
     pub resume_bytes: usize,
+    /// Most bytes of all answers together that are kept for resuming.
+    #[serde(default = "default_resume_total_bytes")]
+    pub resume_total_bytes: usize,
     /// Speed at which cache pieces are imported from the KV store.
     #[serde(default = "default_import_bytes_per_s")]
     pub import_bytes_per_s: u64,
@@ -88,6 +91,11 @@
     1 << 20
 }
 
+/// A quarter of the 256 MB that a node may use.
+fn default_resume_total_bytes() -> usize {
+    64 << 20
+}
+
 fn default_import_bytes_per_s() -> u64 {
     2_000_000_000
 }
@@ -121,6 +129,11 @@
             let remedy = format!("write at least {MIN_RESUME_BYTES}");
             return Err(Fault::new("resume_bytes", problem, remedy));
         }
+        if self.resume_total_bytes < self.resume_bytes {
+            let problem = format!("{} is less than resume_bytes", self.resume_total_bytes);
+            let remedy = format!("write at least {}", self.resume_bytes);
+            return Err(Fault::new("resume_total_bytes", problem, remedy));
+        }
         Ok(())
     }
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -37,6 +37,7 @@
 use crate::engine::Engine;
 use crate::feed::Feed;
 use crate::live::Live;
+use crate::memory::Memory;
 use crate::parts::ConfigPeer;
 use crate::queue::Queue;
 use crate::settings::Settings;
@@ -90,6 +91,7 @@
     pub(crate) killed: CancellationToken,
     pub(crate) upstream: Mutex<UpstreamView>,
     pub(crate) calls: Mutex<HashMap<(RequestId, u32), Arc<Live>>>,
+    pub(crate) memory: Arc<Memory>,
     pub(crate) explained: Mutex<VecDeque<Explained>>,
     pub(crate) leaving: AtomicBool,
     pub(crate) next_ticket: AtomicU64,
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -475,6 +475,7 @@
             gate: GateKind::Fair,
             max_queued: 8,
             resume_bytes: 1 << 16,
+            resume_total_bytes: 1 << 16,
             import_bytes_per_s: 1 << 30,
         };
         let parts = Parts::builder()
@@ -592,6 +593,15 @@
     .await
 }
 
+/// Returns the state that the agent reports on its control path.
+pub(crate) async fn node_state(agent: &Agent) -> Value {
+    let client = dw_wire::connect_control(agent.control_addr())
+        .await
+        .expect("connects");
+    let state = client.node_state(tarpc::context::current()).await;
+    serde_json::from_str(&state.expect("answers")).expect("JSON")
+}
+
 /// Returns the text of the chunks, after a check of their numbers.
 pub(crate) fn text_of(frames: &[Frame], first_seq: u64) -> String {
     let mut expected = first_seq;
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -7,13 +7,17 @@
 //! | [`ResumeBuffer::push`]: a chunk is sent | its number; the oldest chunks go if the buffer is full |
 //! | [`ResumeBuffer::finish`]: the call ended | starts the retention time |
 //! | [`ResumeBuffer::get`]: the receiver resumes | the chunk, or a typed error if it is not kept |
+//! | [`Retention::resize`], [`Retention::finish`]: an answer grows or ends | accounted |
+//! | [`Retention::excess`]: the memory of all answers is checked | the finished answers to drop, oldest first |
 
 mod resume;
+mod retention;
 mod sequence;
 
 pub use resume::NotKept;
 pub use resume::ResumeBuffer;
 pub use resume::RETENTION_MS;
+pub use retention::Retention;
 pub use sequence::Sequence;
 pub use sequence::SequenceError;
 pub use sequence::Verdict;
--- a/crates/stream/src/resume.rs
+++ b/crates/stream/src/resume.rs
@@ -46,14 +46,20 @@
         let seq = self.next_seq();
         self.chunks.push_back((chunk, size_bytes));
         self.size_bytes += size_bytes;
-        while self.size_bytes > self.limit_bytes {
+        self.trim(self.size_bytes.saturating_sub(self.limit_bytes));
+        seq
+    }
+
+    /// Drops the oldest chunks, at least `excess_bytes` of them if there are as many.
+    pub fn trim(&mut self, excess_bytes: usize) {
+        let target = self.size_bytes.saturating_sub(excess_bytes);
+        while self.size_bytes > target {
             let Some((_, dropped)) = self.chunks.pop_front() else {
                 break;
             };
             self.size_bytes -= dropped;
             self.first_seq += 1;
         }
-        seq
     }
 
     /// Returns the number of the next chunk.
