outcome, agent: delete outcome records after 24 hours

Cause: records were kept for ever. After: each transaction writes an index row of the upstream, which has the same table version as its records; after 24 h the agent deletes the records that still have that version, at most 10 transactions a second and only after a batch of its own. A successor of the agent finds the rows by their prefix. Bodies in the object store are not deleted, because the store has no delete call.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -160,7 +160,11 @@
         feed: Feed::spawn(Arc::clone(&clock)).map_err(StartError::Thread)?,
         engine: Engine::new(&url),
         plain: UpstreamClient::unpooled(&url),
-        writer: Writer::spawn(Arc::clone(&parts.table), Arc::clone(&clock)),
+        writer: Writer::spawn(
+            Arc::clone(&parts.table),
+            Arc::clone(&clock),
+            parts.settings.upstream.clone(),
+        ),
         settings: parts.settings,
         config: parts.config,
         peer: parts.peer,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -43,3 +43,4 @@
 pub use settings::Platform;
 pub use settings::ProcessSettings;
 pub use settings::Settings;
+pub use writer::Writer;
--- a/crates/outcome/src/lib.rs
+++ b/crates/outcome/src/lib.rs
@@ -13,11 +13,19 @@
 //! | [`Event::NotSent`] | refuse and write `not_run` |
 //! | [`Event::Lost`] | fail; the record stays `running` and is read as unknown after its time |
 //!
+//! [`Expiry`] decides which records are deleted after their retention time.
+//!
+//! | event | actions |
+//! | --- | --- |
+//! | [`Expiry::due`]: a batch was written | the oldest index rows are to be read, at most 10 times a second |
+//! | [`Expiry::looked`]: they were read | the expired ones, of which [`deletions`] are written |
+//!
 //! After a refusal a call never asks to send, so "not run" is true. Writes name the record version
 //! that they replace, so a write that takes effect late cannot undo a later one.
 
 mod batch;
 mod call;
+mod expiry;
 mod record;
 
 pub use batch::Batcher;
@@ -28,6 +36,14 @@
 pub use call::Event;
 pub use call::Holder;
 pub use call::Refusal;
+pub use expiry::deletions;
+pub use expiry::index_key;
+pub use expiry::index_prefix;
+pub use expiry::BatchIndex;
+pub use expiry::Expiry;
+pub use expiry::IndexRow;
+pub use expiry::MAX_ROWS;
+pub use expiry::RETENTION_MS;
 pub use record::table_key;
 pub use record::Body;
 pub use record::Record;
--- /dev/null
+++ b/crates/outcome/tests/expiry.rs
@@ -0,0 +1,84 @@
+//! Tests of the deletion of old records.
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+use dw_outcome::deletions;
+use dw_outcome::index_key;
+use dw_outcome::index_prefix;
+use dw_outcome::BatchIndex;
+use dw_outcome::Expiry;
+use dw_outcome::IndexRow;
+use dw_outcome::MAX_ROWS;
+use dw_outcome::RETENTION_MS;
+
+const NOW: TimeMs = TimeMs(1_000_000_000_000);
+
+fn row(age_ms: u64, version: u64, keys: usize) -> IndexRow {
+    IndexRow {
+        key: format!("index-{version}"),
+        version,
+        index: BatchIndex {
+            at: TimeMs(NOW.0 - age_ms),
+            keys: (0..keys).map(|key| format!("k{key}")).collect(),
+        },
+    }
+}
+
+/// Guards against records that are deleted before their time or kept after it.
+#[test]
+fn only_expired_batches_are_deleted() {
+    let old = RETENTION_MS.0 + 1;
+    let mut expiry = Expiry::default();
+    assert!(expiry.due(NOW));
+    assert!(!expiry.due(NOW), "deletions have a write budget");
+    let rows = vec![row(old, 1, 2), row(old, 2, 2), row(RETENTION_MS.0, 3, 2)];
+    let expired = expiry.looked(rows, NOW);
+    let versions: Vec<u64> = expired.iter().map(|row| row.version).collect();
+    assert_eq!(versions, [1, 2]);
+    let later = NOW + DurationMs(100);
+    assert!(expiry.due(later), "more may have expired");
+    assert!(expiry
+        .looked(vec![row(RETENTION_MS.0 - 500, 3, 2)], later)
+        .is_empty());
+    assert!(
+        !expiry.due(later + DurationMs(399)),
+        "nothing expires before"
+    );
+    assert!(expiry.due(later + DurationMs(400)));
+}
+
+/// Guards against transactions that are larger than those of the batches.
+#[test]
+fn deletions_are_bounded() {
+    let old = RETENTION_MS.0 + 1;
+    let rows = (0..40).map(|version| row(old, version, 4)).collect();
+    let expired = Expiry::default().looked(rows, NOW);
+    let deleted = deletions(&expired, |_| None).len();
+    assert_eq!(deleted, MAX_ROWS / 5);
+    let full = Expiry::default().looked(vec![row(old, 1, 25), row(old, 2, 1)], NOW);
+    assert_eq!(full.len(), 1);
+}
+
+/// Guards against the loss of a record that a later batch wrote again.
+#[test]
+fn records_written_again_are_kept() {
+    let expired = [row(RETENTION_MS.0 + 1, 7, 3)];
+    let versions = |key: &str| match key {
+        "k0" => Some(7),
+        "k1" => Some(9),
+        _ => None,
+    };
+    let deleted = deletions(&expired, versions);
+    assert_eq!(deleted, [("k0".to_owned(), 7), ("index-7".to_owned(), 7)]);
+}
+
+/// Guards against index rows that do not sort by time or match another upstream's prefix.
+#[test]
+fn index_keys_sort_by_time() {
+    let upstream = |name: &str| name.parse::<UpstreamId>().expect("valid id");
+    let key = |at| index_key(&upstream("p"), TimeMs(at), u64::MAX);
+    assert!(key(9) < key(10) && key(999) < key(100_000));
+    assert!(key(1).starts_with(&index_prefix(&upstream("p"))));
+    assert!(!index_prefix(&upstream("p/q")).starts_with(&index_prefix(&upstream("p"))));
+}
