--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -18,6 +18,7 @@
 use dw_base::RequestId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
+use dw_cache::Exchange;
 use dw_cache::RecentChains;
 use dw_config::Config;
 use dw_config::ConfigSource;
@@ -37,8 +38,8 @@
 use crate::client::UpstreamClient;
 use crate::engine::Engine;
 use crate::feed::Feed;
-use crate::kv::KnownPieces;
 use crate::live::Live;
+use crate::memory::Memory;
 use crate::parts::ConfigPeer;
 use crate::queue::Queue;
 use crate::settings::Settings;
@@ -87,11 +88,12 @@
     pub(crate) engine: Engine,
     pub(crate) plain: UpstreamClient,
     pub(crate) writer: Writer,
-    pub(crate) known: Mutex<KnownPieces>,
+    pub(crate) exchange: Mutex<Exchange>,
     pub(crate) tasks: TaskTracker,
     pub(crate) killed: CancellationToken,
     pub(crate) upstream: Mutex<UpstreamView>,
     pub(crate) calls: Mutex<HashMap<(RequestId, u32), Arc<Live>>>,
+    pub(crate) memory: Arc<Memory>,
     pub(crate) explained: Mutex<VecDeque<Explained>>,
     pub(crate) recent: Mutex<RecentChains>,
     pub(crate) leaving: AtomicBool,
