Test at-most-once calls with the real programs under failures

The engine stand-in keeps the ids of accepted generations, and the router logs its administration address, because a test cannot know either otherwise.

--- /dev/null
+++ b/crates/proof/src/caller.rs
@@ -0,0 +1,162 @@
+//! A caller of a router.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+/// One request of a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// JSON body.
+    pub body: Value,
+}
+
+impl Ask {
+    /// Creates a call of a plain service.
+    pub fn call(org: &str, service: &str, key: Option<&str>, body: Value) -> Self {
+        let ask = Ask {
+            path: format!("/v1/services/{service}/calls"),
+            headers: vec![("authorization", format!("Bearer {org}"))],
+            body,
+        };
+        match key {
+            Some(key) => ask.with("idempotency-key", key),
+            None => ask,
+        }
+    }
+
+    /// Creates a streamed completion.
+    pub fn stream(org: &str, service: &str, prompt: &str, max_tokens: u64) -> Self {
+        let body = serde_json::json!({
+            "model": "writer", "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        });
+        let ask = Ask {
+            path: "/v1/completions".to_owned(),
+            headers: vec![("authorization", format!("Bearer {org}"))],
+            body,
+        };
+        ask.with("x-service", service)
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// What a caller has received.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reply {
+    /// HTTP status; 0 if the connection failed before a status arrived.
+    pub status: u16,
+    /// Request id of the router.
+    pub request_id: String,
+    /// Body as far as it arrived.
+    pub body: String,
+    /// Whether the body ended as HTTP prescribes.
+    pub whole: bool,
+}
+
+impl Reply {
+    /// Returns the error object of a refusal or failure, also of one that ends a stream.
+    pub fn error(&self) -> Option<Value> {
+        let text = match self.body.split_once("event: error\ndata: ") {
+            Some((_, rest)) => rest.lines().next().unwrap_or_default(),
+            None if self.status != 200 => self.body.as_str(),
+            None => return None,
+        };
+        let value: Value = serde_json::from_str(text).ok()?;
+        value.get("error").cloned()
+    }
+
+    /// Returns the type of the error, or an empty text.
+    pub fn kind(&self) -> String {
+        let error = self.error();
+        let kind = error.as_ref().and_then(|error| error["type"].as_str());
+        kind.unwrap_or_default().to_owned()
+    }
+
+    /// Returns whether the answer says that the request was not run.
+    pub fn not_run(&self) -> bool {
+        self.error().is_some_and(|error| error["not_run"] == true)
+    }
+
+    /// Returns the JSON body.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the text of a stream as far as it arrived.
+    pub fn text(&self) -> String {
+        let data = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        data.filter_map(|data| serde_json::from_str::<Value>(data).ok())
+            .filter_map(|event| Some(event["choices"][0]["text"].as_str()?.to_owned()))
+            .collect()
+    }
+
+    /// Returns whether the stream ended as complete.
+    pub fn done(&self) -> bool {
+        self.body.ends_with("data: [DONE]\n\n")
+    }
+
+    /// Returns the prompt tokens that were taken from the cache.
+    pub fn cached_tokens(&self) -> u64 {
+        let events = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        events
+            .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+            .find_map(|event| event["usage"]["cached_tokens"].as_u64())
+            .unwrap_or_default()
+    }
+}
+
+/// Sends a request on a connection of its own and reads the answer to its end.
+pub async fn ask(router: SocketAddr, ask: &Ask) -> Reply {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut request = Request::post(format!("http://{router}{}", ask.path));
+    for (name, value) in &ask.headers {
+        request = request.header(*name, value);
+    }
+    let body = Full::new(Bytes::from(ask.body.to_string()));
+    let Ok(request) = request.body(body) else {
+        return Reply::default();
+    };
+    let Ok(response) = client.request(request).await else {
+        return Reply::default();
+    };
+    let id = response.headers().get("x-request-id");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let mut reply = Reply {
+        status: response.status().as_u16(),
+        request_id: id.to_owned(),
+        ..Reply::default()
+    };
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    reply.whole = loop {
+        match body.frame().await {
+            None => break true,
+            Some(Err(_)) => break false,
+            Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
+        }
+    };
+    reply.body = String::from_utf8_lossy(&bytes).into_owned();
+    reply
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -88,7 +88,8 @@
         background.spawn(hello::heartbeats(shared.clone()));
         background.spawn(poll_vms(shared.clone()));
         log::info!(
-            node:% = shared.settings.node, callers:% = callers_addr, control:% = control_addr;
+            node:% = shared.settings.node, callers:% = callers_addr, control:% = control_addr,
+            admin:% = admin_addr.map_or_else(|| "none".to_owned(), |addr| addr.to_string());
             "router started"
         );
         Ok(Router {
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -37,6 +37,8 @@
     pub(crate) cache: PrefixCache,
     pub(crate) events: EventLog,
     pub(crate) audit: Audit,
+    /// Request ids of all accepted generations of all incarnations.
+    pub(crate) accepted: Vec<String>,
     generations: BTreeMap<String, Generation>,
     arrivals: u64,
 }
@@ -55,6 +57,7 @@
             cache: PrefixCache::new(settings.cache_blocks, settings.cache_age_ms),
             events: EventLog::new(settings.seed),
             audit: Audit::default(),
+            accepted: Vec::new(),
             generations: BTreeMap::new(),
             arrivals: 0,
             settings,
@@ -71,6 +74,7 @@
         let mut fresh = Core::new(settings);
         fresh.faults = self.faults.clone();
         fresh.audit = std::mem::take(&mut self.audit);
+        fresh.accepted = std::mem::take(&mut self.accepted);
         *self = fresh;
     }
 
@@ -112,6 +116,7 @@
             request,
         };
         self.arrivals += 1;
+        self.accepted.push(generation.request.request_id.clone());
         self.generations
             .insert(generation.request.request_id.clone(), generation);
         reader
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -63,6 +63,11 @@
         self.core().audit.clone()
     }
 
+    /// Returns the request ids of all generations accepted so far; they outlast a crash.
+    pub fn accepted(&self) -> Vec<String> {
+        self.core().accepted.clone()
+    }
+
     /// Returns the incarnation.
     pub fn incarnation(&self) -> u64 {
         self.core().incarnation
