Name the request in every event of an engine's answer

Cause: the events of an engine carried no request id, so an agent could not tell the answer to another request from its own. With the answers of two connections exchanged, two callers got each other's complete text and [DONE] (dw-proof, crossed_answers_of_an_engine_are_detected). Ruled out: the router's check, which compares the id that the agent wrote; a response header, which does not cover events of one connection. Now start, token and end events carry the request id, and the agent resumes its own answer after a foreign event.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -45,14 +45,16 @@
         &self,
         request: &GenerateRequest,
     ) -> Result<EventStream, UpstreamError> {
-        self.stream("/v1/generate", to_json(request)?).await
+        let body = to_json(request)?;
+        self.stream("/v1/generate", body, &request.request_id).await
     }
 
     pub(crate) async fn resume(
         &self,
         request: &ResumeRequest,
     ) -> Result<EventStream, UpstreamError> {
-        self.stream("/v1/resume", to_json(request)?).await
+        let body = to_json(request)?;
+        self.stream("/v1/resume", body, &request.request_id).await
     }
 
     pub(crate) async fn cancel(&self, request_id: &str) -> Result<CancelResponse, UpstreamError> {
@@ -88,11 +90,17 @@
         self.client.post("/v1/orders", request).await
     }
 
-    async fn stream(&self, path: &str, body: Vec<u8>) -> Result<EventStream, UpstreamError> {
+    async fn stream(
+        &self,
+        path: &str,
+        body: Vec<u8>,
+        request_id: &str,
+    ) -> Result<EventStream, UpstreamError> {
         let response = self.client.open(Method::POST, path, body).await?;
         Ok(EventStream {
             body: response.into_body(),
             buffer: BytesMut::new(),
+            request_id: request_id.to_owned(),
         })
     }
 }
@@ -102,16 +110,19 @@
 pub(crate) struct EventStream {
     body: Incoming,
     buffer: BytesMut,
+    request_id: String,
 }
 
 impl EventStream {
-    /// Returns the next event; it is an error if the input ends without one.
+    /// Returns the next event; it is an error if the input ends without one or the event belongs to
+    /// the answer to another request.
     pub(crate) async fn next(&mut self) -> Result<GenerateEvent, UpstreamError> {
         loop {
             while let Some(line) = self.take_line() {
                 if let Some(data) = line.strip_prefix(b"data:") {
-                    return serde_json::from_slice(data)
-                        .map_err(|e| UpstreamError::Lost(e.to_string()));
+                    let event = serde_json::from_slice(data)
+                        .map_err(|e| UpstreamError::Lost(e.to_string()))?;
+                    return self.own(event);
                 }
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
@@ -129,6 +140,18 @@
         }
     }
 
+    fn own(&self, event: GenerateEvent) -> Result<GenerateEvent, UpstreamError> {
+        let (GenerateEvent::Start { request_id, .. }
+        | GenerateEvent::Token { request_id, .. }
+        | GenerateEvent::End { request_id, .. }) = &event;
+        if *request_id != self.request_id {
+            return Err(UpstreamError::Lost(format!(
+                "answer to request {request_id} arrived"
+            )));
+        }
+        Ok(event)
+    }
+
     fn take_line(&mut self) -> Option<BytesMut> {
         let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
         Some(self.buffer.split_to(end + 1))
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -265,6 +265,7 @@
                 incarnation,
                 prompt_tokens,
                 weights_version,
+                ..
             } => {
                 let weights = WeightsVersion(weights_version);
                 self.shared.observe(Incarnation(incarnation), weights);
@@ -293,6 +294,7 @@
             GenerateEvent::End {
                 finish_reason,
                 tokens,
+                ..
             } if tokens == round.next_index => Ok(Some(self.end(finish_reason))),
             GenerateEvent::End { tokens, .. } => Err(Some(format!(
                 "the engine counts {tokens} tokens, {} arrived",
--- /dev/null
+++ b/crates/proof/tests/streams.rs
@@ -0,0 +1,258 @@
+//! Guarantees 2 and 4: streams are complete and in order or end with an error event, and every
+//! caller gets its own answer.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dw_proof::ask;
+use dw_proof::check_once;
+use dw_proof::check_stream;
+use dw_proof::Ask;
+use dw_proof::Call;
+use dw_proof::Reply;
+use dw_proof::Site;
+use dw_proof::SiteSettings;
+use dw_standin::EngineFaults;
+use dw_standin::EngineSettings;
+use dw_standin::ServiceSettings;
+use futures::future::join_all;
+use serde_json::json;
+
+/// Tokens of a short answer.
+const TOKENS: u64 = 12;
+
+/// Connections that must break of the three at each of thirteen points. A loaded machine joins reads,
+/// so that an answer has fewer of them and the late points are not reached.
+const LEAST_CUTS: u32 = 12;
+
+/// Tokens of an answer during which a process is ended.
+const LONG: u64 = 60;
+
+/// Rounds after which a fault that no stream has met is a failure of the test.
+const MOST_ROUNDS: usize = 40;
+
+fn engine() -> EngineSettings {
+    EngineSettings::builder()
+        .prefill_tokens_per_s(200_000.0)
+        .decode_ms_per_token(4.0)
+        .max_batch(32)
+        .build()
+}
+
+async fn site(engines: usize) -> Site {
+    let settings = SiteSettings::builder()
+        .engines(vec![engine(); engines])
+        .plains(vec![ServiceSettings::default(); 1])
+        .build();
+    Site::start(settings).await.expect("started")
+}
+
+/// Sends streams with different prompts at the same time.
+async fn streams(site: &Site, count: usize, tokens: u64) -> Vec<Reply> {
+    let one = |index: usize| {
+        let request = Ask::stream("acme", "write", &format!("prompt {index}"), tokens);
+        let addr = site.callers(index);
+        async move { ask(addr, &request).await }
+    };
+    join_all((0..count).map(one)).await
+}
+
+fn check(replies: &[Reply], tokens: u64) {
+    let faults: Vec<_> = replies
+        .iter()
+        .flat_map(|reply| check_stream(reply, tokens))
+        .collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+    let ids: BTreeSet<_> = replies.iter().map(|reply| &reply.request_id).collect();
+    assert_eq!(ids.len(), replies.len(), "two requests have one id");
+}
+
+fn all_done(replies: &[Reply]) {
+    let cut = replies.iter().find(|reply| !reply.done());
+    assert!(cut.is_none(), "not complete: {cut:?}");
+}
+
+/// Guards against loss, repetition or exchange of tokens when the engine's connection breaks at any
+/// point of the answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn engine_connections_break_at_each_read() {
+    let site = site(1).await;
+    let proxy = &site.to_upstream["e0"];
+    for reads in 0..=TOKENS as u32 {
+        proxy.cut_after([reads; 3]);
+        let replies = streams(&site, 6, TOKENS).await;
+        check(&replies, TOKENS);
+        all_done(&replies);
+    }
+    assert!(
+        proxy.cuts() >= LEAST_CUTS,
+        "{} connections broke",
+        proxy.cuts()
+    );
+}
+
+/// Guards against the same when the connection between router and agent breaks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn agent_connections_break_at_each_read() {
+    let site = site(1).await;
+    let proxy = &site.to_agent["e0"];
+    for reads in 0..=TOKENS as u32 {
+        proxy.cut_after([reads; 3]);
+        let replies = streams(&site, 6, TOKENS).await;
+        check(&replies, TOKENS);
+        // Without a first frame the router cannot know whether the agent has the request.
+        let done = replies.iter().filter(|reply| reply.done()).count();
+        assert!(
+            done >= 3,
+            "streams whose connection did not break: {replies:?}"
+        );
+    }
+    assert!(
+        proxy.cuts() >= LEAST_CUTS,
+        "{} connections broke",
+        proxy.cuts()
+    );
+}
+
+/// Guards against the same when both connections of a stream break, at the same and at different
+/// points.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn both_connections_break() {
+    let site = site(2).await;
+    for (engine, agent) in [(2, 5), (5, 2), (4, 4), (9, 1), (1, 9)] {
+        for upstream in ["e0", "e1"] {
+            site.to_upstream[upstream].cut_after([engine; 4]);
+            site.to_agent[upstream].cut_after([agent; 4]);
+        }
+        check(&streams(&site, 8, TOKENS).await, TOKENS);
+    }
+    let cuts = |proxies: &std::collections::BTreeMap<String, dw_proof::Proxy>| {
+        proxies.values().map(dw_proof::Proxy::cuts).sum::<u32>()
+    };
+    assert!(cuts(&site.to_upstream) > 0 && cuts(&site.to_agent) > 0);
+}
+
+/// Guards against a clean end of a stream whose engine has crashed, alone and together with a broken
+/// connection to the router.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn engine_crash_ends_streams_with_an_error() {
+    let site = site(2).await;
+    let mut errors = 0;
+    for round in 0..MOST_ROUNDS {
+        let crash = async {
+            // The point of the crash moves through the answer from round to round.
+            tokio::time::sleep(Duration::from_millis(40 + 20 * (round as u64 % 10))).await;
+            let (crashed, other) = [("e0", "e1"), ("e1", "e0")][round % 2];
+            site.fleet.engines[crashed].state.set_faults(EngineFaults {
+                crash: true,
+                ..EngineFaults::default()
+            });
+            if round % 4 > 1 {
+                site.to_agent[other].cut();
+            }
+        };
+        let (replies, ()) = tokio::join!(streams(&site, 8, LONG), crash);
+        check(&replies, LONG);
+        errors += replies
+            .iter()
+            .filter(|reply| reply.status == 200 && !reply.done())
+            .count();
+        if errors >= 8 && round >= 3 {
+            return;
+        }
+    }
+    panic!("no stream met a crash");
+}
+
+/// Guards against a clean end of a stream whose agent was killed, alone and together with a crash of
+/// the other engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn agent_kill_ends_streams_with_an_error() {
+    let mut site = site(2).await;
+    let mut errors = 0;
+    for round in 0..MOST_ROUNDS {
+        let kill = async {
+            tokio::time::sleep(Duration::from_millis(60 + 20 * (round as u64 % 8))).await;
+            site.agents["e0"].process.kill();
+            if round % 2 == 1 {
+                site.fleet.engines["e1"].state.set_faults(EngineFaults {
+                    crash: true,
+                    ..EngineFaults::default()
+                });
+            }
+        };
+        let (replies, ()) = tokio::join!(streams(&site, 8, LONG), kill);
+        check(&replies, LONG);
+        errors += replies
+            .iter()
+            .filter(|reply| reply.status == 200 && !reply.done())
+            .count();
+        if errors >= 4 && round >= 3 {
+            return;
+        }
+        site.restart_agent("e0").await.expect("restarted");
+        site.wait_accepting("e0").await.expect("accepting");
+    }
+    panic!("no stream met a kill");
+}
+
+/// Guards against an answer that reaches the caller of another request when the answers of the
+/// engine are exchanged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crossed_answers_of_an_engine_are_detected() {
+    let site = site(1).await;
+    let proxy = &site.to_upstream["e0"];
+    for crossings in 1..=5 {
+        proxy.cross();
+        check(&streams(&site, 4, TOKENS).await, TOKENS);
+        assert_eq!(proxy.crossings(), crossings);
+        // Exchanged connections stay exchanged.
+        proxy.cut();
+    }
+}
+
+/// Guards against the same when the answers of an agent are exchanged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crossed_answers_of_an_agent_are_detected() {
+    let site = site(1).await;
+    let proxy = &site.to_agent["e0"];
+    for crossings in 1..=5 {
+        proxy.cross();
+        check(&streams(&site, 4, TOKENS).await, TOKENS);
+        assert_eq!(proxy.crossings(), crossings);
+        proxy.cut();
+    }
+}
+
+/// Guards against the same when the answers of a plain service or of its agent are exchanged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crossed_answers_of_a_service_are_detected() {
+    let site = site(1).await;
+    let mut calls = Vec::new();
+    for round in 0..10 {
+        let proxies = [&site.to_upstream["p0"], &site.to_agent["p0"]];
+        let proxy = proxies[round % 2];
+        proxy.cross();
+        let one = |index: usize| {
+            let key = format!("{round}-{index}");
+            let body = json!({ "round": round, "index": index });
+            let request = Ask::call("acme", "booking", Some(&key), body.clone());
+            let addr = site.callers(index);
+            async move {
+                Call {
+                    org: "acme".to_owned(),
+                    service: "booking".to_owned(),
+                    key,
+                    body,
+                    reply: ask(addr, &request).await,
+                }
+            }
+        };
+        calls.extend(join_all((0..4).map(one)).await);
+        proxy.cut();
+    }
+    let faults = check_once(&calls, &site.executions());
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+    let crossed = site.to_upstream["p0"].crossings() + site.to_agent["p0"].crossings();
+    assert_eq!(crossed, 10);
+}
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -103,6 +103,7 @@
         if let (Some(started), false) = (progress.started, self.start_sent) {
             self.start_sent = true;
             self.ready.push_back(GenerateEvent::Start {
+                request_id: self.stream.request_id.clone(),
                 cached_tokens: started.cached_tokens,
                 incarnation: started.incarnation,
                 prompt_tokens: started.prompt_tokens,
@@ -111,6 +112,7 @@
         }
         while self.next < progress.tokens {
             self.ready.push_back(GenerateEvent::Token {
+                request_id: self.stream.request_id.clone(),
                 index: self.next,
                 text: token_text(&self.stream.request_id, self.next),
             });
@@ -119,6 +121,7 @@
         self.ended = progress.ended;
         if self.ended == Some(Ended::Finished) {
             self.ready.push_back(GenerateEvent::End {
+                request_id: self.stream.request_id.clone(),
                 finish_reason: "length".to_owned(),
                 tokens: progress.tokens,
             });
