--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -146,6 +146,14 @@
                 30_000,
                 generate("care-note", [3, 2, 2], 200, 150),
             ),
+            (
+                "intake",
+                0.05,
+                Normal,
+                3.0,
+                5_000,
+                generate("booking-app", [1, 1, 0], 100, 20),
+            ),
             (
                 "flag",
                 0.30,
@@ -156,7 +164,7 @@
             ),
             ("booking", 0.08, Normal, 10.0, 5_000, ONCE),
             ("fridge-move", 0.07, Normal, 10.0, 5_000, ONCE),
-            ("lookup", 0.20, Normal, 1.0, 2_000, REPEATABLE),
+            ("lookup", 0.15, Normal, 1.0, 2_000, REPEATABLE),
         ],
     }
 }
--- a/crates/local/src/example.rs
+++ b/crates/local/src/example.rs
@@ -68,6 +68,13 @@
         care("season summary", "summary", "Summary for tortoise 21."),
         care("second summary", "summary", "Summary for tortoise 22."),
         care("urgent flag", "flag", "Box 7 shows 9 degrees."),
+        generate(
+            "intake",
+            "intake",
+            "booking-app",
+            &guide,
+            "Arrival of tortoise 23.",
+        ),
         call("booking", "booking", Some("stay-88"), json!({"box": 8})),
         call(
             "fridge move",
--- a/crates/local/tests/local.rs
+++ b/crates/local/tests/local.rs
@@ -16,7 +16,7 @@
     let errors = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(0), "{text}{errors}");
     let rows: Vec<&str> = text.lines().filter(|line| line.contains(" 200 ")).collect();
-    assert_eq!(rows.len(), 14, "{text}");
+    assert_eq!(rows.len(), 15, "{text}");
     assert!(rows.iter().all(|row| !row.ends_with(" -")), "{text}");
 }
 
