Count recomputed tokens exactly; start clusters by settings

Cause: the report needs the prompt tokens that an engine computed although some live engine or the KV store held them, and experiments need clusters with a chosen number of routers, policy, gate, KV import and speedup. Ruled out: deriving recomputed tokens from samples, since callers do not see other engines' caches. Before: no count, one router with one policy. After: the engines of a fleet share the holders of each block and check it when the block's computation begins; Cluster::start_with takes ClusterSettings. dw-standin and dw-local tests pass.

--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -1,10 +1,12 @@
 //! One deployment: stand-ins, agents and a router.
 
+use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dw_admit::Fifo;
+use bon::Builder;
 use dw_agent::Agent;
 use dw_agent::FixedPeer;
 use dw_api::vms::Vm;
@@ -14,8 +16,6 @@
 use dw_config::Config;
 use dw_config::FixedConfig;
 use dw_config::Upstream;
-use dw_place::Nested;
-use dw_place::NestedSettings;
 use dw_router::Parts;
 use dw_router::Router;
 use dw_standin::Fleet;
@@ -25,8 +25,16 @@
 use dw_store::HttpTable;
 use dw_store::HttpVms;
 use dw_store::NodeBudget;
+use dw_store::Objects;
+use dw_telem::Metrics;
+use tokio::runtime::Handle;
 
+use crate::choice::GateName;
+use crate::choice::PolicyName;
 use crate::config::declare;
+use crate::config::ORGANISATION;
+use crate::config::TOKEN;
+use crate::no_objects::NoObjects;
 
 /// Pause between two looks at the agents.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -40,10 +48,50 @@
 /// Calls per second of one node, enough for every role.
 const CALLS_PER_S: f64 = 200.0;
 
+/// How a cluster is started.
+#[derive(Builder, Clone, Debug)]
+pub struct ClusterSettings {
+    /// Description of the stand-ins in YAML.
+    #[builder(into)]
+    pub description: String,
+    /// Routers.
+    #[builder(default = 1)]
+    pub routers: usize,
+    /// Placement policy.
+    #[builder(default)]
+    pub policy: PolicyName,
+    /// Admission gate of the agents.
+    #[builder(default)]
+    pub gate: GateName,
+    /// Whether agents exchange cache pieces with the KV store.
+    #[builder(default = true)]
+    pub kv_import: bool,
+    /// Factor by which engines, services and the limits of the platform are faster.
+    #[builder(default = 1.0)]
+    pub speedup: f64,
+    /// Names and tokens of the organisations.
+    #[builder(default = vec![(ORGANISATION.to_owned(), TOKEN.to_owned())])]
+    pub organisations: Vec<(String, String)>,
+    /// Worth of one answer by service, 1 for the others.
+    #[builder(default)]
+    pub worths: BTreeMap<String, f64>,
+    /// Seed of the placement policies.
+    #[builder(default = 1)]
+    pub seed: u64,
+    /// Runtime on which the routers run; the current one if absent.
+    pub router_runtime: Option<Handle>,
+    /// Runtime on which the agents run; the current one if absent.
+    pub agent_runtime: Option<Handle>,
+}
+
 /// One deployment in this process.
 pub struct Cluster {
     name: String,
-    router: Router,
+    settings: ClusterSettings,
+    config: Config,
+    data_centre: String,
+    routers: Vec<Router>,
+    metrics: Vec<Metrics>,
     agents: Vec<Agent>,
     fleet: RunningFleet,
 }
@@ -56,27 +104,89 @@
     /// Returns an error if the description is not valid, an address cannot be bound, or an agent
     /// does not become ready.
     pub async fn start(description: &str) -> eyre::Result<Cluster> {
-        let mut fleet = Fleet::from_yaml(description)?;
+        let settings = ClusterSettings::builder().description(description);
+        Cluster::start_with(settings.build()).await
+    }
+
+    /// Starts all stand-ins, one agent beside each upstream, and the routers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the description is not valid, an address cannot be bound, or an agent
+    /// does not become ready.
+    pub async fn start_with(settings: ClusterSettings) -> eyre::Result<Cluster> {
+        let mut fleet = Fleet::from_yaml(&settings.description)?;
         // A newcomer should not wait until the list shows the agents.
         fleet.vms.lag_ms = 0;
-        let config = declare(&fleet)?;
+        speed_up(&mut fleet, settings.speedup);
+        let config = declare(&declared(&fleet), &settings)?;
         let running = RunningFleet::start(&fleet).await?;
         let mut agents = Vec::new();
         let mut vms = Vec::new();
         for upstream in config.upstreams() {
-            let agent = start_agent(upstream, &config, &running).await?;
+            let parts = agent_parts(upstream, &config, &running, &settings)?;
+            let start = Agent::start(parts);
+            let agent = on_runtime(settings.agent_runtime.as_ref(), start).await??;
             vms.push(vm(upstream, &agent));
             agents.push(agent);
         }
         running.vms.state.set_vms(vms);
         wait_ready(&agents).await?;
-        let router = start_router(&fleet, config, &running).await?;
-        Ok(Cluster {
+        let first = fleet.engines.first();
+        let data_centre = first.map_or("local", |engine| engine.data_centre.as_str());
+        let mut cluster = Cluster {
+            data_centre: data_centre.to_owned(),
             name: fleet.deployment,
-            router,
+            settings,
+            config,
+            routers: Vec::new(),
+            metrics: Vec::new(),
             agents,
             fleet: running,
-        })
+        };
+        cluster.routers = cluster.start_routers().await?;
+        Ok(cluster)
+    }
+
+    async fn start_routers(&mut self) -> eyre::Result<Vec<Router>> {
+        let mut routers = Vec::new();
+        for number in 1..=self.settings.routers.max(1) {
+            let metrics = Metrics::new();
+            let parts = self.router_parts(number, metrics.clone())?;
+            let start = Router::start(parts);
+            let router = on_runtime(self.settings.router_runtime.as_ref(), start).await??;
+            self.metrics.push(metrics);
+            routers.push(router);
+        }
+        Ok(routers)
+    }
+
+    fn router_parts(&self, number: usize, metrics: Metrics) -> eyre::Result<Parts> {
+        let settings = format!(
+            "{{node: router-{number}, data_centre: {}, listen: '127.0.0.1:0', \
+             control: '127.0.0.1:0', admin: '127.0.0.1:0'}}",
+            self.data_centre
+        );
+        let vms = endpoint(self.fleet.vms.running.addr(), self.settings.speedup);
+        let routers = u32::try_from(self.settings.routers)?;
+        Ok(Parts::builder()
+            .settings(dw_settings::from_text("router", &settings)?)
+            .config(Arc::new(FixedConfig::new(self.config.clone())))
+            .vms(Arc::new(HttpVms::new(vms)))
+            .policy(self.settings.policy.create(routers))
+            .metrics(metrics)
+            .seed(self.settings.seed + number as u64)
+            .build())
+    }
+
+    /// Replaces all routers at once by new ones and returns the old ones, which still run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn replace_routers(&mut self) -> eyre::Result<Vec<Router>> {
+        let started = self.start_routers().await?;
+        Ok(std::mem::replace(&mut self.routers, started))
     }
 
     /// Returns the name of the deployment.
@@ -84,9 +194,24 @@
         &self.name
     }
 
-    /// Returns the router.
+    /// Returns the first router.
     pub fn router(&self) -> &Router {
-        &self.router
+        &self.routers[0]
+    }
+
+    /// Returns the addresses for callers.
+    pub fn callers_addrs(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(Router::callers_addr).collect()
+    }
+
+    /// Returns the agents.
+    pub fn agents(&self) -> &[Agent] {
+        &self.agents
+    }
+
+    /// Returns the metrics of every router so far, replaced ones included.
+    pub fn metrics(&self) -> &[Metrics] {
+        &self.metrics
     }
 
     /// Returns the stand-ins.
@@ -94,20 +219,58 @@
         &self.fleet
     }
 
-    /// Drains the router, then the agents.
+    /// Drains the routers, then the agents.
     pub async fn shutdown(self) {
-        self.router.shutdown().await;
+        for router in self.routers {
+            router.shutdown().await;
+        }
         for agent in self.agents {
             agent.shutdown().await;
         }
     }
 }
 
-fn endpoint(addr: SocketAddr) -> Endpoint {
+/// Runs a start on another runtime, so that all its tasks run there.
+async fn on_runtime<T: Send + 'static>(
+    runtime: Option<&Handle>,
+    start: impl Future<Output = T> + Send + 'static,
+) -> eyre::Result<T> {
+    match runtime {
+        Some(runtime) => Ok(runtime.spawn(start).await?),
+        None => Ok(start.await),
+    }
+}
+
+fn speed_up(fleet: &mut Fleet, speedup: f64) {
+    fleet.speedup *= speedup;
+    let limits = [
+        &mut fleet.table.limits,
+        &mut fleet.objects.limits,
+        &mut fleet.vms.limits,
+        &mut fleet.weights.limits,
+    ];
+    for limits in limits {
+        limits.reads_per_s *= speedup;
+        limits.writes_per_s *= speedup;
+    }
+}
+
+/// Returns the fleet with the speeds that its engines really have.
+fn declared(fleet: &Fleet) -> Fleet {
+    let mut fleet = fleet.clone();
+    for entry in &mut fleet.engines {
+        entry.engine.prefill_tokens_per_s *= fleet.speedup * entry.engine.speedup;
+        entry.engine.decode_ms_per_token /= fleet.speedup * entry.engine.speedup;
+    }
+    fleet
+}
+
+fn endpoint(addr: SocketAddr, speedup: f64) -> Endpoint {
+    let rate = CALLS_PER_S * speedup;
     Endpoint {
         addr,
         deadline: STORE_WAIT_MS,
-        budget: Arc::new(NodeBudget::new(CALLS_PER_S, CALLS_PER_S)),
+        budget: Arc::new(NodeBudget::new(rate, rate)),
     }
 }
 
@@ -120,11 +283,12 @@
         .ok_or_else(|| eyre::eyre!("upstream {name} has no stand-in"))
 }
 
-async fn start_agent(
+fn agent_parts(
     upstream: &Upstream,
     config: &Config,
     fleet: &RunningFleet,
-) -> eyre::Result<Agent> {
+    cluster: &ClusterSettings,
+) -> eyre::Result<dw_agent::Parts> {
     let settings = format!(
         "{{node: agent-{name}, data_centre: {dc}, upstream: {name}, upstream_addr: '{addr}', \
          data_addr: '127.0.0.1:0', control_addr: '127.0.0.1:0'}}",
@@ -132,26 +296,25 @@
         dc = upstream.data_centre,
         addr = upstream_addr(upstream, fleet)?,
     );
-    let settings = dw_agent::Settings::parse("agent", &settings)?;
-    let gate = Fifo::new(
-        upstream.max_batch,
-        settings.max_queued,
-        upstream.prefill_tokens_per_s,
-        upstream.decode_tokens_per_s,
-    );
-    let parts = dw_agent::Parts::builder()
+    let mut settings = dw_agent::Settings::parse("agent", &settings)?;
+    let import_bytes_per_s = settings.import_bytes_per_s as f64 * cluster.speedup;
+    settings.import_bytes_per_s = import_bytes_per_s as u64;
+    let gate = cluster.gate.create(upstream, settings.max_queued);
+    let objects: Arc<dyn Objects> = if cluster.kv_import {
+        let addr = fleet.objects.running.addr();
+        Arc::new(HttpObjects::new(endpoint(addr, cluster.speedup)))
+    } else {
+        Arc::new(NoObjects)
+    };
+    let table = endpoint(fleet.table.running.addr(), cluster.speedup);
+    Ok(dw_agent::Parts::builder()
         .settings(settings)
         .config(Arc::new(FixedConfig::new(config.clone())))
         .peer(Arc::new(FixedPeer(config.version)))
-        .table(Arc::new(HttpTable::new(endpoint(
-            fleet.table.running.addr(),
-        ))))
-        .objects(Arc::new(HttpObjects::new(endpoint(
-            fleet.objects.running.addr(),
-        ))))
-        .gate(Box::new(gate))
-        .build();
-    Ok(Agent::start(parts).await?)
+        .table(Arc::new(HttpTable::new(table)))
+        .objects(objects)
+        .gate(gate)
+        .build())
 }
 
 fn vm(upstream: &Upstream, agent: &Agent) -> Vm {
@@ -179,25 +342,3 @@
         eyre::eyre!("upstreams do not take work: {}", names.join(", "))
     })
 }
-
-async fn start_router(
-    fleet: &Fleet,
-    config: Config,
-    running: &RunningFleet,
-) -> eyre::Result<Router> {
-    let data_centre = fleet
-        .engines
-        .first()
-        .map_or("local", |engine| engine.data_centre.as_str());
-    let settings = format!(
-        "{{node: router-1, data_centre: {data_centre}, listen: '127.0.0.1:0', \
-         control: '127.0.0.1:0', admin: '127.0.0.1:0'}}"
-    );
-    let parts = Parts::builder()
-        .settings(dw_settings::from_text("router", &settings)?)
-        .config(Arc::new(FixedConfig::new(config)))
-        .vms(Arc::new(HttpVms::new(endpoint(running.vms.running.addr()))))
-        .policy(Box::new(Nested::new(NestedSettings::builder().build())))
-        .build();
-    Ok(Router::start(parts).await?)
-}
--- a/crates/local/src/config.rs
+++ b/crates/local/src/config.rs
@@ -26,11 +26,13 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::cluster::ClusterSettings;
+
 /// Token of the example organisation.
 pub const TOKEN: &str = "example-token";
 
 /// Name of the example organisation.
-const ORGANISATION: &str = "example";
+pub(crate) const ORGANISATION: &str = "example";
 
 /// Services whose calls move money, slots or animals.
 const AT_MOST_ONCE: [&str; 3] = ["booking", "deposit", "fridge-move"];
@@ -44,17 +46,21 @@
 /// Plain services have no tokens; the speeds only satisfy the declaration.
 const PLAIN_TOKENS_PER_S: f64 = 1_000.0;
 
-/// Declares everything that a fleet contains, and one organisation.
+/// Declares everything that a fleet contains, and the organisations of the settings.
 ///
 /// # Errors
 ///
 /// Returns an error if a name or number of the fleet is not valid.
-pub fn declare(fleet: &Fleet) -> eyre::Result<Config> {
-    let mut objects = vec![Object::Organisation(Organisation {
-        name: ORGANISATION.parse()?,
-        token_sha256: vec![hex::encode(Sha256::digest(TOKEN))],
-        share: 1.0,
-    })];
+pub(crate) fn declare(fleet: &Fleet, settings: &ClusterSettings) -> eyre::Result<Config> {
+    let mut objects = Vec::new();
+    for (name, token) in &settings.organisations {
+        objects.push(Object::Organisation(Organisation {
+            name: name.parse()?,
+            token_sha256: vec![hex::encode(Sha256::digest(token))],
+            share: 1.0,
+        }));
+    }
+    let service = |name: &str, kind| service(name, kind, settings);
     for engine in &fleet.engines {
         objects.push(Object::Model(Model {
             name: engine.engine.model.parse()?,
@@ -79,7 +85,8 @@
     Ok(Config { version, entries })
 }
 
-fn service(name: &str, kind: ServiceKind) -> eyre::Result<Service> {
+fn service(name: &str, kind: ServiceKind, settings: &ClusterSettings) -> eyre::Result<Service> {
+    let worth = settings.worths.get(name).copied().unwrap_or(1.0);
     let repeat = if AT_MOST_ONCE.contains(&name) {
         RepeatRule::AtMostOnce
     } else if IDEMPOTENT.contains(&name) {
@@ -97,7 +104,7 @@
         } else {
             Priority::Normal
         },
-        worth: Worth::new(1.0)?,
+        worth: Worth::new(worth)?,
         deadline_ms: DurationMs(30_000),
         max_prompt_tokens: Tokens(100_000),
     })
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,12 +1,17 @@
 //! Every role and stand-in in one process.
 
+mod choice;
 mod cluster;
 mod config;
 mod example;
+mod no_objects;
 mod report;
 
+pub use choice::GateName;
+pub use choice::PolicyName;
+pub use choice::UnknownName;
 pub use cluster::Cluster;
-pub use config::declare;
+pub use cluster::ClusterSettings;
 pub use config::TOKEN;
 pub use example::examples;
 pub use example::Example;
--- a/crates/standin/src/engine/audit.rs
+++ b/crates/standin/src/engine/audit.rs
@@ -38,6 +38,9 @@
     pub used_blocks: u64,
     /// Prompt tokens computed.
     pub computed_tokens: u64,
+    /// Computed tokens of whole blocks that a live engine of the deployment or the KV store held when
+    /// their computation began.
+    pub recomputed_tokens: u64,
     /// Prompt tokens taken from the cache.
     pub cached_tokens: u64,
     /// Uses that crossed organisations.
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use dw_base::BlockHash;
 
 use crate::engine::audit::Stamp;
+use crate::engine::holders::Holders;
 
 #[derive(Debug)]
 struct Block {
@@ -22,16 +24,18 @@
     blocks: HashMap<BlockHash, Block>,
     by_use: BTreeMap<u64, BlockHash>,
     next_use: u64,
+    holders: Arc<Holders>,
 }
 
 impl PrefixCache {
-    pub(crate) fn new(capacity_blocks: usize, max_age_ms: f64) -> Self {
+    pub(crate) fn new(capacity_blocks: usize, max_age_ms: f64, holders: Arc<Holders>) -> Self {
         PrefixCache {
             capacity_blocks,
             max_age_ms,
             blocks: HashMap::new(),
             by_use: BTreeMap::new(),
             next_use: 0,
+            holders,
         }
     }
 
@@ -86,12 +90,14 @@
         };
         self.next_use += 1;
         self.blocks.insert(hash, block);
+        self.holders.add(hash);
         (true, evicted)
     }
 
     fn evict_oldest(&mut self) -> Option<BlockHash> {
         let (_, hash) = self.by_use.pop_first()?;
         self.blocks.remove(&hash);
+        self.holders.remove(hash);
         Some(hash)
     }
 
@@ -111,10 +117,20 @@
     /// Evicts everything.
     pub(crate) fn clear(&mut self) -> Vec<BlockHash> {
         self.by_use.clear();
-        self.blocks.drain().map(|(hash, _)| hash).collect()
+        let evicted: Vec<BlockHash> = self.blocks.drain().map(|(hash, _)| hash).collect();
+        for hash in &evicted {
+            self.holders.remove(*hash);
+        }
+        evicted
     }
 
     pub(crate) fn hashes(&self) -> Vec<BlockHash> {
         self.by_use.values().copied().collect()
     }
 }
+
+impl Drop for PrefixCache {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -1,6 +1,7 @@
 //! The engine's batch as a state machine that advances in steps of one token.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use dw_api::engine::CacheEventKind;
 use dw_api::engine::EngineRole;
@@ -8,6 +9,7 @@
 use dw_api::engine::LoadReport;
 use dw_base::BlockHash;
 use dw_base::Chain;
+use dw_base::PIECE_TOKENS;
 use tokio::sync::watch;
 
 use crate::engine::audit::Audit;
@@ -19,6 +21,7 @@
 use crate::engine::generation::Phase;
 use crate::engine::generation::Progress;
 use crate::engine::generation::Started;
+use crate::engine::holders::Holders;
 use crate::engine::settings::EngineFaults;
 use crate::engine::settings::EngineSettings;
 
@@ -39,10 +42,11 @@
     pub(crate) audit: Audit,
     generations: BTreeMap<String, Generation>,
     arrivals: u64,
+    holders: Arc<Holders>,
 }
 
 impl Core {
-    pub(crate) fn new(settings: EngineSettings) -> Self {
+    pub(crate) fn new(settings: EngineSettings, holders: Arc<Holders>) -> Self {
         Core {
             faults: EngineFaults::default(),
             incarnation: settings.incarnation,
@@ -52,11 +56,16 @@
             loading: false,
             fence: 0,
             adapters: Vec::new(),
-            cache: PrefixCache::new(settings.cache_blocks, settings.cache_age_ms),
+            cache: PrefixCache::new(
+                settings.cache_blocks,
+                settings.cache_age_ms,
+                Arc::clone(&holders),
+            ),
             events: EventLog::new(settings.seed),
             audit: Audit::default(),
             generations: BTreeMap::new(),
             arrivals: 0,
+            holders,
             settings,
         }
     }
@@ -68,7 +77,7 @@
         }
         let mut settings = self.settings.clone();
         settings.incarnation = self.incarnation + 1;
-        let mut fresh = Core::new(settings);
+        let mut fresh = Core::new(settings, Arc::clone(&self.holders));
         fresh.faults = self.faults.clone();
         fresh.audit = std::mem::take(&mut self.audit);
         *self = fresh;
@@ -217,6 +226,15 @@
         };
         self.audit.cached_tokens += generation.cached_tokens;
         self.audit.computed_tokens += left;
+        let first = generation.chain.blocks.get(depth).copied();
+        self.count_recomputed(first);
+    }
+
+    /// Counts the tokens of a block whose computation begins although the block is held somewhere.
+    fn count_recomputed(&mut self, block: Option<BlockHash>) {
+        if block.is_some_and(|hash| self.holders.is_held(hash)) {
+            self.audit.recomputed_tokens += PIECE_TOKENS;
+        }
     }
 
     fn decode(&mut self, now_ms: f64) {
@@ -273,15 +291,26 @@
         let left_tokens = left_tokens - share;
         let done = generation.chain.prompt_tokens.0 as f64 - left_tokens;
         let mut complete = generation.stored_blocks;
+        let first_begun = complete + 1;
         while complete < generation.chain.blocks.len()
             && Chain::tokens_at(complete + 1).0 as f64 <= done + TOKEN_ROUNDING
         {
             complete += 1;
         }
         let new = generation.chain.blocks[generation.stored_blocks..complete].to_vec();
+        let begun = first_begun..=complete;
+        let begun: Vec<BlockHash> = begun
+            .filter_map(|index| generation.chain.blocks.get(index).copied())
+            .collect();
         generation.stored_blocks = complete;
         generation.phase = Phase::Prefill { left_tokens };
         let stamp = generation.stamp.clone();
+        for hash in begun {
+            self.count_recomputed(Some(hash));
+        }
+        let Some(generation) = self.generations.get_mut(request_id) else {
+            return;
+        };
         if left_tokens <= TOKEN_ROUNDING {
             generation.phase = Phase::Decode;
             let started = Started {
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -18,6 +18,7 @@
 
 use crate::engine::audit::Audit;
 use crate::engine::core::Core;
+use crate::engine::holders::Holders;
 use crate::engine::load_gate::LoadGate;
 use crate::engine::settings::EngineFaults;
 use crate::engine::settings::EngineSettings;
@@ -43,10 +44,15 @@
 }
 
 impl Engine {
-    /// Creates an idle engine; the engines of a deployment share `gate`.
+    /// Creates an idle engine that is the only one of its deployment.
     pub fn new(settings: EngineSettings, gate: Arc<LoadGate>) -> Self {
+        Self::in_fleet(settings, gate, Arc::default())
+    }
+
+    /// Creates an idle engine; the engines of a deployment share `gate` and `holders`.
+    pub fn in_fleet(settings: EngineSettings, gate: Arc<LoadGate>, holders: Arc<Holders>) -> Self {
         let speedup = settings.speedup;
-        let core = Core::new(settings);
+        let core = Core::new(settings, holders);
         Engine {
             speedup,
             samples: Mutex::new(VecDeque::from([core.load(0.0)])),
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -14,6 +14,7 @@
 use crate::engine::start_engine;
 use crate::engine::Engine;
 use crate::engine::EngineSettings;
+use crate::engine::Holders;
 use crate::engine::LoadGate;
 use crate::objects::start_objects;
 use crate::objects::MemoryObjects;
@@ -248,6 +249,7 @@
         let load_gate = Arc::new(LoadGate::new(fleet.weight_loads));
         let table = Arc::new(MemoryTable::new(fleet.table.limits));
         let objects = Arc::new(MemoryObjects::new(fleet.objects.limits));
+        let holders = Arc::new(Holders::with_store(Arc::clone(&objects)));
         let vms = Arc::new(MemoryVms::new(
             fleet.vms.limits,
             DurationMs(fleet.vms.lag_ms),
@@ -273,7 +275,7 @@
                 running: start_weights(weights_addr, Arc::clone(&weights_state)).await?,
                 state: weights_state,
             },
-            engines: engines(fleet, &load_gate).await?,
+            engines: engines(fleet, &load_gate, &holders).await?,
             services: services(fleet).await?,
             load_gate,
         })
@@ -304,12 +306,17 @@
 async fn engines(
     fleet: &Fleet,
     gate: &Arc<LoadGate>,
+    holders: &Arc<Holders>,
 ) -> io::Result<BTreeMap<String, Started<Engine>>> {
     let mut started = BTreeMap::new();
     for entry in &fleet.engines {
         let mut settings = entry.engine.clone();
         settings.speedup *= fleet.speedup;
-        let state = Arc::new(Engine::new(settings, Arc::clone(gate)));
+        let state = Arc::new(Engine::in_fleet(
+            settings,
+            Arc::clone(gate),
+            Arc::clone(holders),
+        ));
         let running = start_engine(address(entry.listen), Arc::clone(&state)).await?;
         started.insert(entry.name.clone(), Started { state, running });
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -35,7 +35,8 @@
 //!
 //! `GET /v1/counters` of the platform services, `GET /v1/executions` of the plain service and
 //! `GET /v1/audit` of the engine return what happened. The audit counts cached blocks that a request
-//! used although another organisation, other weights or another incarnation stored them.
+//! used although another organisation, other weights or another incarnation stored them, and the
+//! computed tokens of blocks that a live engine or the KV store held when the computation began.
 //!
 //! # Engine
 //!
@@ -64,6 +65,7 @@
 pub use engine::Engine;
 pub use engine::EngineFaults;
 pub use engine::EngineSettings;
+pub use engine::Holders;
 pub use engine::LoadGate;
 pub use engine::Loading;
 pub use engine::Stamp;
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -69,6 +69,11 @@
         self.objects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the store holds a key, without counting a call.
+    pub(crate) fn contains(&self, key: &str) -> bool {
+        self.objects().contains_key(key)
+    }
+
     async fn put(&self, key: &str, request: &Request<Bytes>) -> Reply {
         let conditional = request
             .headers()
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -10,6 +10,7 @@
 use dw_api::engine::KvBlocks;
 use dw_api::engine::LoadReport;
 use dw_base::BlockHash;
+use dw_base::Chain;
 use dw_base::PIECE_BYTES;
 use dw_standin::answer_text;
 use dw_standin::ephemeral;
@@ -18,9 +19,12 @@
 use dw_standin::Engine;
 use dw_standin::EngineFaults;
 use dw_standin::EngineSettings;
+use dw_standin::Holders;
 use dw_standin::LoadGate;
 use dw_standin::Loading;
+use dw_standin::MemoryObjects;
 use dw_standin::Running;
+use dw_store::Objects;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -47,7 +51,15 @@
     }
 
     async fn with_gate(settings: EngineSettings, gate: Arc<LoadGate>) -> Bench {
-        let engine = Arc::new(Engine::new(settings, gate));
+        Bench::in_fleet(settings, gate, Arc::default()).await
+    }
+
+    async fn in_fleet(
+        settings: EngineSettings,
+        gate: Arc<LoadGate>,
+        holders: Arc<Holders>,
+    ) -> Bench {
+        let engine = Arc::new(Engine::in_fleet(settings, gate, holders));
         let running = start_engine(ephemeral(), Arc::clone(&engine))
             .await
             .expect("the engine starts");
@@ -146,6 +158,33 @@
     assert_eq!(bench.audit().await.organisation_crossings, 0);
 }
 
+/// Guards against recomputed tokens that miss a block held by another engine or the KV store, and
+/// against ones that count blocks of a crashed engine or the rest of a prompt.
+#[tokio::test]
+async fn recomputed_tokens_are_those_held_elsewhere() {
+    let objects = Arc::new(MemoryObjects::default());
+    let holders = Arc::new(Holders::with_store(Arc::clone(&objects)));
+    let gate = Arc::new(LoadGate::new(2));
+    let bench = || Bench::in_fleet(settings(), Arc::clone(&gate), Arc::clone(&holders));
+    let [first, second, third] = [bench().await, bench().await, bench().await];
+    first.generate(&request("a", "o", 2, 1)).await;
+    assert_eq!(first.audit().await.recomputed_tokens, 0);
+    second.generate(&request("b", "o", 3, 1)).await;
+    assert_eq!(second.audit().await.recomputed_tokens, 2 * 2_048);
+    for bench in [&first, &second] {
+        bench.engine.set_faults(EngineFaults {
+            crash: true,
+            ..EngineFaults::default()
+        });
+    }
+    let chain = Chain::from_root(BlockHash(7), "p".repeat(PIECE_BYTES).as_bytes());
+    let key = format!("kv/{}", chain.blocks[0]);
+    let created = objects.create(&key, Bytes::new()).await;
+    assert_eq!(created.ok(), Some(true));
+    third.generate(&request("c", "o", 2, 1)).await;
+    assert_eq!(third.audit().await.recomputed_tokens, 2_048);
+}
+
 /// Guards against an audit that does not see a block of another organisation being used.
 #[tokio::test]
 async fn audit_counts_use_of_another_organisations_block() {
