--- /dev/null
+++ b/crates/load/src/capacity.rs
@@ -0,0 +1,86 @@
+//! Capacity of a fleet under a mix of services.
+
+use std::collections::BTreeMap;
+
+use dw_base::PIECE_TOKENS;
+use dw_standin::EngineEntry;
+use dw_standin::Fleet;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::mix::ServiceLoad;
+use crate::mix::Target;
+
+/// Requests per second, in engine time, at which the busiest model of a fleet is fully used.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Capacity {
+    /// Requests of all services together.
+    pub requests_per_s: f64,
+    /// The model that limits them.
+    pub model: String,
+    /// The same by model.
+    pub models: BTreeMap<String, f64>,
+}
+
+/// Mean work of one arrival of any service on one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    uncached_tokens: f64,
+    generated_tokens: f64,
+}
+
+impl Capacity {
+    /// Computes the capacity when `hit_rate` of the shared tokens is cached.
+    ///
+    /// A model is limited by the prefill speed of its engines or by the places in their batches.
+    /// Plain services are not counted.
+    pub fn of(fleet: &Fleet, services: &[ServiceLoad], hit_rate: f64) -> Capacity {
+        let total: f64 = services.iter().map(|service| service.share).sum();
+        let mut work: BTreeMap<&str, Work> = BTreeMap::new();
+        for service in services {
+            if let Target::Generate {
+                model,
+                levels,
+                own_tokens,
+                max_tokens,
+            } = service.target
+            {
+                let pieces = levels.catalogue + levels.venue + levels.client;
+                let shared_tokens = pieces as f64 * PIECE_TOKENS as f64;
+                let share = service.share / total;
+                let work = work.entry(model).or_default();
+                work.uncached_tokens +=
+                    share * (shared_tokens * (1.0 - hit_rate) + own_tokens as f64);
+                work.generated_tokens += share * max_tokens as f64;
+            }
+        }
+        let models: BTreeMap<String, f64> = work
+            .into_iter()
+            .map(|(model, work)| {
+                let serving = |entry: &&EngineEntry| entry.engine.model == model;
+                let engines = fleet.engines.iter().filter(serving);
+                (model.to_owned(), work.most_per_s(engines))
+            })
+            .collect();
+        let busiest = models.iter().min_by(|a, b| a.1.total_cmp(b.1));
+        let (model, requests_per_s) =
+            busiest.map_or((String::new(), 0.0), |(model, rate)| (model.clone(), *rate));
+        Capacity {
+            requests_per_s,
+            model,
+            models,
+        }
+    }
+}
+
+impl Work {
+    fn most_per_s<'a>(self, engines: impl Iterator<Item = &'a EngineEntry>) -> f64 {
+        let (mut prefill, mut decode) = (0.0, 0.0);
+        for entry in engines {
+            let engine = &entry.engine;
+            prefill += engine.prefill_tokens_per_s;
+            decode += engine.max_batch as f64 * 1_000.0 / engine.decode_ms_per_token;
+        }
+        (prefill / self.uncached_tokens).min(decode / self.generated_tokens)
+    }
+}
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,220 @@
+//! The command line.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use getopts::Matches;
+use getopts::Options;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::scenario::Case;
+use crate::scenario::Fault;
+use crate::scenario::Scenario;
+use crate::scenario::ScenarioError;
+
+const USAGE: &str = "\
+Usage: dandelionwall-load run SCENARIO --router IP:PORT [--json FILE]
+       dandelionwall-load experiment SCENARIO [--out DIRECTORY] [--json FILE]
+       dandelionwall-load streaming [--json FILE]
+       dandelionwall-load slopes [--json FILE]
+       dandelionwall-load --compare A.json --compare B.json";
+
+/// Why a command line is refused.
+#[derive(Debug, Error)]
+pub enum UsageError {
+    /// Options are wrong.
+    #[error("{0}; see --help")]
+    Options(#[from] getopts::Fail),
+    /// Something is missing, unknown or not usable.
+    #[error("{what}: {remedy}")]
+    Wrong {
+        /// What is wrong.
+        what: String,
+        /// What to do.
+        remedy: &'static str,
+    },
+    /// A file cannot be used.
+    #[error("{file}: {detail}; correct this file or name another one")]
+    File {
+        /// File.
+        file: String,
+        /// Cause.
+        detail: String,
+    },
+    /// A scenario is not valid.
+    #[error("{file}: {source}")]
+    Scenario {
+        /// File.
+        file: String,
+        /// Cause.
+        source: ScenarioError,
+    },
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Task {
+    /// Send the load of a scenario to routers that run elsewhere.
+    Run {
+        /// Scenario.
+        scenario: Scenario,
+        /// Routers.
+        routers: Vec<SocketAddr>,
+    },
+    /// Run a scenario under every policy in this process.
+    Experiment {
+        /// Scenario.
+        scenario: Scenario,
+        /// Directory for plots.
+        out: Option<PathBuf>,
+    },
+    /// Measure the router's part of the latency and CPU of streams.
+    Streaming,
+    /// Measure how CPU, memory and control traffic grow.
+    Slopes,
+    /// Print the ratios of two reports.
+    Compare(Box<[Value; 2]>),
+}
+
+/// The command line after it was checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Command {
+    /// What to do.
+    pub task: Task,
+    /// File for the report as JSON.
+    pub json: Option<PathBuf>,
+}
+
+/// Result of parsing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Parsed {
+    /// Run a command.
+    Run(Box<Command>),
+    /// Print a text.
+    Help(String),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optmulti(
+        "",
+        "router",
+        "address of a router; may be repeated",
+        "IP:PORT",
+    );
+    options.optopt("", "out", "directory for SVG plots", "DIRECTORY");
+    options.optopt("", "json", "write the report as JSON", "FILE");
+    options.optmulti("", "compare", "report to compare; given twice", "FILE");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn wrong(what: impl Into<String>, remedy: &'static str) -> UsageError {
+    UsageError::Wrong {
+        what: what.into(),
+        remedy,
+    }
+}
+
+impl Command {
+    /// Parses a command line and reads the files that it names.
+    pub fn parse(args: &[String]) -> Result<Parsed, UsageError> {
+        let matches = options().parse(args)?;
+        if matches.opt_present("help") {
+            return Ok(Parsed::Help(options().usage(USAGE)));
+        }
+        let task = if matches.opt_present("compare") {
+            compared(&matches.opt_strs("compare"))?
+        } else {
+            task(&matches)?
+        };
+        let json = matches.opt_str("json").map(PathBuf::from);
+        Ok(Parsed::Run(Box::new(Command { task, json })))
+    }
+}
+
+fn task(matches: &Matches) -> Result<Task, UsageError> {
+    let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match free.as_slice() {
+        ["run", file] => {
+            let scenario = scenario(file)?;
+            check_external(&scenario.cases())?;
+            let routers = routers(matches)?;
+            Ok(Task::Run { scenario, routers })
+        }
+        ["experiment", file] => Ok(Task::Experiment {
+            scenario: scenario(file)?,
+            out: matches.opt_str("out").map(PathBuf::from),
+        }),
+        ["streaming"] => Ok(Task::Streaming),
+        ["slopes"] => Ok(Task::Slopes),
+        ["run" | "experiment", ..] => Err(wrong("SCENARIO", "name exactly one YAML file")),
+        [] => Err(wrong(
+            "no command",
+            "write run, experiment, streaming or slopes",
+        )),
+        [other, ..] => Err(wrong(
+            format!("command {other:?}"),
+            "write run, experiment, streaming or slopes",
+        )),
+    }
+}
+
+fn parse<T: FromStr>(text: &str, name: &str, remedy: &'static str) -> Result<T, UsageError> {
+    let parsed = text.parse();
+    parsed.map_err(|_| wrong(format!("{name} {text:?}"), remedy))
+}
+
+fn routers(matches: &Matches) -> Result<Vec<SocketAddr>, UsageError> {
+    let texts = matches.opt_strs("router");
+    let routers = texts
+        .iter()
+        .map(|text| parse(text, "--router", "write IP:PORT"));
+    let routers = routers.collect::<Result<Vec<_>, _>>()?;
+    if routers.is_empty() {
+        return Err(wrong("--router is missing", "name at least one IP:PORT"));
+    }
+    Ok(routers)
+}
+
+fn read(file: &str) -> Result<String, UsageError> {
+    fs::read_to_string(file).map_err(|error| UsageError::File {
+        file: file.to_owned(),
+        detail: error.to_string(),
+    })
+}
+
+fn scenario(file: &str) -> Result<Scenario, UsageError> {
+    Scenario::from_yaml(&read(file)?).map_err(|source| UsageError::Scenario {
+        file: file.to_owned(),
+        source,
+    })
+}
+
+/// Only faults of the load can be caused in a fleet that runs elsewhere.
+fn check_external(cases: &[Case]) -> Result<(), UsageError> {
+    let mut faults = cases.iter().flat_map(|case| &case.faults);
+    if faults.all(Fault::is_load) {
+        return Ok(());
+    }
+    Err(wrong(
+        "faults of engines or routers",
+        "use the experiment command, or keep only shift and load",
+    ))
+}
+
+fn compared(files: &[String]) -> Result<Task, UsageError> {
+    let [first, second] = files else {
+        return Err(wrong("--compare", "name exactly two reports"));
+    };
+    let value = |file: &String| -> Result<Value, UsageError> {
+        serde_json::from_str(&read(file)?).map_err(|error| UsageError::File {
+            file: file.clone(),
+            detail: error.to_string(),
+        })
+    };
+    Ok(Task::Compare(Box::new([value(first)?, value(second)?])))
+}
--- /dev/null
+++ b/crates/load/src/cpu.rs
@@ -0,0 +1,56 @@
+//! CPU and memory of this process, as Linux counts them.
+
+use std::fs;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// CPU time of the threads of this process whose names start with `prefix`.
+///
+/// Threads that have ended are not counted.
+pub(crate) fn thread_time(prefix: &str) -> Duration {
+    let Ok(tasks) = fs::read_dir("/proc/self/task") else {
+        return Duration::ZERO;
+    };
+    let of_task = |path: std::path::PathBuf| {
+        let name = fs::read_to_string(path.join("comm")).ok()?;
+        let stat = fs::read_to_string(path.join("schedstat")).ok()?;
+        let time_ns: u64 = stat.split_whitespace().next()?.parse().ok()?;
+        name.starts_with(prefix)
+            .then_some(Duration::from_nanos(time_ns))
+    };
+    let times = tasks.flatten().filter_map(|task| of_task(task.path()));
+    times.sum()
+}
+
+/// Resident memory of this process in bytes; 0 if the system does not tell.
+pub(crate) fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kib.unwrap_or_default() * 1024
+}
+
+/// Measures the share of all cores that this process uses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CpuMeter {
+    started: Instant,
+    used: Duration,
+}
+
+impl CpuMeter {
+    /// Starts a measurement.
+    pub(crate) fn start() -> Self {
+        CpuMeter {
+            started: Instant::now(),
+            used: thread_time(""),
+        }
+    }
+
+    /// Returns the share of all cores used since the start.
+    pub(crate) fn share(&self) -> f64 {
+        let used = thread_time("").saturating_sub(self.used).as_secs_f64();
+        let cores = thread::available_parallelism().map_or(1, std::num::NonZero::get);
+        used / self.started.elapsed().as_secs_f64() / cores as f64
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,34 +2,82 @@
 //!
 //! [`Workload`] is a pure iterator over [`Arrival`]s and depends on its settings and seed only.
 //! [`send`] sends each arrival at its time, whether or not earlier ones were answered, and returns
-//! one [`Sample`] each. [`Report`] sums the samples up per service.
+//! one [`Sample`] each. [`Report`] sums the samples up per service. [`Runner`] runs a [`Scenario`]
+//! under every placement policy on a fleet in this process.
 
+mod capacity;
+mod command;
+mod compare;
+mod cpu;
+mod experiment;
+mod measurement;
 mod mix;
+mod plot;
+mod progress;
 mod prompt;
 mod report;
+mod run;
 mod sample;
+mod scenario;
 mod sender;
+mod series;
 mod skew;
+mod slopes;
 mod sse;
+mod streaming;
 mod workload;
 
+pub use capacity::Capacity;
+pub use command::Command;
+pub use command::Parsed;
+pub use command::Task;
+pub use command::UsageError;
+pub use compare::compare;
+pub use compare::Ratio;
+pub use experiment::Runner;
+pub use measurement::Counts;
+pub use measurement::Experiment;
+pub use measurement::Measurement;
+pub use measurement::MAX_CPU_SHARE;
 pub use mix::organisations;
 pub use mix::Deployment;
 pub use mix::ParseDeploymentError;
 pub use mix::ServiceLoad;
 pub use mix::Target;
+pub use plot::plot;
+pub use plot::PlotError;
 pub use prompt::LevelSizes;
 pub use prompt::Prompt;
 pub use report::Latency;
+pub use report::Refusals;
 pub use report::Report;
 pub use report::ServiceReport;
+pub use run::run_command;
 pub use sample::Outcome;
 pub use sample::Sample;
+pub use scenario::Case;
+pub use scenario::Fault;
+pub use scenario::Load;
+pub use scenario::Scenario;
+pub use scenario::ScenarioError;
 pub use sender::send;
+pub use sender::send_fast;
+pub use sender::Routers;
 pub use sender::SendError;
+pub use series::series;
+pub use series::Point;
+pub use series::Recovery;
 pub use skew::Skew;
+pub use slopes::ControlTraffic;
+pub use slopes::Slope;
+pub use slopes::Slopes;
 pub use sse::SseParser;
+pub use streaming::Hop;
+pub use streaming::PathFigures;
+pub use streaming::StreamLevel;
+pub use streaming::StreamingReport;
 pub use workload::org_token;
 pub use workload::Arrival;
+pub use workload::RateChange;
 pub use workload::Workload;
 pub use workload::WorkloadSettings;
--- /dev/null
+++ b/crates/load/src/measurement.rs
@@ -0,0 +1,217 @@
+//! Figures of one case under one policy, as a table and as JSON.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::capacity::Capacity;
+use crate::report::Report;
+use crate::scenario::Scenario;
+use crate::series::Point;
+use crate::series::Recovery;
+
+/// Share of all cores above which a run does not count, because the machine shapes its times.
+pub const MAX_CPU_SHARE: f64 = 0.5;
+
+/// What the stand-ins and routers counted between the end of the warm-up and the end of the run.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Counts {
+    /// Prompt tokens that engines computed.
+    pub computed_tokens: u64,
+    /// Computed tokens of blocks that some live engine or the KV store held at that time.
+    pub recomputed_tokens: u64,
+    /// Prompt tokens that engines took from their caches.
+    pub cached_tokens: u64,
+    /// Uses of cached blocks of another organisation, other weights or another incarnation.
+    pub crossings: u64,
+    /// Executions of an idempotency key after its first one.
+    pub duplicates: u64,
+    /// Requests that routers received.
+    pub router_requests: u64,
+    /// Attempts that routers sent to agents.
+    pub router_attempts: u64,
+    /// Attempts of them that followed the hint of an agent that had refused.
+    pub router_hops: u64,
+    /// Streams that routers resumed.
+    pub router_resumes: u64,
+}
+
+impl Counts {
+    fn zip(self, other: Counts, f: fn(u64, u64) -> u64) -> Counts {
+        Counts {
+            computed_tokens: f(self.computed_tokens, other.computed_tokens),
+            recomputed_tokens: f(self.recomputed_tokens, other.recomputed_tokens),
+            cached_tokens: f(self.cached_tokens, other.cached_tokens),
+            crossings: f(self.crossings, other.crossings),
+            duplicates: f(self.duplicates, other.duplicates),
+            router_requests: f(self.router_requests, other.router_requests),
+            router_attempts: f(self.router_attempts, other.router_attempts),
+            router_hops: f(self.router_hops, other.router_hops),
+            router_resumes: f(self.router_resumes, other.router_resumes),
+        }
+    }
+
+    /// Returns the counts since `earlier`.
+    pub fn since(self, earlier: Counts) -> Counts {
+        self.zip(earlier, u64::saturating_sub)
+    }
+
+    /// Returns the sums of two runs.
+    pub fn plus(self, other: Counts) -> Counts {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// Returns the attempts per request.
+    pub fn amplification(&self) -> f64 {
+        match self.router_requests {
+            0 => 0.0,
+            requests => self.router_attempts as f64 / requests as f64,
+        }
+    }
+}
+
+/// Figures of one case under one policy, over all seeds.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Measurement {
+    /// Case.
+    pub case: String,
+    /// Placement policy.
+    pub policy: String,
+    /// Offered requests per second of engine time at the start of the run.
+    pub offered_per_s: f64,
+    /// Greatest share of all cores that this process used in one of the runs.
+    pub cpu_share: f64,
+    /// Whether the CPU was no bottleneck, so that the times count.
+    pub valid: bool,
+    /// What the callers saw.
+    pub report: Report,
+    /// What the stand-ins and routers counted.
+    pub counts: Counts,
+    /// Attempts per request.
+    pub amplification: f64,
+    /// Hit rate of whole answers.
+    pub hit_rate: f64,
+    /// Recomputed tokens per whole answer.
+    pub recomputed_per_answer: f64,
+    /// Worth of the answers in time as a share of the worth of all requests.
+    pub worth_rate: f64,
+    /// Answers that broke off.
+    pub broken_streams: u64,
+    /// Effect of the first fault.
+    pub recovery: Option<Recovery>,
+    /// Figures over time.
+    pub series: Vec<Point>,
+}
+
+impl Measurement {
+    /// Fills in the figures that follow from the others.
+    pub fn derive(mut self) -> Self {
+        let all = &self.report.all;
+        self.valid = self.cpu_share <= MAX_CPU_SHARE;
+        self.amplification = self.counts.amplification();
+        self.hit_rate = all.hit_rate();
+        self.recomputed_per_answer =
+            self.counts.recomputed_tokens as f64 / all.answered.max(1) as f64;
+        self.worth_rate = all.service_rate();
+        self.broken_streams = all.broken();
+        self
+    }
+}
+
+/// All measurements of an experiment; displays as a table.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Experiment {
+    /// Description.
+    pub scenario: Scenario,
+    /// Capacity of the fleet.
+    pub capacity: Capacity,
+    /// Measurements, by case and policy.
+    pub runs: Vec<Measurement>,
+}
+
+fn or_dash(value: Option<f64>) -> String {
+    value.map_or("-".to_owned(), |value| format!("{value:.1}"))
+}
+
+impl fmt::Display for Experiment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let capacity = &self.capacity;
+        writeln!(
+            f,
+            "capacity {:.1} requests/s, limited by {}",
+            capacity.requests_per_s, capacity.model
+        )?;
+        writeln!(
+            f,
+            "{:<16}{:<13}{:>6}{:>7}{:>8}{:>7}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>7}{:>5}{:>6}{:>6}\
+             {:>6}{:>7}{:>7}{:>6}",
+            "case",
+            "policy",
+            "sent",
+            "hits",
+            "wasted",
+            "worth",
+            "p50",
+            "p95",
+            "p99",
+            "urg p50",
+            "urg p99",
+            "refused",
+            "ref99",
+            "dup",
+            "broken",
+            "ampl",
+            "dip",
+            "back",
+            "tail",
+            "cpu"
+        )?;
+        for run in &self.runs {
+            self.row(f, run)?;
+        }
+        let invalid = self.runs.iter().filter(|run| !run.valid).count();
+        if invalid > 0 {
+            writeln!(
+                f,
+                "{invalid} runs are invalid (marked !): this process used over half of \
+                         the cores; lower speedup or load"
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl Experiment {
+    fn row(&self, f: &mut fmt::Formatter<'_>, run: &Measurement) -> fmt::Result {
+        let all = &run.report.all;
+        let urgent = &run.report.urgent;
+        let recovery = run.recovery.as_ref();
+        writeln!(
+            f,
+            "{:<16}{:<13}{:>6}{:>6.1}%{:>8.0}{:>6.1}%{:>8.0}{:>8.0}{:>8.0}{:>8.0}{:>8.0}{:>8}\
+             {:>7.0}{:>5}{:>6}{:>6.2}{:>6}{:>7}{:>7}{:>5.0}%{}",
+            run.case,
+            run.policy,
+            all.sent,
+            run.hit_rate * 100.0,
+            run.recomputed_per_answer,
+            run.worth_rate * 100.0,
+            all.first_token.p50_ms,
+            all.first_token.p95_ms,
+            all.first_token.p99_ms,
+            urgent.first_token.p50_ms,
+            urgent.first_token.p99_ms,
+            all.refused,
+            all.refusal.p99_ms,
+            run.counts.duplicates,
+            run.broken_streams,
+            run.amplification,
+            or_dash(recovery.map(|r| r.hit_rate_dip * 100.0)),
+            or_dash(recovery.and_then(|r| r.hit_rate_back_s)),
+            or_dash(recovery.and_then(|r| r.tail_back_s)),
+            run.cpu_share * 100.0,
+            if run.valid { "" } else { " !" },
+        )
+    }
+}
--- /dev/null
+++ b/crates/load/src/progress.rs
@@ -0,0 +1,54 @@
+//! Progress of a measurement on a terminal.
+
+use std::io::stderr;
+use std::io::IsTerminal;
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use indicatif::ProgressStyle;
+
+/// Parts of a second that the bar tells apart.
+const STEPS_PER_S: f64 = 10.0;
+
+/// A progress bar; it shows nothing if the error output is not a terminal.
+pub(crate) struct Progress {
+    bar: ProgressBar,
+    run_steps: u64,
+}
+
+impl Progress {
+    /// Creates a bar for `runs` runs of equal length.
+    pub(crate) fn new(runs: u64, run_s: f64) -> Self {
+        let run_steps = (run_s * STEPS_PER_S) as u64;
+        let bar = if stderr().is_terminal() {
+            ProgressBar::new(runs * run_steps)
+        } else {
+            ProgressBar::hidden()
+        };
+        // The template is constant; an invalid one would only leave the default style.
+        if let Ok(style) = ProgressStyle::with_template("{wide_bar} {percent}% {eta} {msg}") {
+            bar.set_style(style);
+        }
+        Progress { bar, run_steps }
+    }
+
+    /// Starts the next run.
+    pub(crate) fn start(&self, name: &str) {
+        let runs = self.bar.position().div_ceil(self.run_steps.max(1));
+        self.bar.set_position(runs * self.run_steps);
+        self.bar.set_message(name.to_owned());
+    }
+
+    /// Shows how much time of the run has passed.
+    pub(crate) fn set(&self, at: Duration) {
+        let steps = (at.as_secs_f64() * STEPS_PER_S) as u64;
+        let runs = self.bar.position() / self.run_steps.max(1);
+        let within = steps.min(self.run_steps.saturating_sub(1));
+        self.bar.set_position(runs * self.run_steps + within);
+    }
+
+    /// Removes the bar.
+    pub(crate) fn finish(&self) {
+        self.bar.finish_and_clear();
+    }
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use dw_base::Priority;
 use hdrhistogram::Histogram;
 use serde::Deserialize;
 use serde::Serialize;
@@ -55,6 +56,15 @@
     }
 }
 
+/// Error answers of one type.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Refusals {
+    /// Those that say that the request was not run.
+    pub not_run: u64,
+    /// Time until they arrived.
+    pub latency: Latency,
+}
+
 /// Sums of one service.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ServiceReport {
@@ -68,6 +78,8 @@
     pub refused: u64,
     /// Error answers that say that the request was not run.
     pub refused_not_run: u64,
+    /// Error answers by their type.
+    pub refusals: BTreeMap<String, Refusals>,
     /// Answers that ended with an error event.
     pub failed: u64,
     /// Answers that ended early without an error.
@@ -99,6 +111,19 @@
         self.cached_tokens as f64 / self.prompt_tokens as f64
     }
 
+    /// Returns the worth of the answers in time as a share of the worth of all requests.
+    pub fn service_rate(&self) -> f64 {
+        if self.offered_worth == 0.0 {
+            return 0.0;
+        }
+        self.worth / self.offered_worth
+    }
+
+    /// Returns the answers that broke off, with or without an error event.
+    pub fn broken(&self) -> u64 {
+        self.failed + self.incomplete
+    }
+
     fn of(samples: &[&Sample]) -> ServiceReport {
         let mut report = ServiceReport::default();
         for sample in samples {
@@ -111,6 +136,7 @@
         report.first_token = Latency::of(samples.iter().filter_map(|s| s.first_token));
         report.total = totals(|outcome| matches!(outcome, Outcome::Answered { .. }));
         report.refusal = totals(|outcome| matches!(outcome, Outcome::Refused { .. }));
+        report.refusals = refusals(samples);
         report
     }
 
@@ -138,11 +164,31 @@
     }
 }
 
+fn refusals(samples: &[&Sample]) -> BTreeMap<String, Refusals> {
+    let mut by_kind: BTreeMap<String, (u64, Vec<Duration>)> = BTreeMap::new();
+    for sample in samples {
+        if let Outcome::Refused { kind, not_run, .. } = &sample.outcome {
+            let (count, times) = by_kind.entry(kind.clone()).or_default();
+            *count += u64::from(*not_run);
+            times.push(sample.total);
+        }
+    }
+    by_kind
+        .into_iter()
+        .map(|(kind, (not_run, times))| {
+            let latency = Latency::of(times.into_iter());
+            (kind, Refusals { not_run, latency })
+        })
+        .collect()
+}
+
 /// Report of one run; displays as a table.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
     /// Sums by service.
     pub services: BTreeMap<String, ServiceReport>,
+    /// Sums over the urgent requests.
+    pub urgent: ServiceReport,
     /// Sums over all services.
     pub all: ServiceReport,
 }
@@ -160,11 +206,16 @@
                 .into_iter()
                 .map(|(service, samples)| (service, ServiceReport::of(&samples)))
                 .collect(),
+            urgent: ServiceReport::of(&samples.iter().filter(is_urgent).collect::<Vec<_>>()),
             all: ServiceReport::of(&samples.iter().collect::<Vec<_>>()),
         }
     }
 }
 
+fn is_urgent(sample: &&Sample) -> bool {
+    sample.load.priority == Priority::Urgent
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,115 @@
+//! Runs the commands.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use dw_standin::Fleet;
+use eyre::WrapErr;
+use serde::Serialize;
+
+use crate::command::Command;
+use crate::command::Task;
+use crate::compare::compare;
+use crate::experiment::description;
+use crate::experiment::Runner;
+use crate::measurement::Experiment;
+use crate::plot::plot;
+use crate::progress::Progress;
+use crate::report::Report;
+use crate::scenario::seconds;
+use crate::scenario::Scenario;
+use crate::sender::send_fast;
+use crate::sender::Routers;
+use crate::slopes::measure_slopes;
+use crate::streaming::measure_streaming;
+use crate::workload::Arrival;
+use crate::workload::Workload;
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Returns an error if a cluster does not start or a file cannot be written.
+pub fn run_command(command: Command) -> eyre::Result<()> {
+    let json = command.json.as_deref();
+    let runtime = tokio::runtime::Runtime::new()?;
+    match command.task {
+        Task::Run { scenario, routers } => {
+            let report = runtime.block_on(run_external(&scenario, routers))?;
+            print!("{report}");
+            write_json(json, &report)
+        }
+        Task::Experiment { scenario, out } => {
+            let _logs = dw_telem::start_logs(log::LevelFilter::Error, io::stderr())?;
+            let runner = Runner::new(scenario)?;
+            let experiment = runtime.block_on(runner.run())?;
+            print!("{experiment}");
+            write_json(json, &experiment)?;
+            match out {
+                Some(dir) => write_plots(&experiment, &dir),
+                None => Ok(()),
+            }
+        }
+        Task::Streaming => {
+            let report = measure_streaming()?;
+            print!("{report}");
+            write_json(json, &report)
+        }
+        Task::Slopes => {
+            let slopes = measure_slopes()?;
+            println!("{}", serde_json::to_string_pretty(&slopes)?);
+            write_json(json, &slopes)
+        }
+        Task::Compare(reports) => {
+            let [first, second] = reports.as_ref();
+            for found in compare(first, second) {
+                let ratio = found.ratio().map_or("-".to_owned(), |r| format!("{r:.3}"));
+                let (first, second) = (found.first, found.second);
+                println!("{ratio:>9}  {first:>14.3} {second:>14.3}  {}", found.path);
+            }
+            Ok(())
+        }
+    }
+}
+
+async fn run_external(scenario: &Scenario, addrs: Vec<SocketAddr>) -> eyre::Result<Report> {
+    let fleet = Fleet::from_yaml(&description(scenario)?)?;
+    let capacity = scenario.capacity(&fleet);
+    let cases = scenario.cases();
+    let runs = cases.len() * scenario.seeds.len();
+    let progress = Progress::new(runs as u64, scenario.duration_s);
+    let routers = Routers::new(addrs);
+    let mut samples = Vec::new();
+    for case in &cases {
+        for seed in &scenario.seeds {
+            progress.start(&case.name);
+            let workload = Workload::new(scenario.workload(case, *seed, &capacity));
+            let on_sent = |arrival: &Arrival| progress.set(arrival.at);
+            samples.extend(send_fast(workload, &routers, scenario.speedup, on_sent).await?);
+        }
+    }
+    progress.finish();
+    samples.retain(|sample| sample.at >= seconds(scenario.warm_up_s));
+    Ok(Report::new(&samples))
+}
+
+fn write_json(path: Option<&Path>, report: &impl Serialize) -> eyre::Result<()> {
+    let Some(path) = path else {
+        return Ok(());
+    };
+    let json = serde_json::to_string_pretty(report)?;
+    fs::write(path, json).wrap_err_with(|| {
+        let path = path.display();
+        format!("{path} cannot be written; choose another --json file")
+    })
+}
+
+fn write_plots(experiment: &Experiment, dir: &Path) -> eyre::Result<()> {
+    fs::create_dir_all(dir).wrap_err_with(|| {
+        let dir = dir.display();
+        format!("{dir} cannot be created; choose another --out directory")
+    })?;
+    Ok(plot(experiment, dir)?)
+}
--- a/crates/load/src/sample.rs
+++ b/crates/load/src/sample.rs
@@ -18,6 +18,8 @@
     Refused {
         /// HTTP status.
         status: u16,
+        /// Type of the error.
+        kind: String,
         /// Whether the answer says that the request was not run.
         not_run: bool,
     },
@@ -35,11 +37,13 @@
     },
 }
 
-/// One request as its caller saw it; times count from the planned sending.
+/// One request as its caller saw it; times count from the planned sending, in engine time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sample {
     /// Position of the arrival.
     pub number: u64,
+    /// Planned sending after the start.
+    pub at: Duration,
     /// Organisation.
     pub org: String,
     /// Service with worth and deadline.
--- /dev/null
+++ b/crates/load/src/scenario.rs
@@ -0,0 +1,391 @@
+//! Description of measurement runs in YAML.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use dw_standin::Fleet;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::capacity::Capacity;
+use crate::mix::Deployment;
+use crate::workload::RateChange;
+use crate::workload::WorkloadSettings;
+
+/// Longest run; a longer one is more likely a wrong unit.
+const MAX_DURATION_S: f64 = 86_400.0;
+
+/// Offered load: one of its keys is set.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Load {
+    /// Share of the capacity of the fleet.
+    pub share: Option<f64>,
+    /// Requests per second of engine time.
+    pub requests_per_s: Option<f64>,
+}
+
+/// What goes wrong during a run; times are seconds of engine time.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Fault {
+    /// Engines crash and come back empty.
+    KillEngines {
+        /// Time.
+        at_s: f64,
+        /// Number of engines, the first of the description first.
+        #[serde(default = "one")]
+        count: usize,
+    },
+    /// Engines compute slower.
+    SlowEngines {
+        /// Time.
+        at_s: f64,
+        /// End; the end of the run if absent.
+        until_s: Option<f64>,
+        /// Share of the engines, evenly chosen.
+        share: f64,
+        /// Factor by which everything takes longer.
+        factor: f64,
+    },
+    /// Cache events are lost.
+    LoseEvents {
+        /// Time.
+        at_s: f64,
+        /// End; the end of the run if absent.
+        until_s: Option<f64>,
+        /// Share of the events.
+        share: f64,
+    },
+    /// Other prefixes become hot.
+    Shift {
+        /// Time.
+        at_s: f64,
+    },
+    /// All routers are replaced at the same time.
+    RestartRouters {
+        /// Time.
+        at_s: f64,
+    },
+    /// The offered load changes.
+    Load {
+        /// Time.
+        at_s: f64,
+        /// End; the end of the run if absent.
+        until_s: Option<f64>,
+        /// Share of the capacity of the fleet.
+        share: f64,
+    },
+}
+
+fn one() -> usize {
+    1
+}
+
+/// A run under some faults.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Case {
+    /// Name.
+    pub name: String,
+    /// Offered load if it differs from that of the scenario.
+    #[serde(default)]
+    pub load: Option<Load>,
+    /// Faults.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// Description of measurement runs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Description of the stand-ins; the one of `examples/` if absent.
+    #[serde(default)]
+    pub fleet: Option<PathBuf>,
+    /// Seeds; each is one run, and their samples are reported together.
+    #[serde(default = "default_seeds")]
+    pub seeds: Vec<u64>,
+    /// Offered load.
+    pub load: Load,
+    /// Length of the load, in seconds of engine time.
+    pub duration_s: f64,
+    /// Start that is not reported, in seconds of engine time.
+    #[serde(default)]
+    pub warm_up_s: f64,
+    /// Seconds of engine time in one second.
+    #[serde(default = "default_factor")]
+    pub speedup: f64,
+    /// Routers.
+    #[serde(default = "default_routers")]
+    pub routers: usize,
+    /// Placement policies, all if empty.
+    #[serde(default)]
+    pub policies: Vec<String>,
+    /// Admission gate of the agents.
+    #[serde(default = "default_gate")]
+    pub gate: String,
+    /// Whether agents exchange cache pieces with the KV store.
+    #[serde(default = "default_kv_import")]
+    pub kv_import: bool,
+    /// Share of the prompt tokens that is assumed to be cached when the capacity is computed.
+    #[serde(default = "default_hit_rate")]
+    pub reference_hit_rate: f64,
+    /// Length of one point of the series, in seconds of engine time.
+    #[serde(default = "default_window_s")]
+    pub window_s: f64,
+    /// Cases; a single one without faults if empty.
+    #[serde(default)]
+    pub cases: Vec<Case>,
+}
+
+fn default_seeds() -> Vec<u64> {
+    vec![1]
+}
+
+fn default_factor() -> f64 {
+    1.0
+}
+
+fn default_routers() -> usize {
+    3
+}
+
+fn default_gate() -> String {
+    "fair-preempt".to_owned()
+}
+
+fn default_kv_import() -> bool {
+    true
+}
+
+fn default_hit_rate() -> f64 {
+    0.7
+}
+
+fn default_window_s() -> f64 {
+    2.5
+}
+
+/// A scenario cannot be run.
+#[derive(Debug, Error)]
+pub enum ScenarioError {
+    /// The text is not a scenario.
+    #[error("{0}; see examples/experiment-division.yaml for a complete scenario")]
+    Malformed(#[from] serde_norway::Error),
+    /// A value is not usable.
+    #[error("{key}: {remedy}")]
+    Invalid {
+        /// Path of the key.
+        key: String,
+        /// What to write instead.
+        remedy: &'static str,
+    },
+}
+
+fn invalid(key: impl Into<String>, remedy: &'static str) -> ScenarioError {
+    ScenarioError::Invalid {
+        key: key.into(),
+        remedy,
+    }
+}
+
+fn is_positive(value: f64) -> bool {
+    value.is_finite() && value > 0.0
+}
+
+impl Load {
+    fn check(self, key: &str) -> Result<(), ScenarioError> {
+        match (self.share, self.requests_per_s) {
+            (Some(value), None) | (None, Some(value)) if is_positive(value) => Ok(()),
+            (Some(_), None) | (None, Some(_)) => Err(invalid(key, "write a number above 0")),
+            _ => Err(invalid(key, "set either share or requests_per_s")),
+        }
+    }
+
+    /// Returns the requests per second of engine time.
+    pub fn rate_per_s(self, capacity: &Capacity) -> f64 {
+        let share = self.share.map(|share| share * capacity.requests_per_s);
+        self.requests_per_s.or(share).unwrap_or_default()
+    }
+}
+
+impl Fault {
+    /// Returns the start in seconds.
+    pub fn at_s(&self) -> f64 {
+        match self {
+            Fault::KillEngines { at_s, .. }
+            | Fault::SlowEngines { at_s, .. }
+            | Fault::LoseEvents { at_s, .. }
+            | Fault::Shift { at_s }
+            | Fault::RestartRouters { at_s }
+            | Fault::Load { at_s, .. } => *at_s,
+        }
+    }
+
+    /// Returns the end in seconds of a fault that ends.
+    pub fn until_s(&self) -> Option<f64> {
+        match self {
+            Fault::SlowEngines { until_s, .. }
+            | Fault::LoseEvents { until_s, .. }
+            | Fault::Load { until_s, .. } => *until_s,
+            _ => None,
+        }
+    }
+
+    /// Returns whether the fault changes the arrivals and not the system.
+    pub fn is_load(&self) -> bool {
+        matches!(self, Fault::Shift { .. } | Fault::Load { .. })
+    }
+
+    fn check(&self, key: &str, duration_s: f64) -> Result<(), ScenarioError> {
+        let key = |name: &str| format!("{key}.{name}");
+        if !(self.at_s().is_finite() && (0.0..duration_s).contains(&self.at_s())) {
+            return Err(invalid(key("at_s"), "write a time before duration_s"));
+        }
+        let ends_late = |until_s: f64| until_s.is_finite() && until_s > self.at_s();
+        if !self.until_s().is_none_or(ends_late) {
+            return Err(invalid(key("until_s"), "write a time after at_s"));
+        }
+        let share = match self {
+            Fault::SlowEngines { share, .. } | Fault::LoseEvents { share, .. } => *share,
+            _ => 1.0,
+        };
+        if !(is_positive(share) && share <= 1.0) {
+            return Err(invalid(key("share"), "write a share above 0 and at most 1"));
+        }
+        match self {
+            Fault::SlowEngines { factor, .. } if !is_positive(*factor) => {
+                Err(invalid(key("factor"), "write a number above 0"))
+            }
+            Fault::Load { share, .. } if !is_positive(*share) => {
+                Err(invalid(key("share"), "write a number above 0"))
+            }
+            Fault::KillEngines { count: 0, .. } => Err(invalid(key("count"), "write at least 1")),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Scenario {
+    /// Reads and checks a scenario.
+    pub fn from_yaml(text: &str) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario = serde_norway::from_str(text)?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), ScenarioError> {
+        self.load.check("load")?;
+        let numbers = [
+            ("duration_s", self.duration_s),
+            ("speedup", self.speedup),
+            ("window_s", self.window_s),
+        ];
+        if let Some((key, _)) = numbers.iter().find(|(_, value)| !is_positive(*value)) {
+            return Err(invalid(*key, "write a number above 0"));
+        }
+        if self.duration_s > MAX_DURATION_S {
+            return Err(invalid(
+                "duration_s",
+                "write at most 86400, the unit is seconds",
+            ));
+        }
+        if !(0.0..self.duration_s).contains(&self.warm_up_s) {
+            return Err(invalid("warm_up_s", "write a time before duration_s"));
+        }
+        if !(0.0..1.0).contains(&self.reference_hit_rate) {
+            return Err(invalid("reference_hit_rate", "write a share below 1"));
+        }
+        if self.seeds.is_empty() {
+            return Err(invalid("seeds", "write at least one seed"));
+        }
+        if self.routers == 0 {
+            return Err(invalid("routers", "write at least 1"));
+        }
+        self.check_cases()
+    }
+
+    fn check_cases(&self) -> Result<(), ScenarioError> {
+        for (index, case) in self.cases.iter().enumerate() {
+            let repeated = self.cases[..index].iter().any(|c| c.name == case.name);
+            let is_word = |c: char| c.is_ascii_alphanumeric() || c == '-';
+            if case.name.is_empty() || !case.name.chars().all(is_word) || repeated {
+                let remedy = "write a name of letters, digits and hyphens that no other case has";
+                return Err(invalid(format!("cases[{index}].name"), remedy));
+            }
+            if let Some(load) = case.load {
+                load.check(&format!("cases[{index}].load"))?;
+            }
+            for (number, fault) in case.faults.iter().enumerate() {
+                let key = format!("cases[{index}].faults[{number}]");
+                fault.check(&key, self.duration_s)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the cases, or a single one without faults.
+    pub fn cases(&self) -> Vec<Case> {
+        if !self.cases.is_empty() {
+            return self.cases.clone();
+        }
+        vec![Case {
+            name: "steady".to_owned(),
+            ..Case::default()
+        }]
+    }
+
+    /// Returns the capacity of a fleet under the mix of the deployment.
+    pub fn capacity(&self, fleet: &Fleet) -> Capacity {
+        let services = self.deployment.services();
+        Capacity::of(fleet, &services, self.reference_hit_rate)
+    }
+
+    /// Returns the load of one run in engine time.
+    pub fn workload(&self, case: &Case, seed: u64, capacity: &Capacity) -> WorkloadSettings {
+        let load = case.load.unwrap_or(self.load);
+        let usual_per_s = load.rate_per_s(capacity);
+        let mut changes = Vec::new();
+        let mut shifts = Vec::new();
+        for fault in &case.faults {
+            match fault {
+                Fault::Shift { at_s } => shifts.push(seconds(*at_s)),
+                Fault::Load {
+                    at_s,
+                    until_s,
+                    share,
+                } => {
+                    let rate_per_s = share * capacity.requests_per_s;
+                    changes.push(RateChange {
+                        at: seconds(*at_s),
+                        rate_per_s,
+                    });
+                    changes.extend(until_s.map(|until_s| RateChange {
+                        at: seconds(until_s),
+                        rate_per_s: usual_per_s,
+                    }));
+                }
+                _ => {}
+            }
+        }
+        changes.sort_by_key(|change| change.at);
+        shifts.sort();
+        WorkloadSettings::builder()
+            .deployment(self.deployment)
+            .seed(seed)
+            .rate_per_s(usual_per_s)
+            .rate_changes(changes)
+            .duration(seconds(self.duration_s))
+            .shifts(shifts)
+            .build()
+    }
+}
+
+/// Returns a checked number of seconds as a duration.
+pub(crate) fn seconds(value_s: f64) -> Duration {
+    Duration::try_from_secs_f64(value_s).unwrap_or_default()
+}
--- a/crates/load/src/sender.rs
+++ b/crates/load/src/sender.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -46,16 +49,51 @@
     NoRouter,
 }
 
+/// Routers that can be replaced while a load is sent.
+#[derive(Clone, Debug, Default)]
+pub struct Routers(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Routers {
+    /// Creates a set of routers.
+    pub fn new(addrs: Vec<SocketAddr>) -> Self {
+        Routers(Arc::new(Mutex::new(addrs)))
+    }
+
+    /// Replaces all routers.
+    pub fn replace(&self, addrs: Vec<SocketAddr>) {
+        *self.addrs() = addrs;
+    }
+
+    /// Returns the router of an arrival.
+    fn of(&self, number: u64) -> Option<SocketAddr> {
+        let addrs = self.addrs();
+        let index = (number as usize).checked_rem(addrs.len())?;
+        addrs.get(index).copied()
+    }
+
+    fn addrs(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Sends each arrival at its time to the routers in turn and returns the samples by number.
-///
-/// Times count from the planned sending, so that a sender that falls behind does not hide waits.
 pub async fn send(
     arrivals: impl Iterator<Item = Arrival>,
     routers: &[SocketAddr],
 ) -> Result<Vec<Sample>, SendError> {
-    if routers.is_empty() {
-        return Err(SendError::NoRouter);
-    }
+    send_fast(arrivals, &Routers::new(routers.to_vec()), 1.0, |_| {}).await
+}
+
+/// Sends arrivals like [`send`], `speedup` seconds of engine time in one second.
+///
+/// Times count from the planned sending, so that a sender that falls behind does not hide waits.
+/// `on_sent` is called after each sending.
+pub async fn send_fast(
+    arrivals: impl Iterator<Item = Arrival>,
+    routers: &Routers,
+    speedup: f64,
+    mut on_sent: impl FnMut(&Arrival),
+) -> Result<Vec<Sample>, SendError> {
     let mut connector = HttpConnector::new();
     // Without this, a request of several segments waits for acknowledgements.
     connector.set_nodelay(true);
@@ -63,17 +101,19 @@
     let start = Instant::now();
     let mut running = JoinSet::new();
     for arrival in arrivals {
-        let router = routers[arrival.number as usize % routers.len()];
         let body = body(&arrival);
-        let planned = start + arrival.at;
+        let planned = start + arrival.at.div_f64(speedup);
         sleep_until(planned).await;
-        running.spawn(exchange(
-            Arc::clone(&client),
+        let router = routers.of(arrival.number).ok_or(SendError::NoRouter)?;
+        on_sent(&arrival);
+        let call = Call {
+            client: Arc::clone(&client),
             router,
             arrival,
-            body,
             planned,
-        ));
+            speedup,
+        };
+        running.spawn(call.exchange(body));
     }
     let mut samples = Vec::new();
     while let Some(ended) = running.join_next().await {
@@ -106,8 +146,10 @@
     router: SocketAddr,
     arrival: &Arrival,
     body: Vec<u8>,
+    speedup: f64,
 ) -> Result<Request<Full<Bytes>>, http::Error> {
     let load = &arrival.load;
+    let deadline_ms = (load.deadline.0 as f64 / speedup).ceil() as u64;
     let path = match load.target {
         Target::Generate { .. } => "/v1/completions".to_owned(),
         Target::Call { .. } => format!("/v1/services/{}/calls", load.service),
@@ -117,42 +159,55 @@
         .header(AUTHORIZATION, format!("Bearer {}", org_token(&arrival.org)))
         .header("x-service", load.service)
         .header("x-priority", load.priority.to_string())
-        .header("x-deadline-ms", load.deadline.0);
+        .header("x-deadline-ms", deadline_ms);
     if let Some(key) = &arrival.idempotency_key {
         builder = builder.header("idempotency-key", key);
     }
     builder.body(Full::new(Bytes::from(body)))
 }
 
-async fn exchange(
+struct Call {
     client: Arc<HttpClient>,
     router: SocketAddr,
     arrival: Arrival,
-    body: Vec<u8>,
     planned: Instant,
-) -> Sample {
-    let mut first_token = None;
-    let limit = Duration::from(arrival.load.deadline) + GRACE;
-    let outcome = match request(router, &arrival, body) {
-        Ok(request) => {
-            let mut on_text = || {
-                first_token.get_or_insert_with(|| planned.elapsed());
-            };
-            timeout(limit, answer(&client, request, &arrival, &mut on_text))
-                .await
-                .unwrap_or_else(|_| incomplete("no end long after the deadline"))
+    speedup: f64,
+}
+
+impl Call {
+    async fn exchange(self, body: Vec<u8>) -> Sample {
+        let arrival = &self.arrival;
+        let mut first_token = None;
+        let limit = Duration::from(arrival.load.deadline) + GRACE;
+        let outcome = match request(self.router, arrival, body, self.speedup) {
+            Ok(request) => {
+                let mut on_text = || {
+                    first_token.get_or_insert_with(|| self.elapsed());
+                };
+                let answer = answer(&self.client, request, arrival, &mut on_text);
+                timeout(limit.div_f64(self.speedup), answer)
+                    .await
+                    .unwrap_or_else(|_| incomplete("no end long after the deadline"))
+            }
+            Err(error) => Outcome::Unreachable {
+                detail: error.to_string(),
+            },
+        };
+        let total = self.elapsed();
+        Sample {
+            number: self.arrival.number,
+            at: self.arrival.at,
+            org: self.arrival.org,
+            load: self.arrival.load,
+            first_token,
+            total,
+            outcome,
         }
-        Err(error) => Outcome::Unreachable {
-            detail: error.to_string(),
-        },
-    };
-    Sample {
-        number: arrival.number,
-        org: arrival.org,
-        load: arrival.load,
-        first_token,
-        total: planned.elapsed(),
-        outcome,
+    }
+
+    /// Returns the engine time since the planned sending.
+    fn elapsed(&self) -> Duration {
+        self.planned.elapsed().mul_f64(self.speedup)
     }
 }
 
@@ -197,6 +252,7 @@
     match serde_json::from_slice::<ErrorBody>(&bytes) {
         Ok(body) => Outcome::Refused {
             status,
+            kind: body.error.type_,
             not_run: body.error.not_run,
         },
         Err(error) => incomplete(format!("status {status} without an error body: {error}")),
--- /dev/null
+++ b/crates/load/src/slopes.rs
@@ -0,0 +1,374 @@
+//! How CPU, memory and control traffic of the processes grow.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dw_admit::Fair;
+use dw_admit::FairSettings;
+use dw_admit::Gate;
+use dw_admit::Ticket;
+use dw_api::vms::Vm;
+use dw_api::vms::VmRole;
+use dw_api::vms::VmState;
+use dw_base::BlockHash;
+use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::Priority;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::TokensPerS;
+use dw_base::WeightsVersion;
+use dw_base::Worth;
+use dw_cache::Batch;
+use dw_cache::Event;
+use dw_cache::Index;
+use dw_cache::Kind;
+use dw_local::Cluster;
+use dw_local::ClusterSettings;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
+use tokio::time::sleep;
+use tokio_util::io::InspectReader;
+
+use crate::cpu::resident_bytes;
+use crate::cpu::thread_time;
+use crate::mix::Deployment;
+use crate::sender::send;
+use crate::workload::org_token;
+use crate::workload::Workload;
+use crate::workload::WorkloadSettings;
+
+const ROUTER_THREADS: &str = "dw-router";
+
+/// Time over which idle processes are watched; it holds several heartbeats.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Time after a start that is not counted.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Numbers of organisations, of which the difference counts.
+const ORGANISATIONS: [usize; 2] = [8, 20_008];
+
+/// Numbers of upstreams, of which the difference counts.
+const UPSTREAMS: [usize; 2] = [10, 60];
+
+/// Requests per second at which the CPU of a request is measured, and for how long.
+const REQUESTS_PER_S: f64 = 200.0;
+const REQUEST_TIME: Duration = Duration::from_secs(10);
+
+const BLOCKS: u128 = 200_000;
+
+const QUEUED: u64 = 20_000;
+
+/// Cost of one more unit of something, from the difference of two measurements.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Slope {
+    /// CPU time per event.
+    pub cpu_us: Option<f64>,
+    /// Share of one core per unit that exists.
+    pub core_share: Option<f64>,
+    /// Memory per unit that exists.
+    pub memory_bytes: Option<f64>,
+}
+
+/// Control traffic of one router among a number of nodes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ControlTraffic {
+    /// Agents.
+    pub agents: usize,
+    /// Bytes per second that a router exchanges with all agents.
+    pub bytes_per_s: f64,
+    /// The same by agent.
+    pub bytes_per_s_per_agent: f64,
+}
+
+/// All slopes; displays as JSON.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Slopes {
+    /// Router, per request of the mix of the Division.
+    pub router_request: Slope,
+    /// Router, per organisation of the configuration.
+    pub router_organisation: Slope,
+    /// Router, per upstream with its agent, without requests.
+    pub router_upstream: Slope,
+    /// Agent, per cached block in its index.
+    pub agent_block: Slope,
+    /// Agent, per cache event.
+    pub agent_event: Slope,
+    /// Agent, per queued request without its prompt, which is kept in addition.
+    pub agent_queued: Slope,
+    /// Control traffic against the number of agents.
+    pub control: Vec<ControlTraffic>,
+}
+
+/// Measures all slopes.
+///
+/// # Errors
+///
+/// Returns an error if a cluster does not start.
+pub(crate) fn measure_slopes() -> eyre::Result<Slopes> {
+    let mut slopes = Slopes::default();
+    (slopes.agent_block, slopes.agent_event) = cache_slopes();
+    slopes.agent_queued = queue_slope()?;
+    let routers = runtime(ROUTER_THREADS)?;
+    let handle = routers.handle().clone();
+    runtime("dw-load")?.block_on(async {
+        slopes.router_organisation = organisation_slope(&handle).await?;
+        slopes.router_request = request_slope(&handle).await?;
+        let mut idle = Vec::new();
+        for count in UPSTREAMS {
+            idle.push(idle_router(&handle, count).await?);
+        }
+        let more = (UPSTREAMS[1] - UPSTREAMS[0]) as f64;
+        slopes.router_upstream = Slope {
+            core_share: Some((idle[1].core_share - idle[0].core_share) / more),
+            memory_bytes: Some((idle[1].memory_bytes - idle[0].memory_bytes) / more),
+            cpu_us: None,
+        };
+        slopes.control = idle.iter().map(|idle| idle.traffic).collect();
+        Ok(slopes)
+    })
+}
+
+fn runtime(name: &str) -> eyre::Result<Runtime> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name(name)
+        .enable_all()
+        .build();
+    Ok(runtime?)
+}
+
+/// Returns the cost of a block and of an event in the index of an agent.
+fn cache_slopes() -> (Slope, Slope) {
+    let before = resident_bytes();
+    let mut index = Index::new();
+    index.observe(Incarnation(1), WeightsVersion(1));
+    let started = Instant::now();
+    for number in 1..=BLOCKS {
+        // Spread like real hashes, so that the buckets of the map fill evenly.
+        let hash = BlockHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835));
+        let batch = Batch {
+            incarnation: Incarnation(1),
+            weights: WeightsVersion(1),
+            last_seq: number as u64,
+            events: vec![Event {
+                seq: number as u64,
+                kind: Kind::Stored,
+                hashes: vec![hash],
+            }],
+        };
+        black_box(index.batch(&batch, TimeMs(number as u64)));
+    }
+    let event_us = started.elapsed().as_secs_f64() * 1e6 / BLOCKS as f64;
+    let grown = resident_bytes().saturating_sub(before) as f64;
+    let blocks = index.len().max(1) as f64;
+    let block = Slope {
+        memory_bytes: Some(grown / blocks),
+        ..Slope::default()
+    };
+    let event = Slope {
+        cpu_us: Some(event_us),
+        ..Slope::default()
+    };
+    (block, event)
+}
+
+/// Returns the cost of a waiting request in the gate of an agent.
+fn queue_slope() -> eyre::Result<Slope> {
+    let speed = TokensPerS::new(8_000.0)?;
+    let settings = FairSettings::builder()
+        .max_running(1)
+        .max_queued(QUEUED as usize)
+        .max_wait_ms(DurationMs(u64::MAX / 4))
+        .prefill_tokens_per_s(speed)
+        .decode_tokens_per_s(speed)
+        .build();
+    let mut gate = Fair::new(settings);
+    let before = resident_bytes();
+    let started = Instant::now();
+    for id in 1..=QUEUED {
+        let ticket = Ticket {
+            id,
+            org: format!("org-{}", id % 8).parse()?,
+            share: 1.0,
+            priority: Priority::Normal,
+            worth: Worth::new(1.0)?,
+            uncached_tokens: Tokens(4_096),
+            max_tokens: Tokens(100),
+            deadline: TimeMs(u64::MAX / 2),
+            repeatable: true,
+        };
+        black_box(gate.offer(ticket, TimeMs(id)));
+    }
+    let offer_us = started.elapsed().as_secs_f64() * 1e6 / QUEUED as f64;
+    let grown = resident_bytes().saturating_sub(before) as f64;
+    let queued = f64::from(gate.load().queued.max(1));
+    Ok(Slope {
+        cpu_us: Some(offer_us),
+        memory_bytes: Some(grown / queued),
+        core_share: None,
+    })
+}
+
+/// Describes `count` plain services, which are the cheapest upstreams.
+fn fleet(count: usize) -> String {
+    let mut text = "deployment: slopes\nweight_loads: 1\nservices:\n".to_owned();
+    for number in 1..=count {
+        text.push_str(&format!(
+            "  - {{name: lookup-{number}, data_centre: local, services: [lookup]}}\n"
+        ));
+    }
+    text
+}
+
+/// Returns the memory of a router per organisation; each has one token and nothing else.
+async fn organisation_slope(routers: &Handle) -> eyre::Result<Slope> {
+    let mut resident = Vec::new();
+    for count in ORGANISATIONS {
+        let organisations = (0..count).map(|n| (format!("org-{n}"), format!("token-{n}")));
+        let settings = ClusterSettings::builder()
+            .description(fleet(1))
+            .organisations(organisations.collect())
+            .router_runtime(routers.clone())
+            .build();
+        let mut cluster = Cluster::start_with(settings).await?;
+        let before = resident_bytes();
+        let replaced = cluster.replace_routers().await?;
+        sleep(SETTLE).await;
+        resident.push(resident_bytes().saturating_sub(before) as f64);
+        drop(replaced);
+        cluster.shutdown().await;
+    }
+    let more = (ORGANISATIONS[1] - ORGANISATIONS[0]) as f64;
+    Ok(Slope {
+        memory_bytes: Some((resident[1] - resident[0]) / more),
+        ..Slope::default()
+    })
+}
+
+/// Returns the CPU of a router per request of the Division's mix.
+async fn request_slope(routers: &Handle) -> eyre::Result<Slope> {
+    let names = crate::mix::organisations();
+    let settings = ClusterSettings::builder()
+        .description(dw_local::DIVISION)
+        .organisations(names.iter().map(|n| (n.clone(), org_token(n))).collect())
+        // Fast engines, so that requests do not wait.
+        .speedup(10.0)
+        .router_runtime(routers.clone())
+        .build();
+    let cluster = Cluster::start_with(settings).await?;
+    sleep(SETTLE).await;
+    let idle = thread_time(ROUTER_THREADS);
+    sleep(REQUEST_TIME).await;
+    let before = thread_time(ROUTER_THREADS);
+    let load = WorkloadSettings::builder()
+        .deployment(Deployment::Division)
+        .rate_per_s(REQUESTS_PER_S)
+        .duration(REQUEST_TIME)
+        .build();
+    let samples = send(Workload::new(load), &cluster.callers_addrs()).await?;
+    let used = thread_time(ROUTER_THREADS).saturating_sub(before);
+    let used = used.saturating_sub(before.saturating_sub(idle));
+    cluster.shutdown().await;
+    Ok(Slope {
+        cpu_us: Some(used.as_secs_f64() * 1e6 / samples.len().max(1) as f64),
+        ..Slope::default()
+    })
+}
+
+/// A router without requests.
+struct IdleRouter {
+    core_share: f64,
+    memory_bytes: f64,
+    traffic: ControlTraffic,
+}
+
+/// Watches a router that has `count` upstreams and no requests.
+async fn idle_router(routers: &Handle, count: usize) -> eyre::Result<IdleRouter> {
+    let settings = ClusterSettings::builder()
+        .description(fleet(count))
+        .router_runtime(routers.clone())
+        .build();
+    let mut cluster = Cluster::start_with(settings).await?;
+    let bytes = Arc::new(AtomicU64::new(0));
+    let mut vms = Vec::new();
+    for agent in cluster.agents() {
+        let upstream = agent.status().upstream.to_string();
+        vms.push(Vm {
+            name: format!("agent-{upstream}"),
+            role: VmRole::Agent,
+            state: VmState::Live,
+            data_centre: "local".to_owned(),
+            data_addr: agent.data_addr().to_string(),
+            control_addr: counted(agent.control_addr(), &bytes).await?.to_string(),
+            upstream: Some(upstream),
+        });
+    }
+    cluster.fleet().vms.state.set_vms(vms);
+    for router in std::mem::take(&mut cluster.replace_routers().await?) {
+        router.shutdown().await;
+    }
+    // The routers so far used the agents' own addresses; the new ones use the counted ones.
+    let before = resident_bytes();
+    let replaced = cluster.replace_routers().await?;
+    sleep(SETTLE).await;
+    let grown = resident_bytes().saturating_sub(before) as f64;
+    for router in replaced {
+        router.shutdown().await;
+    }
+    let (cpu, sent) = (thread_time(ROUTER_THREADS), bytes.load(Ordering::Relaxed));
+    sleep(IDLE).await;
+    let cpu = thread_time(ROUTER_THREADS).saturating_sub(cpu);
+    let sent = bytes.load(Ordering::Relaxed) - sent;
+    cluster.shutdown().await;
+    let bytes_per_s = sent as f64 / IDLE.as_secs_f64();
+    Ok(IdleRouter {
+        core_share: cpu.as_secs_f64() / IDLE.as_secs_f64(),
+        memory_bytes: grown,
+        traffic: ControlTraffic {
+            agents: count,
+            bytes_per_s,
+            bytes_per_s_per_agent: bytes_per_s / count as f64,
+        },
+    })
+}
+
+/// Forwards connections to `target` and counts the bytes of both directions.
+async fn counted(target: SocketAddr, bytes: &Arc<AtomicU64>) -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let bytes = Arc::clone(bytes);
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            let bytes = Arc::clone(&bytes);
+            tokio::spawn(async move { forward(caller, target, &bytes).await });
+        }
+    });
+    Ok(addr)
+}
+
+async fn forward(mut caller: TcpStream, target: SocketAddr, bytes: &AtomicU64) {
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
+        return;
+    };
+    let mut caller = InspectReader::new(&mut caller, |data: &[u8]| {
+        bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+    });
+    let mut upstream = InspectReader::new(&mut upstream, |data: &[u8]| {
+        bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+    });
+    // Either side may end the connection at any time.
+    let _ended = copy_bidirectional(&mut caller, &mut upstream).await;
+}
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -44,11 +44,23 @@
     /// Exponent of the popularity of catalogues, venues and clients.
     #[builder(default = 1.3)]
     pub prefix_exponent: f64,
+    /// Changes of the arrivals per second, in order.
+    #[builder(default)]
+    pub rate_changes: Vec<RateChange>,
     /// Times at which other prefixes become hot, in order.
     #[builder(default)]
     pub shifts: Vec<Duration>,
 }
 
+/// A change of the arrivals per second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateChange {
+    /// Time after the start.
+    pub at: Duration,
+    /// Arrivals per second from then on.
+    pub rate_per_s: f64,
+}
+
 /// One request and when it is sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
@@ -118,6 +130,14 @@
         }
     }
 
+    /// Returns the arrivals per second at the time of the last arrival.
+    fn rate_per_s(&self) -> f64 {
+        let changes = self.settings.rate_changes.iter();
+        let past = changes.take_while(|change| change.at.as_secs_f64() <= self.at_s);
+        past.last()
+            .map_or(self.settings.rate_per_s, |change| change.rate_per_s)
+    }
+
     /// Makes other prefixes hot; the organisations keep their sizes.
     fn shift(&mut self) {
         self.catalogue_skew.shuffle(&mut self.rng);
@@ -141,7 +161,7 @@
 
     fn next(&mut self) -> Option<Arrival> {
         // Exponential gaps make the arrivals a Poisson process.
-        let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.settings.rate_per_s;
+        let gap_s = -(1.0 - self.rng.random::<f64>()).ln() / self.rate_per_s();
         self.at_s += gap_s;
         let at = Duration::try_from_secs_f64(self.at_s).ok()?;
         if at >= self.settings.duration {
--- /dev/null
+++ b/crates/load/tests/scenario.rs
@@ -0,0 +1,267 @@
+//! Checks scenarios, capacity, the series of a run and comparisons.
+
+use std::process::Command;
+use std::time::Duration;
+
+use dw_api::callers::Usage;
+use dw_load::compare;
+use dw_load::plot;
+use dw_load::series;
+use dw_load::Capacity;
+use dw_load::Deployment;
+use dw_load::Experiment;
+use dw_load::Latency;
+use dw_load::Measurement;
+use dw_load::Outcome;
+use dw_load::Point;
+use dw_load::Recovery;
+use dw_load::Runner;
+use dw_load::Sample;
+use dw_load::Scenario;
+use dw_load::Workload;
+use dw_standin::Fleet;
+use serde_json::json;
+
+const DIVISION: &str = include_str!("../../../examples/experiment-division.yaml");
+const LETARGO: &str = include_str!("../../../examples/experiment-letargo.yaml");
+
+const SHORT: &str = "
+deployment: letargo
+load: {requests_per_s: 30}
+duration_s: 4
+warm_up_s: 1
+speedup: 2
+window_s: 0.5
+policies: [nested, flat-block]
+cases:
+  - name: steady
+  - name: rough
+    faults:
+      - {kind: kill-engines, at_s: 1.5}
+      - {kind: slow-engines, at_s: 1.5, until_s: 3, share: 0.3334, factor: 4}
+      - {kind: lose-events, at_s: 1.5, share: 0.1}
+      - {kind: shift, at_s: 2}
+      - {kind: restart-routers, at_s: 2.5}
+";
+
+/// Guards against examples that cannot be run, and against a capacity that no engine limits.
+#[test]
+fn examples_are_valid_and_have_a_capacity() {
+    for (text, model) in [(DIVISION, "quote-writer"), (LETARGO, "care-note")] {
+        let scenario = Scenario::from_yaml(text).expect("the example is valid");
+        assert_eq!(scenario.cases().len(), 8);
+        let description = match scenario.deployment {
+            Deployment::Division => dw_local::DIVISION,
+            Deployment::Letargo => dw_local::LETARGO,
+        };
+        let fleet = Fleet::from_yaml(description).expect("the fleet is valid");
+        let capacity = scenario.capacity(&fleet);
+        assert_eq!(capacity.model, model);
+        let services = scenario.deployment.services();
+        let cached = Capacity::of(&fleet, &services, 0.9);
+        assert!(cached.requests_per_s > capacity.requests_per_s);
+    }
+}
+
+/// Guards against scenarios that are accepted although they mean nothing, and against errors that
+/// do not name the key.
+#[test]
+fn faulty_scenario_names_key_and_remedy() {
+    let cases = [
+        ("load: {share: 0.8, requests_per_s: 3}", "load: set either"),
+        ("load: {share: -1}", "load: write a number above 0"),
+        ("load: {share: 0.8}\nseeds: []", "seeds: write at least one"),
+        (
+            "load: {share: 0.8}\nwarm_up_s: 70",
+            "warm_up_s: write a time",
+        ),
+        ("load: {share: 0.8}\nspedup: 3", "unknown field `spedup`"),
+        (
+            "load: {share: 0.8}\ncases: [{name: a, faults: [{kind: shift, at_s: 61}]}]",
+            "cases[0].faults[0].at_s: write a time before duration_s",
+        ),
+        (
+            "load: {share: 0.8}\ncases: [{name: a}, {name: a}]",
+            "cases[1].name: write a name",
+        ),
+    ];
+    for (text, wanted) in cases {
+        let text = format!("deployment: division\nduration_s: 60\n{text}\n");
+        let error = Scenario::from_yaml(&text).expect_err(wanted).to_string();
+        assert!(error.contains(wanted), "{error}");
+    }
+}
+
+/// Guards against wrong options and files that do not end with exit code 2 and a remedy.
+#[test]
+fn wrong_command_lines_exit_with_2() {
+    let program = env!("CARGO_BIN_EXE_dandelionwall-load");
+    let example = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../examples/experiment-division.yaml"
+    );
+    let cases: [(&[&str], &str); 6] = [
+        (&[], "write run, experiment"),
+        (&["experiment"], "name exactly one YAML file"),
+        (&["experiment", "absent.yaml"], "correct this file"),
+        (
+            &["run", example, "--router", "127.0.0.1:1"],
+            "use the experiment command",
+        ),
+        (&["--compare", example], "name exactly two reports"),
+        (&["experiment", example, "--fast"], "see --help"),
+    ];
+    for (args, wanted) in cases {
+        let output = Command::new(program).args(args).output().expect("runs");
+        assert_eq!(output.status.code(), Some(2), "{args:?}");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(error.contains(wanted), "{args:?}: {error}");
+    }
+}
+
+/// Guards against a changed load that does not change the arrivals, or changes them too early.
+#[test]
+fn load_fault_multiplies_arrivals_between_its_times() {
+    let scenario = Scenario::from_yaml(DIVISION).expect("the example is valid");
+    let fleet = Fleet::from_yaml(dw_local::DIVISION).expect("the fleet is valid");
+    let capacity = scenario.capacity(&fleet);
+    let counts = |name: &str| {
+        let cases = scenario.cases();
+        let case = cases.iter().find(|case| case.name == name);
+        let settings = scenario.workload(case.expect("the case exists"), 1, &capacity);
+        let arrivals: Vec<_> = Workload::new(settings).collect();
+        let within = |from, to| {
+            let range = Duration::from_secs(from)..Duration::from_secs(to);
+            arrivals.iter().filter(|a| range.contains(&a.at)).count() as f64
+        };
+        (within(0, 20), within(20, 40))
+    };
+    let (usual, load) = (counts("steady"), counts("load-300"));
+    assert_eq!(usual.0, load.0);
+    let factor = load.1 / usual.1;
+    assert!((3.2..4.3).contains(&factor), "{factor}");
+}
+
+fn sample(at_s: u64, cached_tokens: u64, first_ms: u64) -> Sample {
+    let load = Deployment::Division.services()[0];
+    Sample {
+        number: at_s,
+        at: Duration::from_secs(at_s),
+        org: "org-1".to_owned(),
+        load,
+        first_token: Some(Duration::from_millis(first_ms)),
+        total: Duration::from_millis(first_ms + 1),
+        outcome: Outcome::Answered {
+            usage: Some(Usage {
+                cached_tokens,
+                completion_tokens: 1,
+                prompt_tokens: 1_000,
+            }),
+        },
+    }
+}
+
+/// Guards against a dip or a time of recovery that is taken from the wrong points.
+#[test]
+fn recovery_measures_depth_and_time_of_a_dip() {
+    let points =
+        |samples: Vec<Sample>| series(&samples, Duration::from_secs(1), Duration::from_secs(30));
+    let usual = points((0..30).map(|at_s| sample(at_s, 800, 100)).collect());
+    let dipped = |at_s| (10..16).contains(&at_s);
+    let faulty = points(
+        (0..30)
+            .map(|at_s| match dipped(at_s) {
+                true => sample(at_s, 400, 300),
+                false => sample(at_s, 800, 100),
+            })
+            .collect(),
+    );
+    let found = Recovery::of(&faulty, &usual, 10.0);
+    assert!((found.hit_rate_dip - 0.5).abs() < 0.01, "{found:?}");
+    assert!((found.tail_rise - 3.0).abs() < 0.05, "{found:?}");
+    assert_eq!(found.hit_rate_back_s, Some(6.0));
+    assert_eq!(found.tail_back_s, Some(6.0));
+    let same = Recovery::of(&usual, &usual, 10.0);
+    assert_eq!((same.hit_rate_dip, same.hit_rate_back_s), (0.0, Some(0.0)));
+    let lasting = points((0..30).map(|at_s| sample(at_s, 400, 100)).collect());
+    assert_eq!(Recovery::of(&lasting, &usual, 10.0).hit_rate_back_s, None);
+}
+
+/// Guards against runs that are matched by position, and against a division by zero.
+#[test]
+fn comparison_matches_runs_by_case_and_policy() {
+    let run = |policy: &str, waste: f64| json!({"case": "a", "policy": policy, "waste": waste});
+    let first = json!({"runs": [run("x", 4.0), run("y", 0.0)], "series": [1]});
+    let second = json!({"runs": [run("y", 1.0), run("x", 2.0)], "series": [2]});
+    let found = compare(&first, &second);
+    let ratios: Vec<_> = found.iter().map(|r| (r.path.as_str(), r.ratio())).collect();
+    let wanted = [("runs.a/x.waste", Some(0.5)), ("runs.a/y.waste", None)];
+    assert_eq!(ratios, wanted);
+}
+
+/// Guards against plots that are missing or empty, also for a run without any answer.
+#[test]
+fn plots_are_written_for_every_case() {
+    let scenario = Scenario::from_yaml(SHORT).expect("the scenario is valid");
+    let point = Point {
+        at_s: 1.0,
+        first_token: Latency::of([Duration::from_millis(5)].into_iter()),
+        ..Point::default()
+    };
+    let run = |case: &str, series| Measurement {
+        case: case.to_owned(),
+        policy: "nested".to_owned(),
+        series,
+        ..Measurement::default()
+    };
+    let experiment = Experiment {
+        capacity: Capacity::default(),
+        runs: vec![run("steady", vec![point]), run("rough", Vec::new())],
+        scenario,
+    };
+    let dir = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("plots");
+    std::fs::create_dir_all(&dir).expect("the directory can be created");
+    plot(&experiment, &dir).expect("plots are written");
+    for case in ["steady", "rough"] {
+        for name in [
+            "hit-rate",
+            "nested-first-token",
+            "recomputed",
+            "urgent-p99",
+            "worth",
+        ] {
+            let file = dir.join(format!("{case}-{name}.svg"));
+            let text = std::fs::read_to_string(&file).expect("the plot exists");
+            assert!(text.contains("</svg>"), "{}", file.display());
+        }
+    }
+}
+
+/// Guards against an experiment that loses requests, repeats calls that run at most once, crosses
+/// caches or skips a policy, also under all faults at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn experiment_measures_every_policy_under_faults() {
+    let scenario = Scenario::from_yaml(SHORT).expect("the scenario is valid");
+    let runner = Runner::new(scenario).expect("the names exist");
+    let experiment = runner.run().await.expect("the clusters start");
+    let names = experiment.runs.iter();
+    let names: Vec<_> = names
+        .map(|r| (r.case.as_str(), r.policy.as_str()))
+        .collect();
+    let wanted = [
+        ("steady", "nested"),
+        ("steady", "flat-block"),
+        ("rough", "nested"),
+        ("rough", "flat-block"),
+    ];
+    assert_eq!(names, wanted);
+    for run in &experiment.runs {
+        let all = &run.report.all;
+        let ended = all.answered + all.refused + all.broken() + all.unreachable;
+        assert!(all.sent > 0 && ended == all.sent, "{run:?}");
+        assert_eq!((run.counts.duplicates, run.counts.crossings), (0, 0));
+        assert!(run.counts.computed_tokens > 0);
+        assert!(run.counts.router_attempts > 0);
+        assert_eq!(run.recovery.is_some(), run.case == "rough");
+    }
+}
--- a/crates/load/tests/sender.rs
+++ b/crates/load/tests/sender.rs
@@ -128,6 +128,7 @@
     let refused = sample(format!("{head}: {length}\r\n\r\n{ERROR}")).await;
     let wanted = Outcome::Refused {
         status: 503,
+        kind: "overloaded".to_owned(),
         not_run: true,
     };
     assert_eq!(refused.outcome, wanted);
--- a/crates/local/src/choice.rs
+++ b/crates/local/src/choice.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use dw_admit::Fair;
+use dw_admit::FairSettings;
 use dw_admit::Fifo;
 use dw_admit::Gate;
 use dw_config::Upstream;
@@ -94,14 +96,28 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum GateName {
     /// First come, first served, within a priority.
-    #[default]
     Fifo,
+    /// Priorities, fair shares of organisations, worth and deadlines.
+    Fair,
+    /// The same, and urgent work pre-empts other work.
+    #[default]
+    FairPreempt,
 }
 
 impl GateName {
     /// Creates the gate of one agent.
     pub fn create(self, upstream: &Upstream, max_queued: usize) -> Box<dyn Gate> {
         match self {
+            GateName::Fair | GateName::FairPreempt => {
+                let settings = FairSettings::builder()
+                    .max_running(upstream.max_batch)
+                    .max_queued(max_queued)
+                    .prefill_tokens_per_s(upstream.prefill_tokens_per_s)
+                    .decode_tokens_per_s(upstream.decode_tokens_per_s)
+                    .preempts(self == GateName::FairPreempt)
+                    .build();
+                Box::new(Fair::new(settings))
+            }
             GateName::Fifo => Box::new(Fifo::new(
                 upstream.max_batch,
                 max_queued,
@@ -117,11 +133,13 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
+            "fair" => Ok(GateName::Fair),
+            "fair-preempt" => Ok(GateName::FairPreempt),
             "fifo" => Ok(GateName::Fifo),
             _ => Err(UnknownName {
                 kind: "gate",
                 name: text.to_owned(),
-                known: "fifo",
+                known: "fair-preempt, fair, fifo",
             }),
         }
     }
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -126,6 +126,7 @@
                 let cut = self.cut();
                 EventStream {
                     request_id,
+                    sent: Arc::clone(&self.sent),
                     progress,
                     cut,
                     from_index: 0,
@@ -147,6 +148,7 @@
         self.wake.notify_one();
         EventStream {
             request_id: wanted.request_id,
+            sent: Arc::clone(&self.sent),
             progress,
             cut: self.cut(),
             from_index: wanted.from_index,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod http;
 mod load_gate;
 mod runner;
+mod send_log;
 mod settings;
 mod stream;
 mod text;
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -20,6 +20,7 @@
 use crate::engine::core::Core;
 use crate::engine::holders::Holders;
 use crate::engine::load_gate::LoadGate;
+use crate::engine::send_log::SendLog;
 use crate::engine::settings::EngineFaults;
 use crate::engine::settings::EngineSettings;
 use crate::server::serve;
@@ -39,6 +40,7 @@
     samples: Mutex<VecDeque<LoadReport>>,
     pub(crate) wake: Notify,
     pub(crate) gate: Arc<LoadGate>,
+    pub(crate) sent: Arc<SendLog>,
     origin: Instant,
     speedup: f64,
 }
@@ -60,6 +62,7 @@
             cut: Mutex::default(),
             wake: Notify::new(),
             gate,
+            sent: Arc::default(),
             origin: Instant::now(),
         }
     }
@@ -69,6 +72,11 @@
         self.core().audit.clone()
     }
 
+    /// Returns when the first token of a recent generation was handed to its connection.
+    pub fn first_token_sent(&self, request_id: &str) -> Option<std::time::Instant> {
+        self.sent.first_token(request_id)
+    }
+
     /// Returns the incarnation.
     pub fn incarnation(&self) -> u64 {
         self.core().incarnation
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -1,6 +1,7 @@
 //! The event stream of one generation.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use dw_api::engine::GenerateEvent;
@@ -17,6 +18,7 @@
 
 use crate::engine::generation::Ended;
 use crate::engine::generation::Progress;
+use crate::engine::send_log::SendLog;
 use crate::engine::text::token_text;
 use crate::server::Cut;
 use crate::server::Reply;
@@ -24,6 +26,7 @@
 /// Reader of one generation.
 pub(crate) struct EventStream {
     pub(crate) request_id: String,
+    pub(crate) sent: Arc<SendLog>,
     pub(crate) progress: watch::Receiver<Progress>,
     /// Cuts the connection.
     pub(crate) cut: CancellationToken,
@@ -78,6 +81,9 @@
                 return Err(Cut);
             }
             if let Some(event) = self.ready.pop_front() {
+                if matches!(event, GenerateEvent::Token { index: 0, .. }) {
+                    self.stream.sent.record(&self.stream.request_id);
+                }
                 return Ok(Some(event));
             }
             match self.ended {
