--- a/crates/local/tests/statements.rs
+++ b/crates/local/tests/statements.rs
@@ -2,6 +2,7 @@
 
 use dw_local::declare;
 use dw_local::statements;
+use dw_local::ClusterSettings;
 use dw_local::DIVISION;
 use dw_local::LETARGO;
 use dw_standin::Fleet;
@@ -9,7 +10,7 @@
 
 fn declared(description: &str) -> String {
     let fleet = Fleet::from_yaml(description).expect("valid");
-    statements(&declare(&fleet).expect("valid"))
+    statements(&declare(&fleet, &ClusterSettings::builder().build()).expect("valid"))
 }
 
 /// Guards against example statements that do not fit the example stand-ins; `UPDATE_EXPECT=1`
