--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -11,6 +11,8 @@
 use dw_settings::SettingsError;
 use serde::Deserialize;
 
+use crate::gate::GateKind;
+
 /// Fewest bytes of an answer that are kept; one frame with its length must fit.
 const MIN_RESUME_BYTES: usize = 4_096;
 
@@ -33,12 +35,18 @@
     /// Control addresses of routers, used when the VM list is down.
     #[serde(default)]
     pub peers: Vec<Addr>,
+    /// Admission policy.
+    #[serde(default)]
+    pub gate: GateKind,
     /// Most requests that wait.
     #[serde(default = "default_max_queued")]
     pub max_queued: usize,
     /// Most bytes of one answer that are kept for resuming.
     #[serde(default = "default_resume_bytes")]
     pub resume_bytes: usize,
+    /// Most bytes of all answers together that are kept for resuming.
+    #[serde(default = "default_resume_total_bytes")]
+    pub resume_total_bytes: usize,
     /// Speed at which cache pieces are imported from the KV store.
     #[serde(default = "default_import_bytes_per_s")]
     pub import_bytes_per_s: u64,
@@ -83,6 +91,11 @@
     1 << 20
 }
 
+/// A quarter of the 256 MB that a node may use.
+fn default_resume_total_bytes() -> usize {
+    64 << 20
+}
+
 fn default_import_bytes_per_s() -> u64 {
     2_000_000_000
 }
@@ -116,6 +129,11 @@
             let remedy = format!("write at least {MIN_RESUME_BYTES}");
             return Err(Fault::new("resume_bytes", problem, remedy));
         }
+        if self.resume_total_bytes < self.resume_bytes {
+            let problem = format!("{} is less than resume_bytes", self.resume_total_bytes);
+            let remedy = format!("write at least {}", self.resume_bytes);
+            return Err(Fault::new("resume_total_bytes", problem, remedy));
+        }
         Ok(())
     }
 }
