Start local clusters with the synced configuration

A local cluster had a fixed configuration, so that the operator's shell could not change it and nothing that concerns propagation was part of local runs and measurements. Agents and routers now follow the stand-in table; the cluster commits its declaration through the first router and is ready when it is in force everywhere. Following is a part of the agent's library, because only the agent's binary had it. The routers are in the VM list, which membership counts: without that each router of a cluster scaled the heat of prefixes as if it were alone.

dandelionwall-local prints the address of the administration and the token of the operator.

Before: statements to a local cluster were refused with 503.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod control;
 mod engine;
 mod feed;
+mod follow;
 mod gate;
 mod generate;
 mod kv;
@@ -34,6 +35,8 @@
 
 pub use agent::Agent;
 pub use agent::StartError;
+pub use follow::ConfigFollower;
+pub use follow::FollowParts;
 pub use gate::gate_for;
 pub use gate::GateKind;
 pub use parts::ConfigPeer;
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -21,9 +21,10 @@
 use tokio::signal::unix::SignalKind;
 
 use crate::agent::Agent;
+use crate::follow::ConfigFollower;
+use crate::follow::FollowParts;
 use crate::gate::gate_for;
 use crate::parts::Parts;
-use crate::peers::ListedPeers;
 use crate::settings::ProcessSettings;
 use crate::settings::Settings;
 
@@ -48,28 +49,17 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let incarnation = Incarnation(clock.now().0);
     let agent = settings.agent;
-    let configured = agent.peers.iter().map(|peer| peer.0);
-    let peers = ListedPeers::new(
-        agent.node.clone(),
-        incarnation,
-        Arc::clone(&vms),
-        configured,
-    );
-    let peers = Arc::new(peers);
-    peers.refresh().await;
-    let node = ConfigNode::builder()
-        .id(agent.node.clone())
+    let follow = FollowParts::builder()
+        .node(agent.node.clone())
+        .incarnation(incarnation)
+        .peers(agent.peers.iter().map(|peer| peer.0).collect())
         .table(Arc::clone(&table))
         .objects(Arc::clone(&objects))
-        .peers(peers.clone())
+        .vms(Arc::clone(&vms))
         .clock(Arc::clone(&clock))
-        .seed(incarnation.0)
         .build();
-    let node = Arc::new(node);
-    node.start().await;
-    let polling = Arc::clone(&node);
-    tokio::spawn(async move { polling.run().await });
-    tokio::spawn(async move { peers.run().await });
+    let follower = ConfigFollower::start(follow).await;
+    let node = Arc::clone(follower.node());
     let gate = tokio::select! {
         gate = gate(&agent, node.as_ref()) => gate?,
         _ = terminate.recv() => return Ok(()),
--- a/crates/load/src/streaming.rs
+++ b/crates/load/src/streaming.rs
@@ -375,6 +375,7 @@
         budget_ms: DurationMs(30_000),
         config_version: ConfigVersion(1),
         traceparent: None,
+        alternative: None,
         work: Work::Generate {
             model: "text".parse()?,
             weights: WeightsVersion(1),
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -7,17 +7,26 @@
 use std::time::Duration;
 
 use bon::Builder;
+use dw_admit::Gate;
 use dw_agent::Agent;
-use dw_agent::FixedPeer;
+use dw_agent::ConfigFollower;
+use dw_agent::FollowParts;
 use dw_api::vms::Vm;
 use dw_api::vms::VmRole;
 use dw_api::vms::VmState;
+use dw_base::Clock;
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
+use dw_base::Incarnation;
+use dw_base::NodeId;
+use dw_base::SystemClock;
+use dw_config::Change;
 use dw_config::Config;
-use dw_config::FixedConfig;
+use dw_config::Edit;
 use dw_config::Upstream;
-use dw_router::Parts;
 use dw_router::Router;
+use dw_router::SyncedParts;
+use dw_router::SyncedRouter;
 use dw_standin::Fleet;
 use dw_standin::RunningFleet;
 use dw_store::Endpoint;
@@ -32,9 +41,12 @@
 use crate::choice::GateName;
 use crate::choice::PolicyName;
 use crate::config::declare;
+use crate::config::token_sha256;
+use crate::config::OPERATOR_TOKEN;
 use crate::config::ORGANISATION;
 use crate::config::TOKEN;
 use crate::no_objects::NoObjects;
+use crate::statements::statements;
 
 /// Pause between two looks at the agents.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -88,11 +100,12 @@
 pub struct Cluster {
     name: String,
     settings: ClusterSettings,
-    config: Config,
     data_centre: String,
-    routers: Vec<Router>,
+    routers: Vec<SyncedRouter>,
     metrics: Vec<Metrics>,
     agents: Vec<Agent>,
+    followers: Vec<ConfigFollower>,
+    agent_vms: Vec<Vm>,
     fleet: RunningFleet,
 }
 
@@ -121,58 +134,99 @@
         speed_up(&mut fleet, settings.speedup);
         let config = declare(&declared(&fleet), &settings)?;
         let running = RunningFleet::start(&fleet).await?;
-        let mut agents = Vec::new();
-        let mut vms = Vec::new();
+        let (mut agents, mut followers) = (Vec::new(), Vec::new());
+        let mut agent_vms = Vec::new();
         for upstream in config.upstreams() {
-            let parts = agent_parts(upstream, &config, &running, &settings)?;
-            let start = Agent::start(parts);
-            let agent = on_runtime(settings.agent_runtime.as_ref(), start).await??;
-            vms.push(vm(upstream, &agent));
+            let start = start_agent(agent_start(upstream, &running, &settings)?);
+            let (agent, follower) = on_runtime(settings.agent_runtime.as_ref(), start).await??;
+            agent_vms.push(vm(upstream, &agent));
             agents.push(agent);
+            followers.push(follower);
         }
-        running.vms.state.set_vms(vms);
-        wait_ready(&agents).await?;
+        // A router reads the list at its start.
+        running.vms.state.set_vms(agent_vms.clone());
         let first = fleet.engines.first();
         let data_centre = first.map_or("local", |engine| engine.data_centre.as_str());
         let mut cluster = Cluster {
             data_centre: data_centre.to_owned(),
             name: fleet.deployment,
             settings,
-            config,
             routers: Vec::new(),
             metrics: Vec::new(),
             agents,
+            followers,
+            agent_vms,
             fleet: running,
         };
         cluster.routers = cluster.start_routers().await?;
+        cluster.commit(&config).await?;
+        wait_ready(&cluster.agents).await?;
+        routers_ready(&cluster.routers).await?;
         Ok(cluster)
     }
 
-    async fn start_routers(&mut self) -> eyre::Result<Vec<Router>> {
+    /// Commits a configuration and returns when it is in force at all agents and routers.
+    async fn commit(&self, config: &Config) -> eyre::Result<()> {
+        let objects = config.entries.values().map(|entry| entry.object.clone());
+        let change = Change {
+            id: "example-1".parse()?,
+            operator: ORGANISATION.parse()?,
+            text: statements(config),
+            edits: objects.map(Edit::Create).collect(),
+        };
+        let node = self.routers[0].node();
+        let report = node.commit(change, ConfigVersion(0)).await?;
+        let missing: Vec<_> = report.unconfirmed.iter().map(NodeId::to_string).collect();
+        eyre::ensure!(
+            missing.is_empty(),
+            "the configuration is not in force at {}",
+            missing.join(", ")
+        );
+        Ok(())
+    }
+
+    async fn start_routers(&mut self) -> eyre::Result<Vec<SyncedRouter>> {
+        let mut vms = self.agent_vms.clone();
         let mut routers = Vec::new();
         for number in 1..=self.settings.routers.max(1) {
             let metrics = Metrics::new();
             let parts = self.router_parts(number, metrics.clone())?;
-            let start = Router::start(parts);
+            let start = SyncedRouter::start(parts);
             let router = on_runtime(self.settings.router_runtime.as_ref(), start).await??;
             self.metrics.push(metrics);
+            vms.push(router_vm(number, &self.data_centre, router.router()));
             routers.push(router);
         }
+        self.fleet.vms.state.set_vms(vms);
+        let agents = self.agents.len();
+        let informed = |router: &SyncedRouter| {
+            let others = routers.len() > 1;
+            router.node().is_current()
+                && known(router, "agents") == agents
+                && (!others || known(router, "routers") >= routers.len())
+        };
+        let all_informed = || routers.iter().all(informed);
+        wait_until("the routers do not know all nodes", all_informed).await?;
         Ok(routers)
     }
 
-    fn router_parts(&self, number: usize, metrics: Metrics) -> eyre::Result<Parts> {
+    fn router_parts(&self, number: usize, metrics: Metrics) -> eyre::Result<SyncedParts> {
         let settings = format!(
             "{{node: router-{number}, data_centre: {}, listen: '127.0.0.1:0', \
-             control: '127.0.0.1:0', admin: '127.0.0.1:0'}}",
-            self.data_centre
+             control: '127.0.0.1:0', admin: '127.0.0.1:0', bootstrap_token_sha256: {}}}",
+            self.data_centre,
+            token_sha256(OPERATOR_TOKEN)
         );
-        let vms = endpoint(self.fleet.vms.running.addr(), self.settings.speedup);
+        let reach = |addr| endpoint(addr, self.settings.speedup);
         let routers = u32::try_from(self.settings.routers)?;
-        Ok(Parts::builder()
+        let table = HttpTable::new(reach(self.fleet.table.running.addr()));
+        let objects = HttpObjects::new(reach(self.fleet.objects.running.addr()));
+        let vms = HttpVms::new(reach(self.fleet.vms.running.addr()));
+        Ok(SyncedParts::builder()
             .settings(dw_settings::from_text("router", &settings)?)
-            .config(Arc::new(FixedConfig::new(self.config.clone())))
-            .vms(Arc::new(HttpVms::new(vms)))
+            .table(Arc::new(table))
+            .objects(Arc::new(objects))
+            .vms(Arc::new(vms))
             .policy(self.settings.policy.create(routers))
             .metrics(metrics)
             .seed(self.settings.seed + number as u64)
@@ -184,8 +238,9 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub async fn replace_routers(&mut self) -> eyre::Result<Vec<Router>> {
+    pub async fn replace_routers(&mut self) -> eyre::Result<Vec<SyncedRouter>> {
         let started = self.start_routers().await?;
+        routers_ready(&started).await?;
         Ok(std::mem::replace(&mut self.routers, started))
     }
 
@@ -196,12 +251,13 @@
 
     /// Returns the first router.
     pub fn router(&self) -> &Router {
-        &self.routers[0]
+        self.routers[0].router()
     }
 
     /// Returns the addresses for callers.
     pub fn callers_addrs(&self) -> Vec<SocketAddr> {
-        self.routers.iter().map(Router::callers_addr).collect()
+        let routers = self.routers.iter().map(SyncedRouter::router);
+        routers.map(Router::callers_addr).collect()
     }
 
     /// Returns the agents.
@@ -227,6 +283,7 @@
         for agent in self.agents {
             agent.shutdown().await;
         }
+        drop(self.followers);
     }
 }
 
@@ -283,12 +340,37 @@
         .ok_or_else(|| eyre::eyre!("upstream {name} has no stand-in"))
 }
 
-fn agent_parts(
+/// What an agent and the follower of its configuration are made of.
+struct AgentStart {
+    settings: dw_agent::Settings,
+    gate: Box<dyn Gate>,
+    follow: FollowParts,
+    objects: Arc<dyn Objects>,
+}
+
+async fn start_agent(start: AgentStart) -> eyre::Result<(Agent, ConfigFollower)> {
+    let (table, vms) = (start.follow.table.clone(), start.follow.vms.clone());
+    let (clock, incarnation) = (start.follow.clock.clone(), start.follow.incarnation);
+    let follower = ConfigFollower::start(start.follow).await;
+    let parts = dw_agent::Parts::builder()
+        .settings(start.settings)
+        .config(follower.node().clone())
+        .peer(follower.node().clone())
+        .table(table)
+        .objects(start.objects)
+        .vms(vms)
+        .gate(start.gate)
+        .clock(clock)
+        .incarnation(incarnation)
+        .build();
+    Ok((Agent::start(parts).await?, follower))
+}
+
+fn agent_start(
     upstream: &Upstream,
-    config: &Config,
     fleet: &RunningFleet,
     cluster: &ClusterSettings,
-) -> eyre::Result<dw_agent::Parts> {
+) -> eyre::Result<AgentStart> {
     let settings = format!(
         "{{node: agent-{name}, data_centre: {dc}, upstream: {name}, upstream_addr: '{addr}', \
          data_addr: '127.0.0.1:0', control_addr: '127.0.0.1:0'}}",
@@ -300,21 +382,27 @@
     let import_bytes_per_s = settings.import_bytes_per_s as f64 * cluster.speedup;
     settings.import_bytes_per_s = import_bytes_per_s as u64;
     let gate = cluster.gate.create(upstream, settings.max_queued);
-    let objects: Arc<dyn Objects> = if cluster.kv_import {
-        let addr = fleet.objects.running.addr();
-        Arc::new(HttpObjects::new(endpoint(addr, cluster.speedup)))
-    } else {
-        Arc::new(NoObjects)
-    };
-    let table = endpoint(fleet.table.running.addr(), cluster.speedup);
-    Ok(dw_agent::Parts::builder()
-        .settings(settings)
-        .config(Arc::new(FixedConfig::new(config.clone())))
-        .peer(Arc::new(FixedPeer(config.version)))
-        .table(Arc::new(HttpTable::new(table)))
-        .objects(objects)
-        .gate(gate)
-        .build())
+    let reach = |addr| endpoint(addr, cluster.speedup);
+    let store = HttpObjects::new(reach(fleet.objects.running.addr()));
+    let store: Arc<dyn Objects> = Arc::new(store);
+    let clock = SystemClock::new();
+    let follow = FollowParts::builder()
+        .node(settings.node.clone())
+        .incarnation(Incarnation(clock.now().0))
+        .table(Arc::new(HttpTable::new(reach(fleet.table.running.addr()))))
+        .objects(store.clone())
+        .vms(Arc::new(HttpVms::new(reach(fleet.vms.running.addr()))))
+        .clock(Arc::new(clock))
+        .build();
+    Ok(AgentStart {
+        settings,
+        gate,
+        follow,
+        objects: match cluster.kv_import {
+            true => store,
+            false => Arc::new(NoObjects),
+        },
+    })
 }
 
 fn vm(upstream: &Upstream, agent: &Agent) -> Vm {
@@ -329,6 +417,40 @@
     }
 }
 
+fn router_vm(number: usize, data_centre: &str, router: &Router) -> Vm {
+    Vm {
+        name: format!("router-{number}"),
+        role: VmRole::Router,
+        state: VmState::Live,
+        data_centre: data_centre.to_owned(),
+        data_addr: router.callers_addr().to_string(),
+        control_addr: router.control_addr().to_string(),
+        upstream: None,
+    }
+}
+
+/// Returns how many nodes of a kind a router knows.
+fn known(router: &SyncedRouter, kind: &str) -> usize {
+    let state = router.router().node_state();
+    let state: serde_json::Value = serde_json::from_str(&state).unwrap_or_default();
+    state[kind].as_array().map_or(0, Vec::len)
+}
+
+async fn routers_ready(routers: &[SyncedRouter]) -> eyre::Result<()> {
+    let ready = || routers.iter().all(|router| router.router().is_ready());
+    wait_until("the routers are not ready", ready).await
+}
+
+async fn wait_until(problem: &str, is_true: impl Fn() -> bool) -> eyre::Result<()> {
+    let waiting = async {
+        while !is_true() {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    };
+    let waited = tokio::time::timeout(READY_WAIT, waiting).await;
+    waited.map_err(|_| eyre::eyre!("{problem} after {} s", READY_WAIT.as_secs()))
+}
+
 async fn wait_ready(agents: &[Agent]) -> eyre::Result<()> {
     let ready = async {
         while !agents.iter().all(|agent| agent.status().accepting) {
--- a/crates/local/src/main.rs
+++ b/crates/local/src/main.rs
@@ -8,6 +8,7 @@
 use dw_local::Table;
 use dw_local::DIVISION;
 use dw_local::LETARGO;
+use dw_local::OPERATOR_TOKEN;
 use dw_local::TOKEN;
 use dw_settings::EXIT_BAD_SETTINGS;
 use dw_telem::start_logs;
@@ -68,6 +69,9 @@
             cluster.name(),
             cluster.router().callers_addr()
         );
+        if let Some(admin) = cluster.router().admin_addr() {
+            println!("    administration {admin} operator token {OPERATOR_TOKEN}");
+        }
         clusters.push(cluster);
     }
     let result = if options.once {
--- a/crates/local/tests/statements.rs
+++ b/crates/local/tests/statements.rs
@@ -10,7 +10,13 @@
 
 fn declared(description: &str) -> String {
     let fleet = Fleet::from_yaml(description).expect("valid");
-    statements(&declare(&fleet, &ClusterSettings::builder().build()).expect("valid"))
+    statements(
+        &declare(
+            &fleet,
+            &ClusterSettings::builder().description(description).build(),
+        )
+        .expect("valid"),
+    )
 }
 
 /// Guards against example statements that do not fit the example stand-ins; `UPDATE_EXPECT=1`
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -121,6 +121,11 @@
         self.admin_addr
     }
 
+    /// Returns whether the router takes new requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Returns the placement record of a recent request as JSON.
     pub fn explain(&self, request_id: &RequestId) -> Option<String> {
         self.shared.explain(request_id)
--- a/crates/router/src/synced.rs
+++ b/crates/router/src/synced.rs
@@ -12,6 +12,7 @@
 use dw_store::Table;
 use dw_store::VmSource;
 use dw_sync::ConfigNode;
+use dw_telem::Metrics;
 use tokio::task::JoinHandle;
 
 use crate::handle::NodeHandle;
@@ -37,6 +38,12 @@
     /// Source of time.
     #[builder(default = Arc::new(SystemClock::new()))]
     pub clock: Arc<dyn Clock>,
+    /// Registry of metrics.
+    #[builder(default)]
+    pub metrics: Metrics,
+    /// Seed of the generators for placement and backoff.
+    #[builder(default = rand::random())]
+    pub seed: u64,
 }
 
 /// A router that keeps its configuration current and executes statements.
@@ -60,7 +67,7 @@
             .objects(parts.objects)
             .peers(handle.clone())
             .clock(parts.clock.clone())
-            .seed(rand::random())
+            .seed(parts.seed)
             .build();
         let node = Arc::new(node);
         let administration = Administration::builder()
@@ -80,6 +87,8 @@
             .delegate(Arc::new(SyncDelegate(node.clone())))
             .handle(handle)
             .clock(parts.clock)
+            .metrics(parts.metrics)
+            .seed(parts.seed)
             .build();
         // The router starts first, because peers are found through its VM list.
         let router = Router::start(parts).await?;
