--- a/crates/load/src/streaming.rs
+++ b/crates/load/src/streaming.rs
@@ -365,6 +365,7 @@
         request_id: agent_name(name).parse()?,
         attempt: 1,
         hops: 0,
+        alternative: None,
         router: "streaming".parse()?,
         upstream: "engine-1".parse()?,
         org: "example".parse()?,
@@ -375,7 +376,6 @@
         budget_ms: DurationMs(30_000),
         config_version: ConfigVersion(1),
         traceparent: None,
-        alternative: None,
         work: Work::Generate {
             model: "text".parse()?,
             weights: WeightsVersion(1),
