Measure requests, refusals and placements; trace every step

There was one span a request, made after the limit had been checked, and five counters without reasons, so that neither a slow step nor a kind of refusal could be told from the outside. An agent exports spans if its settings name a collector.

Before: explain and the log were the only sources of a refusal's reason. The agent's own span has no test.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,9 +1,11 @@
 //! HTTP server of the data path.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dw_telem::TraceParent;
 use dw_wire::decode;
 use dw_wire::encode_frame;
 use dw_wire::FailureKind;
@@ -154,6 +156,10 @@
 
 fn start(shared: &Arc<Shared>, request: RunRequest, live: Arc<Live>, arrived: dw_base::TimeMs) {
     let task_shared = Arc::clone(shared);
+    let parent = request.traceparent.as_deref().map(str::parse);
+    let span = parent
+        .and_then(Result::ok)
+        .map(|parent: TraceParent| parent.span("agent"));
     match request.work.clone() {
         Work::Generate {
             model,
@@ -169,14 +175,22 @@
                 prompt,
                 max_tokens,
             };
-            shared.spawn(Generation::new(task_shared, request, job, live, arrived).run());
+            let generation = Generation::new(task_shared, request, job, live, arrived);
+            shared.spawn(with_span(span, generation.run()));
         }
         Work::Call { key, body } => {
-            shared.spawn(PlainCall::new(task_shared, request, (key, body), live, arrived).run());
+            let call = PlainCall::new(task_shared, request, (key, body), live, arrived);
+            shared.spawn(with_span(span, call.run()));
         }
     }
 }
 
+/// Keeps a span until the work in it has ended.
+async fn with_span<S>(span: Option<S>, work: impl Future<Output = ()>) {
+    work.await;
+    drop(span);
+}
+
 fn follow(
     shared: &Arc<Shared>,
     live: Arc<Live>,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -81,6 +81,8 @@
     pub agent: Settings,
     /// Settings of the platform's services.
     pub platform: Platform,
+    /// OTLP endpoint for spans, for example `http://127.0.0.1:4318/v1/traces`.
+    pub otlp: Option<String>,
 }
 
 fn default_max_queued() -> usize {
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -74,7 +74,7 @@
     request: &mut Request<Body>,
 ) -> Response<Body> {
     match (request.method().as_str(), request.uri().path()) {
-        ("GET", "/metrics") => typed(Metrics::CONTENT_TYPE, shared.metrics.render()),
+        ("GET", "/metrics") => typed(Metrics::CONTENT_TYPE, shared.metrics_text()),
         ("GET", "/healthz") => text(StatusCode::OK, "ok\n"),
         ("GET", "/readyz") if shared.is_ready() => text(StatusCode::OK, "ready\n"),
         ("GET", "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -40,6 +40,7 @@
 use crate::filter::relay::AnswerBody;
 use crate::filter::relay::Relay;
 use crate::filter::resolve::resolve;
+use crate::filter::validate::trace_parent;
 use crate::filter::validate::validate;
 use crate::filter::validate::Body;
 use crate::filter::validate::Endpoint;
@@ -64,12 +65,20 @@
     limit: LimitRequest,
     prompt: Tokens,
     _work: TaskTrackerToken,
-    _span: fastrace::Span,
+    job: Arc<Job>,
 }
 
 impl Held {
-    /// Gives back the allowance for tokens that were not generated.
+    /// Measures the time of a complete answer.
+    fn answered(&self) {
+        let after = self.shared.clock.now().since(self.job.arrived);
+        let (service, priority) = self.job.labels();
+        self.shared.measures.answered(service, &priority, after);
+    }
+
+    /// Measures the answer and gives back the allowance for tokens that were not generated.
     fn done(&self, generated: Tokens) {
+        self.answered();
         let used = self.prompt.0.saturating_add(generated.0);
         let unused = Tokens(self.limit.tokens.0.saturating_sub(used));
         self.shared.limiter.give_back(&self.limit, unused);
@@ -122,11 +131,11 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     // The token precedes the check of the drain, so that a drain waits for every accepted request.
     let token = shared.work.token();
-    shared.counters.requests.inc();
+    shared.measures.requests.inc();
     let request_id = RequestId::from_random(rand::random());
     let result = handle(&shared, request, &request_id, token).await;
     let mut response = result.unwrap_or_else(|e| {
-        shared.counters.errors.inc();
+        shared.measures.failed(e.kind, e.not_run);
         log::info!(request_id:% = request_id, kind = e.kind, not_run = e.not_run; "request refused");
         error_response(&e, &request_id)
     });
@@ -150,13 +159,20 @@
         return Err(error);
     }
     let arrived = shared.clock.now();
+    let parent = trace_parent(request.headers());
+    let span = Arc::new(parent.span("request"));
+    let step = |name: &'static str| fastrace::Span::enter_with_parent(name, &span);
     let endpoint = endpoint(request.method(), request.uri().path())?;
     let config = shared.config.current();
     let (head, body) = request.into_parts();
-    let org = authenticate(&shared.tokens, &config, &head.headers)?;
+    let org = in_span(step("authenticate"), || {
+        authenticate(&shared.tokens, &config, &head.headers)
+    })?;
     let body = read_body(shared, body).await?;
-    let asked = validate(&endpoint, &head.headers, body)?;
-    let resolved = resolve(&config, &asked)?;
+    let asked = in_span(step("validate"), || {
+        validate(&endpoint, &head.headers, body)
+    })?;
+    let resolved = in_span(step("resolve"), || resolve(&config, &asked))?;
     let (shape, stream, answer_tokens) = match &asked.body {
         Body::Generate {
             model,
@@ -180,16 +196,20 @@
         tokens: Tokens(prompt.0 + answer_tokens),
         now: arrived,
     };
-    limit(shared.limiter.as_ref(), &use_)?;
-    let span = asked.trace.span("request");
+    in_span(step("limit"), || limit(shared.limiter.as_ref(), &use_))?;
+    let work = in_span(step("chain"), || {
+        chain::work(&org, &resolved, asked.key, asked.body)
+    });
     let job = Arc::new(Job {
         request_id: request_id.clone(),
-        trace: asked.trace.below(&span),
+        trace: parent.below(&span),
+        span,
+        arrived,
         priority: resolved.priority,
         deadline: arrived + resolved.deadline,
         config_version: config.version,
         stream,
-        work: chain::work(&org, &resolved, asked.key, asked.body),
+        work,
         service: resolved.service,
         org,
     });
@@ -203,7 +223,7 @@
         limit: use_,
         prompt,
         _work: token,
-        _span: span,
+        job: job.clone(),
     };
     respond(job, shape, begun, held)
 }
@@ -221,6 +241,7 @@
             let status = StatusCode::from_u16(answer.http_status);
             log_done(&job, upstream.as_str());
             let status = status.map_err(|_| mismatch().may_have_run(true))?;
+            held.answered();
             Ok(response(status, "application/json", full(answer.body)))
         }
         (Begun::Whole(text), Some(shape)) => {
@@ -239,6 +260,7 @@
                 events,
             };
             tokio::spawn(async move {
+                let _span = job.step("relay");
                 let upstream = live.upstream().clone();
                 match relay.run(*live, first).await {
                     Ok(generated) => {
@@ -246,7 +268,7 @@
                         held.done(generated);
                     }
                     Err(e) => {
-                        held.shared.counters.errors.inc();
+                        held.shared.measures.failed(e.kind, e.not_run);
                         log::warn!(
                             request_id:% = job.request_id, upstream:% = upstream, kind = e.kind;
                             "stream ended with an error"
@@ -260,6 +282,13 @@
     }
 }
 
+/// Runs one step in its span.
+fn in_span<T>(span: fastrace::Span, step: impl FnOnce() -> T) -> T {
+    let result = step();
+    drop(span);
+    result
+}
+
 fn log_done(job: &Job, upstream: &str) {
     log::info!(
         request_id:% = job.request_id, org:% = job.org, service:% = job.service.name,
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -10,12 +10,14 @@
 use dw_place::Observation;
 use dw_stream::Sequence;
 use dw_stream::Verdict;
+use dw_telem::TraceParent;
 use dw_wire::Alternative;
 use dw_wire::Frame;
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
 use dw_wire::StreamStart;
 use dw_wire::PROTOCOL_VERSION;
+use fastrace::Span;
 use thiserror::Error;
 
 use crate::agents::AgentError;
@@ -61,6 +63,8 @@
     started: bool,
     resumes: u32,
     sent_at: TimeMs,
+    /// Ends with the attempt.
+    _span: Span,
 }
 
 impl Drop for Live {
@@ -79,8 +83,10 @@
     (decision, agent): (Decision, Agent),
 ) -> Result<Live, Lost> {
     let sent_at = shared.clock.now();
-    let request = run_request(shared, job, tried, &decision);
-    shared.counters.attempts.inc();
+    let span = job.step("forward");
+    let trace = job.trace.below(&span);
+    let request = run_request(shared, job, tried, &decision, trace);
+    shared.measures.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
     let frames = match answer {
@@ -114,6 +120,7 @@
         started: false,
         resumes: 0,
         sent_at,
+        _span: span,
     };
     if let Some(e) = lost {
         live.resume(&e.to_string()).await?;
@@ -121,7 +128,13 @@
     Ok(live)
 }
 
-fn run_request(shared: &Shared, job: &Job, tried: &Tried, decision: &Decision) -> RunRequest {
+fn run_request(
+    shared: &Shared,
+    job: &Job,
+    tried: &Tried,
+    decision: &Decision,
+    trace: TraceParent,
+) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
         request_id: job.request_id.clone(),
@@ -140,7 +153,7 @@
         repeat: job.service.repeat,
         budget_ms: job.remaining(shared.clock.now()),
         config_version: job.config_version,
-        traceparent: Some(job.trace.to_string()),
+        traceparent: Some(trace.to_string()),
         work: job.work.clone(),
     }
 }
@@ -245,6 +258,9 @@
         let Some(chain) = chain_of(&self.job.work) else {
             return;
         };
+        let after = self.shared.clock.now().since(self.job.arrived);
+        let (service, priority) = self.job.labels();
+        self.shared.measures.first_token(service, &priority, after);
         self.shared.observe(&Observation::FirstToken {
             upstream: self.upstream.clone(),
             chain: chain.clone(),
@@ -270,7 +286,7 @@
                 request_id:% = self.job.request_id, upstream:% = self.upstream,
                 from_seq = self.sequence.next_seq(), reason = why; "answer is resumed"
             );
-            self.shared.counters.resumes.inc();
+            self.shared.measures.resumes.inc();
             let request = ResumeRequest {
                 protocol: PROTOCOL_VERSION,
                 request_id: self.job.request_id.clone(),
--- a/crates/router/src/filter/place.rs
+++ b/crates/router/src/filter/place.rs
@@ -42,6 +42,7 @@
     tried: &Tried,
     budget_ms: DurationMs,
 ) -> Option<(Decision, Agent)> {
+    let _span = job.step("place");
     let config = shared.config.current();
     let now = shared.clock.now();
     let targets = targets(shared, &config, job);
@@ -63,6 +64,7 @@
     };
     let agent = shared.members.usable(&decision.upstream, now)?;
     shared.members.placed(&decision.upstream, now);
+    shared.measures.placed(kind(&decision, tried));
     shared.records.add(Placed {
         request_id: job.request_id.clone(),
         attempt: tried.attempt + 1,
@@ -73,6 +75,19 @@
     Some((decision, agent))
 }
 
+/// Returns how an upstream was chosen, for metrics.
+fn kind(decision: &Decision, tried: &Tried) -> &'static str {
+    if tried.hint.as_ref() == Some(&decision.upstream) {
+        return "named by an agent";
+    }
+    let mut candidates = decision.candidates.iter();
+    let chosen = candidates.find(|candidate| candidate.upstream == decision.upstream);
+    match chosen {
+        Some(candidate) if candidate.home => "home",
+        _ => "not a home",
+    }
+}
+
 fn targets(shared: &Shared, config: &Config, job: &Job) -> Vec<Target> {
     let now = shared.clock.now();
     config
--- a/crates/router/src/filter/validate.rs
+++ b/crates/router/src/filter/validate.rs
@@ -63,7 +63,6 @@
     pub(crate) priority: Option<Priority>,
     pub(crate) deadline: Option<DurationMs>,
     pub(crate) key: Option<IdempotencyKey>,
-    pub(crate) trace: TraceParent,
     pub(crate) body: Body,
 }
 
@@ -98,15 +97,17 @@
         priority: header(headers, "x-priority")?,
         deadline: deadline(headers)?,
         key: header(headers, "idempotency-key")?,
-        // The standard requires that a malformed trace context is replaced, not refused.
-        trace: header(headers, "traceparent")
-            .ok()
-            .flatten()
-            .unwrap_or_else(TraceParent::random),
         body: check_body(endpoint, body)?,
     })
 }
 
+/// Returns the caller's trace context, or a new one. The standard requires that a malformed one is
+/// replaced, not refused.
+pub(crate) fn trace_parent(headers: &HeaderMap) -> TraceParent {
+    let sent = header(headers, "traceparent").ok().flatten();
+    sent.unwrap_or_else(TraceParent::random)
+}
+
 fn check_body(endpoint: &Endpoint, body: Bytes) -> Result<Body, CallerError> {
     match endpoint {
         Endpoint::Chat => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod handle;
 mod hello;
 mod loans;
+mod measures;
 mod members;
 mod parts;
 mod pool;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dw_base::seeded_rng;
+use dw_base::ConfigVersion;
 use dw_base::Incarnation;
 use dw_base::RequestId;
 use dw_wire::serve_control;
@@ -25,11 +26,11 @@
 use crate::explain::Records;
 use crate::hello;
 use crate::loans::Loans;
+use crate::measures::Measures;
 use crate::members::Members;
 use crate::parts::Parts;
 use crate::pool::Pool;
 use crate::retry::Retries;
-use crate::shared::Counters;
 use crate::shared::Placer;
 use crate::shared::Shared;
 use crate::tokens::Tokens;
@@ -165,7 +166,8 @@
 }
 
 fn share(parts: Parts) -> Arc<Shared> {
-    let counters = Counters::new(&parts.metrics);
+    let measures = Measures::new(&parts.metrics);
+    let started = parts.clock.now();
     let node = parts.settings.node.clone();
     let limiter = parts
         .limiter
@@ -185,7 +187,8 @@
         delegate: parts.delegate,
         clock: parts.clock,
         metrics: parts.metrics,
-        counters,
+        measures,
+        config_seen: Mutex::new((ConfigVersion(0), started)),
         tokens: Tokens::default(),
         members: Members::default(),
         records: Records::default(),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -26,6 +26,7 @@
 use dw_wire::StreamEnd;
 use dw_wire::StreamStart;
 use dw_wire::Work;
+use fastrace::Span;
 use http::StatusCode;
 
 use crate::error::CallerError;
@@ -40,14 +41,16 @@
 const MOST_HOPS: u32 = 2;
 
 /// A request that is ready to be placed.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Job {
     pub(crate) request_id: RequestId,
     pub(crate) org: OrgId,
     pub(crate) service: Service,
     pub(crate) priority: Priority,
+    pub(crate) arrived: TimeMs,
     pub(crate) deadline: TimeMs,
     pub(crate) config_version: ConfigVersion,
+    pub(crate) span: Arc<Span>,
     pub(crate) trace: TraceParent,
     pub(crate) work: Work,
     /// Whether the caller wants events as they are generated.
@@ -55,6 +58,16 @@
 }
 
 impl Job {
+    /// Returns the service and the priority as labels of metrics.
+    pub(crate) fn labels(&self) -> (&str, String) {
+        (self.service.name.as_str(), self.priority.to_string())
+    }
+
+    /// Starts the span of a step, below that of the request.
+    pub(crate) fn step(&self, name: &'static str) -> Span {
+        Span::enter_with_parent(name, &self.span)
+    }
+
     /// Returns the time that remains until the deadline.
     pub(crate) fn remaining(&self, now: TimeMs) -> DurationMs {
         self.deadline.since(now)
@@ -194,7 +207,7 @@
             (None, None) => return false,
         }
         self.tried.hops += 1;
-        self.shared.counters.hops.inc();
+        self.shared.measures.hops.inc();
         true
     }
 
@@ -268,6 +281,7 @@
         match decision {
             Decision::Retry { delay_ms } => {
                 self.retries += 1;
+                self.shared.measures.retries.inc();
                 tokio::time::sleep(Duration::from(delay_ms)).await;
                 Ok(())
             }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -8,8 +8,10 @@
 use std::sync::PoisonError;
 
 use dw_base::Clock;
+use dw_base::ConfigVersion;
 use dw_base::Incarnation;
 use dw_base::Rng;
+use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_config::ConfigSource;
 use dw_place::Observation;
@@ -18,7 +20,6 @@
 use dw_telem::Metrics;
 use dw_wire::Hello;
 use dw_wire::Status;
-use prometheus_client::metrics::counter::Counter;
 use tokio_util::task::TaskTracker;
 
 use crate::agents::Agents;
@@ -26,6 +27,7 @@
 use crate::error::CallerError;
 use crate::explain::Records;
 use crate::filter::limit::Limiter;
+use crate::measures::Measures;
 use crate::members::Fresh;
 use crate::members::Members;
 use crate::pool::Pool;
@@ -33,29 +35,6 @@
 use crate::settings::Settings;
 use crate::tokens::Tokens;
 
-/// Counters of the request path.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Counters {
-    pub(crate) requests: Counter,
-    pub(crate) errors: Counter,
-    pub(crate) attempts: Counter,
-    pub(crate) hops: Counter,
-    pub(crate) resumes: Counter,
-}
-
-impl Counters {
-    pub(crate) fn new(metrics: &Metrics) -> Self {
-        let add = |name, help| metrics.add(name, help, Counter::default());
-        Counters {
-            requests: add("requests", "Requests of callers"),
-            errors: add("request_errors", "Requests that ended with an error"),
-            attempts: add("attempts", "Attempts sent to agents"),
-            hops: add("hops", "Attempts sent to a better home"),
-            resumes: add("resumes", "Streams resumed after a lost connection"),
-        }
-    }
-}
-
 /// A policy with its generator.
 pub(crate) struct Placer {
     pub(crate) policy: Box<dyn Policy>,
@@ -74,7 +53,9 @@
     pub(crate) delegate: Arc<dyn ControlDelegate>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) metrics: Metrics,
-    pub(crate) counters: Counters,
+    pub(crate) measures: Measures,
+    /// Configuration that was last measured, and when it was first seen.
+    pub(crate) config_seen: Mutex<(ConfigVersion, TimeMs)>,
     pub(crate) tokens: Tokens,
     pub(crate) members: Members,
     pub(crate) records: Records,
@@ -143,6 +124,26 @@
         }
     }
 
+    /// Returns all metrics as text.
+    pub(crate) fn metrics_text(&self) -> String {
+        self.see_config();
+        self.metrics.render()
+    }
+
+    /// Measures the version and the age of the configuration.
+    pub(crate) fn see_config(&self) {
+        let (version, now) = (self.config.current().version, self.clock.now());
+        let seen = self.config_seen.lock();
+        let mut seen = seen.unwrap_or_else(PoisonError::into_inner);
+        if seen.0 != version {
+            *seen = (version, now);
+        }
+        let age_s = now.since(seen.1).0 / 1_000;
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.measures.config_version.set(gauge(version.0));
+        self.measures.config_age_s.set(gauge(age_s));
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
--- a/crates/router/src/vms.rs
+++ b/crates/router/src/vms.rs
@@ -34,6 +34,8 @@
 
 /// Reads the list once. On a failure the last known list stays in use.
 pub(crate) async fn poll_once(shared: &Shared) {
+    // The age of the configuration must not depend on how often metrics are read.
+    shared.see_config();
     match shared.vms.vms().await {
         Ok(list) => {
             for name in shared.members.listed(&list, shared.clock.now()) {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -63,6 +63,7 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use http_body_util::Empty;
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
@@ -473,6 +474,14 @@
     }
 }
 
+pub(crate) async fn get(addr: SocketAddr, path: &str) -> (StatusCode, String) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let uri = format!("http://{addr}{path}").parse().expect("URI");
+    let (head, body) = client.get(uri).await.expect("response").into_parts();
+    let body = body.collect().await.expect("body").to_bytes();
+    (head.status, String::from_utf8(body.to_vec()).expect("text"))
+}
+
 /// Joins the text of all chat events.
 pub(crate) fn streamed_text(events: &str) -> String {
     events
--- a/crates/router/tests/process.rs
+++ b/crates/router/tests/process.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use common::frames;
+use common::get;
 use common::good;
 use common::id;
 use common::parts;
@@ -36,19 +37,8 @@
 use dw_wire::Hello;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Empty;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
 use tokio::sync::Semaphore;
 
-async fn get(addr: std::net::SocketAddr, path: &str) -> (StatusCode, String) {
-    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<bytes::Bytes>>();
-    let uri = format!("http://{addr}{path}").parse().expect("URI");
-    let (head, body) = client.get(uri).await.expect("response").into_parts();
-    let body = body.collect().await.expect("body").to_bytes();
-    (head.status, String::from_utf8(body.to_vec()).expect("text"))
-}
-
 struct Echo;
 
 impl StatementHandler for Echo {
