order, agent: order adapters and roles, claim fencing numbers in a pure rule

Cause: only weights and the serving role were ordered; the choice of the fencing number was part of the I/O and let a paused predecessor of the same agent raise its number over its successor's. Before: adapters could not be declared, a drained engine kept its role. After: a model lists adapters, which are loaded without a drain; a draining upstream is put on standby when nothing runs, and back when it is active; a predecessor that finds a later incarnation of itself in the table sends nothing more. Ruled out: a separate role field of an upstream, since its state says the same.

--- a/crates/admin/src/field.rs
+++ b/crates/admin/src/field.rs
@@ -84,7 +84,10 @@
     spec("tokens", "tokens_per_s", Rate, "tok/s", None),
 ];
 
-static MODEL: [FieldSpec; 1] = [spec("weights", "weights", Count, "", None)];
+static MODEL: [FieldSpec; 2] = [
+    spec("weights", "weights", Count, "", None),
+    spec("adapters", "adapters", Names, "", Some("[]")),
+];
 
 static OPERATOR: [FieldSpec; 1] = [spec("token_sha256", "token_sha256", Names, "", None)];
 
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -19,8 +19,12 @@
 use dw_config::Object;
 use dw_config::ObjectKind;
 use dw_config::Setting;
+use dw_config::Upstream;
 use dw_config::UpstreamKind;
+use dw_config::UpstreamState;
+use dw_order::claim;
 use dw_order::decide;
+use dw_order::Claim;
 use dw_order::Desired;
 use dw_order::Held;
 use dw_order::Lease;
@@ -61,6 +65,7 @@
     fence: Option<FenceNumber>,
     seen_fence: u64,
     lease: Option<Held>,
+    superseded: bool,
 }
 
 impl Orders {
@@ -72,6 +77,7 @@
             fence: None,
             seen_fence: 0,
             lease: None,
+            superseded: false,
         }
     }
 
@@ -89,6 +95,10 @@
 
     async fn look(&mut self) -> Duration {
         let config = self.shared.config();
+        if self.superseded {
+            self.set_ready(false);
+            return LOOK_EVERY;
+        }
         let Some(declared) = self.shared.declared(&config) else {
             self.set_ready(false);
             return LOOK_EVERY;
@@ -108,7 +118,7 @@
             self.shared.observe(Incarnation(state.incarnation), weights);
         }
         let view = View {
-            desired: desired(&config, declared.model.as_ref()),
+            desired: desired(&config, declared),
             observed: state.as_ref().map(observed),
             fence: self.fence,
             lease: self.lease,
@@ -160,6 +170,14 @@
                 self.shared.queue.refuse_waiting(RefusalReason::NotReady);
                 LOOK_SOON
             }
+            Step::Send {
+                fence,
+                order: order @ Order::LoadAdapter(_),
+            } => {
+                self.set_ready(true);
+                self.send(fence, order).await;
+                LOOK_SOON
+            }
             Step::Send { fence, order } => {
                 self.set_ready(false);
                 // A request that got its slot before readiness went off must finish first.
@@ -191,23 +209,25 @@
         };
         let find = |key: &str| items.iter().find(|item| item.key == key);
         let stored = find(&fence_key);
-        let number = stored.and_then(|item| item.value["fence"].as_u64());
-        let is_own = stored.is_some_and(|item| {
-            item.value["agent"] == shared.settings.node.as_str()
-                && item.value["incarnation"] == shared.incarnation.0
-        });
-        let number = number.unwrap_or(0);
-        // An own number that the engine has not overtaken is one whose write answer was lost.
-        if is_own && number >= self.seen_fence {
-            self.fence = Some(FenceNumber(number));
-            return true;
-        }
-        let next = number.max(self.seen_fence) + 1;
-        let fence = json!({
-            "fence": next,
-            "agent": shared.settings.node,
-            "incarnation": shared.incarnation,
-        });
+        let stored_fence = stored.and_then(|item| serde_json::from_value(item.value.clone()).ok());
+        let (node, seen) = (&shared.settings.node, FenceNumber(self.seen_fence));
+        let claimed = claim(stored_fence.as_ref(), node, shared.incarnation, seen);
+        let fence = match claimed {
+            Claim::Own(number) => {
+                self.fence = Some(number);
+                return true;
+            }
+            Claim::Raise(fence) => fence,
+            Claim::Superseded => {
+                log::error!("event=superseded node={node}");
+                self.superseded = true;
+                return false;
+            }
+        };
+        let next = fence.fence;
+        let Ok(fence) = serde_json::to_value(&fence) else {
+            return false;
+        };
         let agent = json!({ "incarnation": shared.incarnation });
         let version = |key: &str| find(key).map_or(0, |item| item.version);
         let writes = vec![
@@ -218,7 +238,7 @@
             return false;
         }
         log::info!("event=fence_raised fence={next}");
-        self.fence = Some(FenceNumber(next));
+        self.fence = Some(next);
         true
     }
 
@@ -272,9 +292,15 @@
                 model: desired.model.to_string(),
                 weights_version: desired.weights.0,
             },
+            Order::LoadAdapter(adapter) => EngineOrder::LoadAdapter {
+                adapter: adapter.to_string(),
+            },
             Order::Serve => EngineOrder::SetRole {
                 role: EngineRole::Serve,
             },
+            Order::Standby => EngineOrder::SetRole {
+                role: EngineRole::Standby,
+            },
         };
         let request = OrderRequest {
             fence: fence.0,
@@ -343,11 +369,13 @@
     }
 }
 
-fn desired(config: &Config, model: Option<&dw_base::ModelId>) -> Option<Desired> {
-    let model = config.model(model?)?;
+fn desired(config: &Config, declared: &Upstream) -> Option<Desired> {
+    let model = config.model(declared.model.as_ref()?)?;
     Some(Desired {
         model: model.name.clone(),
         weights: model.weights,
+        adapters: model.adapters.clone(),
+        serving: declared.state == UpstreamState::Active,
     })
 }
 
@@ -357,5 +385,6 @@
         weights: WeightsVersion(state.weights_version),
         loading: state.loading,
         serving: state.role == EngineRole::Serve,
+        adapters: state.adapters.clone(),
     }
 }
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -90,6 +90,12 @@
     pub(crate) forgets_cancelled: bool,
     pub(crate) resumed: Vec<u64>,
     pub(crate) orders: Vec<Value>,
+    /// Orders refused because of their fencing number.
+    pub(crate) stale_orders: u32,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) standby: bool,
+    /// Whether loads do not end until `loading` is reset.
+    pub(crate) holds_loads: bool,
     pub(crate) imported: Vec<String>,
     pub(crate) executions: BTreeMap<String, u32>,
     /// Whether the connection is cut after a call has run.
@@ -226,13 +232,22 @@
         let mut fake = lock(&self.state);
         let fence = body["fence"].as_u64().unwrap_or(0);
         if fake.checks_fence && fence < fake.fence {
+            fake.stale_orders += 1;
             return json_answer(409, &json!({"error": "stale_fence", "message": "old"}));
         }
         fake.fence = fence;
         fake.orders.push(body.clone());
-        if let Some(weights) = body["order"]["weights_version"].as_u64() {
+        let order = &body["order"];
+        if let Some(weights) = order["weights_version"].as_u64() {
             fake.weights = weights;
             fake.blocks.clear();
+            fake.loading = fake.holds_loads;
+        }
+        if let Some(adapter) = order["adapter"].as_str() {
+            fake.adapters.push(adapter.to_owned());
+        }
+        if let Some(role) = order["role"].as_str() {
+            fake.standby = role == "standby";
         }
         let state = state_of(&fake);
         drop(fake);
@@ -351,9 +366,9 @@
 }
 
 fn state_of(fake: &Fake) -> Value {
-    json!({"adapters": [], "checks_fence": fake.checks_fence, "fence": fake.fence,
+    json!({"adapters": fake.adapters, "checks_fence": fake.checks_fence, "fence": fake.fence,
         "incarnation": fake.incarnation, "loading": fake.loading, "max_batch": 4, "model": "m",
-        "role": "serve", "weights_version": fake.weights})
+        "role": if fake.standby { "standby" } else { "serve" }, "weights_version": fake.weights})
 }
 
 fn event(value: &Value) -> Piece {
@@ -381,15 +396,23 @@
 
 /// Configuration of an engine `e` and a plain service `p`.
 pub(crate) fn config(version: u64, weights: u64) -> Config {
-    let objects = [
-        upstream_object("e", dw_config::UpstreamKind::Engine, "quote"),
+    config_of_engines(version, weights, &["e"])
+}
+
+/// Configuration of engines and a plain service `p`.
+pub(crate) fn config_of_engines(version: u64, weights: u64, engines: &[&str]) -> Config {
+    let engine = |name: &&str| upstream_object(name, dw_config::UpstreamKind::Engine, "quote");
+    let engines = engines.iter().map(engine);
+    let others = [
         upstream_object("p", dw_config::UpstreamKind::Plain, "booking"),
         Object::Model(dw_config::Model {
             name: "m".parse().expect("valid id"),
             weights: WeightsVersion(weights),
+            adapters: Vec::new(),
         }),
     ];
-    let entries = objects.into_iter().map(|object| {
+    let objects = engines.chain(others);
+    let entries = objects.map(|object| {
         let version = ConfigVersion(version);
         (object.key(), Entry { version, object })
     });
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -116,6 +116,7 @@
     };
 }
 
+text_id!(AdapterId, "adapter", "Name of an adapter of a model.");
 text_id!(
     ChangeId,
     "change id",
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -19,6 +19,7 @@
 pub use clock::ManualClock;
 pub use clock::SystemClock;
 pub use clock::TimeMs;
+pub use id::AdapterId;
 pub use id::AttemptId;
 pub use id::ChangeId;
 pub use id::ConfigVersion;
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use dw_base::AdapterId;
 use dw_base::DataCentreId;
 use dw_base::DurationMs;
 use dw_base::ModelId;
@@ -109,7 +110,7 @@
     pub state: UpstreamState,
 }
 
-/// A model and the version of its weights that is to be served.
+/// A model, the version of its weights and its adapters that are to be served.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
@@ -117,6 +118,9 @@
     pub name: ModelId,
     /// Weights to serve.
     pub weights: WeightsVersion,
+    /// Adapters that each engine of the model loads.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub adapters: Vec<AdapterId>,
 }
 
 /// A limit on an organisation's use, over all routers together.
--- a/crates/local/src/config.rs
+++ b/crates/local/src/config.rs
@@ -59,6 +59,7 @@
         objects.push(Object::Model(Model {
             name: engine.engine.model.parse()?,
             weights: WeightsVersion(engine.engine.weights_version),
+            adapters: Vec::new(),
         }));
         objects.push(Object::Upstream(engine_upstream(engine)?));
         for name in &engine.services {
--- a/crates/order/src/decide.rs
+++ b/crates/order/src/decide.rs
@@ -1,5 +1,6 @@
 //! The decision.
 
+use dw_base::AdapterId;
 use dw_base::FenceNumber;
 use dw_base::ModelId;
 use dw_base::TimeMs;
@@ -14,6 +15,10 @@
     pub model: ModelId,
     /// Weights to serve.
     pub weights: WeightsVersion,
+    /// Adapters to load.
+    pub adapters: Vec<AdapterId>,
+    /// Whether the role is to serve; a drained engine is put on standby.
+    pub serving: bool,
 }
 
 /// What was read from the engine.
@@ -27,6 +32,8 @@
     pub loading: bool,
     /// Whether the role is to serve.
     pub serving: bool,
+    /// Loaded adapters as the engine names them.
+    pub adapters: Vec<String>,
 }
 
 /// What an order asks for.
@@ -34,8 +41,12 @@
 pub enum Order {
     /// Load weights.
     Load(Desired),
+    /// Load an adapter.
+    LoadAdapter(AdapterId),
     /// Take the serving role.
     Serve,
+    /// Take the standby role.
+    Standby,
 }
 
 /// Everything that the decision depends on.
@@ -99,8 +110,13 @@
     let Some(fence) = view.fence else {
         return Step::RaiseFence;
     };
-    if matches!(order, Order::Serve) {
-        return Step::Send { fence, order };
+    match (&order, view.lease) {
+        (Order::Load(_), _) => {}
+        // An earlier load is complete, and another engine waits for its lease.
+        (_, Some(lease)) => return Step::GiveBackLease(lease),
+        // Accepted work is finished; the configuration keeps new work away.
+        (Order::Standby, None) if view.running > 0 => return Step::Serve,
+        _ => return Step::Send { fence, order },
     }
     match view.lease {
         Some(_) if view.running > 0 => Step::Drain,
@@ -114,5 +130,14 @@
     if observed.model != desired.model.as_str() || observed.weights != desired.weights {
         return Some(Order::Load(desired.clone()));
     }
-    (!observed.serving).then_some(Order::Serve)
+    let is_loaded = |adapter: &&AdapterId| observed.adapters.iter().any(|a| a == adapter.as_str());
+    let missing = desired.adapters.iter().find(|adapter| !is_loaded(adapter));
+    if let Some(adapter) = missing {
+        return Some(Order::LoadAdapter(adapter.clone()));
+    }
+    match (desired.serving, observed.serving) {
+        (true, false) => Some(Order::Serve),
+        (false, true) => Some(Order::Standby),
+        _ => None,
+    }
 }
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -12,10 +12,16 @@
 //! | it differs, no confirmed lease | [`Step::TakeLease`], the old version is served until one is held |
 //! | it differs, work runs | [`Step::Drain`] |
 //! | it differs, nothing runs | [`Step::Send`] |
+//! | an adapter is missing | [`Step::Send`] at once, since loading one disturbs nothing |
+//! | the role differs | [`Step::Send`], standby only when nothing runs |
+//!
+//! [`claim`] picks the fencing number from what was just read from the table. An engine's refusal
+//! of a number leads back to the table, so that a number is never raised from memory.
 //!
 //! [`Slots::choose`] picks the lease `lease/weights/<n>` that bounds concurrent weight loads.
 
 mod decide;
+mod fence;
 mod lease;
 
 pub use decide::decide;
@@ -24,6 +30,9 @@
 pub use decide::Order;
 pub use decide::Step;
 pub use decide::View;
+pub use fence::claim;
+pub use fence::Claim;
+pub use fence::Fence;
 pub use lease::Choice;
 pub use lease::Held;
 pub use lease::Lease;
--- a/crates/order/tests/order.rs
+++ b/crates/order/tests/order.rs
@@ -1,13 +1,17 @@
 //! Tests of orders and of leases for weight loads.
 
+use dw_base::AdapterId;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::Incarnation;
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
+use dw_order::claim;
 use dw_order::decide;
+use dw_order::Claim;
 use dw_order::Desired;
+use dw_order::Fence;
 use dw_order::Held;
 use dw_order::Lease;
 use dw_order::Observed;
@@ -27,12 +31,15 @@
         desired: Some(Desired {
             model: "m".parse().expect("valid id"),
             weights: WeightsVersion(desired),
+            adapters: Vec::new(),
+            serving: true,
         }),
         observed: Some(Observed {
             model: "m".to_owned(),
             weights: WeightsVersion(observed),
             loading: false,
             serving: true,
+            adapters: Vec::new(),
         }),
         fence: Some(FenceNumber(3)),
         lease: None,
@@ -85,6 +92,7 @@
         weights: WeightsVersion(1),
         loading: true,
         serving: true,
+        adapters: Vec::new(),
     });
     assert_eq!(decide(&view, TimeMs(0)), Step::Wait);
     view.lease = held(0);
@@ -118,6 +126,71 @@
     ));
 }
 
+/// Guards against a drained engine that keeps its role, and against work that the change cuts off.
+#[test]
+fn drained_engine_is_put_on_standby() {
+    let mut view = view(2, 2);
+    if let Some(desired) = &mut view.desired {
+        desired.serving = false;
+    }
+    view.running = 1;
+    assert_eq!(decide(&view, TimeMs(0)), Step::Serve);
+    view.running = 0;
+    let fence = FenceNumber(3);
+    let order = Order::Standby;
+    assert_eq!(decide(&view, TimeMs(0)), Step::Send { fence, order });
+}
+
+/// Guards against an adapter that is not loaded, that waits for running work, or that is loaded
+/// before the weights it belongs to.
+#[test]
+fn missing_adapter_is_loaded() {
+    let mut view = view(2, 1);
+    let adapter: AdapterId = "rain".parse().expect("valid id");
+    if let Some(desired) = &mut view.desired {
+        desired.adapters = vec![adapter.clone()];
+    }
+    view.running = 1;
+    assert_eq!(decide(&view, TimeMs(0)), Step::TakeLease, "weights first");
+    if let Some(observed) = &mut view.observed {
+        observed.weights = WeightsVersion(2);
+    }
+    view.lease = held(0);
+    let lease = view.lease.expect("set");
+    assert_eq!(decide(&view, TimeMs(0)), Step::GiveBackLease(lease));
+    view.lease = None;
+    let fence = FenceNumber(3);
+    let order = Order::LoadAdapter(adapter.clone());
+    assert_eq!(decide(&view, TimeMs(0)), Step::Send { fence, order });
+    if let Some(observed) = &mut view.observed {
+        observed.adapters = vec![adapter.to_string()];
+    }
+    assert_eq!(decide(&view, TimeMs(0)), Step::Serve);
+}
+
+/// Guards against a number that the engine refuses, and against a predecessor that raises it over
+/// its successor's.
+#[test]
+fn fence_is_claimed_from_the_table() {
+    let fence = |number, agent, incarnation| Fence {
+        fence: FenceNumber(number),
+        agent: node(agent),
+        incarnation: Incarnation(incarnation),
+    };
+    let claim = |stored: Option<Fence>, seen| {
+        claim(stored.as_ref(), &node(1), Incarnation(5), FenceNumber(seen))
+    };
+    assert_eq!(claim(None, 0), Claim::Raise(fence(1, 1, 5)));
+    assert_eq!(claim(Some(fence(7, 2, 9)), 0), Claim::Raise(fence(8, 1, 5)));
+    assert_eq!(
+        claim(Some(fence(7, 1, 4)), 9),
+        Claim::Raise(fence(10, 1, 5))
+    );
+    assert_eq!(claim(Some(fence(7, 1, 5)), 7), Claim::Own(FenceNumber(7)));
+    assert_eq!(claim(Some(fence(7, 1, 5)), 8), Claim::Raise(fence(9, 1, 5)));
+    assert_eq!(claim(Some(fence(7, 1, 6)), 0), Claim::Superseded);
+}
+
 proptest! {
     /// Guards against more unexpired leases than slots, or one slot with two holders.
     #[test]
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -334,6 +334,7 @@
         Object::Model(Model {
             name: id("arch-1"),
             weights: WeightsVersion(1),
+            adapters: Vec::new(),
         }),
         service("quote", ServiceKind::Generate, RepeatRule::Repeatable),
         service("deposit", ServiceKind::Call, RepeatRule::AtMostOnce),
