--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -179,6 +179,7 @@
         calls: Mutex::new(HashMap::new()),
         memory: Arc::new(Memory::new(resume_total_bytes)),
         explained: Mutex::new(VecDeque::new()),
+        recent: Mutex::default(),
         leaving: AtomicBool::new(false),
         next_ticket: AtomicU64::new(1),
         next_report: AtomicU64::new(0),
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -276,7 +276,7 @@
                 fake.blocks.push(hash);
             }
         }
-        let start = json!({"type": "start", "cached_tokens": cached * PIECE_TOKENS,
+        let start = json!({"type": "start", "request_id": id, "cached_tokens": cached * PIECE_TOKENS,
             "incarnation": fake.incarnation, "prompt_tokens": prompt.len().div_ceil(4),
             "weights_version": fake.weights});
         fake.generations.insert(id.to_owned(), (prompt, length));
@@ -311,10 +311,12 @@
                 }
                 let length = fake.generations.get(&id).map_or(0, |(_, length)| *length);
                 if index == length {
-                    let end = json!({"type": "end", "finish_reason": "length", "tokens": length});
+                    let end = json!({"type": "end", "request_id": id,
+                        "finish_reason": "length", "tokens": length});
                     return Some((event(&end), None));
                 }
-                let token = json!({"type": "token", "index": index, "text": format!("t{index} ")});
+                let token = json!({"type": "token", "request_id": id,
+                    "index": index, "text": format!("t{index} ")});
                 Some((event(&token), Some(index + 1)))
             }
         });
@@ -539,6 +541,7 @@
         request_id: id.parse().expect("valid id"),
         attempt: 1,
         hops: 0,
+        alternative: None,
         router: "router".parse().expect("valid id"),
         upstream: upstream.parse().expect("valid id"),
         org: "org".parse().expect("valid id"),
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`Index::observe`]: incarnation and weights seen | a change clears the index: [`Action::Resync`] |
 //! | [`Index::reported`]: cached tokens of an answer | wrong entries are dropped, missing ones added |
 //!
+//! [`RecentChains`] holds the newest chains, which agents tell to routers with their answers.
 //! [`Exchange`] decides what is exported to the KV store and what is looked up there:
 //!
 //! | event | actions |
@@ -26,6 +27,7 @@
 mod exchange;
 mod index;
 mod pieces;
+mod recent;
 
 pub use breaker::BREAKER_PAUSE_MS;
 pub use event::Action;
@@ -45,3 +47,4 @@
 pub use index::Prediction;
 pub use index::LOST_TAIL_MS;
 pub use pieces::MAX_KNOWN_PIECES;
+pub use recent::RecentChains;
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -10,6 +10,7 @@
 use dw_place::Observation;
 use dw_stream::Sequence;
 use dw_stream::Verdict;
+use dw_wire::Alternative;
 use dw_wire::Frame;
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
@@ -78,14 +79,14 @@
     (decision, agent): (Decision, Agent),
 ) -> Result<Live, Lost> {
     let sent_at = shared.clock.now();
-    let request = run_request(shared, job, tried, &decision.upstream);
+    let request = run_request(shared, job, tried, &decision);
     shared.counters.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
     let frames = match answer {
         Err(_) => return Err(Lost::Deadline),
         Ok(Err(AgentError::NotSent(detail))) => {
-            shared.members.failed(&decision.upstream, sent_at);
+            shared.members.failed(&agent.node, sent_at);
             return Err(Lost::NotSent(detail));
         }
         Ok(other) => other,
@@ -120,14 +121,18 @@
     Ok(live)
 }
 
-fn run_request(shared: &Shared, job: &Job, tried: &Tried, upstream: &UpstreamId) -> RunRequest {
+fn run_request(shared: &Shared, job: &Job, tried: &Tried, decision: &Decision) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
         request_id: job.request_id.clone(),
         attempt: tried.attempt + 1,
         hops: tried.hops,
+        alternative: decision.alternative.map(|other| Alternative {
+            cost_ms: other.cost_ms,
+            prefill_weight: other.prefill_weight,
+        }),
         router: shared.settings.node.clone(),
-        upstream: upstream.clone(),
+        upstream: decision.upstream.clone(),
         org: job.org.clone(),
         service: job.service.name.clone(),
         priority: job.priority,
@@ -282,7 +287,7 @@
                 }
                 Ok(Err(AgentError::NotSent(detail))) => {
                     let now = self.shared.clock.now();
-                    self.shared.members.failed(&self.upstream, now);
+                    self.shared.members.failed(&self.agent.node, now);
                     // The first request was sent, so that this is not "not sent".
                     return Err(Lost::Broken(detail));
                 }
