agent: add spans and metrics

Cause: the agent ended the caller's trace and had no metrics. Before: neither. After: spans admit, queue, import, generate, call and record below the router's traceparent; metrics_addr serves /metrics by oxhttp with queue, waits by priority, speeds, cache events, gaps and resynchronisations, exchange with the KV store, refusals by reason, pre-emptions and outcome records; otlp exports spans. Ruled out: gauges that are kept current by each request, since a scrape reads the state itself. Conclusion: tests check the lines of a scrape and the names of the spans of one trace.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -27,6 +27,8 @@
 use crate::feed::Feed;
 use crate::kv;
 use crate::memory::Memory;
+use crate::metrics;
+use crate::metrics::AgentMetrics;
 use crate::orders::Orders;
 use crate::parts::Parts;
 use crate::queue::Queue;
@@ -65,6 +67,7 @@
     vms: Option<Arc<dyn VmSource>>,
     data_addr: SocketAddr,
     control_addr: SocketAddr,
+    metrics_addr: Option<SocketAddr>,
     stop_serving: CancellationToken,
     server: Option<JoinHandle<()>>,
 }
@@ -82,7 +85,18 @@
         let data_addr = local(&data, parts.settings.data_addr.0);
         let control_addr = local(&control, parts.settings.control_addr.0);
         let vms = parts.vms.clone();
+        let metrics_addr = parts.settings.metrics_addr;
         let shared = shared(parts)?;
+        let metrics_addr = metrics_addr
+            .map(|addr| {
+                let served = metrics::serve(addr.0, &shared);
+                served.map_err(|source| StartError::Bind {
+                    key: "metrics_addr",
+                    addr: addr.0,
+                    source,
+                })
+            })
+            .transpose()?;
         let stop_serving = CancellationToken::new();
         let serving = server::serve(Arc::clone(&shared), data, stop_serving.clone());
         let server = spawn_until_killed(&shared, serving);
@@ -99,6 +113,7 @@
             vms,
             data_addr,
             control_addr,
+            metrics_addr,
             stop_serving,
             server: Some(server),
         })
@@ -114,6 +129,11 @@
         self.control_addr
     }
 
+    /// Returns the address of the metrics, if the settings name one.
+    pub fn metrics_addr(&self) -> Option<SocketAddr> {
+        self.metrics_addr
+    }
+
     /// Returns the state as routers see it.
     pub fn status(&self) -> Status {
         self.shared.status(None)
@@ -150,6 +170,7 @@
 }
 
 fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
+    let metrics = AgentMetrics::new();
     let resume_total_bytes = parts.settings.resume_total_bytes;
     let url = format!("http://{}", parts.settings.upstream_addr);
     let clock = parts.clock;
@@ -157,7 +178,7 @@
     let incarnation = parts.incarnation.unwrap_or(Incarnation(started.0));
     Ok(Arc::new(Shared {
         queue: Queue::new(parts.gate, Arc::clone(&clock)),
-        feed: Feed::spawn(Arc::clone(&clock)).map_err(StartError::Thread)?,
+        feed: Feed::spawn(Arc::clone(&clock), metrics.clone()).map_err(StartError::Thread)?,
         engine: Engine::new(&url),
         plain: UpstreamClient::unpooled(&url),
         writer: Writer::spawn(
@@ -177,6 +198,7 @@
         killed: CancellationToken::new(),
         upstream: Mutex::new(UpstreamView::default()),
         calls: Mutex::new(HashMap::new()),
+        metrics,
         memory: Arc::new(Memory::new(resume_total_bytes)),
         explained: Mutex::new(VecDeque::new()),
         recent: Mutex::default(),
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -33,12 +33,14 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::arrival::Arrival;
 use crate::client::UpstreamError;
 use crate::live::Live;
 use crate::queue::Slot;
 use crate::shared::lock;
 use crate::shared::Explained;
 use crate::shared::Shared;
+use crate::trace::Trace;
 use crate::wait::failed;
 use crate::wait::ticket;
 use crate::wait::wait_for_slot;
@@ -63,16 +65,21 @@
     arrived: TimeMs,
     deadline: TimeMs,
     sent_body: Mutex<Option<String>>,
+    trace: Trace,
 }
 
 impl PlainCall {
     pub(crate) fn new(
         shared: Arc<Shared>,
-        request: RunRequest,
+        arrival: Arrival,
         work: (Option<IdempotencyKey>, Vec<u8>),
-        live: Arc<Live>,
-        arrived: TimeMs,
     ) -> Self {
+        let Arrival {
+            request,
+            live,
+            arrived,
+            trace,
+        } = arrival;
         PlainCall {
             deadline: arrived + request.budget_ms,
             shared,
@@ -82,6 +89,7 @@
             live,
             arrived,
             sent_body: Mutex::new(None),
+            trace,
         }
     }
 
@@ -98,7 +106,9 @@
             user: self.request.org.to_string(),
         };
         let ticket = ticket(&self.shared, &self.request, self.deadline);
+        let queued = self.trace.step("queue");
         let slot = wait_for_slot(&self.shared, &self.request, &self.live, &ticket, false).await;
+        drop(queued);
         let slot = match slot {
             Ok(slot) => slot,
             Err(refused) => return self.end(&refused),
@@ -197,10 +207,16 @@
                 after_ms,
             } => {
                 tokio::time::sleep(Duration::from(after_ms)).await;
+                let _recording = self.trace.step("record");
                 match serde_json::to_value(&record) {
                     Ok(value) => {
+                        let state = value["state"].as_str().unwrap_or_default().to_owned();
                         let writer = &self.shared.writer;
-                        writer.write(key.to_owned(), value, expected).await
+                        let event = writer.write(key.to_owned(), value, expected).await;
+                        if matches!(event, Event::Committed { .. }) {
+                            self.shared.metrics.recorded(&state);
+                        }
+                        event
                     }
                     Err(_) => Event::Unavailable,
                 }
@@ -242,6 +258,7 @@
     }
 
     async fn send(&self, message: &CallRequest) -> Result<(u16, String), UpstreamError> {
+        let _calling = self.trace.step("call");
         let answer: CallResponse = self.shared.plain.post("/v1/calls", message).await?;
         if answer.request_id != message.request_id {
             return Err(UpstreamError::Lost(format!(
--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -26,6 +26,7 @@
 use tokio::sync::oneshot;
 
 use crate::engine::Engine;
+use crate::metrics::AgentMetrics;
 
 /// Messages that may wait for the thread. Reports beyond it are dropped; they are hints.
 const MAX_WAITING: usize = 1_024;
@@ -59,13 +60,13 @@
 
 impl Feed {
     /// Starts the thread that applies messages; it ends when all handles are dropped.
-    pub(crate) fn spawn(clock: Arc<dyn Clock>) -> std::io::Result<Self> {
+    pub(crate) fn spawn(clock: Arc<dyn Clock>, metrics: AgentMetrics) -> std::io::Result<Self> {
         let index = Arc::new(Mutex::new(Index::new()));
         let (messages, receiver) = bounded(MAX_WAITING);
         let shared = Arc::clone(&index);
         thread::Builder::new()
             .name("cache-feed".to_owned())
-            .spawn(move || apply_all(&receiver, &shared, clock.as_ref()))?;
+            .spawn(move || apply_all(&receiver, &shared, clock.as_ref(), &metrics))?;
         Ok(Feed { index, messages })
     }
 
@@ -125,16 +126,26 @@
     }
 }
 
-fn apply_all(messages: &Receiver<Message>, index: &Mutex<Index>, clock: &dyn Clock) {
+fn apply_all(
+    messages: &Receiver<Message>,
+    index: &Mutex<Index>,
+    clock: &dyn Clock,
+    metrics: &AgentMetrics,
+) {
     for message in messages {
         let mut index = lock(index);
         match message {
             Message::Batch(batch, reply) => {
+                let (life, synchronised) = (index.life(), index.synchronised());
                 let action = index.batch(&batch, clock.now());
+                let is_gap = synchronised && action.is_some() && life == index.life();
+                metrics.cache_gaps.inc_by(u64::from(is_gap));
+                metrics.cache_events.inc_by(batch.events.len() as u64);
                 let _ = reply.send(progress(&index, action));
             }
             Message::Snapshot(snapshot, reply) => {
                 let action = index.snapshot(&snapshot);
+                metrics.cache_resyncs.inc();
                 let _ = reply.send(progress(&index, action));
             }
             // The next poll finds the index unsynchronised and fetches a snapshot.
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -23,6 +23,7 @@
 use dw_wire::StreamEnd;
 use dw_wire::StreamStart;
 
+use crate::arrival::Arrival;
 use crate::client::UpstreamError;
 use crate::engine::EventStream;
 use crate::kv;
@@ -31,6 +32,7 @@
 use crate::shared::lock;
 use crate::shared::Explained;
 use crate::shared::Shared;
+use crate::trace::Trace;
 use crate::wait::failed;
 use crate::wait::ticket;
 use crate::wait::wait_for_slot;
@@ -76,6 +78,7 @@
     text: String,
     tokens: u64,
     explained: Explained,
+    trace: Trace,
 }
 
 /// A generation that was cancelled on the engine in order to be resumed.
@@ -99,13 +102,13 @@
 }
 
 impl Generation {
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        request: RunRequest,
-        job: Job,
-        live: Arc<Live>,
-        arrived: TimeMs,
-    ) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, arrival: Arrival, job: Job) -> Self {
+        let Arrival {
+            request,
+            live,
+            arrived,
+            trace,
+        } = arrival;
         let explained = Explained {
             request_id: request.request_id.clone(),
             attempt: request.attempt,
@@ -128,6 +131,7 @@
             text: String::new(),
             tokens: 0,
             explained,
+            trace,
         }
     }
 
@@ -137,7 +141,9 @@
         let end = loop {
             let resumed = self.round > 0;
             let (shared, request) = (&self.shared, &self.request);
+            let queued = self.trace.step("queue");
             let slot = wait_for_slot(shared, request, &self.live, &ticket, resumed).await;
+            drop(queued);
             let slot = match slot {
                 Ok(slot) => slot,
                 // After a pre-emption "not run" would be false.
@@ -169,7 +175,9 @@
     async fn run_round(&mut self, slot: &Slot) -> (Outcome, Finished) {
         let predicted = self.shared.feed.predict(&self.job.chain);
         let (chain, org) = (&self.job.chain, &self.request.org);
+        let importing = self.trace.step("import");
         let imported = kv::import(&self.shared, chain, org, predicted.depth).await;
+        drop(importing);
         self.explained.imported_pieces = imported;
         let now = self.shared.clock.now();
         self.explained
@@ -188,7 +196,9 @@
             resumes: 0,
         };
         let first_index = round.next_index;
+        let generating = self.trace.step("generate");
         let outcome = self.relay(slot, &mut round).await;
+        drop(generating);
         let now = self.shared.clock.now();
         let finished = Finished {
             id: 0,
@@ -223,6 +233,7 @@
             let event = match signal {
                 Signal::Event(event) => event,
                 Signal::Preempted => {
+                    self.shared.metrics.preemptions.inc();
                     self.cancel(round).await;
                     self.suspended = Some(Suspended {
                         engine_id: round.engine_id.clone(),
--- a/crates/agent/src/kv.rs
+++ b/crates/agent/src/kv.rs
@@ -66,7 +66,10 @@
         weights_version: weights.0,
     };
     match tokio::time::timeout(TRANSFER_TIMEOUT, shared.engine.import(&blocks)).await {
-        Ok(Ok(answer)) => answer.imported,
+        Ok(Ok(answer)) => {
+            shared.metrics.imported_pieces.inc_by(answer.imported);
+            answer.imported
+        }
         Ok(Err(error)) => {
             log::warn!("event=kv_import_failed error={:?}", error.to_string());
             0
@@ -105,6 +108,7 @@
 
 /// Reads one description; returns `None` without an answer of the store.
 async fn read(shared: &Shared, hash: BlockHash) -> Option<Option<KvBlocks>> {
+    shared.metrics.kv_lookups.inc();
     let key = object_key(hash);
     let read = tokio::time::timeout(LOOKUP_TIMEOUT, shared.objects.get(&key)).await;
     match read {
@@ -158,6 +162,7 @@
     };
     match shared.objects.create(&object_key(first), description).await {
         Ok(true) => {
+            shared.metrics.exported_pieces.inc_by(kept.len() as u64);
             let mut exchange = lock(&shared.exchange);
             exchange.succeeded();
             exchange.exported(&run, &kept);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 //! first frame. The control path is tarpc over TCP with the bincode format.
 
 mod agent;
+mod arrival;
 mod call;
 mod check;
 mod client;
@@ -20,6 +21,7 @@
 mod kv;
 mod live;
 mod memory;
+mod metrics;
 mod orders;
 mod parts;
 mod peers;
@@ -29,6 +31,7 @@
 mod server;
 mod settings;
 mod shared;
+mod trace;
 mod wait;
 mod writer;
 
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -88,9 +88,12 @@
         .build();
     let agent = Agent::start(parts).await?;
     log::info!(
-        "event=started data_addr={} control_addr={}",
+        "event=started data_addr={} control_addr={} metrics_addr={}",
         agent.data_addr(),
-        agent.control_addr()
+        agent.control_addr(),
+        agent
+            .metrics_addr()
+            .map_or_else(|| "none".to_owned(), |addr| addr.to_string())
     );
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::arrival::Arrival;
 use crate::call::PlainCall;
 use crate::check::check;
 use crate::generate::Generation;
@@ -36,6 +37,7 @@
 use crate::relay::RelayBody;
 use crate::shared::lock;
 use crate::shared::Shared;
+use crate::trace::Trace;
 use crate::wait::chain_of;
 
 /// Longest request accepted; a prompt of 2 million tokens has 8 MB.
@@ -133,7 +135,11 @@
         // A repeated message must not run the attempt again.
         return follow(shared, live, 0, &request);
     }
-    if let Err((reason, retry_after_ms)) = check(shared, &request) {
+    let trace = Trace::start(request.traceparent.as_deref());
+    let admitting = trace.step("admit");
+    let checked = check(shared, &request);
+    drop(admitting);
+    if let Err((reason, retry_after_ms)) = checked {
         let chain = chain_of(&request);
         return single(&shared.refusal(&request.request_id, reason, retry_after_ms, chain));
     }
@@ -148,13 +154,19 @@
     calls.insert(call, Arc::clone(&live));
     drop(calls);
     let response = follow(shared, Arc::clone(&live), 0, &request);
-    start(shared, request, live, arrived);
+    let arrival = Arrival {
+        request,
+        live,
+        arrived,
+        trace,
+    };
+    start(shared, arrival);
     response
 }
 
-fn start(shared: &Arc<Shared>, request: RunRequest, live: Arc<Live>, arrived: dw_base::TimeMs) {
+fn start(shared: &Arc<Shared>, arrival: Arrival) {
     let task_shared = Arc::clone(shared);
-    match request.work.clone() {
+    match arrival.request.work.clone() {
         Work::Generate {
             model,
             weights,
@@ -169,10 +181,10 @@
                 prompt,
                 max_tokens,
             };
-            shared.spawn(Generation::new(task_shared, request, job, live, arrived).run());
+            shared.spawn(Generation::new(task_shared, arrival, job).run());
         }
         Work::Call { key, body } => {
-            shared.spawn(PlainCall::new(task_shared, request, (key, body), live, arrived).run());
+            shared.spawn(PlainCall::new(task_shared, arrival, (key, body)).run());
         }
     }
 }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -32,6 +32,9 @@
     pub data_addr: Addr,
     /// Address of the control path.
     pub control_addr: Addr,
+    /// Address of the metrics; absent for none.
+    #[serde(default)]
+    pub metrics_addr: Option<Addr>,
     /// Control addresses of routers, used when the VM list is down.
     #[serde(default)]
     pub peers: Vec<Addr>,
@@ -81,6 +84,9 @@
     pub agent: Settings,
     /// Settings of the platform's services.
     pub platform: Platform,
+    /// Endpoint that takes spans by OTLP over HTTP; absent for none.
+    #[serde(default)]
+    pub otlp: Option<String>,
 }
 
 fn default_max_queued() -> usize {
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -40,6 +40,7 @@
 use crate::feed::Feed;
 use crate::live::Live;
 use crate::memory::Memory;
+use crate::metrics::AgentMetrics;
 use crate::parts::ConfigPeer;
 use crate::queue::Queue;
 use crate::settings::Settings;
@@ -94,6 +95,7 @@
     pub(crate) upstream: Mutex<UpstreamView>,
     pub(crate) calls: Mutex<HashMap<(RequestId, u32), Arc<Live>>>,
     pub(crate) memory: Arc<Memory>,
+    pub(crate) metrics: AgentMetrics,
     pub(crate) explained: Mutex<VecDeque<Explained>>,
     pub(crate) recent: Mutex<RecentChains>,
     pub(crate) leaving: AtomicBool,
@@ -196,6 +198,7 @@
         retry_after_ms: Option<DurationMs>,
         chain: Option<&Chain>,
     ) -> Frame {
+        self.metrics.refused(reason);
         Frame::Refused(Refusal {
             request_id: request_id.clone(),
             reason,
--- a/crates/agent/src/wait.rs
+++ b/crates/agent/src/wait.rs
@@ -41,12 +41,20 @@
     resumed: bool,
 ) -> Result<Slot, Box<Frame>> {
     let id = ticket.id;
+    let offered = shared.clock.now();
     let mut verdict = shared.queue.offer(ticket.clone(), resumed);
     let left_ms = ticket.deadline.since(shared.clock.now());
     let too_late = tokio::time::sleep(Duration::from(left_ms));
     let interrupted = tokio::select! {
         biased;
-        verdict = &mut verdict => return decide(shared, request, verdict.ok(), resumed),
+        verdict = &mut verdict => {
+            let decided = decide(shared, request, verdict.ok(), resumed);
+            if decided.is_ok() {
+                let wait_ms = shared.clock.now().since(offered);
+                shared.metrics.waited(request.priority, wait_ms);
+            }
+            return decided;
+        }
         () = live.abandoned() => RefusalReason::QueueFull,
         // The deadline is that of the first token.
         () = too_late, if !live.started() => RefusalReason::DeadlineUnmeetable,
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -496,6 +496,7 @@
             upstream_addr: Addr(self.upstream.addr),
             data_addr: Addr(any),
             control_addr: Addr(any),
+            metrics_addr: Some(Addr(any)),
             peers: Vec::new(),
             gate: GateKind::Fair,
             max_queued: 8,
--- a/crates/cache/src/index.rs
+++ b/crates/cache/src/index.rs
@@ -95,6 +95,11 @@
         self.applied_seq
     }
 
+    /// Returns the incarnation and weights to which the content belongs.
+    pub fn life(&self) -> (Incarnation, WeightsVersion) {
+        (self.incarnation, self.weights)
+    }
+
     /// Returns whether no event is known to be missing.
     pub fn synchronised(&self) -> bool {
         self.synchronised
