--- a/crates/local/src/config.rs
+++ b/crates/local/src/config.rs
@@ -28,6 +28,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::cluster::ClusterSettings;
+
 /// Token of the example organisation.
 pub const TOKEN: &str = "example-token";
 
@@ -35,7 +37,7 @@
 pub const OPERATOR_TOKEN: &str = "example-operator-token";
 
 /// Name of the example organisation and of its operator.
-const EXAMPLE: &str = "example";
+pub(crate) const ORGANISATION: &str = "example";
 
 /// Services whose calls move money, slots or animals.
 const AT_MOST_ONCE: [&str; 3] = ["booking", "deposit", "fridge-move"];
@@ -54,27 +56,30 @@
     hex::encode(Sha256::digest(token))
 }
 
-/// Declares everything that a fleet contains, one organisation and one operator.
+/// Declares everything that a fleet contains, one operator and the organisations of the settings.
 ///
 /// # Errors
 ///
 /// Returns an error if a name or number of the fleet is not valid.
-pub fn declare(fleet: &Fleet) -> eyre::Result<Config> {
+pub fn declare(fleet: &Fleet, settings: &ClusterSettings) -> eyre::Result<Config> {
     let mut objects = vec![
         Object::Operator(Operator {
-            name: EXAMPLE.parse()?,
+            name: ORGANISATION.parse()?,
             token_sha256: vec![token_sha256(OPERATOR_TOKEN)],
         }),
-        Object::Organisation(Organisation {
-            name: EXAMPLE.parse()?,
-            token_sha256: vec![token_sha256(TOKEN)],
-            share: 1.0,
-        }),
         Object::Setting(Setting {
             name: Setting::WEIGHT_LOADS.to_owned(),
             value: u64::try_from(fleet.weight_loads)?,
         }),
     ];
+    for (name, token) in &settings.organisations {
+        objects.push(Object::Organisation(Organisation {
+            name: name.parse()?,
+            token_sha256: vec![token_sha256(token)],
+            share: 1.0,
+        }));
+    }
+    let service = |name: &str, kind| service(name, kind, settings);
     for engine in &fleet.engines {
         objects.push(Object::Model(Model {
             name: engine.engine.model.parse()?,
@@ -100,7 +105,8 @@
     Ok(Config { version, entries })
 }
 
-fn service(name: &str, kind: ServiceKind) -> eyre::Result<Service> {
+fn service(name: &str, kind: ServiceKind, settings: &ClusterSettings) -> eyre::Result<Service> {
+    let worth = settings.worths.get(name).copied().unwrap_or(1.0);
     let repeat = if AT_MOST_ONCE.contains(&name) {
         RepeatRule::AtMostOnce
     } else if IDEMPOTENT.contains(&name) {
@@ -118,7 +124,7 @@
         } else {
             Priority::Normal
         },
-        worth: Worth::new(1.0)?,
+        worth: Worth::new(worth)?,
         deadline_ms: DurationMs(30_000),
         max_prompt_tokens: Tokens(100_000),
     })
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,12 +1,18 @@
 //! Every role and stand-in in one process.
 
+mod choice;
 mod cluster;
 mod config;
 mod example;
+mod no_objects;
 mod report;
 mod statements;
 
+pub use choice::GateName;
+pub use choice::PolicyName;
+pub use choice::UnknownName;
 pub use cluster::Cluster;
+pub use cluster::ClusterSettings;
 pub use config::declare;
 pub use config::token_sha256;
 pub use config::OPERATOR_TOKEN;
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -18,7 +18,9 @@
 
 use crate::engine::audit::Audit;
 use crate::engine::core::Core;
+use crate::engine::holders::Holders;
 use crate::engine::load_gate::LoadGate;
+use crate::engine::send_log::SendLog;
 use crate::engine::settings::EngineFaults;
 use crate::engine::settings::EngineSettings;
 use crate::server::serve;
@@ -38,15 +40,21 @@
     samples: Mutex<VecDeque<LoadReport>>,
     pub(crate) wake: Notify,
     pub(crate) gate: Arc<LoadGate>,
+    pub(crate) sent: Arc<SendLog>,
     origin: Instant,
     speedup: f64,
 }
 
 impl Engine {
-    /// Creates an idle engine; the engines of a deployment share `gate`.
+    /// Creates an idle engine that is the only one of its deployment.
     pub fn new(settings: EngineSettings, gate: Arc<LoadGate>) -> Self {
+        Self::in_fleet(settings, gate, Arc::default())
+    }
+
+    /// Creates an idle engine; the engines of a deployment share `gate` and `holders`.
+    pub fn in_fleet(settings: EngineSettings, gate: Arc<LoadGate>, holders: Arc<Holders>) -> Self {
         let speedup = settings.speedup;
-        let core = Core::new(settings);
+        let core = Core::new(settings, holders);
         Engine {
             speedup,
             samples: Mutex::new(VecDeque::from([core.load(0.0)])),
@@ -54,6 +62,7 @@
             cut: Mutex::default(),
             wake: Notify::new(),
             gate,
+            sent: Arc::default(),
             origin: Instant::now(),
         }
     }
@@ -68,6 +77,11 @@
         self.core().accepted.clone()
     }
 
+    /// Returns when the first token of a recent generation was handed to its connection.
+    pub fn first_token_sent(&self, request_id: &str) -> Option<std::time::Instant> {
+        self.sent.first_token(request_id)
+    }
+
     /// Returns the incarnation.
     pub fn incarnation(&self) -> u64 {
         self.core().incarnation
