agent: test that refusals wait for nobody

Cause: nothing showed that a refusal needs no answer of the engine, table or object store. No code was changed for it.

--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -98,6 +98,8 @@
     pub(crate) holds_loads: bool,
     pub(crate) imported: Vec<String>,
     pub(crate) executions: BTreeMap<String, u32>,
+    /// Whether no call is answered.
+    pub(crate) paused: bool,
     /// Whether the connection is cut after a call has run.
     pub(crate) lose_call_answers: bool,
 }
@@ -164,6 +166,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<StreamBody<Pieces>> {
+        self.until(|fake| !fake.paused).await;
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let bytes = request
