agent: count a pre-empted request as begun until it is offered again

Cause: between the pre-emption and the new offer the request was neither running nor waiting, so a change of weights could begin in that moment and the answer would end with an error. Found by reading, not by a test. Before: two locked steps. After: the new offer ends the old slot, and waiting pre-empted requests count as begun. Also: a test that 400 listed agents share the write rate (1 write for 4 prompts).

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -108,6 +108,7 @@
         "kept_answers": lock(&shared.calls).len(),
         "kept_answer_bytes": shared.memory.total_bytes(),
         "explained_requests": lock(&shared.explained).len(),
+        "kv_agents": lock(&shared.exchange).agents(),
         "known_pieces": lock(&shared.exchange).known(),
         "weight_lease": view.lease.map(|lease| lease.slot),
     })
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -122,7 +122,7 @@
             observed: state.as_ref().map(observed),
             fence: self.fence,
             lease: self.lease,
-            running: self.shared.queue.running(),
+            running: self.shared.queue.begun(),
         };
         let loading = view.observed.as_ref().is_none_or(|state| state.loading);
         self.carry_out(&config, loading, decide(&view, self.shared.clock.now()))
@@ -181,7 +181,7 @@
             Step::Send { fence, order } => {
                 self.set_ready(false);
                 // A request that got its slot before readiness went off must finish first.
-                if self.shared.queue.running() == 0 {
+                if self.shared.queue.begun() == 0 {
                     self.send(fence, order).await;
                 }
                 LOOK_SOON
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -63,6 +63,7 @@
     pub(crate) fn offer(&self, ticket: Ticket, resumed: bool) -> oneshot::Receiver<Verdict> {
         let (verdict, receiver) = oneshot::channel();
         let mut state = self.lock();
+        state.running.remove(&ticket.id);
         state
             .waiting
             .insert(ticket.id, Waiting { verdict, resumed });
@@ -106,9 +107,11 @@
         (state.gate.load(), wait_ms)
     }
 
-    /// Returns how many requests hold a slot.
-    pub(crate) fn running(&self) -> u32 {
-        u32::try_from(self.lock().running.len()).unwrap_or(u32::MAX)
+    /// Returns how many requests have begun and not ended; pre-empted ones wait for a slot.
+    pub(crate) fn begun(&self) -> u32 {
+        let state = self.lock();
+        let waiting = state.waiting.values().filter(|waiting| waiting.resumed);
+        u32::try_from(state.running.len() + waiting.count()).unwrap_or(u32::MAX)
     }
 
     fn advance(&self, state: &mut State) {
@@ -206,12 +209,12 @@
         self.preempted.notified().await;
     }
 
-    /// Gives the slot back after a pre-emption; the request must be offered again.
+    /// Gives the slot back after a pre-emption; the request must be offered again at once.
+    ///
+    /// The gate has counted the slot as free since it pre-empted the request. The request counts as
+    /// begun until it is offered, so that no change of weights comes in between.
     pub(crate) fn vacate(mut self) {
-        if let Some(queue) = self.queue.take() {
-            // The gate has counted the slot as free since it pre-empted the request.
-            queue.lock().running.remove(&self.id);
-        }
+        self.queue = None;
     }
 
     /// Gives the slot back with the figures of the run.
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -39,6 +39,7 @@
 use dw_standin::MemoryObjects;
 use dw_standin::MemoryTable;
 use dw_standin::PlatformLimits;
+use dw_store::VmSource;
 use dw_wire::encode;
 use dw_wire::Frame;
 use dw_wire::FrameDecoder;
@@ -464,6 +465,7 @@
     pub(crate) objects: Arc<MemoryObjects>,
     pub(crate) config: Arc<FixedConfig>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) vms: Option<Arc<dyn VmSource>>,
 }
 
 impl Setup {
@@ -474,6 +476,7 @@
             objects: Arc::new(MemoryObjects::new(PlatformLimits::unlimited())),
             config: Arc::new(FixedConfig::new(config(1, 1))),
             clock: Arc::new(SystemClock::new()),
+            vms: None,
         }
     }
 
@@ -514,6 +517,7 @@
             .table(self.table.clone())
             .objects(self.objects.clone())
             .clock(self.clock.clone())
+            .maybe_vms(self.vms.clone())
             .gate(gate)
             .build();
         Agent::start(parts).await.expect("agent starts")
--- a/crates/agent/tests/kv.rs
+++ b/crates/agent/tests/kv.rs
@@ -5,15 +5,22 @@
 use std::sync::Arc;
 
 use common::generate_request;
+use common::node_state;
 use common::run;
 use common::Setup;
 use common::Upstream;
 use dw_agent::Agent;
+use dw_api::vms::Vm;
+use dw_api::vms::VmRole;
+use dw_api::vms::VmState;
+use dw_base::DurationMs;
 use dw_base::ManualClock;
 use dw_base::TimeMs;
 use dw_base::PIECE_BYTES;
+use dw_standin::MemoryVms;
 use dw_standin::Outage;
 use dw_standin::PlatformFaults;
+use dw_standin::PlatformLimits;
 use dw_store::Objects;
 use dw_wire::Frame;
 use dw_wire::StreamStart;
@@ -71,6 +78,7 @@
         objects: Arc::clone(&setup.objects),
         config: Arc::clone(&setup.config),
         clock: Arc::clone(&setup.clock),
+        vms: None,
     };
     let agent = other.agent("e").await;
     let reads = setup.objects.counters().reads;
@@ -93,6 +101,35 @@
     assert_eq!((start.imported_tokens, start.cached_tokens), (8_192, 8_192));
 }
 
+/// Guards against agents of a large deployment that each use the whole write rate of the stores.
+#[tokio::test]
+async fn write_rate_is_shared_by_the_listed_agents() {
+    let vms = MemoryVms::new(PlatformLimits::unlimited(), DurationMs(0));
+    let agent = |number: usize| Vm {
+        name: format!("agent-{number}"),
+        role: VmRole::Agent,
+        state: VmState::Live,
+        data_centre: "dc".to_owned(),
+        data_addr: String::new(),
+        control_addr: String::new(),
+        upstream: None,
+    };
+    vms.set_vms((0..400).map(agent).collect());
+    let mut setup = Setup::new().await;
+    // The clock stands still, so that no further write accrues.
+    setup.clock = Arc::new(ManualClock::new(TimeMs(1_000_000)));
+    setup.vms = Some(Arc::new(vms));
+    let agent = setup.agent("e").await;
+    while node_state(&agent).await["kv_agents"] != 400 {
+        tokio::task::yield_now().await;
+    }
+    for (id, text) in [("a", "x"), ("b", "y"), ("c", "z"), ("d", "w")] {
+        start_of(&agent, id, &text.repeat(PIECE_BYTES)).await;
+    }
+    agent.shutdown().await;
+    assert_eq!(setup.objects.counters().writes, 1);
+}
+
 /// Guards against cache entries of another organisation's or older object.
 #[tokio::test]
 async fn foreign_descriptions_are_not_imported() {
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -218,6 +218,7 @@
             objects: first.objects.clone(),
             config: first.config.clone(),
             clock: first.clock.clone(),
+            vms: None,
         };
         engine.upstream.set(|fake| fake.holds_loads = true);
         engines.push((format!("e{number}"), engine));
--- a/crates/cache/src/exchange.rs
+++ b/crates/cache/src/exchange.rs
@@ -79,6 +79,7 @@
     writes: Allowance,
     reads: Allowance,
     breaker: Breaker,
+    agents: usize,
 }
 
 impl Exchange {
@@ -90,15 +91,22 @@
             writes: Allowance::new(EXPORTS_PER_S, now),
             reads: Allowance::new(LOOKUPS_PER_S, now),
             breaker: Breaker::default(),
+            agents: 1,
         }
     }
 
     /// Divides the rates among `agents`.
     pub fn share(&mut self, agents: usize, now: TimeMs) {
+        self.agents = agents;
         self.writes.share(agents, now);
         self.reads.share(agents, now);
     }
 
+    /// Returns among how many agents the rates are divided.
+    pub fn agents(&self) -> usize {
+        self.agents
+    }
+
     /// Returns how many pieces are remembered.
     pub fn known(&self) -> usize {
         self.pieces.len()
