agent: test the gate setting and the bound of all kept answers in settings

Cause: the two new settings were not tested through the binary. After: fair and fifo are accepted and anything else is refused with the allowed words; a total below the size of one answer is refused with its key.

--- a/crates/agent/tests/binary.rs
+++ b/crates/agent/tests/binary.rs
@@ -45,4 +45,28 @@
     assert_eq!(code, Some(2));
     assert!(errors.contains("agent.resume_bytes"), "{errors}");
     assert!(errors.contains("write at least 4096"), "{errors}");
+    let total = SETTINGS.replace("  node: a\n", "  node: a\n  resume_total_bytes: 5000\n");
+    let (code, errors) = check("total.yaml", &total);
+    assert_eq!(code, Some(2));
+    assert!(errors.contains("agent.resume_total_bytes"), "{errors}");
+}
+
+/// Guards against a choice of the admission policy that is ignored or misread.
+#[test]
+fn gate_is_fair_or_fifo() {
+    let with =
+        |gate: &str| SETTINGS.replace("  node: a\n", &format!("  node: a\n  gate: {gate}\n"));
+    for gate in ["fair", "fifo"] {
+        assert_eq!(check("gate.yaml", &with(gate)).0, Some(0), "{gate}");
+        let settings: dw_agent::ProcessSettings =
+            dw_settings::from_text("gate.yaml", &with(gate)).expect("valid");
+        let fifo = settings.agent.gate == dw_agent::GateKind::Fifo;
+        assert_eq!(fifo, gate == "fifo");
+    }
+    let (code, errors) = check("gate.yaml", &with("random"));
+    assert_eq!(code, Some(2));
+    assert!(
+        errors.contains("random") && errors.contains("fair"),
+        "{errors}"
+    );
 }
