--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,11 +1,9 @@
 //! HTTP server of the data path.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dw_telem::TraceParent;
 use dw_wire::decode;
 use dw_wire::encode_frame;
 use dw_wire::FailureKind;
@@ -29,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::arrival::Arrival;
 use crate::call::PlainCall;
 use crate::check::check;
 use crate::generate::Generation;
@@ -38,6 +37,7 @@
 use crate::relay::RelayBody;
 use crate::shared::lock;
 use crate::shared::Shared;
+use crate::trace::Trace;
 use crate::wait::chain_of;
 
 /// Longest request accepted; a prompt of 2 million tokens has 8 MB.
@@ -135,7 +135,11 @@
         // A repeated message must not run the attempt again.
         return follow(shared, live, 0, &request);
     }
-    if let Err((reason, retry_after_ms)) = check(shared, &request) {
+    let trace = Trace::start(request.traceparent.as_deref());
+    let admitting = trace.step("admit");
+    let checked = check(shared, &request);
+    drop(admitting);
+    if let Err((reason, retry_after_ms)) = checked {
         let chain = chain_of(&request);
         return single(&shared.refusal(&request.request_id, reason, retry_after_ms, chain));
     }
@@ -150,17 +154,19 @@
     calls.insert(call, Arc::clone(&live));
     drop(calls);
     let response = follow(shared, Arc::clone(&live), 0, &request);
-    start(shared, request, live, arrived);
+    let arrival = Arrival {
+        request,
+        live,
+        arrived,
+        trace,
+    };
+    start(shared, arrival);
     response
 }
 
-fn start(shared: &Arc<Shared>, request: RunRequest, live: Arc<Live>, arrived: dw_base::TimeMs) {
+fn start(shared: &Arc<Shared>, arrival: Arrival) {
     let task_shared = Arc::clone(shared);
-    let parent = request.traceparent.as_deref().map(str::parse);
-    let span = parent
-        .and_then(Result::ok)
-        .map(|parent: TraceParent| parent.span("agent"));
-    match request.work.clone() {
+    match arrival.request.work.clone() {
         Work::Generate {
             model,
             weights,
@@ -175,22 +181,14 @@
                 prompt,
                 max_tokens,
             };
-            let generation = Generation::new(task_shared, request, job, live, arrived);
-            shared.spawn(with_span(span, generation.run()));
+            shared.spawn(Generation::new(task_shared, arrival, job).run());
         }
         Work::Call { key, body } => {
-            let call = PlainCall::new(task_shared, request, (key, body), live, arrived);
-            shared.spawn(with_span(span, call.run()));
+            shared.spawn(PlainCall::new(task_shared, arrival, (key, body)).run());
         }
     }
 }
 
-/// Keeps a span until the work in it has ended.
-async fn with_span<S>(span: Option<S>, work: impl Future<Output = ()>) {
-    work.await;
-    drop(span);
-}
-
 fn follow(
     shared: &Arc<Shared>,
     live: Arc<Live>,
--- a/crates/agent/src/wait.rs
+++ b/crates/agent/src/wait.rs
@@ -21,8 +21,9 @@
 use crate::queue::Verdict;
 use crate::shared::Shared;
 
-/// Cost in tokens of one call of a plain service.
-const CALL_TOKENS: Tokens = Tokens(1);
+/// Tokens of one call of a plain service. Its time is the measured overhead alone: with one token
+/// and the speed of 1 token/s that some plain services declare, each call was refused as too slow.
+const CALL_TOKENS: Tokens = Tokens(0);
 
 /// Returns the block chain of a request that generates.
 pub(crate) fn chain_of(request: &RunRequest) -> Option<&Chain> {
@@ -41,12 +42,20 @@
     resumed: bool,
 ) -> Result<Slot, Box<Frame>> {
     let id = ticket.id;
+    let offered = shared.clock.now();
     let mut verdict = shared.queue.offer(ticket.clone(), resumed);
     let left_ms = ticket.deadline.since(shared.clock.now());
     let too_late = tokio::time::sleep(Duration::from(left_ms));
     let interrupted = tokio::select! {
         biased;
-        verdict = &mut verdict => return decide(shared, request, verdict.ok(), resumed),
+        verdict = &mut verdict => {
+            let decided = decide(shared, request, verdict.ok(), resumed);
+            if decided.is_ok() {
+                let wait_ms = shared.clock.now().since(offered);
+                shared.metrics.waited(request.priority, wait_ms);
+            }
+            return decided;
+        }
         () = live.abandoned() => RefusalReason::QueueFull,
         // The deadline is that of the first token.
         () = too_late, if !live.started() => RefusalReason::DeadlineUnmeetable,
