Test idle, suspect and restarted agents, and a drain under load

Heartbeats of idle pairs, probes of suspect agents, the loss of cache hints after a restart and the drain of many streams had no test through sockets. The probe test keeps the agent's port bound without listening and then listens on it, because a free port can be given to a parallel test.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -170,6 +170,15 @@
         agent
     }
 
+    /// Answers requests on another port too.
+    pub(crate) fn serve_on(
+        &self,
+        listener: TcpListener,
+        script: impl Fn(&Seen, usize) -> Vec<Part> + Send + Sync + 'static,
+    ) {
+        tokio::spawn(serve(listener, self.seen.clone(), Arc::new(script)));
+    }
+
     pub(crate) fn runs(&self) -> Vec<RunRequest> {
         let seen = self.seen.lock().expect("not poisoned");
         let run = |seen: &Seen| match seen {
