agent: expect no prefill of calls of plain services

Cause: a plain service declares no speed, so the fair gate took 0.1 token/s, and the one token of a call was expected to take 10 s. Every call with a shorter deadline was refused as too late. Fifo had hidden it, and the agent's own tests declared a speed. A call has no prompt tokens; the gate learns its time from finished calls. The agent's tests now use a plain service without speeds, deadlines below 10 s and the gate of the product; with the old cost they fail.

--- a/crates/agent/src/wait.rs
+++ b/crates/agent/src/wait.rs
@@ -21,8 +21,9 @@
 use crate::queue::Verdict;
 use crate::shared::Shared;
 
-/// Cost in tokens of one call of a plain service.
-const CALL_TOKENS: Tokens = Tokens(1);
+/// Prompt tokens of a call of a plain service. Such an upstream declares no prefill speed, and one
+/// token at the lowest speed would take 10 s, beyond most deadlines.
+const CALL_TOKENS: Tokens = Tokens(0);
 
 /// Returns the block chain of a request that generates.
 pub(crate) fn chain_of(request: &RunRequest) -> Option<&Chain> {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use dw_admit::Fair;
 use dw_admit::FairSettings;
+use dw_agent::gate_for;
 use dw_agent::Agent;
 use dw_agent::FixedPeer;
 use dw_agent::GateKind;
@@ -32,6 +33,7 @@
 use dw_base::Worth;
 use dw_base::PIECE_TOKENS;
 use dw_config::Config;
+use dw_config::ConfigSource;
 use dw_config::Entry;
 use dw_config::FixedConfig;
 use dw_config::Object;
@@ -437,8 +439,8 @@
         data_centre: "dc".parse().expect("valid id"),
         services: vec![service.parse().expect("valid id")],
         model: is_engine.then(|| "m".parse().expect("valid id")),
-        prefill_tokens_per_s: speed(10_000.0),
-        decode_tokens_per_s: speed(50.0),
+        prefill_tokens_per_s: speed(if is_engine { 10_000.0 } else { 0.0 }),
+        decode_tokens_per_s: speed(if is_engine { 50.0 } else { 0.0 }),
         max_batch: 2,
         checks_fence: true,
         state: dw_config::UpstreamState::Active,
@@ -489,13 +491,18 @@
         agent
     }
 
+    /// Starts an agent with the gate that its settings and the configuration name.
     pub(crate) async fn unready_agent(&self, name: &str) -> Agent {
-        self.agent_with(name, fair(2)).await
+        let config = self.config.current();
+        let declared = config.upstream(&name.parse().expect("valid id"));
+        let settings = self.settings(name);
+        let gate = gate_for(&settings, declared.expect("declared"));
+        self.agent_with(name, gate).await
     }
 
-    pub(crate) async fn agent_with(&self, name: &str, gate: Box<dyn dw_admit::Gate>) -> Agent {
+    fn settings(&self, name: &str) -> Settings {
         let any: SocketAddr = "127.0.0.1:0".parse().expect("valid address");
-        let settings = Settings {
+        Settings {
             node: format!("agent-{name}").parse().expect("valid id"),
             data_centre: "dc".parse().expect("valid id"),
             upstream: name.parse().expect("valid id"),
@@ -509,9 +516,12 @@
             resume_bytes: 1 << 16,
             resume_total_bytes: 1 << 16,
             import_bytes_per_s: 1 << 30,
-        };
+        }
+    }
+
+    pub(crate) async fn agent_with(&self, name: &str, gate: Box<dyn dw_admit::Gate>) -> Agent {
         let parts = Parts::builder()
-            .settings(settings)
+            .settings(self.settings(name))
             .config(self.config.clone())
             .peer(Arc::new(FixedPeer(ConfigVersion(1))))
             .table(self.table.clone())
@@ -540,7 +550,11 @@
         key: Some(key.parse().expect("valid id")),
         body: body.as_bytes().to_vec(),
     };
-    request(id, "p", "booking", RepeatRule::AtMostOnce, work)
+    // Shorter than 10 s, which a call must not be expected to take without a declared speed.
+    RunRequest {
+        budget_ms: DurationMs(8_000),
+        ..request(id, "p", "booking", RepeatRule::AtMostOnce, work)
+    }
 }
 
 fn request(id: &str, upstream: &str, service: &str, repeat: RepeatRule, work: Work) -> RunRequest {
