Let an upstream take work again after an operator ended its drain

Cause: an agent whose upstream was drained by a statement answered heartbeats with leaving set. A leaving notice is final for that process, so the routers never used the upstream again after resume upstream, and no longer offered the agent configurations. Ruled out: the status report, which the router takes back when the drain ends. Now only the end of the process is announced as leaving.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -80,7 +80,8 @@
         node: shared.settings.node.clone(),
         incarnation: shared.incarnation,
         config_version: shared.peer.announced(),
-        leaving: status.leaving,
+        // A notice is final for this process, whereas an operator can end a drain.
+        leaving: shared.leaving(),
         status: Some(status),
     }
 }
--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -139,6 +139,20 @@
     ask(admin, &request).await
 }
 
+/// Returns the JSON answer to a read of a stand-in, or null if there is none.
+pub async fn get(addr: SocketAddr, path: &str) -> Value {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let Ok(uri) = format!("http://{addr}{path}").parse() else {
+        return Value::Null;
+    };
+    let Ok(response) = client.get(uri).await else {
+        return Value::Null;
+    };
+    let body = response.into_body().collect().await;
+    let bytes = body.map(http_body_util::Collected::to_bytes);
+    serde_json::from_slice(&bytes.unwrap_or_default()).unwrap_or_default()
+}
+
 /// Sends a request on a connection of its own and reads the answer to its end.
 pub async fn ask(router: SocketAddr, ask: &Ask) -> Reply {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -12,6 +12,7 @@
 mod wait;
 
 pub use caller::ask;
+pub use caller::get;
 pub use caller::operate;
 pub use caller::Ask;
 pub use caller::Reply;
