Serve from the weights an engine has during a rolling change

Cause: a router computed the salt from the declared weights only, so from the moment of a change every engine refused every request until it had loaded the new weights. Each refusal also cost a retry of the budget, and an upstream counted as loading for 1 s after its report. Ruled out: the agent, which serves its old weights until it holds a lease; using paused upstreams as a last resort, which reported_drain_ends_new_work forbids.

--- a/crates/router/src/filter/chain.rs
+++ b/crates/router/src/filter/chain.rs
@@ -2,13 +2,47 @@
 
 use dw_base::Chain;
 use dw_base::IdempotencyKey;
+use dw_base::ModelId;
 use dw_base::OrgId;
 use dw_base::Salt;
+use dw_base::WeightsVersion;
 use dw_wire::Work;
 
 use crate::filter::resolve::Resolved;
 use crate::filter::validate::Body;
 
+fn chain(org: &OrgId, model: &ModelId, weights: WeightsVersion, prompt: &str) -> Chain {
+    let salt = Salt {
+        org: org.clone(),
+        model: model.clone(),
+        weights,
+    };
+    Chain::new(&salt, prompt.as_bytes())
+}
+
+/// Returns the work for an upstream that serves other weights than the declared ones, as during a
+/// rolling change.
+pub(crate) fn with_weights(org: &OrgId, work: &Work, served: Option<WeightsVersion>) -> Work {
+    let mut work = work.clone();
+    if let (
+        Work::Generate {
+            model,
+            weights,
+            chain: old,
+            prompt,
+            ..
+        },
+        Some(served),
+    ) = (&mut work, served)
+    {
+        if *weights != served {
+            *weights = served;
+            *old = chain(org, model, served, prompt);
+        }
+    }
+    work
+}
+
 /// Returns the work for an agent, with the chain of the prompt.
 pub(crate) fn work(
     org: &OrgId,
@@ -27,15 +61,10 @@
             weights,
         ) => {
             let weights = weights.as_ref().map(|(_, w)| *w).unwrap_or_default();
-            let salt = Salt {
-                org: org.clone(),
-                model: model.clone(),
-                weights,
-            };
             Work::Generate {
+                chain: chain(org, &model, weights, &prompt),
                 model,
                 weights,
-                chain: Chain::new(&salt, prompt.as_bytes()),
                 prompt,
                 max_tokens,
             }
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -14,11 +14,13 @@
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
 use dw_wire::StreamStart;
+use dw_wire::Work;
 use dw_wire::PROTOCOL_VERSION;
 use thiserror::Error;
 
 use crate::agents::AgentError;
 use crate::agents::Frames;
+use crate::filter::chain::with_weights;
 use crate::filter::place::chain_of;
 use crate::filter::place::Tried;
 use crate::members::Agent;
@@ -55,6 +57,8 @@
     upstream: UpstreamId,
     agent: Agent,
     attempt: u32,
+    /// Work as it was sent; its chain can differ from that of the job in the weights.
+    work: Work,
     frames: Frames,
     sequence: Sequence,
     started: bool,
@@ -80,7 +84,8 @@
     (decision, agent): (Decision, Agent),
 ) -> Result<Live, Lost> {
     let sent_at = shared.clock.now();
-    let request = run_request(shared, job, tried, &decision.upstream);
+    let work = with_weights(&job.org, &job.work, agent.weights);
+    let request = run_request(shared, job, tried, &decision.upstream, work);
     shared.counters.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
@@ -110,6 +115,7 @@
         upstream: decision.upstream,
         agent,
         attempt: request.attempt,
+        work: request.work,
         frames,
         sequence: Sequence::new(job.request_id.clone()),
         started: false,
@@ -123,7 +129,13 @@
     Ok(live)
 }
 
-fn run_request(shared: &Shared, job: &Job, tried: &Tried, upstream: &UpstreamId) -> RunRequest {
+fn run_request(
+    shared: &Shared,
+    job: &Job,
+    tried: &Tried,
+    upstream: &UpstreamId,
+    work: Work,
+) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
         request_id: job.request_id.clone(),
@@ -139,7 +151,7 @@
         budget_ms: job.remaining(shared.clock.now()),
         config_version: job.config_version,
         traceparent: Some(job.trace.to_string()),
-        work: job.work.clone(),
+        work,
     }
 }
 
@@ -236,13 +248,13 @@
     }
 
     fn report(&self, status: &dw_wire::Status) {
-        let chain = chain_of(&self.job.work);
+        let chain = chain_of(&self.work);
         self.shared.report(&self.upstream, status, chain);
     }
 
     fn observe_start(&self, start: &StreamStart) {
         self.report(&start.status);
-        let Some(chain) = chain_of(&self.job.work) else {
+        let Some(chain) = chain_of(&self.work) else {
             return;
         };
         self.shared.observe(&Observation::FirstToken {
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -15,6 +15,7 @@
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
 use dw_wire::Status;
 
 /// First pause before a suspect agent is probed by a request.
@@ -24,8 +25,9 @@
 const LAST_PROBE_MS: DurationMs = DurationMs(2_000);
 
 /// How long a report counts that the upstream takes no work. Reports of an agent that gets no
-/// requests can be a minute apart at the target size, because heartbeats are limited.
-const PAUSE_MS: DurationMs = DurationMs(1_000);
+/// requests can be a minute apart at the target size, because heartbeats are limited. With 1,000 all
+/// engines of a rolling change counted as loading when two of five loaded for 150 ms.
+const PAUSE_MS: DurationMs = DurationMs(250);
 
 /// An agent that can be sent work.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +35,8 @@
     pub(crate) node: NodeId,
     pub(crate) data_addr: SocketAddr,
     pub(crate) control_addr: SocketAddr,
+    /// Weights that the upstream serves, once it has reported them.
+    pub(crate) weights: Option<WeightsVersion>,
     listed_leaving: bool,
     reported_leaving: bool,
     pause_until: Option<TimeMs>,
@@ -63,6 +67,7 @@
     fn take(&mut self, status: &Status, now: TimeMs) {
         self.report_seq = status.report_seq;
         self.reported_leaving = status.leaving;
+        self.weights = Some(status.weights);
         self.pause_until = (!status.accepting).then(|| now + PAUSE_MS);
     }
 }
@@ -282,6 +287,7 @@
             data_addr,
             control_addr,
             listed_leaving,
+            weights: None,
             reported_leaving: false,
             pause_until: None,
             incarnation: Incarnation(0),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -181,9 +181,17 @@
         }
     }
 
-    /// Follows an agent's advice; hops are not retries, because the agent ran nothing and knows a
-    /// better home.
+    /// Follows an agent's advice; hops are not retries, because the agent ran nothing and is not
+    /// overloaded.
     fn hop(&mut self, refusal: &Refusal) -> bool {
+        if matches!(
+            refusal.reason,
+            RefusalReason::NotReady | RefusalReason::Leaving
+        ) {
+            // In a rolling change each engine refuses what was sent before its end was known.
+            self.tried.hops += 1;
+            return self.tried.hops <= MOST_HOPS;
+        }
         let better = match (&refusal.reason, &refusal.better) {
             (RefusalReason::BetterHome, Some(better)) => better,
             _ => return false,
