--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -16,12 +16,14 @@
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
 use dw_wire::StreamStart;
+use dw_wire::Work;
 use dw_wire::PROTOCOL_VERSION;
 use fastrace::Span;
 use thiserror::Error;
 
 use crate::agents::AgentError;
 use crate::agents::Frames;
+use crate::filter::chain::with_weights;
 use crate::filter::place::chain_of;
 use crate::filter::place::Tried;
 use crate::members::Agent;
@@ -58,6 +60,8 @@
     upstream: UpstreamId,
     agent: Agent,
     attempt: u32,
+    /// Work as it was sent; its chain can differ from that of the job in the weights.
+    work: Work,
     frames: Frames,
     sequence: Sequence,
     started: bool,
@@ -87,7 +91,8 @@
     let sent_at = shared.clock.now();
     let span = job.step("forward");
     let trace = job.trace.below(&span);
-    let request = run_request(shared, job, tried, &decision, trace);
+    let work = with_weights(&job.org, &job.work, agent.weights);
+    let request = run_request(shared, job, tried, &decision, (trace, work));
     shared.measures.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
@@ -117,6 +122,7 @@
         upstream: decision.upstream,
         agent,
         attempt: request.attempt,
+        work: request.work,
         frames,
         sequence: Sequence::new(job.request_id.clone()),
         started: false,
@@ -136,7 +142,7 @@
     job: &Job,
     tried: &Tried,
     decision: &Decision,
-    trace: TraceParent,
+    (trace, work): (TraceParent, Work),
 ) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
@@ -157,7 +163,7 @@
         budget_ms: job.remaining(shared.clock.now()),
         config_version: job.config_version,
         traceparent: Some(trace.to_string()),
-        work: job.work.clone(),
+        work,
     }
 }
 
@@ -254,13 +260,13 @@
     }
 
     fn report(&self, status: &dw_wire::Status) {
-        let chain = chain_of(&self.job.work);
+        let chain = chain_of(&self.work);
         self.shared.report(&self.upstream, status, chain);
     }
 
     fn observe_start(&self, start: &StreamStart) {
         self.report(&start.status);
-        let Some(chain) = chain_of(&self.job.work) else {
+        let Some(chain) = chain_of(&self.work) else {
             return;
         };
         let after = self.shared.clock.now().since(self.job.arrived);
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -188,8 +188,17 @@
     }
 
     /// Follows an agent's advice; hops are not retries, because the agent ran nothing and knows
-    /// its exact cost.
+    /// its exact cost, or is not overloaded.
     fn hop(&mut self, upstream: &UpstreamId, refusal: &Refusal) -> bool {
+        if matches!(
+            refusal.reason,
+            RefusalReason::NotReady | RefusalReason::Leaving
+        ) {
+            // In a rolling change each engine refuses what was sent before its end was known.
+            self.tried.excluded.push(upstream.clone());
+            self.tried.hops += 1;
+            return self.tried.hops <= MOST_HOPS;
+        }
         if refusal.reason != RefusalReason::BetterHome || self.tried.hops >= MOST_HOPS {
             return false;
         }
