Measure the agent's slopes on a synchronised index and bounded queues

Ruled out: a fault of the index or the gate. Streams of the streaming experiment are shorter, since one run took minutes.

--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -28,6 +28,7 @@
 use dw_cache::Event;
 use dw_cache::Index;
 use dw_cache::Kind;
+use dw_cache::Snapshot;
 use dw_local::Cluster;
 use dw_local::ClusterSettings;
 use serde::Deserialize;
@@ -69,7 +70,11 @@
 
 const BLOCKS: u128 = 200_000;
 
-const QUEUED: u64 = 20_000;
+/// Requests that wait in one gate, the bound of the agent's settings, and the gates.
+///
+/// An offer looks at the whole queue, so that a longer queue than the bound would cost more.
+const QUEUED: u64 = 256;
+const GATES: u64 = 100;
 
 /// Cost of one more unit of something, from the difference of two measurements.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -154,7 +159,14 @@
 fn cache_slopes() -> (Slope, Slope) {
     let before = resident_bytes();
     let mut index = Index::new();
-    index.observe(Incarnation(1), WeightsVersion(1));
+    // Without a snapshot the index waits for one and applies no event.
+    index.snapshot(&Snapshot {
+        incarnation: Incarnation(1),
+        weights: WeightsVersion(1),
+        seq: 0,
+        capacity_blocks: BLOCKS as usize,
+        hashes: Vec::new(),
+    });
     let started = Instant::now();
     for number in 1..=BLOCKS {
         // Spread like real hashes, so that the buckets of the map fill evenly.
@@ -195,26 +207,33 @@
         .prefill_tokens_per_s(speed)
         .decode_tokens_per_s(speed)
         .build();
-    let mut gate = Fair::new(settings);
     let before = resident_bytes();
     let started = Instant::now();
-    for id in 1..=QUEUED {
-        let ticket = Ticket {
-            id,
-            org: format!("org-{}", id % 8).parse()?,
-            share: 1.0,
-            priority: Priority::Normal,
-            worth: Worth::new(1.0)?,
-            uncached_tokens: Tokens(4_096),
-            max_tokens: Tokens(100),
-            deadline: TimeMs(u64::MAX / 2),
-            repeatable: true,
-        };
-        black_box(gate.offer(ticket, TimeMs(id)));
+    let mut gates = Vec::new();
+    for _ in 0..GATES {
+        let mut gate = Fair::new(settings.clone());
+        // The first one starts to run.
+        for id in 0..=QUEUED {
+            let ticket = Ticket {
+                id,
+                org: format!("org-{}", id % 8).parse()?,
+                share: 1.0,
+                priority: Priority::Normal,
+                worth: Worth::new(1.0)?,
+                uncached_tokens: Tokens(4_096),
+                max_tokens: Tokens(100),
+                deadline: TimeMs(u64::MAX / 2),
+                repeatable: true,
+            };
+            black_box(gate.offer(ticket, TimeMs(id)));
+        }
+        gates.push(gate);
     }
-    let offer_us = started.elapsed().as_secs_f64() * 1e6 / QUEUED as f64;
+    let offers = (GATES * (QUEUED + 1)) as f64;
+    let offer_us = started.elapsed().as_secs_f64() * 1e6 / offers;
     let grown = resident_bytes().saturating_sub(before) as f64;
-    let queued = f64::from(gate.load().queued.max(1));
+    let queued: u32 = gates.iter().map(|gate| gate.load().queued).sum();
+    let queued = f64::from(queued.max(1));
     Ok(Slope {
         cpu_us: Some(offer_us),
         memory_bytes: Some(grown / queued),
--- a/crates/load/src/streaming.rs
+++ b/crates/load/src/streaming.rs
@@ -53,19 +53,19 @@
 /// Streams that run at the same time.
 const LEVELS: [usize; 3] = [1, 10, 100];
 
-/// Streams of each path at each level.
-const STREAMS_PER_LEVEL: usize = 200;
+/// Fewest streams of a path in a round.
+const MIN_STREAMS: usize = 10;
 
 /// Rounds in which the paths take turns, so that a disturbance meets all of them.
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 8;
 
-const TOKENS: u64 = 50;
+const TOKENS: u64 = 20;
 
 /// Names of the threads that run the routers and the agents.
 const ROUTER_THREADS: &str = "dw-router";
 const AGENT_THREADS: &str = "dw-agent";
 
-/// One fast engine, whose decode step of 5 ms is long against the time of a hop.
+/// One fast engine, whose decode step of 10 ms is long against the time of a hop.
 const FLEET: &str = "
 deployment: streaming
 weight_loads: 1
@@ -76,7 +76,7 @@
     engine:
       model: text
       prefill_tokens_per_s: 1000000
-      decode_ms_per_token: 5
+      decode_ms_per_token: 10
       max_batch: 128
 ";
 
@@ -209,7 +209,7 @@
         };
         let hops = [Hop::Engine, Hop::Agent, Hop::Router];
         let mut seen: BTreeMap<Hop, Vec<(Duration, Duration)>> = BTreeMap::new();
-        let per_round = (STREAMS_PER_LEVEL / ROUNDS).max(streams);
+        let per_round = (2 * streams).max(MIN_STREAMS);
         for round in 0..=ROUNDS {
             for hop in hops {
                 let before = cpu_times();
@@ -374,6 +374,7 @@
         repeat: RepeatRule::Repeatable,
         budget_ms: DurationMs(30_000),
         config_version: ConfigVersion(1),
+        alternative: None,
         traceparent: None,
         work: Work::Generate {
             model: "text".parse()?,
