--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -39,6 +39,7 @@
 use dw_standin::MemoryObjects;
 use dw_standin::MemoryTable;
 use dw_standin::PlatformLimits;
+use dw_store::VmSource;
 use dw_wire::encode;
 use dw_wire::Frame;
 use dw_wire::FrameDecoder;
@@ -90,8 +91,16 @@
     pub(crate) forgets_cancelled: bool,
     pub(crate) resumed: Vec<u64>,
     pub(crate) orders: Vec<Value>,
+    /// Orders refused because of their fencing number.
+    pub(crate) stale_orders: u32,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) standby: bool,
+    /// Whether loads do not end until `loading` is reset.
+    pub(crate) holds_loads: bool,
     pub(crate) imported: Vec<String>,
     pub(crate) executions: BTreeMap<String, u32>,
+    /// Whether no call is answered.
+    pub(crate) paused: bool,
     /// Whether the connection is cut after a call has run.
     pub(crate) lose_call_answers: bool,
 }
@@ -158,6 +167,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<StreamBody<Pieces>> {
+        self.until(|fake| !fake.paused).await;
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let bytes = request
@@ -226,13 +236,22 @@
         let mut fake = lock(&self.state);
         let fence = body["fence"].as_u64().unwrap_or(0);
         if fake.checks_fence && fence < fake.fence {
+            fake.stale_orders += 1;
             return json_answer(409, &json!({"error": "stale_fence", "message": "old"}));
         }
         fake.fence = fence;
         fake.orders.push(body.clone());
-        if let Some(weights) = body["order"]["weights_version"].as_u64() {
+        let order = &body["order"];
+        if let Some(weights) = order["weights_version"].as_u64() {
             fake.weights = weights;
             fake.blocks.clear();
+            fake.loading = fake.holds_loads;
+        }
+        if let Some(adapter) = order["adapter"].as_str() {
+            fake.adapters.push(adapter.to_owned());
+        }
+        if let Some(role) = order["role"].as_str() {
+            fake.standby = role == "standby";
         }
         let state = state_of(&fake);
         drop(fake);
@@ -353,9 +372,9 @@
 }
 
 fn state_of(fake: &Fake) -> Value {
-    json!({"adapters": [], "checks_fence": fake.checks_fence, "fence": fake.fence,
+    json!({"adapters": fake.adapters, "checks_fence": fake.checks_fence, "fence": fake.fence,
         "incarnation": fake.incarnation, "loading": fake.loading, "max_batch": 4, "model": "m",
-        "role": "serve", "weights_version": fake.weights})
+        "role": if fake.standby { "standby" } else { "serve" }, "weights_version": fake.weights})
 }
 
 fn event(value: &Value) -> Piece {
@@ -383,15 +402,23 @@
 
 /// Configuration of an engine `e` and a plain service `p`.
 pub(crate) fn config(version: u64, weights: u64) -> Config {
-    let objects = [
-        upstream_object("e", dw_config::UpstreamKind::Engine, "quote"),
+    config_of_engines(version, weights, &["e"])
+}
+
+/// Configuration of engines and a plain service `p`.
+pub(crate) fn config_of_engines(version: u64, weights: u64, engines: &[&str]) -> Config {
+    let engine = |name: &&str| upstream_object(name, dw_config::UpstreamKind::Engine, "quote");
+    let engines = engines.iter().map(engine);
+    let others = [
         upstream_object("p", dw_config::UpstreamKind::Plain, "booking"),
         Object::Model(dw_config::Model {
             name: "m".parse().expect("valid id"),
             weights: WeightsVersion(weights),
+            adapters: Vec::new(),
         }),
     ];
-    let entries = objects.into_iter().map(|object| {
+    let objects = engines.chain(others);
+    let entries = objects.map(|object| {
         let version = ConfigVersion(version);
         (object.key(), Entry { version, object })
     });
@@ -438,6 +465,7 @@
     pub(crate) objects: Arc<MemoryObjects>,
     pub(crate) config: Arc<FixedConfig>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) vms: Option<Arc<dyn VmSource>>,
 }
 
 impl Setup {
@@ -448,6 +476,7 @@
             objects: Arc::new(MemoryObjects::new(PlatformLimits::unlimited())),
             config: Arc::new(FixedConfig::new(config(1, 1))),
             clock: Arc::new(SystemClock::new()),
+            vms: None,
         }
     }
 
@@ -473,6 +502,7 @@
             upstream_addr: Addr(self.upstream.addr),
             data_addr: Addr(any),
             control_addr: Addr(any),
+            metrics_addr: Some(Addr(any)),
             peers: Vec::new(),
             gate: GateKind::Fair,
             max_queued: 8,
@@ -487,6 +517,7 @@
             .table(self.table.clone())
             .objects(self.objects.clone())
             .clock(self.clock.clone())
+            .maybe_vms(self.vms.clone())
             .gate(gate)
             .build();
         Agent::start(parts).await.expect("agent starts")
