--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -17,7 +17,8 @@
 
 const USAGE: &str = "\
 Usage: dandelionwall-load run SCENARIO --router IP:PORT [--json FILE]
-       dandelionwall-load experiment SCENARIO [--out DIRECTORY] [--json FILE]
+       dandelionwall-load experiment SCENARIO [--case NAME] [--policy NAME]
+           [--out DIRECTORY] [--json FILE]
        dandelionwall-load streaming [--json FILE]
        dandelionwall-load slopes [--json FILE]
        dandelionwall-load --compare A.json --compare B.json";
@@ -105,6 +106,13 @@
         "address of a router; may be repeated",
         "IP:PORT",
     );
+    options.optmulti("", "case", "run only this case; may be repeated", "NAME");
+    options.optmulti(
+        "",
+        "policy",
+        "run only this policy; may be repeated",
+        "NAME",
+    );
     options.optopt("", "out", "directory for SVG plots", "DIRECTORY");
     options.optopt("", "json", "write the report as JSON", "FILE");
     options.optmulti("", "compare", "report to compare; given twice", "FILE");
@@ -146,7 +154,7 @@
             Ok(Task::Run { scenario, routers })
         }
         ["experiment", file] => Ok(Task::Experiment {
-            scenario: scenario(file)?,
+            scenario: chosen(scenario(file)?, matches)?,
             out: matches.opt_str("out").map(PathBuf::from),
         }),
         ["streaming"] => Ok(Task::Streaming),
@@ -194,6 +202,30 @@
     })
 }
 
+/// Keeps the cases and policies that the options name.
+fn chosen(mut scenario: Scenario, matches: &Matches) -> Result<Scenario, UsageError> {
+    let names = matches.opt_strs("case");
+    let known = |name: &&String| scenario.cases().iter().any(|case| case.name == **name);
+    if let Some(name) = names.iter().find(|name| !known(name)) {
+        return Err(wrong(
+            format!("--case {name:?}"),
+            "write the name of a case of the scenario",
+        ));
+    }
+    if !names.is_empty() {
+        scenario.cases.retain(|case| names.contains(&case.name));
+    }
+    let policies = matches.opt_strs("policy");
+    if !policies.is_empty() {
+        scenario.policies = policies;
+    }
+    scenario.check_policies().map_err(|error| match error {
+        ScenarioError::Invalid { key, remedy } => wrong(key, remedy),
+        other => wrong(other.to_string(), "correct the scenario"),
+    })?;
+    Ok(scenario)
+}
+
 /// Only faults of the load can be caused in a fleet that runs elsewhere.
 fn check_external(cases: &[Case]) -> Result<(), UsageError> {
     let mut faults = cases.iter().flat_map(|case| &case.faults);
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -3,6 +3,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use dw_local::GateName;
+use dw_local::PolicyName;
 use dw_standin::Fleet;
 use serde::Deserialize;
 use serde::Serialize;
@@ -306,9 +308,23 @@
         if self.routers == 0 {
             return Err(invalid("routers", "write at least 1"));
         }
+        self.check_policies()?;
+        if self.gate.parse::<GateName>().is_err() {
+            return Err(invalid("gate", "write fair-preempt, fair or fifo"));
+        }
         self.check_cases()
     }
 
+    /// Checks that every policy exists.
+    pub(crate) fn check_policies(&self) -> Result<(), ScenarioError> {
+        let mut names = self.policies.iter();
+        if names.all(|name| name.parse::<PolicyName>().is_ok()) {
+            return Ok(());
+        }
+        let remedy = "write nested, round-robin, least-loaded, flat-prompt or flat-block";
+        Err(invalid("policies", remedy))
+    }
+
     fn check_cases(&self) -> Result<(), ScenarioError> {
         for (index, case) in self.cases.iter().enumerate() {
             let repeated = self.cases[..index].iter().any(|c| c.name == case.name);
--- a/crates/load/src/streaming.rs
+++ b/crates/load/src/streaming.rs
@@ -375,7 +375,6 @@
         repeat: RepeatRule::Repeatable,
         budget_ms: DurationMs(30_000),
         config_version: ConfigVersion(1),
-        alternative: None,
         traceparent: None,
         work: Work::Generate {
             model: "text".parse()?,
--- a/crates/load/tests/scenario.rs
+++ b/crates/load/tests/scenario.rs
@@ -71,6 +71,11 @@
         ("load: {share: 0.8, requests_per_s: 3}", "load: set either"),
         ("load: {share: -1}", "load: write a number above 0"),
         ("load: {share: 0.8}\nseeds: []", "seeds: write at least one"),
+        (
+            "load: {share: 0.8}\npolicies: [best]",
+            "policies: write nested",
+        ),
+        ("load: {share: 0.8}\ngate: open", "gate: write fair-preempt"),
         (
             "load: {share: 0.8}\nwarm_up_s: 70",
             "warm_up_s: write a time",
@@ -100,7 +105,12 @@
         env!("CARGO_MANIFEST_DIR"),
         "/../../examples/experiment-division.yaml"
     );
-    let cases: [(&[&str], &str); 6] = [
+    let cases: [(&[&str], &str); 8] = [
+        (
+            &["experiment", example, "--case", "flood"],
+            "write the name of a case",
+        ),
+        (&["experiment", example, "--policy", "best"], "write nested"),
         (&[], "write run, experiment"),
         (&["experiment"], "name exactly one YAML file"),
         (&["experiment", "absent.yaml"], "correct this file"),
