--- a/crates/agent/src/wait.rs
+++ b/crates/agent/src/wait.rs
@@ -21,8 +21,8 @@
 use crate::queue::Verdict;
 use crate::shared::Shared;
 
-/// Prompt tokens of a call of a plain service. Such an upstream declares no prefill speed, and one
-/// token at the lowest speed would take 10 s, beyond most deadlines.
+/// Tokens of one call of a plain service. Its time is the measured overhead alone: with one token
+/// and the speed of 1 token/s that some plain services declare, each call was refused as too slow.
 const CALL_TOKENS: Tokens = Tokens(0);
 
 /// Returns the block chain of a request that generates.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -32,6 +32,7 @@
 use crate::shared::Counters;
 use crate::shared::Placer;
 use crate::shared::Shared;
+use crate::tokens::Tokens;
 use crate::vms;
 
 /// A router cannot start.
@@ -120,6 +121,11 @@
         self.admin_addr
     }
 
+    /// Returns whether the router takes new requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Returns the placement record of a recent request as JSON.
     pub fn explain(&self, request_id: &RequestId) -> Option<String> {
         self.shared.explain(request_id)
@@ -180,6 +186,7 @@
         clock: parts.clock,
         metrics: parts.metrics,
         counters,
+        tokens: Tokens::default(),
         members: Members::default(),
         records: Records::default(),
         agents: Agents::new(),
