admit: compute few prompts at once, project the whole answer

Cause: an engine shares its prefill speed among the prompts of one priority, but the gate started as many as the batch holds and expected each to run at full speed. Prompts delayed each other, requests with the same new prefix each computed it, and waits were reported too short. Deadlines cover the whole answer, while the gate compared them with the first token.

Conclusion: at most two prompts of one priority at once; urgent ones are not counted, because engines compute them first.

--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -47,6 +47,13 @@
     /// Cost of a token that may be generated, relative to a prompt token that must be computed.
     #[builder(default = 4.0)]
     pub decode_weight: f64,
+    /// Most prompts that the upstream computes at once; urgent ones are not counted.
+    ///
+    /// An engine shares its prefill speed among all prompts of one priority, so many at once delay
+    /// each other, and requests with the same new prefix would each compute it. With one the
+    /// engine is idle while the agent imports pieces for the next prompt.
+    #[builder(default = 2)]
+    pub max_prefills: u32,
     /// Whether the upstream can cancel and resume, so that urgent work can pre-empt.
     #[builder(default = false)]
     pub preempts: bool,
@@ -57,6 +64,8 @@
 struct Running {
     ticket: Ticket,
     started: TimeMs,
+    /// Whether the upstream still computes the prompt.
+    prefilling: bool,
     resumed: bool,
 }
 
@@ -97,16 +106,32 @@
         Slots::new(self.settings.max_running as usize, remaining)
     }
 
+    /// Returns the time until the upstream has computed the running prompts up to a priority.
+    ///
+    /// Engines give the prefill speed to the most urgent prompts first.
+    fn prefill_ms(&self, priority: Priority, now: TimeMs) -> f64 {
+        let ahead = self.running.values().filter(|running| running.prefilling);
+        let ahead = ahead.filter(|running| running.ticket.priority <= priority);
+        let remaining = ahead.map(|running| {
+            let expected = self.speeds.first_token_ms(&running.ticket);
+            let elapsed = now.since(running.started).0 as f64;
+            (expected - elapsed).max(expected * OVERDUE_SHARE)
+        });
+        remaining.sum()
+    }
+
     /// Returns the expected wait behind all requests up to a priority.
     fn wait_ms(&self, priority: Priority, now: TimeMs) -> f64 {
-        if priority == Priority::Urgent && self.victim(None).is_some() {
-            return 0.0;
-        }
         let mut slots = self.slots(now);
+        let mut prefill = self.prefill_ms(priority, now);
         for (_, waiting) in self.queue.iter().filter(|(place, _)| place.0 <= priority) {
             slots.take(self.speeds.service_ms(&waiting.ticket));
+            prefill += self.speeds.first_token_ms(&waiting.ticket);
         }
-        slots.wait_ms()
+        if priority == Priority::Urgent && self.victim(None).is_some() {
+            return prefill;
+        }
+        slots.wait_ms().max(prefill)
     }
 
     fn refuse(&self, waiting: &Waiting, cause: Cause, now: TimeMs) -> Action {
@@ -125,17 +150,21 @@
         let mut slots = self.slots(now);
         let mut longest: f64 = 0.0;
         let mut preemptable = self.preemptable(None).count();
+        let running = Priority::ALL.map(|priority| self.prefill_ms(priority, now));
+        let mut queued = 0.0;
         for (place, waiting) in self.queue.iter() {
             let preempts = place.0 == Priority::Urgent && preemptable > 0;
-            let wait = if preempts { 0.0 } else { slots.wait_ms() };
+            let slot = if preempts { 0.0 } else { slots.wait_ms() };
             preemptable = preemptable.saturating_sub(usize::from(preempts));
-            let first_token = wait + self.speeds.first_token_ms(&waiting.ticket);
+            let wait = slot.max(running[place.0.index()] + queued);
+            let service = self.speeds.service_ms(&waiting.ticket);
             let left = waiting.ticket.deadline.since(now).0 as f64;
-            if first_token > left && !waiting.resumed {
+            if wait + service > left && !waiting.resumed {
                 return (Some(*place), longest);
             }
             longest = longest.max(wait);
-            slots.take(self.speeds.service_ms(&waiting.ticket));
+            queued += self.speeds.first_token_ms(&waiting.ticket);
+            slots.take(service);
         }
         (None, longest)
     }
@@ -202,6 +231,19 @@
             .map(|running| running.ticket.id)
     }
 
+    /// Returns whether the first request may be sent although prompts are being computed.
+    fn prefill_has_room(&self) -> bool {
+        let first = self.queue.iter().next();
+        let Some((place, waiting)) = first else {
+            return false;
+        };
+        let free = waiting.ticket.uncached_tokens.0 == 0;
+        let prefilling = self.running.values().filter(|running| running.prefilling);
+        let prefilling = prefilling.filter(|running| running.ticket.priority >= place.0);
+        let urgent = place.0 == Priority::Urgent;
+        free || urgent || prefilling.count() < self.settings.max_prefills as usize
+    }
+
     /// Makes room for the first request if it is urgent.
     fn preempt(&mut self) -> Option<Action> {
         let urgent = self.queue.iter().next()?.0 .0 == Priority::Urgent;
@@ -224,7 +266,7 @@
 
     fn next(&mut self, now: TimeMs) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
-        loop {
+        while self.prefill_has_room() {
             if self.running.len() >= self.settings.max_running as usize {
                 let Some(preempt) = self.preempt() else {
                     break;
@@ -237,6 +279,7 @@
             let running = Running {
                 ticket: waiting.ticket.clone(),
                 started: now,
+                prefilling: waiting.ticket.uncached_tokens.0 > 0,
                 resumed: waiting.resumed,
             };
             self.running.insert(waiting.ticket.id, running);
@@ -245,6 +288,12 @@
         actions
     }
 
+    fn first_token(&mut self, id: u64, _now: TimeMs) {
+        if let Some(running) = self.running.get_mut(&id) {
+            running.prefilling = false;
+        }
+    }
+
     fn finished(&mut self, finished: &Finished, _now: TimeMs) {
         self.preempted.remove(&finished.id);
         if let Some(running) = self.running.remove(&finished.id) {
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -74,6 +74,9 @@
     /// Returns what to start now that there is room, and what to refuse because it is too late.
     fn next(&mut self, now: TimeMs) -> Vec<Action>;
 
+    /// Learns that the upstream has computed the prompt of a request.
+    fn first_token(&mut self, _id: u64, _now: TimeMs) {}
+
     /// Learns that a request ended.
     fn finished(&mut self, finished: &Finished, now: TimeMs);
 
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`Gate::offer`]: a pre-empted request comes back | as above, but it is never refused itself |
 //! | [`Gate::next`]: the upstream has room | [`Action::Start`], [`Action::Refuse`] of the late ones |
 //! | [`Gate::next`]: urgent work waits and there is no room | [`Action::Preempt`], then its start |
+//! | [`Gate::first_token`]: a prompt was computed | makes room for the next prompt |
 //! | [`Gate::finished`]: a request ended | none; frees its slot and updates the measured speeds |
 //! | [`Gate::withdraw`]: the caller left | none; removes a waiting request |
 //!
--- a/crates/admit/src/ticket.rs
+++ b/crates/admit/src/ticket.rs
@@ -23,7 +23,7 @@
     pub uncached_tokens: Tokens,
     /// Most tokens that will be generated.
     pub max_tokens: Tokens,
-    /// Time by which the first token is wanted.
+    /// Time by which the whole answer is wanted.
     pub deadline: TimeMs,
     /// Whether it may be cancelled and run again later.
     pub repeatable: bool,
--- a/crates/admit/tests/fair.rs
+++ b/crates/admit/tests/fair.rs
@@ -20,6 +20,10 @@
 use rand::RngExt;
 
 fn gate(max_running: u32, max_queued: usize, preempts: bool) -> Fair {
+    gate_with(max_running, max_queued, preempts, 2)
+}
+
+fn gate_with(max_running: u32, max_queued: usize, preempts: bool, max_prefills: u32) -> Fair {
     let speed = |value| TokensPerS::new(value).expect("speed is valid");
     let settings = FairSettings::builder()
         .max_running(max_running)
@@ -28,6 +32,7 @@
         .prefill_tokens_per_s(speed(8_000.0))
         .decode_tokens_per_s(speed(50.0))
         .preempts(preempts)
+        .max_prefills(max_prefills)
         .build();
     Fair::new(settings)
 }
@@ -289,3 +294,60 @@
     gate.offer(ticket(3, 1, Priority::Urgent, 100), now);
     assert_eq!(gate.next(now), Vec::new());
 }
+
+fn started(actions: &[Action]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        Action::Start(ticket) => Some(ticket.id),
+        _ => None,
+    });
+    ids.collect()
+}
+
+/// Guards against prompts that are computed at once and delay each other, and against urgent
+/// prompts that wait for others.
+#[test]
+fn prompts_are_computed_one_after_the_other() {
+    let mut gate = gate_with(4, 8, false, 1);
+    for id in 1..=2 {
+        gate.offer(ticket(id, 1, Priority::Normal, 8_000), TimeMs(0));
+    }
+    assert_eq!(started(&gate.next(TimeMs(0))), [1]);
+    gate.offer(ticket(3, 1, Priority::Urgent, 8_000), TimeMs(10));
+    assert_eq!(started(&gate.next(TimeMs(10))), [3]);
+    gate.first_token(3, TimeMs(500));
+    assert_eq!(started(&gate.next(TimeMs(500))), []);
+    gate.first_token(1, TimeMs(900));
+    assert_eq!(started(&gate.next(TimeMs(900))), [2]);
+}
+
+/// Guards against a request that is queued although the prompts before it take too long, and is
+/// refused only when its time has nearly passed.
+#[test]
+fn late_requests_are_refused_on_arrival() {
+    let mut gate = gate_with(8, 100, false, 1);
+    let mut refused = Vec::new();
+    for id in 1..=20 {
+        let mut ticket = ticket(id, 1, Priority::Normal, 8_000);
+        ticket.deadline = TimeMs(10_000);
+        for action in gate.offer(ticket, TimeMs(0)) {
+            match action {
+                Action::Refuse { id: other, .. } => refused.push((id, other)),
+                other => panic!("unexpected {other:?}"),
+            }
+        }
+        gate.next(TimeMs(0));
+    }
+    // One prompt takes 1 s and the answer 1 s more, so nine fit into 10 s.
+    assert!(refused.iter().all(|(at, id)| at == id), "{refused:?}");
+    assert!((10..=12).contains(&refused.len()), "{refused:?}");
+    let mut now = TimeMs(0);
+    let mut running = vec![1];
+    while let Some(id) = running.pop() {
+        now = now + DurationMs(1_000);
+        gate.first_token(id, now);
+        let actions = gate.next(now);
+        let late = |action: &Action| matches!(action, Action::Refuse { .. });
+        assert!(!actions.iter().any(late), "{actions:?}");
+        running.extend(started(&actions));
+    }
+}
--- a/crates/agent/src/generate.rs
+++ b/crates/agent/src/generate.rs
@@ -219,6 +219,7 @@
             tokio::time::sleep(Duration::from(self.deadline.since(self.shared.clock.now())));
         tokio::pin!(abandoned, deadline);
         let mut stream: Option<EventStream> = None;
+        let mut computed = false;
         loop {
             let signal = {
                 let event = self.next_event(&mut stream, round);
@@ -253,6 +254,10 @@
             let result = match event {
                 Ok(event) => {
                     round.suspended = false;
+                    // A resumed generation sends no start; its first token says the same.
+                    if !std::mem::replace(&mut computed, true) {
+                        slot.first_token();
+                    }
                     self.on_event(round, event).await
                 }
                 // The engine has forgotten what it cancelled. The text so far continues the prompt.
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -166,6 +166,12 @@
         }
     }
 
+    fn first_token(&self, id: u64) {
+        let mut state = self.lock();
+        state.gate.first_token(id, self.clock.now());
+        self.advance(&mut state);
+    }
+
     fn finish(&self, finished: &Finished) {
         let mut state = self.lock();
         state.running.remove(&finished.id);
@@ -217,6 +223,13 @@
         self.queue = None;
     }
 
+    /// Tells the gate that the prompt has been computed.
+    pub(crate) fn first_token(&self) {
+        if let Some(queue) = &self.queue {
+            queue.first_token(self.id);
+        }
+    }
+
     /// Gives the slot back with the figures of the run.
     pub(crate) fn finish(mut self, finished: Finished) {
         if let Some(queue) = self.queue.take() {
