--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -10,16 +10,20 @@
 use dw_place::Observation;
 use dw_stream::Sequence;
 use dw_stream::Verdict;
+use dw_telem::TraceParent;
 use dw_wire::Alternative;
 use dw_wire::Frame;
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
 use dw_wire::StreamStart;
+use dw_wire::Work;
 use dw_wire::PROTOCOL_VERSION;
+use fastrace::Span;
 use thiserror::Error;
 
 use crate::agents::AgentError;
 use crate::agents::Frames;
+use crate::filter::chain::with_weights;
 use crate::filter::place::chain_of;
 use crate::filter::place::Tried;
 use crate::members::Agent;
@@ -56,6 +60,8 @@
     upstream: UpstreamId,
     agent: Agent,
     attempt: u32,
+    /// Work as it was sent; its chain can differ from that of the job in the weights.
+    work: Work,
     frames: Frames,
     sequence: Sequence,
     started: bool,
@@ -63,6 +69,8 @@
     opened: bool,
     resumes: u32,
     sent_at: TimeMs,
+    /// Ends with the attempt.
+    _span: Span,
 }
 
 impl Drop for Live {
@@ -81,8 +89,11 @@
     (decision, agent): (Decision, Agent),
 ) -> Result<Live, Lost> {
     let sent_at = shared.clock.now();
-    let request = run_request(shared, job, tried, &decision);
-    shared.counters.attempts.inc();
+    let span = job.step("forward");
+    let trace = job.trace.below(&span);
+    let work = with_weights(&job.org, &job.work, agent.weights);
+    let request = run_request(shared, job, tried, &decision, (trace, work));
+    shared.measures.attempts.inc();
     let sending = shared.agents.run(agent.data_addr, &request);
     let answer = tokio::time::timeout(left(shared, job), sending).await;
     let frames = match answer {
@@ -111,12 +122,14 @@
         upstream: decision.upstream,
         agent,
         attempt: request.attempt,
+        work: request.work,
         frames,
         sequence: Sequence::new(job.request_id.clone()),
         started: false,
         opened: false,
         resumes: 0,
         sent_at,
+        _span: span,
     };
     if let Some(e) = lost {
         live.resume(&e.to_string()).await?;
@@ -124,7 +137,13 @@
     Ok(live)
 }
 
-fn run_request(shared: &Shared, job: &Job, tried: &Tried, decision: &Decision) -> RunRequest {
+fn run_request(
+    shared: &Shared,
+    job: &Job,
+    tried: &Tried,
+    decision: &Decision,
+    (trace, work): (TraceParent, Work),
+) -> RunRequest {
     RunRequest {
         protocol: PROTOCOL_VERSION,
         request_id: job.request_id.clone(),
@@ -143,8 +162,8 @@
         repeat: job.service.repeat,
         budget_ms: job.remaining(shared.clock.now()),
         config_version: job.config_version,
-        traceparent: Some(job.trace.to_string()),
-        work: job.work.clone(),
+        traceparent: Some(trace.to_string()),
+        work,
     }
 }
 
@@ -241,15 +260,18 @@
     }
 
     fn report(&self, status: &dw_wire::Status) {
-        let chain = chain_of(&self.job.work);
+        let chain = chain_of(&self.work);
         self.shared.report(&self.upstream, status, chain);
     }
 
     fn observe_start(&self, start: &StreamStart) {
         self.report(&start.status);
-        let Some(chain) = chain_of(&self.job.work) else {
+        let Some(chain) = chain_of(&self.work) else {
             return;
         };
+        let after = self.shared.clock.now().since(self.job.arrived);
+        let (service, priority) = self.job.labels();
+        self.shared.measures.first_token(service, &priority, after);
         self.shared.observe(&Observation::FirstToken {
             upstream: self.upstream.clone(),
             chain: chain.clone(),
@@ -276,7 +298,7 @@
                 request_id:% = self.job.request_id, upstream:% = self.upstream,
                 from_seq = self.sequence.next_seq(), reason = why; "answer is resumed"
             );
-            self.shared.counters.resumes.inc();
+            self.shared.measures.resumes.inc();
             let request = ResumeRequest {
                 protocol: PROTOCOL_VERSION,
                 request_id: self.job.request_id.clone(),
