--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -21,7 +21,7 @@
 use dw_wire::Status;
 
 /// How long a report counts that the upstream takes no work. Reports of an agent that gets no
-/// requests can be a minute apart at the target size, because heartbeats are limited. With 1,000 all
+/// requests can be a minute apart at the target size, because heartbeats are limited. With 1 s all
 /// engines of a rolling change counted as loading when two of five loaded for 150 ms.
 const PAUSE_MS: DurationMs = DurationMs(250);
 
