place: choose by flat hash in one place

Cause: flat-block and flat-prompt held the same choice by weighted rendezvous hash and differed in the key only. Ruled out: one policy with a setting; each variant keeps its own file. The pairs in tests and in the two metrics servers stay: the tests differ in the fault that they name, and the servers have no common crate yet. Conclusion: no change of behaviour.

--- a/crates/place/src/flat_block.rs
+++ b/crates/place/src/flat_block.rs
@@ -1,10 +1,10 @@
 //! Consistent hash of the first block, as a baseline.
 
-use dw_base::rendezvous_score;
 use dw_base::Rng;
 use dw_base::TimeMs;
 
 use crate::decision::Decision;
+use crate::homes::first_choice;
 use crate::observation::Observation;
 use crate::policy::PlaceRequest;
 use crate::policy::Policy;
@@ -27,14 +27,7 @@
         _rng: &mut Rng,
     ) -> Option<Decision> {
         let key = request.chain.as_ref().map_or(0, |chain| chain.shallow().0);
-        let score = |target: &Target| {
-            let weight = target.prefill_tokens_per_s.get();
-            rendezvous_score(key, target.upstream.as_str(), weight)
-        };
-        let target = targets
-            .iter()
-            .filter(|target| !request.excluded.contains(&target.upstream))
-            .max_by(|a, b| score(a).total_cmp(&score(b)))?;
+        let target = first_choice(key, request, targets)?;
         Some(Decision {
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
--- a/crates/place/src/flat_prompt.rs
+++ b/crates/place/src/flat_prompt.rs
@@ -1,10 +1,10 @@
 //! Consistent hash of the whole prompt, as a baseline.
 
-use dw_base::rendezvous_score;
 use dw_base::Rng;
 use dw_base::TimeMs;
 
 use crate::decision::Decision;
+use crate::homes::first_choice;
 use crate::observation::Observation;
 use crate::policy::PlaceRequest;
 use crate::policy::Policy;
@@ -30,14 +30,7 @@
             let last = chain.blocks.last().copied().unwrap_or(chain.root);
             last.0 ^ u128::from(chain.prompt_tokens.0)
         });
-        let score = |target: &Target| {
-            let weight = target.prefill_tokens_per_s.get();
-            rendezvous_score(key, target.upstream.as_str(), weight)
-        };
-        let target = targets
-            .iter()
-            .filter(|target| !request.excluded.contains(&target.upstream))
-            .max_by(|a, b| score(a).total_cmp(&score(b)))?;
+        let target = first_choice(key, request, targets)?;
         Some(Decision {
             policy: self.name().to_owned(),
             upstream: target.upstream.clone(),
--- a/crates/place/src/homes.rs
+++ b/crates/place/src/homes.rs
@@ -1,8 +1,9 @@
-//! Home sets by nested weighted rendezvous hashing.
+//! Choice of upstreams by weighted rendezvous hashing.
 
 use dw_base::rendezvous_score;
 use dw_base::BlockHash;
 
+use crate::policy::PlaceRequest;
 use crate::target::Target;
 
 /// Orders the members of `set` by preference for one level and keeps the first `width`.
@@ -30,3 +31,19 @@
     set.clear();
     set.extend(scored.into_iter().take(width.max(1)).map(|(_, i)| i));
 }
+
+/// Returns the first choice for a key among the targets that are not excluded, by declared speed.
+pub(crate) fn first_choice<'a>(
+    key: u128,
+    request: &PlaceRequest,
+    targets: &'a [Target],
+) -> Option<&'a Target> {
+    let score = |target: &Target| {
+        let weight = target.prefill_tokens_per_s.get();
+        rendezvous_score(key, target.upstream.as_str(), weight)
+    };
+    targets
+        .iter()
+        .filter(|target| !request.excluded.contains(&target.upstream))
+        .max_by(|a, b| score(a).total_cmp(&score(b)))
+}
