--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -157,6 +157,41 @@
     }
 }
 
+/// A clock that also advances while the VM is suspended.
+#[derive(Debug)]
+pub struct BootClock {
+    origin_ms: u64,
+    origin_time: TimeMs,
+}
+
+impl BootClock {
+    /// Creates a clock anchored at the current wall-clock time.
+    pub fn new() -> Self {
+        BootClock {
+            origin_ms: boot_ms(),
+            origin_time: SystemClock::new().origin_time,
+        }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> TimeMs {
+        self.origin_time + DurationMs(boot_ms().saturating_sub(self.origin_ms))
+    }
+}
+
+fn boot_ms() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // The time since boot is never negative.
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
+
 /// A clock that moves only when told to.
 #[derive(Debug, Default)]
 pub struct ManualClock {
--- /dev/null
+++ b/crates/base/src/prompt.rs
@@ -0,0 +1,30 @@
+//! Prompts that are described by their parts.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::number::Tokens;
+
+/// One part of a prompt; prompts that begin with the same parts share their cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Hash of the part's id.
+    pub id: u64,
+    /// Length.
+    pub tokens: Tokens,
+}
+
+/// Identifies a prefix of a prompt under one salt.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PrefixKey(pub u64);
+
+impl PrefixKey {
+    /// Returns the key of the empty prefix.
+    pub fn root(salt: &str) -> Self {
+        PrefixKey(xxh3_64_with_seed(salt.as_bytes(), 0))
+    }
+
+    /// Returns the key of this prefix and one more part.
+    pub fn with(self, part: &PromptPart) -> Self {
+        PrefixKey(xxh3_64_with_seed(&part.id.to_le_bytes(), self.0))
+    }
+}
--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,87 @@
+//! Follows a table of the platform through outages, slow answers and lost history.
+//!
+//! | event | effect |
+//! | --- | --- |
+//! | answer | [`Follower::changes`], or [`Follower::snapshot`] after a start or lost history |
+//! | no answer in time | [`Follower::lost`], then another call after a growing pause |
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dw_base::Clock;
+use dw_base::DurationMs;
+use dw_port::Feed;
+use dw_port::FeedError;
+use dw_port::Page;
+
+/// Longest wait of one call for changes.
+const WAIT_MS: DurationMs = DurationMs(5_000);
+
+/// Time beyond the wait after which the table counts as lost.
+const ANSWER_MS: DurationMs = DurationMs(1_000);
+
+/// First and greatest pause after a failed call.
+const RETRY_MS: (u64, u64) = (100, 800);
+
+/// Takes in the items of a feed.
+pub trait Follower<T> {
+    /// Returns the name of the feed for logs.
+    fn name(&self) -> &'static str;
+
+    /// Takes in everything.
+    fn snapshot(&mut self, items: Vec<T>);
+
+    /// Takes in changes.
+    fn changes(&mut self, items: Vec<T>);
+
+    /// Learns that the table does not answer.
+    fn lost(&mut self) {}
+
+    /// Learns that the table answers.
+    fn answered(&mut self) {}
+}
+
+/// Follows a feed until the task is aborted.
+pub async fn follow<T>(
+    mut feed: Box<dyn Feed<T>>,
+    mut follower: impl Follower<T>,
+    clock: Arc<dyn Clock>,
+) {
+    let mut position = None;
+    let mut lost_since = None;
+    let mut pause_ms = RETRY_MS.0;
+    loop {
+        let result = match position {
+            None => feed.snapshot(ANSWER_MS).await,
+            Some(after) => feed.changes(after, WAIT_MS, WAIT_MS + ANSWER_MS).await,
+        };
+        match result {
+            Ok(Page { items, version }) => {
+                if let Some(since) = lost_since.take() {
+                    let away_ms = clock.now().since(since).0;
+                    log::info!(feed = follower.name(), away_ms; "table answers again");
+                }
+                follower.answered();
+                match position {
+                    None => follower.snapshot(items),
+                    Some(_) => follower.changes(items),
+                }
+                position = Some(version);
+                pause_ms = RETRY_MS.0;
+            }
+            Err(FeedError::Expired) => {
+                log::warn!(feed = follower.name(); "history of the table has expired");
+                position = None;
+            }
+            Err(e) => {
+                if lost_since.is_none() {
+                    lost_since = Some(clock.now());
+                    log::warn!(feed = follower.name(), error:% = e; "table is lost");
+                }
+                follower.lost();
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                pause_ms = (pause_ms * 2).min(RETRY_MS.1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,56 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::relay::Relay;
+use crate::relay::RelayError;
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// The gateway's own.
+    Own(Full<Bytes>),
+    /// An upstream's, as it arrives.
+    Relay(Box<Relay>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        match self.get_mut() {
+            AnswerBody::Own(body) => match Pin::new(body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+                // The error of a body that lies in memory has no values.
+                Poll::Ready(_) => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            },
+            AnswerBody::Relay(relay) => relay.poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Own(body) => body.is_end_stream(),
+            AnswerBody::Relay(relay) => relay.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Own(body) => body.size_hint(),
+            AnswerBody::Relay(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,82 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header;
+use http::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::request::serve;
+use crate::shared::Shared;
+
+/// Pause after a failed accept, such as one for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time without an acknowledgement after which a caller's connection ends.
+const CALLER_SILENCE: Duration = Duration::from_secs(5);
+
+/// Buffer for the head of a request before a configuration sets its limit.
+const DEFAULT_HEAD_BYTES: usize = 16_384;
+
+/// hyper needs at least this much.
+const LEAST_BUFFER_BYTES: usize = 8_192;
+
+/// Accepts callers until the task is aborted.
+pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(shared.clone(), stream));
+            }
+            Err(e) => {
+                log::warn!(error:% = e; "caller cannot be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    // A connection without these options works, only less well.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_SILENCE));
+    let (number, connection) = shared.connections.open(shared.now());
+    let head_bytes = shared
+        .routes()
+        .map_or(DEFAULT_HEAD_BYTES, |routes| routes.limits().header_bytes.0 as usize);
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        let guard = connection.request();
+        async move {
+            let mut response = serve(&shared, request, guard).await;
+            if shared.draining.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(head_bytes.max(LEAST_BUFFER_BYTES));
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            // An error means that the caller is gone or sent no HTTP; requests log their own end.
+            _ = &mut serving => break,
+            () = connection.close.notified(), if !closing => {
+                closing = true;
+                serving.as_mut().graceful_shutdown();
+            }
+        }
+    }
+    shared.connections.closed(number);
+}
--- /dev/null
+++ b/crates/gateway/src/choose.rs
@@ -0,0 +1,168 @@
+//! Choice of the upstream for one try.
+
+use dw_base::ModelId;
+use dw_base::PromptPart;
+use dw_base::Tokens;
+use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
+use dw_member::Entry;
+use dw_place::Choice;
+use dw_place::DirectRequest;
+use dw_place::DirectTarget;
+
+use std::net::SocketAddr;
+
+use crate::job::salt;
+use crate::job::Job;
+use crate::shared::Shared;
+
+/// Upstreams that have refused or failed a request.
+#[derive(Default)]
+pub(crate) struct Exclusions(Vec<UpstreamId>);
+
+impl Exclusions {
+    /// Adds an upstream.
+    pub(crate) fn add(&mut self, upstream: &UpstreamId) {
+        self.0.push(upstream.clone());
+    }
+
+    fn has(&self, upstream: &UpstreamId) -> bool {
+        self.0.contains(upstream)
+    }
+}
+
+/// Where a try goes, and how.
+pub(crate) struct Plan {
+    pub(crate) choice: Choice,
+    pub(crate) addr: SocketAddr,
+    pub(crate) scope: String,
+    pub(crate) salt: Option<String>,
+    pub(crate) fetch_from: Option<SocketAddr>,
+    pub(crate) save_to: Option<SocketAddr>,
+}
+
+/// No upstream can take the request.
+pub(crate) struct NoChoice {
+    pub(crate) reason: &'static str,
+}
+
+/// Chooses the upstream for the next try of a request.
+pub(crate) fn choose(
+    shared: &Shared,
+    job: &Job,
+    exclusions: &Exclusions,
+) -> Result<Plan, NoChoice> {
+    let now = shared.now();
+    let directory = shared.directory.borrow();
+    let sidecars = shared.sidecars.borrow();
+    let serving: Vec<&Entry> = directory.serving(&job.service).collect();
+    if serving.is_empty() {
+        return Err(NoChoice {
+            reason: "no_upstream",
+        });
+    }
+    let open = serving.into_iter().filter(|entry| {
+        !exclusions.has(&entry.listed.upstream) && sidecars.is_open(entry.listed.addr, now)
+    });
+    let open: Vec<&Entry> = open.collect();
+    let healthy: Vec<&Entry> = open
+        .iter()
+        .copied()
+        .filter(|entry| entry.health.usable(now))
+        .collect();
+    // Without a healthy one, a suspect one is better than none: an unreachable one costs little.
+    let candidates = if healthy.is_empty() { open } else { healthy };
+    let kv_capacity = shared
+        .routes()
+        .and_then(|routes| routes.service(&job.service).and_then(|s| s.kv_capacity));
+    let weights = shared.weights.borrow();
+    let model = job.ask.model.as_ref().filter(|_| kv_capacity.is_some());
+    let targets: Vec<DirectTarget<'_>> = candidates
+        .iter()
+        .map(|entry| DirectTarget {
+            upstream: &entry.listed.upstream,
+            data_centre: &entry.listed.data_centre,
+            slots: entry.listed.slots,
+            kv_capacity,
+            weights: model.and_then(|model| held_weights(shared, entry, model)),
+            failure_rate: entry.health.failure_rate(now),
+        })
+        .collect();
+    let store = kv_store(shared);
+    let scope = job.scope();
+    let prompt = job.ask.prompt.as_slice();
+    let shared_parts = prompt.split_last().map_or(prompt, |(_, parts)| parts);
+    let stored = |weights| stored_tokens(shared, store, &salt(&scope, weights), shared_parts);
+    let boot = shared.boot();
+    let request = DirectRequest {
+        prompt: if kv_capacity.is_some() { prompt } else { &[] },
+        scope: &scope,
+        data_centre: &boot.data_centre,
+        wanted_weights: model.and_then(|model| weights.wanted(model, now)),
+        stored: &stored,
+    };
+    let choice = shared.place.borrow().place(&request, &targets, now);
+    let choice = choice.ok_or(NoChoice {
+        reason: "no_upstream_open",
+    })?;
+    let entry = candidates
+        .iter()
+        .find(|entry| entry.listed.upstream == choice.upstream)
+        .ok_or(NoChoice {
+            reason: "no_upstream_open",
+        })?;
+    let salt = choice.weights.map(|weights| salt(&scope, weights));
+    let cached = salt.as_ref().filter(|_| !shared_parts.is_empty());
+    let fetch_from = store.filter(|_| cached.is_some());
+    let save_to = fetch_from.filter(|_| {
+        let salt = cached.map_or("", String::as_str);
+        is_worth_saving(prompt, stored_tokens(shared, store, salt, shared_parts))
+    });
+    Ok(Plan {
+        addr: entry.listed.addr,
+        choice,
+        scope,
+        salt,
+        fetch_from,
+        save_to,
+    })
+}
+
+/// Returns the newest weights that an engine is known to have.
+///
+/// Weights of an engine only grow, so the greatest of what is known is the newest.
+fn held_weights(shared: &Shared, entry: &Entry, model: &ModelId) -> Option<WeightsVersion> {
+    let listed = entry.listed.weights(model);
+    let told = shared.sidecars.borrow().weights(entry.listed.addr, model);
+    let seen = shared.weights.borrow().seen(&entry.listed.upstream);
+    listed.max(told).max(seen)
+}
+
+fn kv_store(shared: &Shared) -> Option<SocketAddr> {
+    let routes = shared.routes()?;
+    let kv = shared.kv.borrow();
+    let is_up = |addr: &SocketAddr| kv.get(addr).is_some_and(|contents| contents.is_up());
+    let stores = routes.kv_stores().iter().map(|store| store.addr);
+    stores.into_iter().find(|addr| is_up(addr))
+}
+
+fn stored_tokens(
+    shared: &Shared,
+    store: Option<SocketAddr>,
+    salt: &str,
+    parts: &[PromptPart],
+) -> Tokens {
+    let kv = shared.kv.borrow();
+    let contents = store.and_then(|store| kv.get(&store));
+    contents.map_or(Tokens(0), |contents| contents.leading(salt, parts))
+}
+
+/// A request saves its shared parts if the store lacks some and its own part is the smaller one,
+/// since the store keeps that as well and drops shared parts for it.
+fn is_worth_saving(prompt: &[PromptPart], stored: Tokens) -> bool {
+    let Some((own, shared)) = prompt.split_last() else {
+        return false;
+    };
+    let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
+    stored.0 < shared && own.tokens.0 <= shared
+}
--- /dev/null
+++ b/crates/gateway/src/connections.rs
@@ -0,0 +1,84 @@
+//! Open connections of callers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use tokio::sync::Notify;
+
+/// One connection of a caller.
+#[derive(Default)]
+pub(crate) struct CallerConnection {
+    requests: Cell<u32>,
+    idle_since: Cell<TimeMs>,
+    /// Asks the task of the connection to close it once it is idle.
+    pub(crate) close: Notify,
+}
+
+impl CallerConnection {
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn request(self: &Rc<Self>) -> RequestGuard {
+        self.requests.set(self.requests.get() + 1);
+        RequestGuard(self.clone())
+    }
+}
+
+/// A request on a connection.
+pub(crate) struct RequestGuard(Rc<CallerConnection>);
+
+impl RequestGuard {
+    /// Records the time of the end of the request.
+    pub(crate) fn ended(&self, now: TimeMs) {
+        self.0.idle_since.set(now);
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let requests = self.0.requests.get().saturating_sub(1);
+        self.0.requests.set(requests);
+    }
+}
+
+/// Open connections of callers.
+#[derive(Default)]
+pub(crate) struct Connections {
+    open: RefCell<HashMap<u64, Rc<CallerConnection>>>,
+    next: Cell<u64>,
+}
+
+impl Connections {
+    /// Adds a connection and returns its number.
+    pub(crate) fn open(&self, now: TimeMs) -> (u64, Rc<CallerConnection>) {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let connection = Rc::new(CallerConnection::default());
+        connection.idle_since.set(now);
+        self.open.borrow_mut().insert(number, connection.clone());
+        (number, connection)
+    }
+
+    /// Removes a connection.
+    pub(crate) fn closed(&self, number: u64) {
+        self.open.borrow_mut().remove(&number);
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Asks connections to close that have been idle for `idle_ms`; zero means all.
+    pub(crate) fn close_idle(&self, idle_ms: DurationMs, now: TimeMs) {
+        for connection in self.open.borrow().values() {
+            let is_idle = connection.requests.get() == 0;
+            let is_old = now.since(connection.idle_since.get()) >= idle_ms;
+            if idle_ms == DurationMs::ZERO || (is_idle && is_old) {
+                connection.close.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,225 @@
+//! Start and shutdown of a gateway.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dw_base::Clock;
+use dw_base::DurationMs;
+use dw_member::Directory;
+use dw_place::Direct;
+use dw_place::DirectSettings;
+use dw_platform::Boot;
+use dw_port::Codec;
+use dw_port::Declaration;
+use dw_port::Feed;
+use dw_port::Registration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::caller;
+use crate::connections::Connections;
+use crate::gossip;
+use crate::kv;
+use crate::measures::Measures;
+use crate::pool::Pool;
+use crate::probe;
+use crate::registrations::follow_registrations;
+use crate::routes::follow_routes;
+use crate::shared::Shared;
+use crate::sidecars::Sidecars;
+use crate::weights::Weights;
+
+/// Heartbeats that an upstream misses before its registration lapses, less one for delays.
+const LAPSE_HEARTBEATS: u64 = 2;
+
+/// Pause between looks at idle connections and expired registrations.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// Share of the idle time by which a caller's connection is kept longer.
+const IDLE_SLACK: f64 = 1.1;
+
+/// Time after SIGTERM in which callers are still accepted: the balancer misses two probes.
+const ACCEPT_MS: DurationMs = DurationMs(3_500);
+
+/// Time before SIGKILL at which the process ends by itself.
+const EXIT_MARGIN_MS: DurationMs = DurationMs(400);
+
+/// Pause between looks at open connections while the process ends.
+const EXIT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A gateway cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[error("{what} address {addr} cannot be bound: {source}; free it or change the settings")]
+    Bind {
+        /// What the address is for.
+        what: &'static str,
+        /// Address.
+        addr: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// An address is missing.
+    #[error("the settings have no address for {0}; add it")]
+    Missing(&'static str),
+}
+
+/// What a gateway is made of.
+pub struct GatewayParts {
+    /// Settings.
+    pub boot: Boot,
+    /// File that the settings came from; read again on SIGHUP.
+    pub boot_path: PathBuf,
+    /// Port for metrics, if they are served.
+    pub metrics_port: Option<u16>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Formats of heads.
+    pub codec: Arc<dyn Codec>,
+    /// What operators declare.
+    pub declarations: Box<dyn Feed<Declaration>>,
+    /// Which upstreams are registered.
+    pub registrations: Box<dyn Feed<Registration>>,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    shared: Rc<Shared>,
+    boot_path: PathBuf,
+    accepting: JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Starts a gateway; must be called inside a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is missing or cannot be bound.
+    pub async fn start(parts: GatewayParts) -> Result<Self, StartError> {
+        let boot = Rc::new(parts.boot);
+        let callers = boot.callers.ok_or(StartError::Missing("callers"))?;
+        let ready = boot.ready.ok_or(StartError::Missing("the readiness probe"))?;
+        let callers = listen("callers", callers).await?;
+        let ready = listen("readiness", ready).await?;
+        let inner = SocketAddr::new(boot.ip, boot.inner_ports.0);
+        let socket = UdpSocket::bind(inner).await;
+        let socket = socket.map_err(|source| StartError::Bind {
+            what: "inner",
+            addr: inner,
+            source,
+        })?;
+        let socket = Rc::new(socket);
+        let shared = share(&boot, parts.clock, parts.codec);
+        log::info!(
+            node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
+            data_centre:% = boot.data_centre;
+            "gateway starts"
+        );
+        spawn(follow_routes(shared.clone(), parts.declarations));
+        spawn(follow_registrations(shared.clone(), parts.registrations));
+        spawn(kv::follow_all(shared.clone()));
+        spawn(gossip::tell(shared.clone(), socket.clone()));
+        spawn(gossip::hear(shared.clone(), socket));
+        spawn(probe::serve_ready(shared.clone(), ready));
+        spawn(sweep(shared.clone()));
+        if let Some(port) = parts.metrics_port {
+            let addr = SocketAddr::new(boot.ip, port);
+            let metrics = listen("metrics", addr).await?;
+            spawn(probe::serve_metrics(shared.clone(), metrics));
+        }
+        let accepting = spawn(caller::accept(shared.clone(), callers));
+        Ok(Gateway {
+            shared,
+            boot_path: parts.boot_path,
+            accepting,
+        })
+    }
+
+    /// Reads the settings file again and takes over its bounds.
+    pub fn reload(&self) {
+        match Boot::read(&self.boot_path) {
+            Ok(boot) => {
+                log::info!(path:% = self.boot_path.display(); "settings are read again");
+                *self.shared.boot.borrow_mut() = Rc::new(boot);
+            }
+            Err(e) => log::error!(error:% = e; "settings cannot be read; the last ones stay"),
+        }
+    }
+
+    /// Leaves the balancer, finishes requests and returns before SIGKILL would come.
+    pub async fn shutdown(self) {
+        let begun = self.shared.now();
+        self.shared.draining.set(true);
+        log::info!(connections = self.shared.connections.count(); "gateway is draining");
+        let grace_ms = self.shared.boot().bounds.grace_ms;
+        let until = begun + grace_ms.saturating_sub(EXIT_MARGIN_MS);
+        tokio::time::sleep(ACCEPT_MS.min(grace_ms).into()).await;
+        self.accepting.abort();
+        self.shared.connections.close_idle(DurationMs::ZERO, begun);
+        while self.shared.connections.count() > 0 && self.shared.now() < until {
+            tokio::time::sleep(EXIT_PAUSE).await;
+        }
+        log::info!(connections = self.shared.connections.count(); "gateway stops");
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) -> JoinHandle<()> {
+    tokio::task::spawn_local(task)
+}
+
+async fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|source| StartError::Bind { what, addr, source })
+}
+
+fn share(boot: &Rc<Boot>, clock: Arc<dyn Clock>, codec: Arc<dyn Codec>) -> Rc<Shared> {
+    let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
+    Rc::new(Shared {
+        boot: RefCell::new(boot.clone()),
+        started: clock.now(),
+        clock,
+        codec,
+        routes: RefCell::new(None),
+        directory: RefCell::new(Directory::new(lapse_ms)),
+        listed: Cell::new(false),
+        place: RefCell::new(Direct::new(DirectSettings::builder().build())),
+        sidecars: RefCell::new(Sidecars::default()),
+        weights: RefCell::new(Weights::default()),
+        budgets: RefCell::new(HashMap::new()),
+        kv: RefCell::new(HashMap::new()),
+        pool: Pool::default(),
+        connections: Connections::default(),
+        measures: Measures::new(),
+        draining: Cell::new(false),
+        work_changed: Notify::new(),
+    })
+}
+
+/// Closes idle connections and drops registrations that did not come back.
+async fn sweep(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        let now = shared.now();
+        shared.directory.borrow_mut().expire(now);
+        let directory = shared.directory.borrow();
+        let is_known = |addr: &SocketAddr| directory.all().any(|e| e.listed.addr == *addr);
+        shared.pool.sweep(is_known, now);
+        if let Some(routes) = shared.routes() {
+            let idle_ms = routes.limits().idle_ms.0 as f64 * IDLE_SLACK;
+            let idle_ms = DurationMs(idle_ms.max(1.0) as u64);
+            shared.connections.close_idle(idle_ms, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,64 @@
+//! One caller's request on its way.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dw_base::DurationMs;
+use dw_base::ServiceId;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+use dw_port::Ask;
+use dw_route::Organisation;
+use dw_route::Route;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+
+/// One caller's request on its way.
+pub(crate) struct Job {
+    pub(crate) ask: Ask,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) service: ServiceId,
+    pub(crate) arrived: TimeMs,
+    /// When the caller or the route stops waiting.
+    pub(crate) until: TimeMs,
+    /// Tries at upstreams so far.
+    pub(crate) tries: Cell<u32>,
+}
+
+impl Job {
+    /// Returns the time that is left.
+    pub(crate) fn left(&self, now: TimeMs) -> DurationMs {
+        self.until.since(now)
+    }
+
+    /// Returns who shares the cached prompt, without the weights.
+    pub(crate) fn scope(&self) -> String {
+        let model = self.ask.model.as_ref().map_or("", |model| model.as_str());
+        match self.organisation.as_ref().filter(|org| org.exclusive) {
+            Some(organisation) => format!("{model}/{}", organisation.org),
+            None => model.to_owned(),
+        }
+    }
+
+    /// Returns the priority at the engine.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_org = self.organisation.as_ref().and_then(|org| org.priority);
+        of_org.unwrap_or(self.route.priority)
+    }
+}
+
+/// Returns the salt of cached prompts of a scope and weights.
+pub(crate) fn salt(scope: &str, weights: WeightsVersion) -> String {
+    format!("{scope}@{weights}")
+}
+
+/// Shared ownership of a job by the request and the relay of its answer.
+pub(crate) type SharedJob = Rc<Job>;
--- /dev/null
+++ b/crates/gateway/src/kv.rs
@@ -0,0 +1,131 @@
+//! What the store of kept KV cache holds, from its events.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dw_base::DurationMs;
+use dw_base::PrefixKey;
+use dw_base::PromptPart;
+use dw_base::Tokens;
+use dw_platform::KvEvents;
+use dw_port::KvIndex;
+use dw_port::KvPage;
+
+use crate::shared::Shared;
+
+/// Longest wait of one call for events.
+const WAIT_MS: DurationMs = DurationMs(1_000);
+
+/// Time beyond the wait after which the store counts as down.
+const ANSWER_MS: DurationMs = DurationMs(500);
+
+/// Pause between calls, so that events are fetched together.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Contents of one store.
+#[derive(Default)]
+pub(crate) struct KvContents {
+    held: HashMap<PrefixKey, Tokens>,
+    epoch: u64,
+    next: u64,
+    is_up: bool,
+}
+
+fn key(salt: &str, part: u64) -> PrefixKey {
+    let part = PromptPart {
+        id: part,
+        tokens: Tokens(0),
+    };
+    PrefixKey::root(salt).with(&part)
+}
+
+impl KvContents {
+    /// Returns whether the store answers.
+    pub(crate) fn is_up(&self) -> bool {
+        self.is_up
+    }
+
+    /// Returns the tokens of the leading parts that are held under a salt.
+    pub(crate) fn leading(&self, salt: &str, parts: &[PromptPart]) -> Tokens {
+        let held = |part: &&PromptPart| {
+            let tokens = self.held.get(&key(salt, part.id));
+            // The store keeps whole blocks, so the last few tokens of a part may be missing.
+            tokens.is_some_and(|tokens| tokens.0 * 2 >= part.tokens.0)
+        };
+        let leading = parts.iter().take_while(held);
+        Tokens(leading.map(|part| part.tokens.0).sum())
+    }
+
+    fn lost(&mut self) -> bool {
+        std::mem::replace(&mut self.is_up, false)
+    }
+
+    fn apply(&mut self, page: KvPage) {
+        if page.epoch != self.epoch || page.lost {
+            self.held.clear();
+        }
+        self.epoch = page.epoch;
+        self.next = page.next;
+        self.is_up = true;
+        for change in page.changes {
+            let key = key(&change.salt, change.part);
+            match change.tokens {
+                Tokens(0) => drop(self.held.remove(&key)),
+                tokens => drop(self.held.insert(key, tokens)),
+            }
+        }
+    }
+}
+
+/// Follows the events of all stores in the configuration.
+pub(crate) async fn follow_all(shared: Rc<Shared>) {
+    let mut followed: Vec<SocketAddr> = Vec::new();
+    loop {
+        if let Some(routes) = shared.routes() {
+            for store in routes.kv_stores() {
+                if !followed.contains(&store.addr) {
+                    followed.push(store.addr);
+                    tokio::task::spawn_local(follow(shared.clone(), store.addr));
+                }
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn follow(shared: Rc<Shared>, store: SocketAddr) {
+    let mut events = KvEvents::new(store);
+    loop {
+        let since = {
+            let mut kv = shared.kv.borrow_mut();
+            kv.entry(store).or_default().next
+        };
+        let timeout_ms = WAIT_MS + ANSWER_MS;
+        let result = events.changes(since, WAIT_MS, timeout_ms).await;
+        let pause = {
+            let mut kv = shared.kv.borrow_mut();
+            let contents = kv.entry(store).or_default();
+            match result {
+                Ok(page) => {
+                    if !contents.is_up {
+                        log::info!(store:%, epoch = page.epoch; "store of kept KV cache answers");
+                    }
+                    contents.apply(page);
+                    PAUSE
+                }
+                Err(e) => {
+                    if contents.lost() {
+                        log::warn!(store:%, error:% = e; "store of kept KV cache is lost");
+                    }
+                    RETRY_PAUSE
+                }
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! Router that sends straight to upstreams.
+//!
+//! A request passes resolve, body, place, forward and relay. What operators declare, which upstreams
+//! are registered, and the platform's formats come through the traits of `dw_port`; the decisions
+//! are those of `dw_place`, `dw_member` and `dw_retry`.
+
+mod answer;
+mod body;
+mod caller;
+mod choose;
+mod connections;
+mod forward;
+mod gossip;
+mod gateway;
+mod job;
+mod kv;
+mod measures;
+mod pool;
+mod probe;
+mod registrations;
+mod relay;
+mod request;
+mod routes;
+mod shared;
+mod sidecars;
+mod turn_away;
+mod weights;
+
+pub use gateway::Gateway;
+pub use gateway::GatewayParts;
+pub use gateway::StartError;
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,83 @@
+//! Idle connections to upstreams.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_net::Connection;
+
+/// Idle time of connections to upstreams that do not say how long they keep them.
+const DEFAULT_IDLE_MS: DurationMs = DurationMs(4_000);
+
+/// Time before the end of an upstream's idle time from which a connection is not used any more.
+const MARGIN_MS: DurationMs = DurationMs(700);
+
+/// Idle connections that are kept for one upstream.
+const MOST_IDLE: usize = 32;
+
+struct Idle {
+    connection: Connection,
+    since: TimeMs,
+    until: TimeMs,
+}
+
+/// Idle connections to upstreams.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes the connection to an upstream that was used last, if it is usable.
+    ///
+    /// Only one that has been idle for at most `most_idle_ms` is returned.
+    pub(crate) fn take(
+        &self,
+        addr: SocketAddr,
+        most_idle_ms: DurationMs,
+        now: TimeMs,
+    ) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        list.retain(|idle| !idle.connection.is_closed() && now < idle.until);
+        let usable = |idle: &Idle| {
+            idle.connection.is_ready() && now.since(idle.since) <= most_idle_ms
+        };
+        let at = list.iter().rposition(usable)?;
+        Some(list.remove(at).connection)
+    }
+
+    /// Keeps a connection after a complete answer.
+    pub(crate) fn put(
+        &self,
+        addr: SocketAddr,
+        connection: Connection,
+        idle_ms: Option<DurationMs>,
+        now: TimeMs,
+    ) {
+        if connection.is_closed() {
+            return;
+        }
+        let keep = idle_ms.unwrap_or(DEFAULT_IDLE_MS).saturating_sub(MARGIN_MS);
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        if list.len() < MOST_IDLE {
+            list.push(Idle {
+                connection,
+                since: now,
+                until: now + keep,
+            });
+        }
+    }
+
+    /// Closes connections that are past their time, and those to upstreams that are gone.
+    pub(crate) fn sweep(&self, keep: impl Fn(&SocketAddr) -> bool, now: TimeMs) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|addr, _| keep(addr));
+        for list in idle.values_mut() {
+            list.retain(|idle| !idle.connection.is_closed() && now < idle.until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,233 @@
+//! An upstream's answer on its way to the caller.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use dw_base::TimeMs;
+use dw_net::Connection;
+use dw_place::Choice;
+use dw_port::AnswerHead;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::sleep;
+use tokio::time::Sleep;
+
+use crate::body::AnswerBody;
+use crate::connections::RequestGuard;
+use crate::forward::is_good;
+use crate::forward::InFlight;
+use crate::job::SharedJob;
+use crate::shared::Shared;
+
+/// An answer that ends before it is complete; the caller's connection is closed.
+#[derive(Debug, Error)]
+pub(crate) enum RelayError {
+    /// The upstream broke off.
+    #[error("the upstream broke off its answer: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The caller or the route does not wait any longer.
+    #[error("the answer was not complete in time")]
+    Timeout,
+}
+
+/// What a relay is made of.
+pub(crate) struct RelayParts {
+    pub(crate) shared: Rc<Shared>,
+    pub(crate) job: SharedJob,
+    pub(crate) choice: Choice,
+    pub(crate) addr: SocketAddr,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+    pub(crate) connection: Connection,
+    pub(crate) in_flight: InFlight,
+    /// Bytes of the body that have arrived.
+    pub(crate) first: Option<Bytes>,
+}
+
+/// An upstream's answer on its way to the caller.
+pub(crate) struct Relay {
+    shared: Rc<Shared>,
+    job: SharedJob,
+    choice: Choice,
+    addr: SocketAddr,
+    status: StatusCode,
+    head: AnswerHead,
+    parts: Option<http::response::Parts>,
+    body: Incoming,
+    first: Option<Bytes>,
+    connection: Option<Connection>,
+    _in_flight: InFlight,
+    guard: Option<RequestGuard>,
+    deadline: Pin<Box<Sleep>>,
+    started: TimeMs,
+    bytes: u64,
+    ended: bool,
+}
+
+impl Relay {
+    /// Starts a relay whose head has arrived.
+    pub(crate) fn new(parts: RelayParts) -> Self {
+        let now = parts.shared.now();
+        let (head, body) = parts.response.into_parts();
+        let left = parts.job.left(now);
+        Relay {
+            status: head.status,
+            parts: Some(head),
+            body,
+            first: parts.first,
+            connection: Some(parts.connection),
+            _in_flight: parts.in_flight,
+            guard: None,
+            deadline: Box::pin(sleep(left.into())),
+            started: now,
+            bytes: 0,
+            ended: false,
+            shared: parts.shared,
+            job: parts.job,
+            choice: parts.choice,
+            addr: parts.addr,
+            head: parts.head,
+        }
+    }
+
+    /// Returns the answer for the caller.
+    pub(crate) fn response(mut self: Box<Self>, guard: Option<RequestGuard>) -> Response<AnswerBody> {
+        self.guard = guard;
+        let parts = self.parts.take();
+        let shared = self.shared.clone();
+        let mut response = Response::new(AnswerBody::Relay(self));
+        if let Some(parts) = parts {
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = shared.codec.caller_headers(&parts.headers);
+        }
+        response
+    }
+
+    /// Returns the next piece of the body.
+    pub(crate) fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if let Some(first) = self.first.take() {
+            self.bytes += first.len() as u64;
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        loop {
+            match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(None) => {
+                    self.complete();
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(e))) => {
+                    self.fail(&e.to_string());
+                    return Poll::Ready(Some(Err(e.into())));
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    // Trailers concern the upstream's connection only.
+                    if let Ok(data) = frame.into_data() {
+                        self.bytes += data.len() as u64;
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
+                }
+                Poll::Pending => break,
+            }
+        }
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.fail("timeout");
+            return Poll::Ready(Some(Err(RelayError::Timeout)));
+        }
+        Poll::Pending
+    }
+
+    /// Returns whether nothing follows.
+    pub(crate) fn is_end_stream(&self) -> bool {
+        self.ended || (self.first.is_none() && self.body.is_end_stream())
+    }
+
+    fn complete(&mut self) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.shared.now();
+        if is_good(self.status) {
+            let mut directory = self.shared.directory.borrow_mut();
+            if let Some(health) = directory.health(&self.choice.upstream) {
+                health.answered(now);
+            }
+            if !self.job.route.kind.is_stream() {
+                let mut place = self.shared.place.borrow_mut();
+                let took = now.since(self.job.arrived);
+                place.load(&self.choice.upstream).plain_took(took);
+            }
+        }
+        if let Some(connection) = self.connection.take().filter(|_| !self.head.closes) {
+            let idle_ms = self.head.idle_ms;
+            self.shared.pool.put(self.addr, connection, idle_ms, now);
+        }
+        self.log("complete", now);
+    }
+
+    fn fail(&mut self, why: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.shared.now();
+        let mut directory = self.shared.directory.borrow_mut();
+        if let Some(health) = directory.health(&self.choice.upstream) {
+            health.failed(now);
+        }
+        drop(directory);
+        self.connection = None;
+        self.log(why, now);
+    }
+
+    fn log(&self, outcome: &str, now: TimeMs) {
+        let first_ms = self.started.since(self.job.arrived);
+        let took_ms = now.since(self.job.arrived);
+        let measures = &self.shared.measures;
+        measures.answered(&self.job.route, outcome, first_ms, took_ms);
+        let is_ordinary = outcome == "complete" && is_good(self.status);
+        if is_ordinary && !measures.may_log(now) {
+            return;
+        }
+        log::info!(
+            request_id = self.job.ask.request_id.as_str(), route = self.job.route.name.as_str(),
+            upstream:% = self.choice.upstream, status = self.status.as_u16(), outcome,
+            first_ms = first_ms.0, took_ms = took_ms.0, bytes = self.bytes,
+            tries = self.job.tries.get(), home = self.choice.home,
+            compared = self.choice.compared,
+            weights = self.choice.weights.unwrap_or_default().0,
+            expected_ms = self.choice.first_token_ms.0, backlog_ms = self.choice.backlog_ms.0,
+            missing = self.choice.missing_tokens.0,
+            missing_shared = self.choice.missing_shared_tokens.0;
+            "request answered"
+        );
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        if !self.ended {
+            if self.first.is_none() && self.body.is_end_stream() {
+                self.complete();
+            } else if self.parts.is_none() {
+                self.ended = true;
+                self.connection = None;
+                self.log("caller_left", now);
+            }
+        }
+        if let Some(guard) = &self.guard {
+            guard.ended(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,99 @@
+//! State that all tasks of a gateway share, on its only thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dw_base::Clock;
+use dw_base::ServiceId;
+use dw_base::TimeMs;
+use dw_member::Directory;
+use dw_place::Direct;
+use dw_platform::Boot;
+use dw_port::Codec;
+use dw_retry::BudgetRule;
+use dw_retry::Share;
+use dw_route::RouteTable;
+use tokio::sync::Notify;
+
+use crate::connections::Connections;
+use crate::kv::KvContents;
+use crate::measures::Measures;
+use crate::pool::Pool;
+use crate::sidecars::Sidecars;
+use crate::weights::Weights;
+
+/// State that all tasks of a gateway share.
+pub(crate) struct Shared {
+    pub(crate) boot: RefCell<Rc<Boot>>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) codec: Arc<dyn Codec>,
+    pub(crate) started: TimeMs,
+    pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) directory: RefCell<Directory>,
+    /// Whether the registrations were read at least once.
+    pub(crate) listed: Cell<bool>,
+    pub(crate) place: RefCell<Direct>,
+    pub(crate) sidecars: RefCell<Sidecars>,
+    pub(crate) weights: RefCell<Weights>,
+    pub(crate) budgets: RefCell<HashMap<ServiceId, Share>>,
+    pub(crate) kv: RefCell<HashMap<SocketAddr, KvContents>>,
+    pub(crate) pool: Pool,
+    pub(crate) connections: Connections,
+    pub(crate) measures: Measures,
+    pub(crate) draining: Cell<bool>,
+    /// Wakes the task that tells sidecars of outstanding work.
+    pub(crate) work_changed: Notify,
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> TimeMs {
+        self.clock.now()
+    }
+
+    pub(crate) fn boot(&self) -> Rc<Boot> {
+        self.boot.borrow().clone()
+    }
+
+    pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns whether new connections are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.listed.get() && self.routes.borrow().is_some()
+    }
+
+    /// Counts a caller's request for the retry budget of its service.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        let now = self.now();
+        self.with_budget(service, |share, _| share.request(now));
+    }
+
+    /// Takes one repeat from the retry budget of a service.
+    pub(crate) fn spend_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let spent = self.with_budget(service, |share, routers| share.spend(routers, now));
+        self.measures.repeat(spent);
+        spent
+    }
+
+    fn with_budget<T>(&self, service: &ServiceId, f: impl FnOnce(&mut Share, u32) -> T) -> T {
+        let bounds = self.boot.borrow().bounds;
+        let rule = BudgetRule {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window_ms: bounds.retry_window_ms,
+        };
+        let routers = self.place.borrow().routers();
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            budgets.insert(service.clone(), Share::new(rule));
+        }
+        let share = budgets.entry(service.clone());
+        f(share.or_insert_with(|| Share::new(rule)), routers)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sidecars.rs
@@ -0,0 +1,74 @@
+//! What sidecars last told of their engines.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use dw_base::DurationMs;
+use dw_base::ModelId;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+use dw_wire::EngineState;
+use dw_wire::Phase;
+
+/// Age from which a sidecar's word is not used any more.
+const FRESH_MS: DurationMs = DurationMs(1_500);
+
+struct Heard {
+    state: EngineState,
+    at: TimeMs,
+}
+
+/// What sidecars last told, by the address of the engine.
+#[derive(Default)]
+pub(crate) struct Sidecars {
+    heard: HashMap<SocketAddr, Heard>,
+}
+
+/// What changed with a datagram of a sidecar.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Change {
+    /// Phase before, if the engine was known.
+    pub(crate) before: Option<Phase>,
+    /// Whether the engine was restarted.
+    pub(crate) restarted: bool,
+}
+
+impl Sidecars {
+    /// Takes over a datagram, unless it is older than the last one.
+    pub(crate) fn hear(&mut self, state: EngineState, now: TimeMs) -> Option<Change> {
+        let known = self.heard.get(&state.engine);
+        let order = |state: &EngineState| (state.started_ms, state.seq);
+        if known.is_some_and(|known| order(&known.state) >= order(&state)) {
+            return None;
+        }
+        let change = Change {
+            before: known.map(|known| known.state.phase),
+            restarted: known.is_some_and(|known| known.state.born_ms != state.born_ms),
+        };
+        self.heard.insert(state.engine, Heard { state, at: now });
+        Some(change)
+    }
+
+    fn fresh(&self, engine: SocketAddr, now: TimeMs) -> Option<&EngineState> {
+        let heard = self.heard.get(&engine)?;
+        (now.since(heard.at) < FRESH_MS).then_some(&heard.state)
+    }
+
+    /// Returns whether an engine takes requests; an engine without a sidecar does.
+    pub(crate) fn is_open(&self, engine: SocketAddr, now: TimeMs) -> bool {
+        let state = self.fresh(engine, now);
+        state.is_none_or(|state| state.phase == Phase::Open)
+    }
+
+    /// Returns the weights that the sidecar last told.
+    pub(crate) fn weights(&self, engine: SocketAddr, model: &ModelId) -> Option<WeightsVersion> {
+        let heard = self.heard.get(&engine)?;
+        let held = heard.state.models.iter().find(|(name, _)| name == model);
+        held.map(|(_, weights)| *weights)
+    }
+
+    /// Forgets engines for which `keep` is false.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.heard.retain(|addr, _| keep(addr));
+    }
+}
--- /dev/null
+++ b/crates/member/src/directory.rs
@@ -0,0 +1,157 @@
+//! Upstreams as a router that reaches them directly sees them.
+
+use std::collections::BTreeMap;
+
+use dw_base::DurationMs;
+use dw_base::ServiceId;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+
+use crate::health::Health;
+use crate::listed::Listed;
+
+/// Time after the return of the table in which registrations that lapsed may come back.
+const RETURN_MS: DurationMs = DurationMs(2_000);
+
+/// One registered upstream.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Registration.
+    pub listed: Listed,
+    /// What its answers and failures say.
+    pub health: Health,
+    /// When the registration was removed, if it may still come back.
+    lapsed: Option<TimeMs>,
+}
+
+/// The table as this router sees it.
+#[derive(Clone, Copy, Debug, Default)]
+struct TableState {
+    lost: Option<TimeMs>,
+    /// Until when a removal may be the lapse of a live upstream.
+    lapses_until: Option<TimeMs>,
+}
+
+/// Registered upstreams, with what is known of each.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    entries: BTreeMap<UpstreamId, Entry>,
+    table: TableState,
+    lapse_ms: DurationMs,
+}
+
+impl Directory {
+    /// Creates an empty directory; registrations lapse after `lapse_ms` without a heartbeat.
+    pub fn new(lapse_ms: DurationMs) -> Self {
+        Directory {
+            entries: BTreeMap::new(),
+            table: TableState::default(),
+            lapse_ms,
+        }
+    }
+
+    /// Learns that the table cannot be reached.
+    pub fn table_lost(&mut self, now: TimeMs) {
+        self.table.lost.get_or_insert(now);
+    }
+
+    /// Learns that the table answers.
+    ///
+    /// Only an outage as long as the life of a registration can have made live ones lapse.
+    pub fn table_answered(&mut self, now: TimeMs) {
+        let Some(lost) = self.table.lost.take() else {
+            return;
+        };
+        if now.since(lost) >= self.lapse_ms {
+            self.table.lapses_until = Some(now + RETURN_MS);
+        }
+    }
+
+    /// Takes over all registrations.
+    pub fn replace(&mut self, all: Vec<Listed>, now: TimeMs) {
+        let missing: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !all.iter().any(|listed| listed.upstream == **id))
+            .cloned()
+            .collect();
+        for listed in all {
+            self.put(listed);
+        }
+        for id in missing {
+            self.remove(&id, now);
+        }
+    }
+
+    /// Takes over one registration.
+    pub fn put(&mut self, listed: Listed) {
+        let id = listed.upstream.clone();
+        match self.entries.get_mut(&id) {
+            Some(entry) => {
+                if entry.listed.born_ms != listed.born_ms || entry.listed.addr != listed.addr {
+                    entry.health = Health::default();
+                }
+                entry.listed = listed;
+                entry.lapsed = None;
+            }
+            None => {
+                let entry = Entry {
+                    listed,
+                    health: Health::default(),
+                    lapsed: None,
+                };
+                self.entries.insert(id, entry);
+            }
+        }
+    }
+
+    /// Learns that a registration was removed.
+    pub fn remove(&mut self, id: &UpstreamId, now: TimeMs) {
+        if self.table.lapses_until.is_some_and(|until| now < until) {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.lapsed.get_or_insert(now);
+            }
+            return;
+        }
+        self.entries.remove(id);
+    }
+
+    /// Learns that another upstream answers at the address of this one.
+    pub fn displaced(&mut self, id: &UpstreamId) {
+        self.entries.remove(id);
+    }
+
+    /// Drops the registrations that did not come back after an outage of the table.
+    pub fn expire(&mut self, now: TimeMs) {
+        let Some(until) = self.table.lapses_until else {
+            return;
+        };
+        if now >= until {
+            self.table.lapses_until = None;
+            self.entries.retain(|_, entry| entry.lapsed.is_none());
+        }
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// Returns the health of an upstream, to record an answer or a failure.
+    pub fn health(&mut self, id: &UpstreamId) -> Option<&mut Health> {
+        self.entries.get_mut(id).map(|entry| &mut entry.health)
+    }
+
+    /// Returns all upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns the upstreams of a service that receive new work.
+    pub fn serving<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Entry> {
+        let serves = move |entry: &&Entry| entry.listed.service == *service;
+        self.all()
+            .filter(serves)
+            .filter(|entry| !entry.listed.leaving)
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,11 +8,28 @@
 //! | [`Event::Failed`]: a connection failed | `suspect`, with a later next probe |
 //! | [`Members::probe`]: a probe is due | allows one probe of a suspect node |
 //!
+//! [`Directory`] is the membership of upstreams that routers reach directly: it follows the
+//! registrations in the platform's table and the answers of the upstreams.
+//!
+//! | event | effect |
+//! | --- | --- |
+//! | [`Directory::put`], [`Directory::replace`] | takes over registrations |
+//! | [`Directory::remove`] | drops one; after an outage of the table only if it stays away |
+//! | [`Health::unreachable`], [`Health::failed`] | `suspect`, with a later next probe |
+//! | [`Health::answered`] | in use again |
+//!
 //! No event means that the list or the table is down: then nothing changes.
 
+mod directory;
+mod health;
+mod listed;
 mod members;
 mod node;
 
+pub use directory::Directory;
+pub use directory::Entry;
+pub use health::Health;
+pub use listed::Listed;
 pub use members::Event;
 pub use members::Members;
 pub use node::State;
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -18,11 +18,14 @@
 //! [`claim`] picks the fencing number from what was just read from the table. An engine's refusal
 //! of a number leads back to the table, so that a number is never raised from memory.
 //!
+//! [`Rollout`] decides without leases when one engine of many loads newly named weights.
+//!
 //! [`Slots::choose`] picks the lease `lease/weights/<n>` that bounds concurrent weight loads.
 
 mod decide;
 mod fence;
 mod lease;
+mod rollout;
 
 pub use decide::decide;
 pub use decide::Desired;
@@ -38,3 +41,5 @@
 pub use lease::Lease;
 pub use lease::Slots;
 pub use lease::LEASE_MS;
+pub use rollout::Peer;
+pub use rollout::Rollout;
--- /dev/null
+++ b/crates/order/src/rollout.rs
@@ -0,0 +1,99 @@
+//! When one engine of many loads newly named weights.
+//!
+//! Load pattern: new weights are named, at times every two seconds, while requests keep coming.
+//! Each engine that loads takes no requests, more than a few loads at once lengthen each other,
+//! and engines on the old weights must all have gone over in time. Each sidecar decides for its own
+//! engine from what the others tell; a plan by rank holds where they cannot be heard.
+
+use std::net::SocketAddr;
+
+use dw_base::rendezvous_score;
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+
+/// Engines for each one that loads at the same time.
+const ENGINES_PER_LOAD: usize = 5;
+
+/// Loads at once in a small fleet.
+const FEWEST_LOADS: usize = 2;
+
+/// Part of the time limit within which the plan by rank has every engine start its load.
+const PLANNED_PART: f64 = 0.5;
+
+/// Another engine of the same service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Address.
+    pub engine: SocketAddr,
+    /// Weights that it has; absent if it has not been heard lately.
+    pub weights: Option<WeightsVersion>,
+    /// Whether it loads or is about to.
+    pub loading: bool,
+}
+
+/// Everything that the decision depends on.
+#[derive(Clone, Debug)]
+pub struct Rollout<'a> {
+    /// Address of the own engine.
+    pub engine: SocketAddr,
+    /// Weights of the own engine.
+    pub weights: WeightsVersion,
+    /// Weights that are named.
+    pub named: WeightsVersion,
+    /// When this process heard of them.
+    pub heard: TimeMs,
+    /// Time from the naming within which all engines must have them.
+    pub limit_ms: DurationMs,
+    /// The other engines.
+    pub peers: &'a [Peer],
+}
+
+impl Rollout<'_> {
+    /// Returns whether the own engine is to load now.
+    pub fn is_due(&self, now: TimeMs) -> bool {
+        if self.weights >= self.named {
+            return false;
+        }
+        self.is_planned(now) || self.is_next()
+    }
+
+    /// Returns the most loads at once.
+    pub fn concurrency(&self) -> usize {
+        let engines = self.peers.len() + 1;
+        (engines / ENGINES_PER_LOAD).max(FEWEST_LOADS)
+    }
+
+    /// Engines with the oldest weights go first, so that quickly following versions starve none.
+    fn order(&self, engine: SocketAddr, weights: WeightsVersion) -> (WeightsVersion, u64) {
+        let score = rendezvous_score(u128::from(self.named.0), &engine.to_string(), 1.0);
+        (weights, score.to_bits())
+    }
+
+    fn is_next(&self) -> bool {
+        let heard = self.peers.iter().filter(|peer| peer.weights.is_some());
+        if self.peers.is_empty() || heard.count() * 2 < self.peers.len() {
+            return false;
+        }
+        let own = self.order(self.engine, self.weights);
+        let loading = self.peers.iter().filter(|peer| peer.loading).count();
+        let ahead = |peer: &&Peer| {
+            let behind = peer.weights.filter(|weights| *weights < self.named);
+            !peer.loading && behind.is_some_and(|weights| self.order(peer.engine, weights) < own)
+        };
+        loading + self.peers.iter().filter(ahead).count() < self.concurrency()
+    }
+
+    /// The plan needs no talk: an even spread of the starts by rank.
+    fn is_planned(&self, now: TimeMs) -> bool {
+        let own = self.order(self.engine, WeightsVersion(0));
+        let before = |peer: &&Peer| self.order(peer.engine, WeightsVersion(0)) < own;
+        let rank = self.peers.iter().filter(before).count();
+        let share = match self.peers.is_empty() {
+            true => (own.1 % 100) as f64 / 100.0,
+            false => rank as f64 / self.peers.len() as f64,
+        };
+        let planned_ms = self.limit_ms.0 as f64 * PLANNED_PART * share.max(0.1);
+        now.since(self.heard).0 as f64 >= planned_ms
+    }
+}
--- /dev/null
+++ b/crates/place/src/direct.rs
@@ -0,0 +1,349 @@
+//! Placement by routers that send straight to upstreams.
+//!
+//! Load pattern: prompts share long first parts, and each also has a long part of its own that
+//! pushes shared parts out of an engine's cache within seconds. Engines differ in speed, some load
+//! weights, and a few very long prompts block an engine for a good part of the objective. The
+//! choice is the upstream with the least expected time to first token, to which the costs that
+//! others bear are added as time: computation of a shared part again, and traffic between data
+//! centres.
+
+use std::collections::HashMap;
+
+use bon::Builder;
+use dw_base::rendezvous_score;
+use dw_base::DataCentreId;
+use dw_base::DurationMs;
+use dw_base::PrefixKey;
+use dw_base::PromptPart;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
+
+use crate::upstream_load::UpstreamLoad;
+use crate::warm::WarmSet;
+
+/// Settings of [`Direct`].
+#[derive(Builder, Clone, Debug)]
+pub struct DirectSettings {
+    /// Cost of computing a token of a shared part again, beside its time.
+    #[builder(default = 0.05)]
+    pub again_ms_per_token: f64,
+    /// Cost of fetching a token of a shared part from the store of kept KV cache.
+    #[builder(default = 0.006)]
+    pub fetch_ms_per_token: f64,
+    /// Cost of a request to another data centre, beside its time.
+    #[builder(default = 60.0)]
+    pub remote_ms: f64,
+    /// Cost of an answer on older weights, once newer ones have been named for a while.
+    #[builder(default = 120.0)]
+    pub old_weights_ms: f64,
+    /// Cost of an upstream all of whose recent requests failed.
+    #[builder(default = 1_500.0)]
+    pub failure_ms: f64,
+    /// Advantage of the upstream that all routers prefer for a prompt.
+    #[builder(default = 30.0)]
+    pub home_ms: f64,
+}
+
+/// An upstream that may be chosen.
+#[derive(Clone, Debug)]
+pub struct DirectTarget<'a> {
+    /// Upstream.
+    pub upstream: &'a UpstreamId,
+    /// Data centre.
+    pub data_centre: &'a DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Memory for prompts; absent for a plain service.
+    pub kv_capacity: Option<Tokens>,
+    /// Weights of the wanted model.
+    pub weights: Option<WeightsVersion>,
+    /// Share of recent requests that failed.
+    pub failure_rate: f64,
+}
+
+/// A request that needs an upstream.
+#[derive(Clone)]
+pub struct DirectRequest<'a> {
+    /// Parts of the prompt; the last one is the request's own. Empty for a plain service.
+    pub prompt: &'a [PromptPart],
+    /// Who shares the cached prompt; the weights are added to it.
+    pub scope: &'a str,
+    /// Data centre of the router.
+    pub data_centre: &'a DataCentreId,
+    /// Newest weights, if answers on older ones are worth less by now.
+    pub wanted_weights: Option<WeightsVersion>,
+    /// Tokens of shared parts that the store of kept KV cache holds, for given weights.
+    pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
+}
+
+/// Chosen upstream with the numbers behind the choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Weights that it was chosen with.
+    pub weights: Option<WeightsVersion>,
+    /// Expected time to first token.
+    pub first_token_ms: DurationMs,
+    /// Part of it that is the wait for earlier prompts.
+    pub backlog_ms: DurationMs,
+    /// Tokens that the engine must compute or fetch.
+    pub missing_tokens: Tokens,
+    /// Part of them that belongs to shared parts.
+    pub missing_shared_tokens: Tokens,
+    /// Whether it is the preferred upstream for the prompt.
+    pub home: bool,
+    /// Upstreams that were compared.
+    pub compared: usize,
+}
+
+/// A request that is under way at an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sent {
+    at: TimeMs,
+    tokens: u64,
+    ahead: u64,
+}
+
+/// Placement with what one router knows of each upstream.
+#[derive(Debug)]
+pub struct Direct {
+    settings: DirectSettings,
+    loads: HashMap<UpstreamId, UpstreamLoad>,
+    warm: HashMap<UpstreamId, WarmSet>,
+    routers: u32,
+}
+
+struct Scored {
+    cost: f64,
+    choice: Choice,
+}
+
+impl Direct {
+    /// Creates the placement without any knowledge.
+    pub fn new(settings: DirectSettings) -> Self {
+        Direct {
+            settings,
+            loads: HashMap::new(),
+            warm: HashMap::new(),
+            routers: 1,
+        }
+    }
+
+    /// Learns how many routers share the traffic.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
+    /// Returns the number of routers that share the traffic.
+    pub fn routers(&self) -> u32 {
+        self.routers
+    }
+
+    /// Returns the load of an upstream, to record reports.
+    pub fn load(&mut self, upstream: &UpstreamId) -> &mut UpstreamLoad {
+        if !self.loads.contains_key(upstream) {
+            self.loads.insert(upstream.clone(), UpstreamLoad::default());
+        }
+        self.loads.entry(upstream.clone()).or_default()
+    }
+
+    /// Forgets the upstreams for which `keep` is false.
+    pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
+        self.loads.retain(|id, _| keep(id));
+        self.warm.retain(|id, _| keep(id));
+    }
+
+    /// Forgets what an upstream had cached, after a restart.
+    pub fn cache_lost(&mut self, upstream: &UpstreamId) {
+        self.warm.remove(upstream);
+    }
+
+    /// Chooses one of `targets`, or none if there are none.
+    pub fn place(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'_>],
+        now: TimeMs,
+    ) -> Option<Choice> {
+        let home = self.home(request, targets);
+        let scored = targets.iter().map(|target| {
+            let is_home = home == Some(target.upstream);
+            match request.prompt.is_empty() {
+                true => self.score_plain(request, target, now),
+                false => self.score_prompt(request, target, is_home, now),
+            }
+        });
+        let best = scored.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        Some(Choice {
+            compared: targets.len(),
+            ..best.choice
+        })
+    }
+
+    /// Records that a request was sent, and returns what is needed at its first token.
+    pub fn sent(
+        &mut self,
+        choice: &Choice,
+        request: &DirectRequest<'_>,
+        now: TimeMs,
+    ) -> Sent {
+        let routers = u64::from(self.routers);
+        let weights = choice.weights.unwrap_or_default();
+        let keys = prefix_keys(request.scope, weights, request.prompt);
+        if !request.prompt.is_empty() {
+            let warm = self.warm.entry(choice.upstream.clone()).or_default();
+            for (key, part) in keys.iter().zip(request.prompt) {
+                warm.used(*key, part.tokens, routers);
+            }
+        }
+        let load = self.load(&choice.upstream);
+        let ahead = load.outstanding_tokens(now);
+        load.sent(choice.missing_tokens.0);
+        Sent {
+            at: now,
+            tokens: choice.missing_tokens.0,
+            ahead,
+        }
+    }
+
+    /// Records the first token of a request.
+    pub fn first_token(&mut self, upstream: &UpstreamId, sent: &Sent, now: TimeMs) {
+        let load = self.load(upstream);
+        load.computed(sent.tokens);
+        load.learn(sent.tokens + sent.ahead, now.since(sent.at));
+    }
+
+    /// Records that a request ended before its first token.
+    pub fn abandoned(&mut self, upstream: &UpstreamId, sent: &Sent) {
+        self.load(upstream).computed(sent.tokens);
+    }
+
+    /// Records that a request ended.
+    pub fn ended(&mut self, upstream: &UpstreamId) {
+        self.load(upstream).ended();
+    }
+
+    /// Returns the upstream that all routers of the data centre prefer for the shared parts.
+    fn home<'a>(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'a>],
+    ) -> Option<&'a UpstreamId> {
+        let shared = request.prompt.split_last()?.1;
+        let root = PrefixKey::root(request.scope);
+        let key = shared.iter().fold(root, |key, part| key.with(part));
+        let score = |target: &&DirectTarget<'_>| {
+            let near = target.data_centre == request.data_centre;
+            let rate = self.loads.get(target.upstream).map_or(1.0, UpstreamLoad::weight);
+            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), rate);
+            (near, score.to_bits())
+        };
+        targets.iter().max_by_key(score).map(|target| target.upstream)
+    }
+
+    fn score_plain(
+        &self,
+        request: &DirectRequest<'_>,
+        target: &DirectTarget<'_>,
+        now: TimeMs,
+    ) -> Scored {
+        let load = self.loads.get(target.upstream);
+        let expected_ms = load.map_or(0.0, |load| load.plain_ms(target.slots, self.routers));
+        Scored {
+            cost: expected_ms + self.common_cost(request, target, now),
+            choice: Choice {
+                upstream: target.upstream.clone(),
+                weights: None,
+                first_token_ms: DurationMs(expected_ms as u64),
+                backlog_ms: DurationMs::ZERO,
+                missing_tokens: Tokens(0),
+                missing_shared_tokens: Tokens(0),
+                home: false,
+                compared: 0,
+            },
+        }
+    }
+
+    fn score_prompt(
+        &self,
+        request: &DirectRequest<'_>,
+        target: &DirectTarget<'_>,
+        home: bool,
+        now: TimeMs,
+    ) -> Scored {
+        let weights = target.weights.unwrap_or_default();
+        let keys = prefix_keys(request.scope, weights, request.prompt);
+        let capacity = target.kv_capacity.unwrap_or_default();
+        let warm = self.warm.get(target.upstream);
+        let held = warm.map_or(0, |warm| warm.depth(&keys, capacity));
+        let tokens = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0).sum::<u64>();
+        let missing = tokens(&request.prompt[held..]);
+        let shared = request.prompt.len() - 1;
+        let missing_shared = tokens(&request.prompt[held.min(shared)..shared]);
+        let known = tokens(&request.prompt[..held.min(shared)]);
+        let stored = (request.stored)(weights).0.saturating_sub(known);
+        let fetched = stored.min(missing_shared);
+        let again = (missing_shared - fetched) as f64;
+        let load = self.loads.get(target.upstream);
+        let unknown = UpstreamLoad::default();
+        let load = load.unwrap_or(&unknown);
+        let backlog_ms = load.backlog_ms(now);
+        let compute_ms = load.compute_ms(missing - fetched);
+        let fetch_ms = fetched as f64 * self.settings.fetch_ms_per_token;
+        let first_token_ms = backlog_ms + compute_ms + fetch_ms;
+        let mut cost = first_token_ms + self.common_cost(request, target, now);
+        cost += again * self.settings.again_ms_per_token;
+        if !home {
+            cost += self.settings.home_ms;
+        }
+        Scored {
+            cost,
+            choice: Choice {
+                upstream: target.upstream.clone(),
+                weights: target.weights,
+                first_token_ms: DurationMs(first_token_ms as u64),
+                backlog_ms: DurationMs(backlog_ms as u64),
+                missing_tokens: Tokens(missing),
+                missing_shared_tokens: Tokens(missing_shared),
+                home,
+                compared: 0,
+            },
+        }
+    }
+
+    fn common_cost(
+        &self,
+        request: &DirectRequest<'_>,
+        target: &DirectTarget<'_>,
+        _now: TimeMs,
+    ) -> f64 {
+        let mut cost = target.failure_rate * self.settings.failure_ms;
+        if target.data_centre != request.data_centre {
+            cost += self.settings.remote_ms;
+        }
+        let wanted = request.wanted_weights;
+        if wanted.is_some_and(|wanted| target.weights.is_some_and(|held| held < wanted)) {
+            cost += self.settings.old_weights_ms;
+        }
+        cost
+    }
+}
+
+/// Returns the key of each prefix of a prompt, the shortest first.
+fn prefix_keys(scope: &str, weights: WeightsVersion, prompt: &[PromptPart]) -> Vec<PrefixKey> {
+    let salt = PromptPart {
+        id: weights.0,
+        tokens: Tokens(0),
+    };
+    let mut key = PrefixKey::root(scope).with(&salt);
+    prompt
+        .iter()
+        .map(|part| {
+            key = key.with(part);
+            key
+        })
+        .collect()
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod cost;
 mod decision;
+mod direct;
 mod flat_block;
 mod flat_prompt;
 mod heat;
@@ -26,11 +27,19 @@
 mod round_robin;
 mod speed;
 mod target;
+mod upstream_load;
+mod warm;
 
 pub use cost::ImportCost;
 pub use decision::Alternative;
 pub use decision::Candidate;
 pub use decision::Decision;
+pub use direct::Choice;
+pub use direct::Direct;
+pub use direct::DirectRequest;
+pub use direct::DirectSettings;
+pub use direct::DirectTarget;
+pub use direct::Sent;
 pub use flat_block::FlatBlock;
 pub use flat_prompt::FlatPrompt;
 pub use least_loaded::LeastLoaded;
@@ -44,3 +53,4 @@
 pub use policy::Policy;
 pub use round_robin::RoundRobin;
 pub use target::Target;
+pub use upstream_load::UpstreamLoad;
--- /dev/null
+++ b/crates/port/src/codec.rs
@@ -0,0 +1,76 @@
+//! Heads of requests and answers.
+
+use std::net::SocketAddr;
+
+use dw_base::DurationMs;
+use dw_base::OrgId;
+use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
+use http::request;
+use http::HeaderMap;
+use http::StatusCode;
+
+use crate::ask::Ask;
+use crate::ask::AskError;
+
+/// What a router adds to a request that it forwards.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    /// Upstream that is to run the request; any other refuses it.
+    pub upstream: UpstreamId,
+    /// Time that is left.
+    pub deadline_ms: DurationMs,
+    /// Organisation that sends the request.
+    pub org: Option<OrgId>,
+    /// Priority at the engine, 0 first.
+    pub priority: Option<u8>,
+    /// Weights that are to run the request; an engine with others refuses it.
+    pub weights: Option<WeightsVersion>,
+    /// Separates cached prompts that must not be shared.
+    pub salt: Option<String>,
+    /// Where the engine fetches parts of the prompt that it does not hold.
+    pub fetch_from: Option<SocketAddr>,
+    /// Where the engine saves parts of the prompt that it computes.
+    pub save_to: Option<SocketAddr>,
+    /// Last event that the caller has received from an earlier run.
+    pub resume_after: Option<String>,
+}
+
+/// Decoded head of an upstream's answer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// Id of the request that is answered.
+    pub request_id: Option<String>,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// Whether another upstream has the address, or the engine has other weights.
+    pub misdirected: bool,
+    /// Upstream that answered, where it says so.
+    pub upstream: Option<String>,
+    /// Weights that the engine has.
+    pub weights: Option<WeightsVersion>,
+    /// Time after which the upstream closes an idle connection.
+    pub idle_ms: Option<DurationMs>,
+    /// Whether the upstream closes the connection after this answer.
+    pub closes: bool,
+}
+
+/// Names and formats of headers.
+pub trait Codec: Send + Sync {
+    /// Decodes the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the header and the remedy.
+    fn ask(&self, head: &request::Parts) -> Result<Ask, AskError>;
+
+    /// Returns the headers for the upstream: the caller's, less those that concern one connection
+    /// or that only a router may set, and those of the envelope.
+    fn upstream_headers(&self, caller: &HeaderMap, envelope: &Envelope) -> HeaderMap;
+
+    /// Decodes the head of an upstream's answer.
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
+
+    /// Returns the headers for the caller: the upstream's, less those that concern one connection.
+    fn caller_headers(&self, upstream: &HeaderMap) -> HeaderMap;
+}
--- /dev/null
+++ b/crates/port/src/feed.rs
@@ -0,0 +1,103 @@
+//! What operators declare and which upstreams are registered, and its changes.
+
+use async_trait::async_trait;
+use dw_base::DurationMs;
+use dw_base::FenceNumber;
+use dw_base::ModelId;
+use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
+use dw_member::Listed;
+use dw_route::RouteTableParts;
+use thiserror::Error;
+
+/// Position in the history of the platform's table.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TableVersion(pub u64);
+
+/// Weights that an operator has named.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NamedWeights {
+    /// Model.
+    pub model: ModelId,
+    /// Weights.
+    pub weights: WeightsVersion,
+    /// Position of the naming in the table's history; orders carry it as fencing number.
+    pub fence: FenceNumber,
+}
+
+/// A row that cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unreadable {
+    /// Key of the row.
+    pub key: String,
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// Something that an operator declares.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Declaration {
+    /// The whole configuration.
+    Routes(Box<RouteTableParts>),
+    /// Weights of a model.
+    Weights(NamedWeights),
+    /// A row that cannot be read.
+    Unreadable(Unreadable),
+}
+
+/// A change of the registered upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Registration {
+    /// An upstream is registered, or its registration has changed.
+    Put(Listed),
+    /// An upstream is no longer registered.
+    Removed(UpstreamId),
+    /// A row that cannot be read, such as that of a foreign writer.
+    Unreadable(Unreadable),
+}
+
+/// Items and the position up to which they are complete.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page<T> {
+    /// Items in their order.
+    pub items: Vec<T>,
+    /// Position.
+    pub version: TableVersion,
+}
+
+/// A call to the platform's table gave no result.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum FeedError {
+    /// The history from the wanted position on is not kept any more.
+    #[error("the history is not kept any more; read a snapshot")]
+    Expired,
+    /// The table refuses the call.
+    #[error("the table refuses the call with status {0}")]
+    Refused(u16),
+    /// The table cannot be reached or does not answer.
+    #[error("the table does not answer: {0}")]
+    Lost(String),
+}
+
+/// A table whose changes can be followed.
+#[async_trait]
+pub trait Feed<T>: Send {
+    /// Reads everything.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer within `timeout_ms`.
+    async fn snapshot(&mut self, timeout_ms: DurationMs) -> Result<Page<T>, FeedError>;
+
+    /// Waits up to `wait_ms` for changes after a position; none may have come.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the history is not kept, or if there is no answer within `timeout_ms`.
+    async fn changes(
+        &mut self,
+        after: TableVersion,
+        wait_ms: DurationMs,
+        timeout_ms: DurationMs,
+    ) -> Result<Page<T>, FeedError>;
+}
--- /dev/null
+++ b/crates/port/src/kv.rs
@@ -0,0 +1,47 @@
+//! What a store of kept KV cache holds.
+
+use async_trait::async_trait;
+use dw_base::DurationMs;
+use dw_base::Tokens;
+
+use crate::engine::EngineError;
+
+/// A part came or went.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KvChange {
+    /// Salt of the part.
+    pub salt: String,
+    /// Hash of the part's id.
+    pub part: u64,
+    /// Tokens that are kept now.
+    pub tokens: Tokens,
+}
+
+/// Changes since a position.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KvPage {
+    /// Life of the store; another one means that it was restarted and is empty.
+    pub epoch: u64,
+    /// Position for the next call.
+    pub next: u64,
+    /// Whether changes are missing.
+    pub lost: bool,
+    /// Changes.
+    pub changes: Vec<KvChange>,
+}
+
+/// A store of kept KV cache, or an engine, that tells what it holds.
+#[async_trait]
+pub trait KvIndex: Send {
+    /// Waits up to `wait_ms` for changes since a position.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no readable answer within `timeout_ms`.
+    async fn changes(
+        &mut self,
+        since: u64,
+        wait_ms: DurationMs,
+        timeout_ms: DurationMs,
+    ) -> Result<KvPage, EngineError>;
+}
--- /dev/null
+++ b/crates/sidecar/src/gossip.rs
@@ -0,0 +1,171 @@
+//! Datagrams to and from routers and other sidecars.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_port::NamedWeights;
+use dw_wire::decode;
+use dw_wire::encode;
+use dw_wire::Datagram;
+use dw_wire::EngineState;
+use dw_wire::WeightsNews;
+use dw_wire::MAX_DATAGRAM_BYTES;
+use tokio::net::UdpSocket;
+
+use crate::sidecar::Shared;
+
+/// Shortest time between two datagrams to one process.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(80);
+
+/// Longest time between two datagrams to one router.
+const ROUTER_MS: DurationMs = DurationMs(500);
+
+/// Longest time between two datagrams to another sidecar.
+const PEER_MS: DurationMs = DurationMs(1_000);
+
+/// The same while the engine is to load weights.
+const BUSY_PEER_MS: DurationMs = DurationMs(250);
+
+/// What the last datagrams said.
+#[derive(Clone, Debug, PartialEq)]
+struct Summary {
+    phase: dw_wire::Phase,
+    models: Vec<(dw_base::ModelId, dw_base::WeightsVersion)>,
+}
+
+/// Tells routers and other sidecars of the engine until the task is aborted.
+pub(crate) async fn tell(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut told: Option<(Summary, Tokens)> = None;
+    let (mut router_at, mut peer_at) = (TimeMs(0), TimeMs(0));
+    let mut seq = 0;
+    loop {
+        let now = shared.clock.now();
+        shared.state.borrow_mut().forget(now);
+        let (summary, tokens, behind) = {
+            let state = shared.state.borrow();
+            let report = state.report.clone().unwrap_or_default();
+            let summary = Summary {
+                phase: state.phase,
+                models: report.models,
+            };
+            (summary, state.outstanding(), state.behind().is_some())
+        };
+        let changed = told.as_ref().map(|(summary, _)| summary) != Some(&summary);
+        let load_changed = told.as_ref().map(|(_, tokens)| *tokens) != Some(tokens);
+        if changed || load_changed || now.since(router_at) >= ROUTER_MS {
+            seq += 1;
+            tell_routers(&shared, &socket, seq, now).await;
+            router_at = now;
+        }
+        let peer_ms = if behind { BUSY_PEER_MS } else { PEER_MS };
+        if changed || now.since(peer_at) >= peer_ms {
+            seq += 1;
+            tell_peers(&shared, &socket, seq, now).await;
+            peer_at = now;
+        }
+        told = Some((summary, tokens));
+        tokio::time::sleep(SHORTEST_PAUSE).await;
+        let longest = if behind { BUSY_PEER_MS } else { ROUTER_MS };
+        // Nothing has to be told earlier than the longest pause.
+        let _ = tokio::time::timeout(longest.into(), shared.changed.notified()).await;
+    }
+}
+
+fn engine_state(shared: &Shared, seq: u64, own_tokens: Tokens, now: TimeMs) -> EngineState {
+    let state = shared.state.borrow();
+    let report = state.report.clone().unwrap_or_default();
+    EngineState {
+        engine: state.engine(),
+        started_ms: shared.started.0,
+        seq,
+        phase: state.phase,
+        born_ms: report.born_ms,
+        models: report.models,
+        waiting: report.waiting,
+        running: report.running,
+        outstanding_tokens: state.outstanding(),
+        own_tokens,
+        routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
+        weights: state.news(now),
+    }
+}
+
+async fn tell_routers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
+    let routers: Vec<_> = shared.state.borrow().routers().collect();
+    for (router, own_tokens) in routers {
+        let state = engine_state(shared, seq, own_tokens, now);
+        send(socket, router, &Datagram::Engine(state)).await;
+    }
+}
+
+async fn tell_peers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
+    let others: Vec<_> = shared.state.borrow().others().collect();
+    let datagram = Datagram::Engine(engine_state(shared, seq, Tokens(0), now));
+    for engine in others {
+        let sidecar = SocketAddr::new(engine.ip(), shared.inner_port);
+        send(socket, sidecar, &datagram).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    match encode(datagram) {
+        // A lost datagram is repaired by the next one.
+        Ok(bytes) => drop(socket.send_to(&bytes, to).await),
+        Err(e) => log::error!(error:% = e; "datagram cannot be encoded"),
+    }
+}
+
+/// Hears routers and other sidecars until the task is aborted.
+pub(crate) async fn hear(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(e) => {
+                // A refused datagram is reported here; its receiver may be gone.
+                log::debug!(error:% = e; "datagram is lost");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+        };
+        let now = shared.clock.now();
+        match decode(&buffer[..length]) {
+            Ok(Datagram::Router(state)) => {
+                take_news(&shared, &state.weights, now, "router");
+                let mut own = shared.state.borrow_mut();
+                let before = own.outstanding();
+                own.hear_router(from, state, now);
+                if own.outstanding() != before {
+                    shared.changed.notify_one();
+                }
+            }
+            Ok(Datagram::Engine(state)) => {
+                take_news(&shared, &state.weights, now, "sidecar");
+                shared.state.borrow_mut().hear_peer(state, now);
+            }
+            Err(e) => log::warn!(from:%, error:% = e; "datagram cannot be read"),
+        }
+    }
+}
+
+fn take_news(shared: &Shared, news: &[WeightsNews], now: TimeMs, source: &str) {
+    for news in news {
+        let named = NamedWeights {
+            model: news.model.clone(),
+            weights: news.weights,
+            fence: news.fence,
+        };
+        let is_news = shared.state.borrow_mut().name(named, now - news.age_ms);
+        if is_news {
+            log::info!(
+                model:% = news.model, weights:% = news.weights, fence:% = news.fence,
+                age_ms = news.age_ms.0, source;
+                "weights are named"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,14 @@
+//! Process beside a model engine: tells its state and orders its weights.
+//!
+//! It is the only sender of orders to its engine. It hears of named weights from the platform's
+//! table and from routers, and agrees with the other sidecars by datagrams on who loads when.
+
+mod gossip;
+mod orders;
+mod sidecar;
+mod state;
+mod weights;
+
+pub use sidecar::Sidecar;
+pub use sidecar::SidecarParts;
+pub use sidecar::StartError;
--- /dev/null
+++ b/crates/sidecar/src/orders.rs
@@ -0,0 +1,165 @@
+//! Watches the engine and orders its weights.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_port::Engine;
+use dw_port::Order;
+use dw_port::OrderAnswer;
+use dw_wire::Phase;
+
+use crate::sidecar::Shared;
+use crate::state::Named;
+
+/// Pause between two reports of the engine.
+const REPORT_PAUSE: Duration = Duration::from_millis(120);
+
+/// The same while it loads.
+const LOADING_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest wait for a report.
+const REPORT_MS: DurationMs = DurationMs(250);
+
+/// Reports in a row without an answer after which the engine counts as unreachable.
+const SILENT_REPORTS: u32 = 2;
+
+/// Time between the word to the routers and the order, in which requests stop coming.
+const CLOSING: Duration = Duration::from_millis(25);
+
+/// Longest wait for the answer to an order.
+const ORDER_MS: DurationMs = DurationMs(400);
+
+/// Time from an order without an answer until it is sent again.
+const RESEND_MS: DurationMs = DurationMs(400);
+
+/// An order that was sent.
+struct Sent {
+    at: TimeMs,
+    orders_before: u64,
+}
+
+/// Watches the engine and orders its weights until the task is aborted.
+pub(crate) async fn watch(shared: Rc<Shared>, mut engine: Box<dyn Engine>) {
+    let mut silent = 0;
+    let mut sent: Option<Sent> = None;
+    loop {
+        match engine.report(REPORT_MS).await {
+            Ok(report) => {
+                silent = 0;
+                heard(&shared, report, &mut sent);
+                order_if_due(&shared, engine.as_mut(), &mut sent).await;
+            }
+            Err(e) => {
+                silent += 1;
+                if silent == SILENT_REPORTS {
+                    log::warn!(error:% = e; "engine does not answer");
+                    set_phase(&shared, Phase::Unreachable);
+                    sent = None;
+                }
+            }
+        }
+        let loading = shared.state.borrow().phase == Phase::Loading;
+        let pause = if loading { LOADING_PAUSE } else { REPORT_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn heard(shared: &Shared, report: dw_port::Report, sent: &mut Option<Sent>) {
+    let busy = report.busy;
+    let orders = report.orders;
+    let restarted = {
+        let mut state = shared.state.borrow_mut();
+        let before = state.report.as_ref().map(|report| report.born_ms);
+        let restarted = before.is_some_and(|born| born != report.born_ms);
+        if state.report.as_ref().map(|r| &r.models) != Some(&report.models) {
+            let models: Vec<String> = report.models.iter().map(|(m, w)| format!("{m}@{w}")).collect();
+            log::info!(models = models.join(","), orders, restarted; "engine has weights");
+        }
+        state.report = Some(report);
+        restarted
+    };
+    if restarted {
+        *sent = None;
+    }
+    if busy {
+        set_phase(shared, Phase::Loading);
+        return;
+    }
+    let pending = sent.as_ref().is_some_and(|sent| sent.orders_before == orders);
+    if !pending {
+        *sent = None;
+        set_phase(shared, Phase::Open);
+    }
+}
+
+async fn order_if_due(shared: &Shared, engine: &mut dyn Engine, sent: &mut Option<Sent>) {
+    let now = shared.clock.now();
+    let due = {
+        let state = shared.state.borrow();
+        let busy = state.report.as_ref().is_none_or(|report| report.busy);
+        if busy {
+            return;
+        }
+        state.due(now)
+    };
+    let waits = sent.as_ref().is_some_and(|sent| now.since(sent.at) < RESEND_MS);
+    let Some(named) = due.filter(|_| !waits) else {
+        return;
+    };
+    if sent.is_none() {
+        set_phase(shared, Phase::Closing);
+        tokio::time::sleep(CLOSING).await;
+    }
+    send_order(shared, engine, &named, sent).await;
+}
+
+async fn send_order(
+    shared: &Shared,
+    engine: &mut dyn Engine,
+    named: &Named,
+    sent: &mut Option<Sent>,
+) {
+    let orders = {
+        let state = shared.state.borrow();
+        state.report.as_ref().map_or(0, |report| report.orders)
+    };
+    let order = Order {
+        model: named.news.model.clone(),
+        weights: named.news.weights,
+        holder: shared.node.to_string(),
+        fence: named.news.fence,
+        expected_orders: orders,
+    };
+    let answer = engine.order(&order, ORDER_MS).await;
+    let now = shared.clock.now();
+    log::info!(
+        model:% = order.model, weights:% = order.weights, fence:% = order.fence,
+        expected_orders = orders, age_ms = now.since(named.heard).0, answer:? = answer;
+        "order is sent"
+    );
+    match answer {
+        Ok(OrderAnswer::Accepted) => {
+            set_phase(shared, Phase::Loading);
+            *sent = None;
+        }
+        Ok(OrderAnswer::Holds | OrderAnswer::Conflict) => *sent = None,
+        // Without an answer it may have been accepted; the next report tells.
+        Ok(OrderAnswer::Fenced | OrderAnswer::Rejected(_)) | Err(_) => {
+            *sent = Some(Sent {
+                at: now,
+                orders_before: orders,
+            });
+        }
+    }
+}
+
+fn set_phase(shared: &Shared, phase: Phase) {
+    let mut state = shared.state.borrow_mut();
+    if state.phase != phase {
+        log::info!(before:? = state.phase, phase:? = phase; "engine has changed its phase");
+        state.phase = phase;
+        shared.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sidecar.rs
@@ -0,0 +1,95 @@
+//! Start of a sidecar.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dw_base::Clock;
+use dw_base::NodeId;
+use dw_base::TimeMs;
+use dw_platform::Boot;
+use dw_port::Declaration;
+use dw_port::Engine;
+use dw_port::Feed;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::gossip;
+use crate::orders;
+use crate::state::State;
+use crate::weights::follow_weights;
+
+/// A sidecar cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The address for other processes cannot be bound.
+    #[error("inner address {addr} cannot be bound: {source}; free it or change the settings")]
+    Bind {
+        /// Address.
+        addr: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The settings name no engine.
+    #[error("the settings name no engine on this VM; run the sidecar beside an engine only")]
+    NoEngine,
+}
+
+/// What a sidecar is made of.
+pub struct SidecarParts {
+    /// Settings.
+    pub boot: Boot,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// The engine.
+    pub engine: Box<dyn Engine>,
+    /// What operators declare.
+    pub declarations: Box<dyn Feed<Declaration>>,
+}
+
+/// State that all tasks of a sidecar share, on its only thread.
+pub(crate) struct Shared {
+    pub(crate) node: NodeId,
+    pub(crate) inner_port: u16,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) started: TimeMs,
+    pub(crate) state: RefCell<State>,
+    pub(crate) changed: Notify,
+}
+
+/// A running sidecar.
+pub struct Sidecar(());
+
+impl Sidecar {
+    /// Starts a sidecar; must be called inside a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings name no engine or an address cannot be bound.
+    pub async fn start(parts: SidecarParts) -> Result<Self, StartError> {
+        let boot = parts.boot;
+        let engine = boot.engine.ok_or(StartError::NoEngine)?;
+        let addr = SocketAddr::new(boot.ip, boot.inner_ports.0);
+        let socket = UdpSocket::bind(addr).await;
+        let socket = socket.map_err(|source| StartError::Bind { addr, source })?;
+        let socket = Rc::new(socket);
+        let shared = Rc::new(Shared {
+            node: boot.node.clone(),
+            inner_port: boot.inner_ports.0,
+            started: parts.clock.now(),
+            clock: parts.clock,
+            state: RefCell::new(State::new(engine, boot.bounds.weights_ms)),
+            changed: Notify::new(),
+        });
+        log::info!(node:% = boot.node, engine:%, table:% = boot.table; "sidecar starts");
+        spawn_local(follow_weights(shared.clone(), parts.declarations));
+        spawn_local(gossip::tell(shared.clone(), socket.clone()));
+        spawn_local(gossip::hear(shared.clone(), socket));
+        spawn_local(orders::watch(shared, parts.engine));
+        Ok(Sidecar(()))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/state.rs
@@ -0,0 +1,189 @@
+//! What a sidecar knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use dw_base::DurationMs;
+use dw_base::ModelId;
+use dw_base::NodeId;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_base::WeightsVersion;
+use dw_order::Peer;
+use dw_order::Rollout;
+use dw_port::NamedWeights;
+use dw_port::Report;
+use dw_wire::EngineState;
+use dw_wire::Phase;
+use dw_wire::RouterState;
+use dw_wire::WeightsNews;
+
+/// Age from which another process counts as not heard.
+const FRESH_MS: DurationMs = DurationMs(3_000);
+
+/// Named weights and when this process heard of them.
+#[derive(Clone, Debug)]
+pub(crate) struct Named {
+    pub(crate) news: NamedWeights,
+    pub(crate) heard: TimeMs,
+}
+
+/// A router that has been heard.
+struct Router {
+    from: SocketAddr,
+    state: RouterState,
+    at: TimeMs,
+}
+
+struct HeardPeer {
+    state: EngineState,
+    at: TimeMs,
+}
+
+/// What a sidecar knows.
+pub(crate) struct State {
+    engine: SocketAddr,
+    limit_ms: DurationMs,
+    pub(crate) phase: Phase,
+    pub(crate) report: Option<Report>,
+    named: HashMap<ModelId, Named>,
+    routers: HashMap<NodeId, Router>,
+    peers: HashMap<SocketAddr, HeardPeer>,
+    engines: Vec<SocketAddr>,
+}
+
+impl State {
+    /// Creates the state of a sidecar that knows nothing.
+    pub(crate) fn new(engine: SocketAddr, limit_ms: DurationMs) -> Self {
+        State {
+            engine,
+            limit_ms,
+            phase: Phase::Unreachable,
+            report: None,
+            named: HashMap::new(),
+            routers: HashMap::new(),
+            peers: HashMap::new(),
+            engines: Vec::new(),
+        }
+    }
+
+    /// Returns the address of the engine.
+    pub(crate) fn engine(&self) -> SocketAddr {
+        self.engine
+    }
+
+    /// Takes over named weights; returns whether they are news.
+    pub(crate) fn name(&mut self, news: NamedWeights, heard: TimeMs) -> bool {
+        let known = self.named.get(&news.model);
+        if known.is_some_and(|known| known.news.weights >= news.weights) {
+            return false;
+        }
+        self.named.insert(news.model.clone(), Named { news, heard });
+        true
+    }
+
+    /// Takes over a router's datagram, unless it is older than the last one.
+    pub(crate) fn hear_router(&mut self, from: SocketAddr, state: RouterState, now: TimeMs) {
+        let order = |state: &RouterState| (state.started_ms, state.seq);
+        let known = self.routers.get(&state.router);
+        if known.is_some_and(|known| order(&known.state) >= order(&state)) {
+            return;
+        }
+        self.engines.clone_from(&state.engines);
+        let router = Router {
+            from,
+            at: now,
+            state,
+        };
+        self.routers.insert(router.state.router.clone(), router);
+    }
+
+    /// Takes over another sidecar's datagram, unless it is older than the last one.
+    pub(crate) fn hear_peer(&mut self, state: EngineState, now: TimeMs) {
+        let order = |state: &EngineState| (state.started_ms, state.seq);
+        let known = self.peers.get(&state.engine);
+        if known.is_some_and(|known| order(&known.state) >= order(&state)) {
+            return;
+        }
+        let peer = HeardPeer { state, at: now };
+        self.peers.insert(peer.state.engine, peer);
+    }
+
+    /// Forgets routers that have not been heard lately.
+    pub(crate) fn forget(&mut self, now: TimeMs) {
+        self.routers.retain(|_, router| now.since(router.at) < FRESH_MS);
+        let engines = &self.engines;
+        self.peers
+            .retain(|addr, peer| now.since(peer.at) < FRESH_MS || engines.contains(addr));
+    }
+
+    /// Returns the addresses of routers with their outstanding tokens.
+    pub(crate) fn routers(&self) -> impl Iterator<Item = (SocketAddr, Tokens)> + '_ {
+        let routers = self.routers.values();
+        routers.map(|router| (router.from, router.state.outstanding_tokens))
+    }
+
+    /// Returns the addresses of the other engines.
+    pub(crate) fn others(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.engines.iter().copied().filter(|addr| *addr != self.engine)
+    }
+
+    /// Returns the outstanding tokens of all routers.
+    pub(crate) fn outstanding(&self) -> Tokens {
+        Tokens(self.routers().map(|(_, tokens)| tokens.0).sum())
+    }
+
+    /// Returns all named weights for other processes.
+    pub(crate) fn news(&self, now: TimeMs) -> Vec<WeightsNews> {
+        let news = self.named.values().map(|named| WeightsNews {
+            model: named.news.model.clone(),
+            weights: named.news.weights,
+            fence: named.news.fence,
+            age_ms: now.since(named.heard),
+        });
+        news.collect()
+    }
+
+    /// Returns the named weights that the engine does not have yet.
+    pub(crate) fn behind(&self) -> Option<(Named, WeightsVersion)> {
+        let report = self.report.as_ref()?;
+        report.models.iter().find_map(|(model, weights)| {
+            let named = self.named.get(model)?;
+            (*weights < named.news.weights).then(|| (named.clone(), *weights))
+        })
+    }
+
+    /// Returns the named weights that the engine is to load now.
+    pub(crate) fn due(&self, now: TimeMs) -> Option<Named> {
+        let (named, weights) = self.behind()?;
+        let peers = self.known_peers(&named.news.model, now);
+        let rollout = Rollout {
+            engine: self.engine,
+            weights,
+            named: named.news.weights,
+            heard: named.heard,
+            limit_ms: self.limit_ms,
+            peers: &peers,
+        };
+        rollout.is_due(now).then_some(named)
+    }
+
+    fn known_peers(&self, model: &ModelId, now: TimeMs) -> Vec<Peer> {
+        let peer = |engine: SocketAddr| {
+            let heard = self.peers.get(&engine);
+            let fresh = heard.filter(|peer| now.since(peer.at) < FRESH_MS);
+            let held = fresh.and_then(|peer| {
+                let models = &peer.state.models;
+                models.iter().find(|(name, _)| name == model)
+            });
+            let phase = fresh.map(|peer| peer.state.phase);
+            let absent = phase == Some(Phase::Unreachable);
+            Peer {
+                engine,
+                weights: held.map(|(_, weights)| *weights).filter(|_| !absent),
+                loading: matches!(phase, Some(Phase::Closing | Phase::Loading)),
+            }
+        };
+        self.others().map(peer).collect()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/weights.rs
@@ -0,0 +1,48 @@
+//! Follows which weights are named in the platform's table.
+
+use std::rc::Rc;
+
+use dw_follow::follow;
+use dw_follow::Follower;
+use dw_port::Declaration;
+use dw_port::Feed;
+
+use crate::sidecar::Shared;
+
+struct Names(Rc<Shared>);
+
+impl Follower<Declaration> for Names {
+    fn name(&self) -> &'static str {
+        "declarations"
+    }
+
+    fn snapshot(&mut self, items: Vec<Declaration>) {
+        self.changes(items);
+    }
+
+    fn changes(&mut self, items: Vec<Declaration>) {
+        for item in items {
+            match item {
+                Declaration::Routes(_) => {}
+                Declaration::Weights(news) => {
+                    let now = self.0.clock.now();
+                    let text = format!("{}@{}", news.model, news.weights);
+                    let fence = news.fence;
+                    if self.0.state.borrow_mut().name(news, now) {
+                        log::info!(weights = text, fence:%, source = "table"; "weights are named");
+                    }
+                }
+                Declaration::Unreadable(row) => log::warn!(
+                    key = row.key.as_str(), detail = row.detail.as_str();
+                    "declaration cannot be read and is ignored"
+                ),
+            }
+        }
+    }
+}
+
+/// Follows named weights until the task is aborted.
+pub(crate) async fn follow_weights(shared: Rc<Shared>, feed: Box<dyn Feed<Declaration>>) {
+    let clock = shared.clock.clone();
+    follow(feed, Names(shared), clock).await;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,10 +3,13 @@
 //! The data path sends one [`RunRequest`] from router to agent as the body of `POST /v1/run`; the
 //! answer is a sequence of length-delimited [`Frame`]s. Control traffic uses the tarpc service
 //! [`Control`], which routers and agents both serve.
+//!
+//! Where routers reach model engines directly, routers and sidecars exchange [`Datagram`]s.
 
 mod codec;
 mod control;
 mod frame;
+mod gossip;
 mod run;
 mod status;
 mod transport;
@@ -36,6 +39,12 @@
 pub use frame::RefusalReason;
 pub use frame::StreamEnd;
 pub use frame::StreamStart;
+pub use gossip::Datagram;
+pub use gossip::EngineState;
+pub use gossip::Phase;
+pub use gossip::RouterState;
+pub use gossip::WeightsNews;
+pub use gossip::MAX_DATAGRAM_BYTES;
 pub use run::Alternative;
 pub use run::ParseRepeatRuleError;
 pub use run::RepeatRule;
