follow, order, gateway: meet the limit of each naming; recover quickly from a silent table

Ruled out: store overload (no 429 in the logs), a lost row (the registration was current). Conclusion: after a failure calls do not wait; each naming has its own limit and its time is kept in the table; a quarter of the engines load or drain at once.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -14,14 +14,11 @@
 use dw_port::FeedError;
 use dw_port::Page;
 
-/// Longest wait of one call for changes.
-const WAIT_MS: DurationMs = DurationMs(5_000);
-
 /// Time beyond the wait after which the table counts as lost.
-const ANSWER_MS: DurationMs = DurationMs(1_000);
+const ANSWER_MS: DurationMs = DurationMs(900);
 
 /// First and greatest pause after a failed call.
-const RETRY_MS: (u64, u64) = (100, 800);
+const RETRY_MS: (u64, u64) = (100, 400);
 
 /// Takes in the items of a feed.
 pub trait Follower<T> {
@@ -41,19 +38,30 @@
     fn answered(&mut self) {}
 }
 
-/// Follows a feed until the task is aborted.
+/// Follows a feed until the task is aborted; one call waits up to `longest_wait_ms` for changes.
+///
+/// A call that is under way while the table is silent is never answered, also not after its return.
+/// After a failure the calls therefore do not wait until one is answered.
 pub async fn follow<T>(
     mut feed: Box<dyn Feed<T>>,
     mut follower: impl Follower<T>,
+    longest_wait_ms: DurationMs,
     clock: Arc<dyn Clock>,
 ) {
     let mut position = None;
     let mut lost_since = None;
     let mut pause_ms = RETRY_MS.0;
     loop {
+        let called = clock.now();
         let result = match position {
             None => feed.snapshot(ANSWER_MS).await,
-            Some(after) => feed.changes(after, WAIT_MS, WAIT_MS + ANSWER_MS).await,
+            Some(after) => {
+                let wait_ms = match lost_since {
+                    None => longest_wait_ms,
+                    Some(_) => DurationMs::ZERO,
+                };
+                feed.changes(after, wait_ms, wait_ms + ANSWER_MS).await
+            }
         };
         match result {
             Ok(Page { items, version }) => {
@@ -74,10 +82,12 @@
                 position = None;
             }
             Err(e) => {
-                if lost_since.is_none() {
-                    lost_since = Some(clock.now());
-                    log::warn!(feed = follower.name(), error:% = e; "table is lost");
-                }
+                lost_since.get_or_insert(called);
+                log::warn!(
+                    feed = follower.name(), error:% = e,
+                    waited_ms = clock.now().since(called).0;
+                    "table does not answer"
+                );
                 follower.lost();
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 pause_ms = (pause_ms * 2).min(RETRY_MS.1);
--- /dev/null
+++ b/crates/gateway/src/ages.rs
@@ -0,0 +1,86 @@
+//! Times of namings, which outlast this process in the platform's table.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dw_base::DurationMs;
+use dw_base::ModelId;
+use dw_base::WeightsVersion;
+use dw_port::NamedWeights;
+use dw_port::NamingTimes;
+use tokio::sync::mpsc;
+
+use crate::gossip::tell_all;
+use crate::shared::Shared;
+
+/// Longest wait for one answer of the table.
+const ANSWER_MS: DurationMs = DurationMs(1_000);
+
+/// Pause before a call is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// Calls for one record or one read.
+const MOST_CALLS: u32 = 5;
+
+enum Task {
+    Record(ModelId, WeightsVersion),
+    Recall,
+}
+
+/// Hands namings to the task that records and reads their times.
+pub(crate) struct Ages(mpsc::UnboundedSender<Task>);
+
+impl Ages {
+    /// Starts the task.
+    pub(crate) fn start(shared: Rc<Shared>, times: Box<dyn NamingTimes>) -> Self {
+        let (sender, tasks) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(work(shared, times, tasks));
+        Ages(sender)
+    }
+
+    /// Records that weights were named just now.
+    pub(crate) fn record(&self, named: &NamedWeights) {
+        // The task ends only with the process.
+        let _ = self.0.send(Task::Record(named.model.clone(), named.weights));
+    }
+
+    /// Reads when weights were named.
+    pub(crate) fn recall(&self) {
+        let _ = self.0.send(Task::Recall);
+    }
+}
+
+async fn work(
+    shared: Rc<Shared>,
+    mut times: Box<dyn NamingTimes>,
+    mut tasks: mpsc::UnboundedReceiver<Task>,
+) {
+    while let Some(task) = tasks.recv().await {
+        for _ in 0..MOST_CALLS {
+            let done = match &task {
+                Task::Record(model, weights) => times.record(model, *weights, ANSWER_MS).await,
+                Task::Recall => recall(&shared, times.as_mut()).await,
+            };
+            match done {
+                Ok(()) => break,
+                Err(e) => log::warn!(error:% = e; "times of namings are not available"),
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn recall(shared: &Shared, times: &mut dyn NamingTimes) -> Result<(), dw_port::FeedError> {
+    let known = times.read(ANSWER_MS).await?;
+    let now = shared.now();
+    for time in known {
+        log::info!(
+            model:% = time.model, weights:% = time.weights, age_ms = time.age_ms.0;
+            "time of a naming is read"
+        );
+        let mut weights = shared.weights.borrow_mut();
+        weights.namings.recall(&time.model, time.weights, now - time.age_ms);
+    }
+    tell_all(shared);
+    Ok(())
+}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -1,5 +1,7 @@
 //! Choice of the upstream for one try.
 
+use std::net::SocketAddr;
+
 use dw_base::ModelId;
 use dw_base::PromptPart;
 use dw_base::Tokens;
@@ -10,11 +12,10 @@
 use dw_place::DirectRequest;
 use dw_place::DirectTarget;
 
-use std::net::SocketAddr;
-
 use crate::job::salt;
 use crate::job::Job;
 use crate::shared::Shared;
+use crate::weights::Age;
 
 /// Upstreams that have refused or failed a request.
 #[derive(Default)]
@@ -79,13 +80,18 @@
     let model = job.ask.model.as_ref().filter(|_| kv_capacity.is_some());
     let targets: Vec<DirectTarget<'_>> = candidates
         .iter()
-        .map(|entry| DirectTarget {
-            upstream: &entry.listed.upstream,
-            data_centre: &entry.listed.data_centre,
-            slots: entry.listed.slots,
-            kv_capacity,
-            weights: model.and_then(|model| held_weights(shared, entry, model)),
-            failure_rate: entry.health.failure_rate(now),
+        .filter_map(|entry| {
+            let held = model.and_then(|model| Some((model, held_weights(shared, entry, model)?)));
+            let age = held.map(|(model, held)| weights.age(model, held, now));
+            (age != Some(Age::TooOld)).then(|| DirectTarget {
+                upstream: &entry.listed.upstream,
+                data_centre: &entry.listed.data_centre,
+                slots: entry.listed.slots,
+                kv_capacity,
+                weights: held.map(|(_, held)| held),
+                old_weights: age == Some(Age::Old),
+                failure_rate: entry.health.failure_rate(now),
+            })
         })
         .collect();
     let store = kv_store(shared);
@@ -98,7 +104,6 @@
         prompt: if kv_capacity.is_some() { prompt } else { &[] },
         scope: &scope,
         data_centre: &boot.data_centre,
-        wanted_weights: model.and_then(|model| weights.wanted(model, now)),
         stored: &stored,
     };
     let choice = shared.place.borrow().place(&request, &targets, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -138,7 +138,6 @@
         prompt: if is_prompt { &job.ask.prompt } else { &[] },
         scope: &plan.scope,
         data_centre: &boot.data_centre,
-        wanted_weights: None,
         stored: &stored,
     };
     let now = shared.now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use dw_port::Codec;
 use dw_port::Declaration;
 use dw_port::Feed;
+use dw_port::NamingTimes;
 use dw_port::Registration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -27,6 +28,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use crate::ages::Ages;
 use crate::caller;
 use crate::connections::Connections;
 use crate::gossip;
@@ -92,6 +94,8 @@
     pub declarations: Box<dyn Feed<Declaration>>,
     /// Which upstreams are registered.
     pub registrations: Box<dyn Feed<Registration>>,
+    /// When weights were named.
+    pub naming_times: Box<dyn NamingTimes>,
 }
 
 /// A running gateway.
@@ -127,7 +131,8 @@
             data_centre:% = boot.data_centre;
             "gateway starts"
         );
-        spawn(follow_routes(shared.clone(), parts.declarations));
+        let ages = Ages::start(shared.clone(), parts.naming_times);
+        spawn(follow_routes(shared.clone(), parts.declarations, ages));
         spawn(follow_registrations(shared.clone(), parts.registrations));
         spawn(kv::follow_all(shared.clone()));
         spawn(gossip::tell(shared.clone(), socket.clone()));
@@ -196,7 +201,7 @@
         listed: Cell::new(false),
         place: RefCell::new(Direct::new(DirectSettings::builder().build())),
         sidecars: RefCell::new(Sidecars::default()),
-        weights: RefCell::new(Weights::default()),
+        weights: RefCell::new(Weights::new(boot.bounds.weights_ms)),
         budgets: RefCell::new(HashMap::new()),
         kv: RefCell::new(HashMap::new()),
         pool: Pool::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,7 +8,6 @@
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
-use dw_port::NamedWeights;
 use dw_wire::decode;
 use dw_wire::encode;
 use dw_wire::Datagram;
@@ -78,7 +77,7 @@
 }
 
 fn named(shared: &Shared, now: TimeMs) -> Vec<(dw_base::ModelId, dw_base::WeightsVersion)> {
-    let news = shared.weights.borrow().news(now);
+    let news = shared.weights.borrow().namings.news(now);
     let mut names: Vec<_> = news.into_iter().map(|n| (n.model, n.weights)).collect();
     names.sort();
     names
@@ -121,7 +120,7 @@
         started_ms: shared.started.0,
         seq,
         outstanding_tokens: engine.tokens,
-        weights: shared.weights.borrow().news(now),
+        weights: shared.weights.borrow().namings.news(now),
         engines: same.map(|other| other.addr).collect(),
     }
 }
@@ -160,12 +159,7 @@
 fn heard(shared: &Shared, state: EngineState) {
     let now = shared.now();
     for news in &state.weights {
-        let named = NamedWeights {
-            model: news.model.clone(),
-            weights: news.weights,
-            fence: news.fence,
-        };
-        shared.weights.borrow_mut().name(named, now - news.age_ms);
+        shared.weights.borrow_mut().namings.hear(news, now);
     }
     let engine = state.engine;
     let phase = state.phase;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! are registered, and the platform's formats come through the traits of `dw_port`; the decisions
 //! are those of `dw_place`, `dw_member` and `dw_retry`.
 
+mod ages;
 mod answer;
 mod body;
 mod caller;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,6 +9,7 @@
 use dw_gateway::GatewayParts;
 use dw_platform::open;
 use dw_platform::Declarations;
+use dw_platform::NamingRows;
 use dw_platform::Options;
 use dw_platform::PlatformCodec;
 use dw_platform::Registrations;
@@ -62,6 +63,7 @@
         codec: Arc::new(PlatformCodec),
         declarations: Box::new(Declarations::new(table)),
         registrations: Box::new(Registrations::new(table)),
+        naming_times: Box::new(NamingRows::new(table)),
     })
     .await?;
     loop {
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use dw_base::DurationMs;
 use dw_follow::follow;
 use dw_follow::Follower;
 use dw_port::Feed;
@@ -9,6 +10,12 @@
 
 use crate::shared::Shared;
 
+/// Longest wait of one call for changes.
+///
+/// A call that is lost with a silent table must end well within the time that a changed
+/// configuration or a leaving upstream may take.
+pub(crate) const CHANGES_WAIT_MS: DurationMs = DurationMs(3_000);
+
 struct Upstreams(Rc<Shared>);
 
 impl Follower<Registration> for Upstreams {
@@ -99,5 +106,5 @@
     feed: Box<dyn Feed<Registration>>,
 ) {
     let clock = shared.clock.clone();
-    follow(feed, Upstreams(shared), clock).await;
+    follow(feed, Upstreams(shared), CHANGES_WAIT_MS, clock).await;
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -4,15 +4,19 @@
 
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
+use dw_port::NamedWeights;
 use dw_route::RouteTable;
 use dw_route::RouteTableParts;
 
+use crate::ages::Ages;
 use crate::gossip::tell_all;
+use crate::registrations::CHANGES_WAIT_MS;
 use crate::shared::Shared;
 
-struct Routes(Rc<Shared>);
+struct Routes(Rc<Shared>, Ages);
 
 impl Follower<Declaration> for Routes {
     fn name(&self) -> &'static str {
@@ -20,23 +24,21 @@
     }
 
     fn snapshot(&mut self, items: Vec<Declaration>) {
-        self.changes(items);
+        self.take(items, false);
     }
 
     fn changes(&mut self, items: Vec<Declaration>) {
+        self.take(items, true);
+    }
+}
+
+impl Routes {
+    /// Takes in declarations; `is_news` if they were made just now.
+    fn take(&self, items: Vec<Declaration>, is_news: bool) {
         for item in items {
             match item {
                 Declaration::Routes(parts) => self.routes(*parts),
-                Declaration::Weights(news) => {
-                    let now = self.0.now();
-                    log::info!(
-                        model:% = news.model, weights:% = news.weights, fence:% = news.fence;
-                        "weights are named"
-                    );
-                    if self.0.weights.borrow_mut().name(news, now) {
-                        tell_all(&self.0);
-                    }
-                }
+                Declaration::Weights(news) => self.weights(&news, is_news),
                 Declaration::Unreadable(row) => log::warn!(
                     key = row.key.as_str(), detail = row.detail.as_str();
                     "declaration cannot be read; the last one stays in force"
@@ -44,9 +46,30 @@
             }
         }
     }
-}
 
-impl Routes {
+    /// Takes over named weights. The time of the naming is kept in the table, so that a process
+    /// that starts later knows how old they are.
+    fn weights(&self, named: &NamedWeights, is_news: bool) {
+        let now = self.0.now();
+        let newest = Newest {
+            weights: named.weights,
+            fence: named.fence,
+        };
+        let mut weights = self.0.weights.borrow_mut();
+        if !weights.namings.name(&named.model, newest, now) {
+            return;
+        }
+        log::info!(
+            model:% = named.model, weights:% = named.weights, fence:% = named.fence, is_news;
+            "weights are named"
+        );
+        tell_all(&self.0);
+        match is_news {
+            true => self.1.record(named),
+            false => self.1.recall(),
+        }
+    }
+
     /// Puts a configuration in force unless a newer one is; a version never goes back.
     fn routes(&self, parts: RouteTableParts) {
         let current = self.0.routes().map(|routes| routes.version());
@@ -63,7 +86,11 @@
 }
 
 /// Follows what operators declare until the task is aborted.
-pub(crate) async fn follow_routes(shared: Rc<Shared>, feed: Box<dyn Feed<Declaration>>) {
+pub(crate) async fn follow_routes(
+    shared: Rc<Shared>,
+    feed: Box<dyn Feed<Declaration>>,
+    ages: Ages,
+) {
     let clock = shared.clock.clone();
-    follow(feed, Routes(shared), clock).await;
+    follow(feed, Routes(shared, ages), CHANGES_WAIT_MS, clock).await;
 }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -7,34 +7,42 @@
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
-use dw_port::NamedWeights;
-use dw_wire::WeightsNews;
+use dw_order::Namings;
 
 /// Time from the naming of weights until answers on older ones are avoided.
 const TOLERATED_MS: DurationMs = DurationMs(1_200);
 
-#[derive(Clone, Debug)]
-struct Named {
-    news: NamedWeights,
-    heard: TimeMs,
+/// Time before the limit from which an engine on older weights is not used: a request may wait
+/// there before it begins.
+const MARGIN_MS: DurationMs = DurationMs(700);
+
+/// How an answer on given weights counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Age {
+    /// As one on the newest.
+    Current,
+    /// Newer ones have been named for a while.
+    Old,
+    /// The engine must not be used before it has newer ones.
+    TooOld,
 }
 
 /// Weights that operators have named, and those that upstreams were seen with.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Weights {
-    named: HashMap<ModelId, Named>,
+    pub(crate) namings: Namings,
     seen: HashMap<UpstreamId, WeightsVersion>,
+    limit_ms: DurationMs,
 }
 
 impl Weights {
-    /// Takes over named weights; returns whether they are news.
-    pub(crate) fn name(&mut self, news: NamedWeights, heard: TimeMs) -> bool {
-        let known = self.named.get(&news.model);
-        if known.is_some_and(|known| known.news.weights >= news.weights) {
-            return false;
+    /// Creates the state for weights that must be in use `limit_ms` after their naming.
+    pub(crate) fn new(limit_ms: DurationMs) -> Self {
+        Weights {
+            namings: Namings::default(),
+            seen: HashMap::new(),
+            limit_ms,
         }
-        self.named.insert(news.model.clone(), Named { news, heard });
-        true
     }
 
     /// Records the weights that an upstream answered with.
@@ -54,20 +62,12 @@
         self.seen.retain(|id, _| keep(id));
     }
 
-    /// Returns the newest weights of a model if answers on older ones are to be avoided by now.
-    pub(crate) fn wanted(&self, model: &ModelId, now: TimeMs) -> Option<WeightsVersion> {
-        let named = self.named.get(model)?;
-        (now.since(named.heard) >= TOLERATED_MS).then_some(named.news.weights)
-    }
-
-    /// Returns all named weights for sidecars.
-    pub(crate) fn news(&self, now: TimeMs) -> Vec<WeightsNews> {
-        let news = self.named.values().map(|named| WeightsNews {
-            model: named.news.model.clone(),
-            weights: named.news.weights,
-            fence: named.news.fence,
-            age_ms: now.since(named.heard),
-        });
-        news.collect()
+    /// Returns whether answers on weights are worth less by now, or nothing at all.
+    pub(crate) fn age(&self, model: &ModelId, held: WeightsVersion, now: TimeMs) -> Age {
+        match self.namings.behind_ms(model, held, now) {
+            Some(behind) if behind + MARGIN_MS >= self.limit_ms => Age::TooOld,
+            Some(behind) if behind >= TOLERATED_MS => Age::Old,
+            _ => Age::Current,
+        }
     }
 }
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -24,7 +24,9 @@
 
 mod decide;
 mod fence;
+mod history;
 mod lease;
+mod namings;
 mod rollout;
 
 pub use decide::decide;
@@ -36,10 +38,13 @@
 pub use fence::claim;
 pub use fence::Claim;
 pub use fence::Fence;
+pub use history::History;
 pub use lease::Choice;
 pub use lease::Held;
 pub use lease::Lease;
 pub use lease::Slots;
 pub use lease::LEASE_MS;
+pub use namings::Namings;
+pub use namings::Newest;
 pub use rollout::Peer;
 pub use rollout::Rollout;
--- a/crates/order/src/rollout.rs
+++ b/crates/order/src/rollout.rs
@@ -9,17 +9,16 @@
 
 use dw_base::rendezvous_score;
 use dw_base::DurationMs;
-use dw_base::TimeMs;
 use dw_base::WeightsVersion;
 
-/// Engines for each one that loads at the same time.
-const ENGINES_PER_LOAD: usize = 5;
+/// Engines for each one that loads or finishes its requests for a load at the same time.
+const ENGINES_PER_LOAD: usize = 4;
 
 /// Loads at once in a small fleet.
 const FEWEST_LOADS: usize = 2;
 
 /// Part of the time limit within which the plan by rank has every engine start its load.
-const PLANNED_PART: f64 = 0.5;
+const PLANNED_PART: f64 = 0.7;
 
 /// Another engine of the same service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,8 +40,8 @@
     pub weights: WeightsVersion,
     /// Weights that are named.
     pub named: WeightsVersion,
-    /// When this process heard of them.
-    pub heard: TimeMs,
+    /// For how long weights newer than those of the own engine have been named.
+    pub behind_ms: DurationMs,
     /// Time from the naming within which all engines must have them.
     pub limit_ms: DurationMs,
     /// The other engines.
@@ -51,17 +50,24 @@
 
 impl Rollout<'_> {
     /// Returns whether the own engine is to load now.
-    pub fn is_due(&self, now: TimeMs) -> bool {
+    pub fn is_due(&self) -> bool {
         if self.weights >= self.named {
             return false;
         }
-        self.is_planned(now) || self.is_next()
+        if self.behind_ms >= self.limit_ms {
+            // No router sends it requests, so its load costs no room.
+            return true;
+        }
+        match self.hears_others() {
+            true => self.is_next(),
+            false => self.is_planned(),
+        }
     }
 
     /// Returns the most loads at once.
     pub fn concurrency(&self) -> usize {
         let engines = self.peers.len() + 1;
-        (engines / ENGINES_PER_LOAD).max(FEWEST_LOADS)
+        engines.div_ceil(ENGINES_PER_LOAD).max(FEWEST_LOADS)
     }
 
     /// Engines with the oldest weights go first, so that quickly following versions starve none.
@@ -70,11 +76,12 @@
         (weights, score.to_bits())
     }
 
-    fn is_next(&self) -> bool {
+    fn hears_others(&self) -> bool {
         let heard = self.peers.iter().filter(|peer| peer.weights.is_some());
-        if self.peers.is_empty() || heard.count() * 2 < self.peers.len() {
-            return false;
-        }
+        !self.peers.is_empty() && heard.count() * 2 >= self.peers.len()
+    }
+
+    fn is_next(&self) -> bool {
         let own = self.order(self.engine, self.weights);
         let loading = self.peers.iter().filter(|peer| peer.loading).count();
         let ahead = |peer: &&Peer| {
@@ -85,7 +92,7 @@
     }
 
     /// The plan needs no talk: an even spread of the starts by rank.
-    fn is_planned(&self, now: TimeMs) -> bool {
+    fn is_planned(&self) -> bool {
         let own = self.order(self.engine, WeightsVersion(0));
         let before = |peer: &&Peer| self.order(peer.engine, WeightsVersion(0)) < own;
         let rank = self.peers.iter().filter(before).count();
@@ -94,6 +101,6 @@
             false => rank as f64 / self.peers.len() as f64,
         };
         let planned_ms = self.limit_ms.0 as f64 * PLANNED_PART * share.max(0.1);
-        now.since(self.heard).0 as f64 >= planned_ms
+        self.behind_ms.0 as f64 >= planned_ms
     }
 }
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -59,6 +59,8 @@
     pub kv_capacity: Option<Tokens>,
     /// Weights of the wanted model.
     pub weights: Option<WeightsVersion>,
+    /// Whether answers on these weights are worth less by now.
+    pub old_weights: bool,
     /// Share of recent requests that failed.
     pub failure_rate: f64,
 }
@@ -72,8 +74,6 @@
     pub scope: &'a str,
     /// Data centre of the router.
     pub data_centre: &'a DataCentreId,
-    /// Newest weights, if answers on older ones are worth less by now.
-    pub wanted_weights: Option<WeightsVersion>,
     /// Tokens of shared parts that the store of kept KV cache holds, for given weights.
     pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
 }
@@ -172,7 +172,7 @@
         let scored = targets.iter().map(|target| {
             let is_home = home == Some(target.upstream);
             match request.prompt.is_empty() {
-                true => self.score_plain(request, target, now),
+                true => self.score_plain(request, target),
                 false => self.score_prompt(request, target, is_home, now),
             }
         });
@@ -248,12 +248,11 @@
         &self,
         request: &DirectRequest<'_>,
         target: &DirectTarget<'_>,
-        now: TimeMs,
     ) -> Scored {
         let load = self.loads.get(target.upstream);
         let expected_ms = load.map_or(0.0, |load| load.plain_ms(target.slots, self.routers));
         Scored {
-            cost: expected_ms + self.common_cost(request, target, now),
+            cost: expected_ms + self.common_cost(request, target),
             choice: Choice {
                 upstream: target.upstream.clone(),
                 weights: None,
@@ -294,7 +293,7 @@
         let compute_ms = load.compute_ms(missing - fetched);
         let fetch_ms = fetched as f64 * self.settings.fetch_ms_per_token;
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
-        let mut cost = first_token_ms + self.common_cost(request, target, now);
+        let mut cost = first_token_ms + self.common_cost(request, target);
         cost += again * self.settings.again_ms_per_token;
         if !home {
             cost += self.settings.home_ms;
@@ -318,14 +317,12 @@
         &self,
         request: &DirectRequest<'_>,
         target: &DirectTarget<'_>,
-        _now: TimeMs,
     ) -> f64 {
         let mut cost = target.failure_rate * self.settings.failure_ms;
         if target.data_centre != request.data_centre {
             cost += self.settings.remote_ms;
         }
-        let wanted = request.wanted_weights;
-        if wanted.is_some_and(|wanted| target.weights.is_some_and(|held| held < wanted)) {
+        if target.old_weights {
             cost += self.settings.old_weights_ms;
         }
         cost
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod feed;
 mod kv;
+mod naming;
 
 pub use ask::Ask;
 pub use ask::AskError;
@@ -30,3 +31,5 @@
 pub use kv::KvChange;
 pub use kv::KvIndex;
 pub use kv::KvPage;
+pub use naming::NamingTime;
+pub use naming::NamingTimes;
--- /dev/null
+++ b/crates/port/src/naming.rs
@@ -0,0 +1,42 @@
+//! When weights were named.
+
+use async_trait::async_trait;
+use dw_base::DurationMs;
+use dw_base::ModelId;
+use dw_base::WeightsVersion;
+
+use crate::feed::FeedError;
+
+/// When weights were named.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NamingTime {
+    /// Model.
+    pub model: ModelId,
+    /// Weights.
+    pub weights: WeightsVersion,
+    /// Time since their naming.
+    pub age_ms: DurationMs,
+}
+
+/// Times of namings, kept in the platform's table by its clock.
+#[async_trait]
+pub trait NamingTimes: Send {
+    /// Reads all times.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer within `timeout_ms`.
+    async fn read(&mut self, timeout_ms: DurationMs) -> Result<Vec<NamingTime>, FeedError>;
+
+    /// Records that weights were named just now, unless a time is recorded already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer within `timeout_ms`; it may be recorded all the same.
+    async fn record(
+        &mut self,
+        model: &ModelId,
+        weights: WeightsVersion,
+        timeout_ms: DurationMs,
+    ) -> Result<(), FeedError>;
+}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -7,7 +7,6 @@
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_base::Tokens;
-use dw_port::NamedWeights;
 use dw_wire::decode;
 use dw_wire::encode;
 use dw_wire::Datagram;
@@ -90,7 +89,7 @@
         outstanding_tokens: state.outstanding(),
         own_tokens,
         routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
-        weights: state.news(now),
+        weights: state.namings.news(now),
     }
 }
 
@@ -154,12 +153,7 @@
 
 fn take_news(shared: &Shared, news: &[WeightsNews], now: TimeMs, source: &str) {
     for news in news {
-        let named = NamedWeights {
-            model: news.model.clone(),
-            weights: news.weights,
-            fence: news.fence,
-        };
-        let is_news = shared.state.borrow_mut().name(named, now - news.age_ms);
+        let is_news = shared.state.borrow_mut().namings.hear(news, now);
         if is_news {
             log::info!(
                 model:% = news.model, weights:% = news.weights, fence:% = news.fence,
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -11,7 +11,7 @@
 use dw_wire::Phase;
 
 use crate::sidecar::Shared;
-use crate::state::Named;
+use crate::state::Behind;
 
 /// Pause between two reports of the engine.
 const REPORT_PAUSE: Duration = Duration::from_millis(120);
@@ -105,20 +105,20 @@
         state.due(now)
     };
     let waits = sent.as_ref().is_some_and(|sent| now.since(sent.at) < RESEND_MS);
-    let Some(named) = due.filter(|_| !waits) else {
+    let Some(behind) = due.filter(|_| !waits) else {
         return;
     };
     if sent.is_none() {
         set_phase(shared, Phase::Closing);
         tokio::time::sleep(CLOSING).await;
     }
-    send_order(shared, engine, &named, sent).await;
+    send_order(shared, engine, &behind, sent).await;
 }
 
 async fn send_order(
     shared: &Shared,
     engine: &mut dyn Engine,
-    named: &Named,
+    behind: &Behind,
     sent: &mut Option<Sent>,
 ) {
     let orders = {
@@ -126,17 +126,17 @@
         state.report.as_ref().map_or(0, |report| report.orders)
     };
     let order = Order {
-        model: named.news.model.clone(),
-        weights: named.news.weights,
+        model: behind.model.clone(),
+        weights: behind.newest.weights,
         holder: shared.node.to_string(),
-        fence: named.news.fence,
+        fence: behind.newest.fence,
         expected_orders: orders,
     };
     let answer = engine.order(&order, ORDER_MS).await;
     let now = shared.clock.now();
     log::info!(
         model:% = order.model, weights:% = order.weights, fence:% = order.fence,
-        expected_orders = orders, age_ms = now.since(named.heard).0, answer:? = answer;
+        held:% = behind.held, expected_orders = orders, answer:? = answer;
         "order is sent"
     );
     match answer {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -9,25 +9,18 @@
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
+use dw_order::Namings;
+use dw_order::Newest;
 use dw_order::Peer;
 use dw_order::Rollout;
-use dw_port::NamedWeights;
 use dw_port::Report;
 use dw_wire::EngineState;
 use dw_wire::Phase;
 use dw_wire::RouterState;
-use dw_wire::WeightsNews;
 
 /// Age from which another process counts as not heard.
 const FRESH_MS: DurationMs = DurationMs(3_000);
 
-/// Named weights and when this process heard of them.
-#[derive(Clone, Debug)]
-pub(crate) struct Named {
-    pub(crate) news: NamedWeights,
-    pub(crate) heard: TimeMs,
-}
-
 /// A router that has been heard.
 struct Router {
     from: SocketAddr,
@@ -35,6 +28,14 @@
     at: TimeMs,
 }
 
+/// A model whose named weights the engine does not have yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Behind {
+    pub(crate) model: ModelId,
+    pub(crate) held: WeightsVersion,
+    pub(crate) newest: Newest,
+}
+
 struct HeardPeer {
     state: EngineState,
     at: TimeMs,
@@ -46,7 +47,7 @@
     limit_ms: DurationMs,
     pub(crate) phase: Phase,
     pub(crate) report: Option<Report>,
-    named: HashMap<ModelId, Named>,
+    pub(crate) namings: Namings,
     routers: HashMap<NodeId, Router>,
     peers: HashMap<SocketAddr, HeardPeer>,
     engines: Vec<SocketAddr>,
@@ -60,7 +61,7 @@
             limit_ms,
             phase: Phase::Unreachable,
             report: None,
-            named: HashMap::new(),
+            namings: Namings::default(),
             routers: HashMap::new(),
             peers: HashMap::new(),
             engines: Vec::new(),
@@ -72,16 +73,6 @@
         self.engine
     }
 
-    /// Takes over named weights; returns whether they are news.
-    pub(crate) fn name(&mut self, news: NamedWeights, heard: TimeMs) -> bool {
-        let known = self.named.get(&news.model);
-        if known.is_some_and(|known| known.news.weights >= news.weights) {
-            return false;
-        }
-        self.named.insert(news.model.clone(), Named { news, heard });
-        true
-    }
-
     /// Takes over a router's datagram, unless it is older than the last one.
     pub(crate) fn hear_router(&mut self, from: SocketAddr, state: RouterState, now: TimeMs) {
         let order = |state: &RouterState| (state.started_ms, state.seq);
@@ -133,39 +124,32 @@
         Tokens(self.routers().map(|(_, tokens)| tokens.0).sum())
     }
 
-    /// Returns all named weights for other processes.
-    pub(crate) fn news(&self, now: TimeMs) -> Vec<WeightsNews> {
-        let news = self.named.values().map(|named| WeightsNews {
-            model: named.news.model.clone(),
-            weights: named.news.weights,
-            fence: named.news.fence,
-            age_ms: now.since(named.heard),
-        });
-        news.collect()
-    }
-
-    /// Returns the named weights that the engine does not have yet.
-    pub(crate) fn behind(&self) -> Option<(Named, WeightsVersion)> {
+    /// Returns the model whose named weights the engine does not have yet.
+    pub(crate) fn behind(&self) -> Option<Behind> {
         let report = self.report.as_ref()?;
-        report.models.iter().find_map(|(model, weights)| {
-            let named = self.named.get(model)?;
-            (*weights < named.news.weights).then(|| (named.clone(), *weights))
+        report.models.iter().find_map(|(model, held)| {
+            let newest = self.namings.newest(model)?;
+            (*held < newest.weights).then(|| Behind {
+                model: model.clone(),
+                held: *held,
+                newest,
+            })
         })
     }
 
-    /// Returns the named weights that the engine is to load now.
-    pub(crate) fn due(&self, now: TimeMs) -> Option<Named> {
-        let (named, weights) = self.behind()?;
-        let peers = self.known_peers(&named.news.model, now);
+    /// Returns the model whose named weights the engine is to load now.
+    pub(crate) fn due(&self, now: TimeMs) -> Option<Behind> {
+        let behind = self.behind()?;
+        let peers = self.known_peers(&behind.model, now);
         let rollout = Rollout {
             engine: self.engine,
-            weights,
-            named: named.news.weights,
-            heard: named.heard,
+            weights: behind.held,
+            named: behind.newest.weights,
+            behind_ms: self.namings.behind_ms(&behind.model, behind.held, now)?,
             limit_ms: self.limit_ms,
             peers: &peers,
         };
-        rollout.is_due(now).then_some(named)
+        rollout.is_due().then_some(behind)
     }
 
     fn known_peers(&self, model: &ModelId, now: TimeMs) -> Vec<Peer> {
--- a/crates/sidecar/src/weights.rs
+++ b/crates/sidecar/src/weights.rs
@@ -2,13 +2,18 @@
 
 use std::rc::Rc;
 
+use dw_base::DurationMs;
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
 
 use crate::sidecar::Shared;
 
+/// Longest wait of one call for changes; routers tell of named weights, too.
+const CHANGES_WAIT_MS: DurationMs = DurationMs(10_000);
+
 struct Names(Rc<Shared>);
 
 impl Follower<Declaration> for Names {
@@ -26,10 +31,17 @@
                 Declaration::Routes(_) => {}
                 Declaration::Weights(news) => {
                     let now = self.0.clock.now();
-                    let text = format!("{}@{}", news.model, news.weights);
-                    let fence = news.fence;
-                    if self.0.state.borrow_mut().name(news, now) {
-                        log::info!(weights = text, fence:%, source = "table"; "weights are named");
+                    let newest = Newest {
+                        weights: news.weights,
+                        fence: news.fence,
+                    };
+                    let mut state = self.0.state.borrow_mut();
+                    if state.namings.name(&news.model, newest, now) {
+                        log::info!(
+                            model:% = news.model, weights:% = news.weights, fence:% = news.fence,
+                            source = "table";
+                            "weights are named"
+                        );
                     }
                 }
                 Declaration::Unreadable(row) => log::warn!(
@@ -44,5 +56,5 @@
 /// Follows named weights until the task is aborted.
 pub(crate) async fn follow_weights(shared: Rc<Shared>, feed: Box<dyn Feed<Declaration>>) {
     let clock = shared.clock.clone();
-    follow(feed, Names(shared), clock).await;
+    follow(feed, Names(shared), CHANGES_WAIT_MS, clock).await;
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -38,8 +38,10 @@
     pub weights: WeightsVersion,
     /// Fencing number of orders for them.
     pub fence: FenceNumber,
-    /// Time since the sender heard of them.
+    /// Time since they were named, as far as the sender knows.
     pub age_ms: DurationMs,
+    /// Some earlier weights with the time since their naming.
+    pub earlier: Vec<(WeightsVersion, DurationMs)>,
 }
 
 /// State of a router, as one sidecar receives it.
