place: weigh parts read again, bytes between data centres and waits in one unit

Ruled out: a full store of kept KV cache (826,368 tokens were reached only after 22 s), a missing Kv-Fetch. Conclusion: until the store holds a part it has one home over all data centres, then one in each; engines that finish their requests for a load are counted apart from those that load.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -104,6 +104,8 @@
         prompt: if kv_capacity.is_some() { prompt } else { &[] },
         scope: &scope,
         data_centre: &boot.data_centre,
+        objective_ms: (job.arrived + job.route.objective_ms).since(now),
+        bytes: job.bytes(),
         stored: &stored,
     };
     let choice = shared.place.borrow().place(&request, &targets, now);
@@ -169,5 +171,5 @@
         return false;
     };
     let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
-    stored.0 < shared && own.tokens.0 <= shared
+    stored.0 < shared && own.tokens.0 * 2 <= shared * 3
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -138,6 +138,8 @@
         prompt: if is_prompt { &job.ask.prompt } else { &[] },
         scope: &plan.scope,
         data_centre: &boot.data_centre,
+        objective_ms: DurationMs::ZERO,
+        bytes: job.bytes(),
         stored: &stored,
     };
     let now = shared.now();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use dw_base::Bytes;
 use dw_base::DurationMs;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
@@ -16,13 +16,16 @@
 use http::Method;
 use http::Uri;
 
+/// Heads of a request and its answer, and a short answer.
+const HEADS_BYTES: u64 = 1_200;
+
 /// One caller's request on its way.
 pub(crate) struct Job {
     pub(crate) ask: Ask,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: bytes::Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: ServiceId,
@@ -39,6 +42,11 @@
         self.until.since(now)
     }
 
+    /// Returns the length of the request and of a usual answer.
+    pub(crate) fn bytes(&self) -> Bytes {
+        Bytes(self.body.len() as u64 + HEADS_BYTES)
+    }
+
     /// Returns who shares the cached prompt, without the weights.
     pub(crate) fn scope(&self) -> String {
         let model = self.ask.model.as_ref().map_or("", |model| model.as_str());
--- a/crates/order/src/rollout.rs
+++ b/crates/order/src/rollout.rs
@@ -11,12 +11,15 @@
 use dw_base::DurationMs;
 use dw_base::WeightsVersion;
 
-/// Engines for each one that loads or finishes its requests for a load at the same time.
-const ENGINES_PER_LOAD: usize = 4;
+/// Engines for each one that loads at the same time.
+const ENGINES_PER_LOAD: usize = 5;
 
 /// Loads at once in a small fleet.
 const FEWEST_LOADS: usize = 2;
 
+/// Engines that finish their requests while others load, so that the next load starts at once.
+const CLOSING_AHEAD: usize = 1;
+
 /// Part of the time limit within which the plan by rank has every engine start its load.
 const PLANNED_PART: f64 = 0.7;
 
@@ -27,8 +30,10 @@
     pub engine: SocketAddr,
     /// Weights that it has; absent if it has not been heard lately.
     pub weights: Option<WeightsVersion>,
-    /// Whether it loads or is about to.
+    /// Whether it loads.
     pub loading: bool,
+    /// Whether it finishes its requests for a load.
+    pub closing: bool,
 }
 
 /// Everything that the decision depends on.
@@ -67,7 +72,7 @@
     /// Returns the most loads at once.
     pub fn concurrency(&self) -> usize {
         let engines = self.peers.len() + 1;
-        engines.div_ceil(ENGINES_PER_LOAD).max(FEWEST_LOADS)
+        (engines / ENGINES_PER_LOAD).max(FEWEST_LOADS)
     }
 
     /// Engines with the oldest weights go first, so that quickly following versions starve none.
@@ -83,12 +88,13 @@
 
     fn is_next(&self) -> bool {
         let own = self.order(self.engine, self.weights);
-        let loading = self.peers.iter().filter(|peer| peer.loading).count();
+        let at_work = |peer: &&Peer| peer.loading || peer.closing;
+        let busy = self.peers.iter().filter(at_work).count();
         let ahead = |peer: &&Peer| {
             let behind = peer.weights.filter(|weights| *weights < self.named);
-            !peer.loading && behind.is_some_and(|weights| self.order(peer.engine, weights) < own)
+            !at_work(peer) && behind.is_some_and(|weights| self.order(peer.engine, weights) < own)
         };
-        loading + self.peers.iter().filter(ahead).count() < self.concurrency()
+        busy + self.peers.iter().filter(ahead).count() < self.concurrency() + CLOSING_AHEAD
     }
 
     /// The plan needs no talk: an even spread of the starts by rank.
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -11,6 +11,7 @@
 
 use bon::Builder;
 use dw_base::rendezvous_score;
+use dw_base::Bytes;
 use dw_base::DataCentreId;
 use dw_base::DurationMs;
 use dw_base::PrefixKey;
@@ -23,27 +24,39 @@
 use crate::upstream_load::UpstreamLoad;
 use crate::warm::WarmSet;
 
-/// Settings of [`Direct`].
+/// Settings of [`Direct`]; all costs are in milliseconds of a time to first token that matters.
 #[derive(Builder, Clone, Debug)]
 pub struct DirectSettings {
-    /// Cost of computing a token of a shared part again, beside its time.
-    #[builder(default = 0.05)]
+    /// Cost of computing a token of a shared part that another engine has computed.
+    #[builder(default = 0.1)]
     pub again_ms_per_token: f64,
-    /// Cost of fetching a token of a shared part from the store of kept KV cache.
-    #[builder(default = 0.006)]
+    /// Time to fetch a token of a shared part from the store of kept KV cache.
+    #[builder(default = 0.003)]
     pub fetch_ms_per_token: f64,
-    /// Cost of a request to another data centre, beside its time.
-    #[builder(default = 60.0)]
-    pub remote_ms: f64,
+    /// Cost of a byte that is sent to another data centre.
+    #[builder(default = 0.0012)]
+    pub remote_ms_per_byte: f64,
+    /// Network time to another data centre and back.
+    #[builder(default = 3.0)]
+    pub remote_network_ms: f64,
     /// Cost of an answer on older weights, once newer ones have been named for a while.
-    #[builder(default = 120.0)]
+    #[builder(default = 60.0)]
     pub old_weights_ms: f64,
     /// Cost of an upstream all of whose recent requests failed.
     #[builder(default = 1_500.0)]
     pub failure_ms: f64,
     /// Advantage of the upstream that all routers prefer for a prompt.
-    #[builder(default = 30.0)]
+    #[builder(default = 15.0)]
     pub home_ms: f64,
+    /// Part of the objective that may be used up at little cost.
+    #[builder(default = 0.4)]
+    pub easy_part: f64,
+    /// Cost of a millisecond within that part.
+    #[builder(default = 0.2)]
+    pub easy_weight: f64,
+    /// Cost of a millisecond beyond that part.
+    #[builder(default = 2.0)]
+    pub late_weight: f64,
 }
 
 /// An upstream that may be chosen.
@@ -74,6 +87,10 @@
     pub scope: &'a str,
     /// Data centre of the router.
     pub data_centre: &'a DataCentreId,
+    /// Time that is left of the objective.
+    pub objective_ms: DurationMs,
+    /// Length of the request.
+    pub bytes: Bytes,
     /// Tokens of shared parts that the store of kept KV cache holds, for given weights.
     pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
 }
@@ -116,6 +133,15 @@
     routers: u32,
 }
 
+/// Preferred upstreams for the shared parts of a prompt.
+#[derive(Clone, Copy)]
+struct Homes<'a> {
+    /// Of all upstreams: computes the parts while the store lacks them.
+    first: Option<&'a UpstreamId>,
+    /// Of those in the data centre of the router: used once the store holds them.
+    near: Option<&'a UpstreamId>,
+}
+
 struct Scored {
     cost: f64,
     choice: Choice,
@@ -168,14 +194,13 @@
         targets: &[DirectTarget<'_>],
         now: TimeMs,
     ) -> Option<Choice> {
-        let home = self.home(request, targets);
-        let scored = targets.iter().map(|target| {
-            let is_home = home == Some(target.upstream);
-            match request.prompt.is_empty() {
+        let homes = self.homes(request, targets);
+        let scored = targets
+            .iter()
+            .map(|target| match request.prompt.is_empty() {
                 true => self.score_plain(request, target),
-                false => self.score_prompt(request, target, is_home, now),
-            }
-        });
+                false => self.score_prompt(request, target, homes, now),
+            });
         let best = scored.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         Some(Choice {
             compared: targets.len(),
@@ -226,22 +251,23 @@
         self.load(upstream).ended();
     }
 
-    /// Returns the upstream that all routers of the data centre prefer for the shared parts.
-    fn home<'a>(
-        &self,
-        request: &DirectRequest<'_>,
-        targets: &[DirectTarget<'a>],
-    ) -> Option<&'a UpstreamId> {
-        let shared = request.prompt.split_last()?.1;
+    /// Returns the upstreams that all routers prefer for the shared parts.
+    fn homes<'a>(&self, request: &DirectRequest<'_>, targets: &[DirectTarget<'a>]) -> Homes<'a> {
+        let shared = request.prompt.split_last().map_or(&[][..], |(_, parts)| parts);
         let root = PrefixKey::root(request.scope);
         let key = shared.iter().fold(root, |key, part| key.with(part));
         let score = |target: &&DirectTarget<'_>| {
-            let near = target.data_centre == request.data_centre;
             let rate = self.loads.get(target.upstream).map_or(1.0, UpstreamLoad::weight);
             let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), rate);
-            (near, score.to_bits())
+            score.to_bits()
         };
-        targets.iter().max_by_key(score).map(|target| target.upstream)
+        let near = |target: &&DirectTarget<'_>| target.data_centre == request.data_centre;
+        let first = targets.iter().max_by_key(score);
+        let nearest = targets.iter().filter(near).max_by_key(score);
+        Homes {
+            first: first.map(|target| target.upstream),
+            near: nearest.or(first).map(|target| target.upstream),
+        }
     }
 
     fn score_plain(
@@ -252,7 +278,7 @@
         let load = self.loads.get(target.upstream);
         let expected_ms = load.map_or(0.0, |load| load.plain_ms(target.slots, self.routers));
         Scored {
-            cost: expected_ms + self.common_cost(request, target),
+            cost: self.waiting_cost(request, expected_ms) + self.common_cost(request, target),
             choice: Choice {
                 upstream: target.upstream.clone(),
                 weights: None,
@@ -270,7 +296,7 @@
         &self,
         request: &DirectRequest<'_>,
         target: &DirectTarget<'_>,
-        home: bool,
+        homes: Homes<'_>,
         now: TimeMs,
     ) -> Scored {
         let weights = target.weights.unwrap_or_default();
@@ -285,7 +311,9 @@
         let known = tokens(&request.prompt[..held.min(shared)]);
         let stored = (request.stored)(weights).0.saturating_sub(known);
         let fetched = stored.min(missing_shared);
-        let again = (missing_shared - fetched) as f64;
+        let is_stored = stored + known >= tokens(&request.prompt[..shared]);
+        let preferred = if is_stored { homes.near } else { homes.first };
+        let home = preferred == Some(target.upstream);
         let load = self.loads.get(target.upstream);
         let unknown = UpstreamLoad::default();
         let load = load.unwrap_or(&unknown);
@@ -293,10 +321,12 @@
         let compute_ms = load.compute_ms(missing - fetched);
         let fetch_ms = fetched as f64 * self.settings.fetch_ms_per_token;
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
-        let mut cost = first_token_ms + self.common_cost(request, target);
-        cost += again * self.settings.again_ms_per_token;
+        let mut cost = self.waiting_cost(request, first_token_ms);
+        cost += self.common_cost(request, target);
         if !home {
-            cost += self.settings.home_ms;
+            // The home is expected to hold what other routers have sent there.
+            let again = missing_shared - fetched;
+            cost += self.settings.home_ms + again as f64 * self.settings.again_ms_per_token;
         }
         Scored {
             cost,
@@ -313,6 +343,13 @@
         }
     }
 
+    /// A wait matters little while the objective is far, and much once it is near.
+    fn waiting_cost(&self, request: &DirectRequest<'_>, wait_ms: f64) -> f64 {
+        let easy_ms = request.objective_ms.0 as f64 * self.settings.easy_part;
+        let late_ms = (wait_ms - easy_ms).max(0.0);
+        (wait_ms - late_ms) * self.settings.easy_weight + late_ms * self.settings.late_weight
+    }
+
     fn common_cost(
         &self,
         request: &DirectRequest<'_>,
@@ -320,7 +357,8 @@
     ) -> f64 {
         let mut cost = target.failure_rate * self.settings.failure_ms;
         if target.data_centre != request.data_centre {
-            cost += self.settings.remote_ms;
+            cost += request.bytes.0 as f64 * self.settings.remote_ms_per_byte;
+            cost += self.settings.remote_network_ms * self.settings.easy_weight;
         }
         if target.old_weights {
             cost += self.settings.old_weights_ms;
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -60,7 +60,7 @@
                 }
             }
         }
-        let loading = shared.state.borrow().phase == Phase::Loading;
+        let loading = matches!(shared.state.borrow().phase, Phase::Closing | Phase::Loading);
         let pause = if loading { LOADING_PAUSE } else { REPORT_PAUSE };
         tokio::time::sleep(pause).await;
     }
@@ -68,6 +68,7 @@
 
 fn heard(shared: &Shared, report: dw_port::Report, sent: &mut Option<Sent>) {
     let busy = report.busy;
+    let running = report.running;
     let orders = report.orders;
     let restarted = {
         let mut state = shared.state.borrow_mut();
@@ -84,7 +85,8 @@
         *sent = None;
     }
     if busy {
-        set_phase(shared, Phase::Loading);
+        let phase = if running > 0 { Phase::Closing } else { Phase::Loading };
+        set_phase(shared, phase);
         return;
     }
     let pending = sent.as_ref().is_some_and(|sent| sent.orders_before == orders);
@@ -141,7 +143,6 @@
     );
     match answer {
         Ok(OrderAnswer::Accepted) => {
-            set_phase(shared, Phase::Loading);
             *sent = None;
         }
         Ok(OrderAnswer::Holds | OrderAnswer::Conflict) => *sent = None,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -165,7 +165,8 @@
             Peer {
                 engine,
                 weights: held.map(|(_, weights)| *weights).filter(|_| !absent),
-                loading: matches!(phase, Some(Phase::Closing | Phase::Loading)),
+                loading: phase == Some(Phase::Loading),
+                closing: phase == Some(Phase::Closing),
             }
         };
         self.others().map(peer).collect()
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -21,7 +21,7 @@
 pub enum Phase {
     /// It takes requests.
     Open,
-    /// It is about to be ordered to load weights.
+    /// It takes no requests and finishes those that run, before it loads weights.
     Closing,
     /// It loads weights.
     Loading,
