--- /dev/null
+++ b/crates/follow/tests/follow.rs
@@ -0,0 +1,168 @@
+//! Following a table through its failures.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use dw_base::DurationMs;
+use dw_base::SystemClock;
+use dw_follow::follow;
+use dw_follow::Follower;
+use dw_port::Feed;
+use dw_port::FeedError;
+use dw_port::Page;
+use dw_port::TableVersion;
+use tokio::time::timeout;
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Call {
+    Snapshot,
+    Changes { after: u64, wait_ms: u64 },
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Heard {
+    Snapshot(Vec<u64>),
+    Changes(Vec<u64>),
+    Lost,
+    Answered,
+}
+
+type Answer = Result<Page<u64>, FeedError>;
+
+struct Script {
+    answers: VecDeque<Answer>,
+    calls: Arc<Mutex<Vec<Call>>>,
+}
+
+impl Script {
+    async fn next(&mut self, call: Call) -> Answer {
+        self.calls.lock().unwrap().push(call);
+        match self.answers.pop_front() {
+            Some(answer) => answer,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+#[async_trait]
+impl Feed<u64> for Script {
+    async fn snapshot(&mut self, _timeout_ms: DurationMs) -> Answer {
+        self.next(Call::Snapshot).await
+    }
+
+    async fn changes(
+        &mut self,
+        after: TableVersion,
+        wait_ms: DurationMs,
+        timeout_ms: DurationMs,
+    ) -> Answer {
+        assert!(
+            timeout_ms > wait_ms,
+            "a call ends before the table may answer"
+        );
+        let call = Call::Changes {
+            after: after.0,
+            wait_ms: wait_ms.0,
+        };
+        self.next(call).await
+    }
+}
+
+struct Ears(Arc<Mutex<Vec<Heard>>>);
+
+impl Ears {
+    fn hear(&self, heard: Heard) {
+        self.0.lock().unwrap().push(heard);
+    }
+}
+
+impl Follower<u64> for Ears {
+    fn name(&self) -> &'static str {
+        "numbers"
+    }
+
+    fn snapshot(&mut self, items: Vec<u64>) {
+        self.hear(Heard::Snapshot(items));
+    }
+
+    fn changes(&mut self, items: Vec<u64>) {
+        self.hear(Heard::Changes(items));
+    }
+
+    fn lost(&mut self) {
+        self.hear(Heard::Lost);
+    }
+
+    fn answered(&mut self) {
+        self.hear(Heard::Answered);
+    }
+}
+
+fn page(items: &[u64], version: u64) -> Answer {
+    Ok(Page {
+        items: items.to_vec(),
+        version: TableVersion(version),
+    })
+}
+
+async fn play(answers: Vec<Answer>) -> (Vec<Call>, Vec<Heard>) {
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let heard = Arc::new(Mutex::new(Vec::new()));
+    let script = Script {
+        answers: answers.into(),
+        calls: calls.clone(),
+    };
+    let clock = Arc::new(SystemClock::new());
+    let following = follow(
+        Box::new(script),
+        Ears(heard.clone()),
+        DurationMs(3_000),
+        clock,
+    );
+    // The script ends in a call that is never answered.
+    let _ = timeout(std::time::Duration::from_secs(30), following).await;
+    let calls = calls.lock().unwrap().clone();
+    let heard = heard.lock().unwrap().clone();
+    (calls, heard)
+}
+
+/// Guards against a poll that waits on a table which has just come back: a call that is under way
+/// while the table is silent is never answered, so a changed configuration would be late.
+#[tokio::test(start_paused = true)]
+async fn calls_after_a_failure_do_not_wait() {
+    let lost = || Err(FeedError::Lost("silent".to_owned()));
+    let answers = vec![page(&[1], 5), lost(), lost(), page(&[2], 6), page(&[], 6)];
+    let (calls, heard) = play(answers).await;
+    let changes = |after, wait_ms| Call::Changes { after, wait_ms };
+    let expected = [
+        Call::Snapshot,
+        changes(5, 3_000),
+        changes(5, 0),
+        changes(5, 0),
+        changes(6, 3_000),
+        changes(6, 3_000),
+    ];
+    assert_eq!(calls, expected);
+    let expected = [
+        Heard::Answered,
+        Heard::Snapshot(vec![1]),
+        Heard::Lost,
+        Heard::Lost,
+        Heard::Answered,
+        Heard::Changes(vec![2]),
+        Heard::Answered,
+        Heard::Changes(vec![]),
+    ];
+    assert_eq!(heard, expected);
+}
+
+/// Guards against changes that are missed when the table drops its history.
+#[tokio::test(start_paused = true)]
+async fn lost_history_leads_to_a_snapshot() {
+    let answers = vec![page(&[1], 5), Err(FeedError::Expired), page(&[1, 2], 9)];
+    let (calls, heard) = play(answers).await;
+    assert_eq!(calls[2], Call::Snapshot);
+    assert!(heard.contains(&Heard::Snapshot(vec![1, 2])));
+}
--- a/crates/gateway/src/ages.rs
+++ b/crates/gateway/src/ages.rs
@@ -41,7 +41,9 @@
     /// Records that weights were named just now.
     pub(crate) fn record(&self, named: &NamedWeights) {
         // The task ends only with the process.
-        let _ = self.0.send(Task::Record(named.model.clone(), named.weights));
+        let _ = self
+            .0
+            .send(Task::Record(named.model.clone(), named.weights));
     }
 
     /// Reads when weights were named.
@@ -79,7 +81,9 @@
             "time of a naming is read"
         );
         let mut weights = shared.weights.borrow_mut();
-        weights.namings.recall(&time.model, time.weights, now - time.age_ms);
+        weights
+            .namings
+            .recall(&time.model, time.weights, now - time.age_ms);
     }
     tell_all(shared);
     Ok(())
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -48,9 +48,9 @@
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_SILENCE));
     let (number, connection) = shared.connections.open(shared.now());
-    let head_bytes = shared
-        .routes()
-        .map_or(DEFAULT_HEAD_BYTES, |routes| routes.limits().header_bytes.0 as usize);
+    let head_bytes = shared.routes().map_or(DEFAULT_HEAD_BYTES, |routes| {
+        routes.limits().header_bytes.0 as usize
+    });
     let service = service_fn(|request| {
         let shared = shared.clone();
         let guard = connection.request();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -98,11 +98,7 @@
     exchange(shared, job, plan, (connection, in_flight)).await
 }
 
-async fn connection(
-    shared: &Rc<Shared>,
-    job: &SharedJob,
-    plan: &Plan,
-) -> Result<Connection, Fate> {
+async fn connection(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan) -> Result<Connection, Fate> {
     let now = shared.now();
     let most_idle_ms = match job.route.kind.may_repeat() {
         true => DurationMs(u64::MAX),
@@ -158,7 +154,10 @@
     let envelope = Envelope {
         upstream: plan.choice.upstream.clone(),
         deadline_ms: job.left(shared.now()),
-        org: job.organisation.as_ref().map(|organisation| organisation.org.clone()),
+        org: job
+            .organisation
+            .as_ref()
+            .map(|organisation| organisation.org.clone()),
         priority: is_prompt.then(|| job.priority()),
         weights: plan.choice.weights,
         salt: plan.salt.clone(),
@@ -220,12 +219,7 @@
     in_flight: InFlight,
 }
 
-async fn judge(
-    shared: &Rc<Shared>,
-    job: &SharedJob,
-    plan: &Plan,
-    answered: Answered,
-) -> Ended {
+async fn judge(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan, answered: Answered) -> Ended {
     let status = answered.response.status();
     let upstream = &plan.choice.upstream;
     if let Some(weights) = answered.head.weights {
@@ -277,12 +271,7 @@
     }
 }
 
-async fn not_run(
-    shared: &Rc<Shared>,
-    job: &SharedJob,
-    plan: &Plan,
-    answered: Answered,
-) -> Ended {
+async fn not_run(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan, answered: Answered) -> Ended {
     let upstream = &plan.choice.upstream;
     let status = answered.response.status();
     let other = answered.head.upstream.as_deref();
@@ -309,7 +298,9 @@
     if matches!(rest, Ok(Ok(_))) && !closes {
         let idle_ms = answered.head.idle_ms;
         let now = shared.now();
-        shared.pool.put(plan.addr, answered.connection, idle_ms, now);
+        shared
+            .pool
+            .put(plan.addr, answered.connection, idle_ms, now);
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -114,7 +114,9 @@
     pub async fn start(parts: GatewayParts) -> Result<Self, StartError> {
         let boot = Rc::new(parts.boot);
         let callers = boot.callers.ok_or(StartError::Missing("callers"))?;
-        let ready = boot.ready.ok_or(StartError::Missing("the readiness probe"))?;
+        let ready = boot
+            .ready
+            .ok_or(StartError::Missing("the readiness probe"))?;
         let callers = listen("callers", callers).await?;
         let ready = listen("readiness", ready).await?;
         let inner = SocketAddr::new(boot.ip, boot.inner_ports.0);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -114,7 +114,9 @@
     engines: &[Engine],
     now: TimeMs,
 ) -> RouterState {
-    let same = engines.iter().filter(|other| other.service == engine.service);
+    let same = engines
+        .iter()
+        .filter(|other| other.service == engine.service);
     RouterState {
         router: shared.boot.borrow().node.clone(),
         started_ms: shared.started.0,
@@ -163,7 +165,10 @@
     }
     let engine = state.engine;
     let phase = state.phase;
-    let others = state.outstanding_tokens.0.saturating_sub(state.own_tokens.0);
+    let others = state
+        .outstanding_tokens
+        .0
+        .saturating_sub(state.own_tokens.0);
     let routers = state.routers;
     let Some(change) = shared.sidecars.borrow_mut().hear(state, now) else {
         return;
--- a/crates/gateway/src/measures.rs
+++ b/crates/gateway/src/measures.rs
@@ -89,10 +89,18 @@
         let label = RouteLabel {
             route: route.name.clone(),
         };
-        self.first_token.get_or_create(&label).observe(first_ms.as_secs_f64());
-        self.whole.get_or_create(&label).observe(took_ms.as_secs_f64());
+        self.first_token
+            .get_or_create(&label)
+            .observe(first_ms.as_secs_f64());
+        self.whole
+            .get_or_create(&label)
+            .observe(took_ms.as_secs_f64());
         let known = ["complete", "timeout", "caller_left"];
-        let outcome = if known.contains(&outcome) { outcome } else { "broken" };
+        let outcome = if known.contains(&outcome) {
+            outcome
+        } else {
+            "broken"
+        };
         let label = Outcome {
             route: route.name.clone(),
             outcome: outcome.to_owned(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -42,9 +42,8 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         list.retain(|idle| !idle.connection.is_closed() && now < idle.until);
-        let usable = |idle: &Idle| {
-            idle.connection.is_ready() && now.since(idle.since) <= most_idle_ms
-        };
+        let usable =
+            |idle: &Idle| idle.connection.is_ready() && now.since(idle.since) <= most_idle_ms;
         let at = list.iter().rposition(usable)?;
         Some(list.remove(at).connection)
     }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -101,10 +101,7 @@
 }
 
 /// Follows the registrations until the task is aborted.
-pub(crate) async fn follow_registrations(
-    shared: Rc<Shared>,
-    feed: Box<dyn Feed<Registration>>,
-) {
+pub(crate) async fn follow_registrations(shared: Rc<Shared>, feed: Box<dyn Feed<Registration>>) {
     let clock = shared.clock.clone();
     follow(feed, Upstreams(shared), CHANGES_WAIT_MS, clock).await;
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,7 +100,10 @@
     }
 
     /// Returns the answer for the caller.
-    pub(crate) fn response(mut self: Box<Self>, guard: Option<RequestGuard>) -> Response<AnswerBody> {
+    pub(crate) fn response(
+        mut self: Box<Self>,
+        guard: Option<RequestGuard>,
+    ) -> Response<AnswerBody> {
         self.guard = guard;
         let parts = self.parts.take();
         let shared = self.shared.clone();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -122,11 +122,7 @@
     })
 }
 
-fn resolve(
-    routes: &RouteTable,
-    ask: &dw_port::Ask,
-    head: &Parts,
-) -> Result<Resolved, OwnAnswer> {
+fn resolve(routes: &RouteTable, ask: &dw_port::Ask, head: &Parts) -> Result<Resolved, OwnAnswer> {
     let resolved = routes.resolve(&ask.host, head.uri.path(), ask.key.as_deref());
     resolved.map_err(|e| match e {
         Unresolved::NoRoute => OwnAnswer::NoRoute,
--- /dev/null
+++ b/crates/member/tests/directory.rs
@@ -0,0 +1,168 @@
+//! Membership of upstreams that routers reach directly.
+
+use dw_base::DurationMs;
+use dw_base::ServiceId;
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+use dw_member::Directory;
+use dw_member::Listed;
+use proptest::prelude::*;
+
+const LAPSE: DurationMs = DurationMs(2_400);
+
+fn listed(id: &str, born_ms: u64, leaving: bool) -> Listed {
+    Listed {
+        upstream: id.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "a".parse().unwrap(),
+        slots: 6,
+        leaving,
+        models: Vec::new(),
+        born_ms,
+    }
+}
+
+fn serving(directory: &Directory) -> Vec<String> {
+    let service: ServiceId = "s".parse().unwrap();
+    let entries = directory.serving(&service);
+    entries
+        .map(|entry| entry.listed.upstream.to_string())
+        .collect()
+}
+
+fn id(text: &str) -> UpstreamId {
+    text.parse().unwrap()
+}
+
+/// Guards against new work for an upstream that leaves or is gone.
+#[test]
+fn leaving_and_removed_upstreams_get_no_work() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a", 1, false));
+    directory.put(listed("b", 1, false));
+    directory.put(listed("a", 1, true));
+    assert_eq!(serving(&directory), ["b"]);
+    directory.remove(&id("b"), TimeMs(1_000));
+    assert!(serving(&directory).is_empty());
+}
+
+/// Guards against dropping live upstreams whose registrations lapsed while the table was away, and
+/// against keeping one that does not come back within two seconds of its return.
+#[test]
+fn lapsed_registrations_may_come_back() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a", 1, false));
+    directory.put(listed("b", 1, false));
+    directory.table_lost(TimeMs(1_000));
+    directory.table_answered(TimeMs(6_000));
+    directory.remove(&id("a"), TimeMs(6_000));
+    directory.remove(&id("b"), TimeMs(6_001));
+    assert_eq!(serving(&directory), ["a", "b"]);
+    directory.put(listed("a", 1, false));
+    directory.expire(TimeMs(7_999));
+    assert_eq!(serving(&directory), ["a", "b"]);
+    directory.expire(TimeMs(8_000));
+    assert_eq!(serving(&directory), ["a"]);
+}
+
+/// Guards against keeping an upstream that was removed around a short outage, in which no live
+/// registration can lapse.
+#[test]
+fn short_outage_excuses_no_removal() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a", 1, false));
+    directory.table_lost(TimeMs(1_000));
+    directory.table_answered(TimeMs(1_500));
+    directory.remove(&id("a"), TimeMs(1_500));
+    assert!(serving(&directory).is_empty());
+}
+
+/// Guards against an unreachable upstream that gets every request, and against one that gets none
+/// after its return.
+#[test]
+fn suspect_upstream_gets_one_probe_at_a_time() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a", 1, false));
+    let health = directory.health(&id("a")).unwrap();
+    health.unreachable(TimeMs(1_000));
+    assert!(!health.usable(TimeMs(1_100)));
+    assert!(health.usable(TimeMs(1_150)));
+    health.sent(TimeMs(1_150));
+    assert!(!health.usable(TimeMs(1_151)));
+    health.answered(TimeMs(1_200));
+    assert!(health.usable(TimeMs(1_200)));
+}
+
+/// Guards against the bad record of an earlier start of an upstream.
+#[test]
+fn restart_clears_the_record() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a", 1, false));
+    directory
+        .health(&id("a"))
+        .unwrap()
+        .unreachable(TimeMs(1_000));
+    directory.put(listed("a", 2, false));
+    assert!(directory.health(&id("a")).unwrap().usable(TimeMs(1_000)));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Put(u8, bool),
+    Removed(u8),
+    Lost,
+    Answered,
+    Expire,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0u8..4, any::<bool>()).prop_map(|(id, leaving)| Event::Put(id, leaving)),
+        (0u8..4).prop_map(Event::Removed),
+        Just(Event::Lost),
+        Just(Event::Answered),
+        Just(Event::Expire),
+    ]
+}
+
+proptest! {
+    /// Guards against new work for an upstream whose leaving was acknowledged, in any order of
+    /// events. Found when `remove` kept an entry without an end.
+    #[test]
+    fn acknowledged_leaving_holds(events in prop::collection::vec((0u64..900, event()), 1..60)) {
+        let mut directory = Directory::new(LAPSE);
+        let mut now = TimeMs(0);
+        let mut removed: Vec<(String, TimeMs)> = Vec::new();
+        let mut leaving: Vec<String> = Vec::new();
+        for (pause_ms, event) in events {
+            now = now + DurationMs(pause_ms);
+            match event {
+                Event::Put(number, is_leaving) => {
+                    let name = format!("u{number}");
+                    directory.put(listed(&name, 1, is_leaving));
+                    removed.retain(|(id, _)| *id != name);
+                    leaving.retain(|id| *id != name);
+                    if is_leaving {
+                        leaving.push(name);
+                    }
+                }
+                Event::Removed(number) => {
+                    let name = format!("u{number}");
+                    directory.remove(&id(&name), now);
+                    removed.push((name, now));
+                }
+                Event::Lost => directory.table_lost(now),
+                Event::Answered => directory.table_answered(now),
+                Event::Expire => {}
+            }
+            directory.expire(now);
+            for name in serving(&directory) {
+                prop_assert!(!leaving.contains(&name), "{name} is leaving");
+                let gone = removed.iter().find(|(id, _)| *id == name);
+                let kept_ms = gone.map_or(0, |(_, at)| now.since(*at).0);
+                prop_assert!(kept_ms < 2_000, "{name} is kept for {kept_ms} ms after its removal");
+            }
+        }
+    }
+}
--- a/crates/order/src/history.rs
+++ b/crates/order/src/history.rs
@@ -19,7 +19,10 @@
 impl History {
     /// Records when weights were named; of several times the earliest counts.
     pub fn name(&mut self, weights: WeightsVersion, named: TimeMs) {
-        match self.namings.binary_search_by_key(&weights, |naming| naming.0) {
+        match self
+            .namings
+            .binary_search_by_key(&weights, |naming| naming.0)
+        {
             Ok(at) => self.namings[at].1 = self.namings[at].1.min(named),
             Err(at) => self.namings.insert(at, (weights, named)),
         }
--- /dev/null
+++ b/crates/order/tests/rollout.rs
@@ -0,0 +1,178 @@
+//! When an engine loads newly named weights.
+
+use std::net::SocketAddr;
+
+use dw_base::DurationMs;
+use dw_base::FenceNumber;
+use dw_base::ModelId;
+use dw_base::TimeMs;
+use dw_base::WeightsVersion;
+use dw_order::History;
+use dw_order::Namings;
+use dw_order::Newest;
+use dw_order::Peer;
+use dw_order::Rollout;
+
+const LIMIT: DurationMs = DurationMs(12_000);
+
+fn engine(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 8_080))
+}
+
+#[derive(Clone, Copy)]
+struct Engine {
+    weights: u64,
+    loading: bool,
+    heard: bool,
+}
+
+fn peers(fleet: &[Engine], own: usize) -> Vec<Peer> {
+    let others = fleet.iter().enumerate().filter(|(at, _)| *at != own);
+    others
+        .map(|(at, other)| Peer {
+            engine: engine(at),
+            weights: other.heard.then_some(WeightsVersion(other.weights)),
+            loading: other.loading,
+            closing: false,
+        })
+        .collect()
+}
+
+fn is_due(fleet: &[Engine], own: usize, named: u64, behind_ms: u64) -> bool {
+    let peers = peers(fleet, own);
+    Rollout {
+        engine: engine(own),
+        weights: WeightsVersion(fleet[own].weights),
+        named: WeightsVersion(named),
+        behind_ms: DurationMs(behind_ms),
+        limit_ms: LIMIT,
+        peers: &peers,
+    }
+    .is_due()
+}
+
+fn fleet(size: usize) -> Vec<Engine> {
+    let engine = Engine {
+        weights: 1,
+        loading: false,
+        heard: true,
+    };
+    vec![engine; size]
+}
+
+/// Guards against a rollout that takes so many engines at once that requests find no room, and
+/// against one that stops.
+#[test]
+fn rollout_loads_few_engines_at_once_and_reaches_all() {
+    for size in [2, 9, 18, 47] {
+        let mut fleet = fleet(size);
+        let most = (size / 5).max(2) + 1;
+        let mut rounds = 0;
+        while fleet.iter().any(|engine| engine.weights < 2) {
+            let due: Vec<usize> = (0..size).filter(|at| is_due(&fleet, *at, 2, 100)).collect();
+            assert!(!due.is_empty(), "no engine of {size} may load");
+            assert!(due.len() <= most, "{} of {size} load at once", due.len());
+            for at in due {
+                fleet[at].weights = 2;
+            }
+            rounds += 1;
+            assert!(rounds <= size, "the rollout does not end");
+        }
+    }
+}
+
+/// Guards against engines that load on top of those that load already.
+#[test]
+fn engines_that_load_count() {
+    let mut fleet = fleet(18);
+    for engine in fleet.iter_mut().take(4) {
+        engine.loading = true;
+    }
+    assert!((4..18).all(|at| !is_due(&fleet, at, 2, 100)));
+}
+
+/// Guards against starvation when weights are named every two seconds: the engines with the oldest
+/// weights go first.
+#[test]
+fn oldest_weights_go_first() {
+    let mut fleet = fleet(9);
+    for engine in fleet.iter_mut().skip(2) {
+        engine.weights = 2;
+    }
+    assert!(is_due(&fleet, 0, 3, 100));
+    assert!(is_due(&fleet, 1, 3, 100));
+    let others = (2..9).filter(|at| is_due(&fleet, *at, 3, 100)).count();
+    assert!(others <= 1, "{others} engines with newer weights go along");
+}
+
+/// Guards against an engine that no router may use any more and that waits its turn all the same,
+/// as after a restart with old weights.
+#[test]
+fn late_engine_loads_at_once() {
+    let mut fleet = fleet(18);
+    for engine in fleet.iter_mut().skip(1) {
+        engine.loading = true;
+    }
+    assert!(!is_due(&fleet, 0, 2, LIMIT.0 - 1));
+    assert!(is_due(&fleet, 0, 2, LIMIT.0));
+}
+
+/// Guards against a sidecar that hears nobody and never loads, and against all of those loading at
+/// the same moment.
+#[test]
+fn plan_holds_without_talk() {
+    let mut fleet = fleet(18);
+    for engine in &mut fleet {
+        engine.heard = false;
+    }
+    let due = |behind_ms| {
+        (0..18)
+            .filter(|at| is_due(&fleet, *at, 2, behind_ms))
+            .count()
+    };
+    assert_eq!(due(0), 0);
+    assert!(due(LIMIT.0 / 3) < 12);
+    assert_eq!(due(LIMIT.0 * 7 / 10 + 1), 18);
+}
+
+/// Guards against a limit that starts anew with each naming: an engine that restarts with old
+/// weights is late by the first naming that it missed.
+#[test]
+fn limit_counts_from_the_first_missed_naming() {
+    let mut history = History::default();
+    history.name(WeightsVersion(3), TimeMs(20_000));
+    history.name(WeightsVersion(2), TimeMs(5_000));
+    let now = TimeMs(21_000);
+    assert_eq!(
+        history.behind_ms(WeightsVersion(1), now),
+        Some(DurationMs(16_000))
+    );
+    assert_eq!(
+        history.behind_ms(WeightsVersion(2), now),
+        Some(DurationMs(1_000))
+    );
+    assert_eq!(history.behind_ms(WeightsVersion(3), now), None);
+}
+
+/// Guards against a process that starts after a power loss and takes the weights for just named.
+#[test]
+fn earlier_time_of_a_naming_counts() {
+    let model: ModelId = "m".parse().unwrap();
+    let mut namings = Namings::default();
+    let newest = Newest {
+        weights: WeightsVersion(4),
+        fence: FenceNumber(9),
+    };
+    assert!(namings.name(&model, newest, TimeMs(40_000)));
+    namings.recall(&model, WeightsVersion(4), TimeMs(30_000));
+    namings.recall(&model, WeightsVersion(3), TimeMs(21_000));
+    assert!(!namings.name(&model, newest, TimeMs(41_000)));
+    let behind = |held| namings.behind_ms(&model, WeightsVersion(held), TimeMs(41_000));
+    assert_eq!(behind(2), Some(DurationMs(20_000)));
+    assert_eq!(behind(3), Some(DurationMs(11_000)));
+    let mut other = Namings::default();
+    assert!(other.hear(&namings.news(TimeMs(41_000))[0], TimeMs(1_041_000)));
+    let told = other.behind_ms(&model, WeightsVersion(2), TimeMs(1_041_000));
+    assert_eq!(told, Some(DurationMs(20_000)));
+    assert_eq!(other.newest(&model), Some(newest));
+}
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -209,12 +209,7 @@
     }
 
     /// Records that a request was sent, and returns what is needed at its first token.
-    pub fn sent(
-        &mut self,
-        choice: &Choice,
-        request: &DirectRequest<'_>,
-        now: TimeMs,
-    ) -> Sent {
+    pub fn sent(&mut self, choice: &Choice, request: &DirectRequest<'_>, now: TimeMs) -> Sent {
         let routers = u64::from(self.routers);
         let weights = choice.weights.unwrap_or_default();
         let keys = prefix_keys(request.scope, weights, request.prompt);
@@ -253,11 +248,17 @@
 
     /// Returns the upstreams that all routers prefer for the shared parts.
     fn homes<'a>(&self, request: &DirectRequest<'_>, targets: &[DirectTarget<'a>]) -> Homes<'a> {
-        let shared = request.prompt.split_last().map_or(&[][..], |(_, parts)| parts);
+        let shared = request
+            .prompt
+            .split_last()
+            .map_or(&[][..], |(_, parts)| parts);
         let root = PrefixKey::root(request.scope);
         let key = shared.iter().fold(root, |key, part| key.with(part));
         let score = |target: &&DirectTarget<'_>| {
-            let rate = self.loads.get(target.upstream).map_or(1.0, UpstreamLoad::weight);
+            let rate = self
+                .loads
+                .get(target.upstream)
+                .map_or(1.0, UpstreamLoad::weight);
             let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), rate);
             score.to_bits()
         };
@@ -270,11 +271,7 @@
         }
     }
 
-    fn score_plain(
-        &self,
-        request: &DirectRequest<'_>,
-        target: &DirectTarget<'_>,
-    ) -> Scored {
+    fn score_plain(&self, request: &DirectRequest<'_>, target: &DirectTarget<'_>) -> Scored {
         let load = self.loads.get(target.upstream);
         let expected_ms = load.map_or(0.0, |load| load.plain_ms(target.slots, self.routers));
         Scored {
@@ -350,11 +347,7 @@
         (wait_ms - late_ms) * self.settings.easy_weight + late_ms * self.settings.late_weight
     }
 
-    fn common_cost(
-        &self,
-        request: &DirectRequest<'_>,
-        target: &DirectTarget<'_>,
-    ) -> f64 {
+    fn common_cost(&self, request: &DirectRequest<'_>, target: &DirectTarget<'_>) -> f64 {
         let mut cost = target.failure_rate * self.settings.failure_ms;
         if target.data_centre != request.data_centre {
             cost += request.bytes.0 as f64 * self.settings.remote_ms_per_byte;
--- /dev/null
+++ b/crates/retry/tests/tries.rs
@@ -0,0 +1,99 @@
+//! Tries of one attempt at upstreams, and the budget of repeats.
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_retry::BudgetRule;
+use dw_retry::Fate;
+use dw_retry::Next;
+use dw_retry::Share;
+use dw_retry::Tries;
+use proptest::prelude::*;
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::Unsent),
+        Just(Fate::NotRun),
+        Just(Fate::Failed),
+        Just(Fate::Unknown),
+    ]
+}
+
+fn ran(fate: Fate) -> bool {
+    matches!(fate, Fate::Failed | Fate::Unknown)
+}
+
+proptest! {
+    /// Guards against a request that runs twice though it must not, and against a refusal that
+    /// promises "not run" after a run. Found when `allowed` ignored `may_repeat`, and when
+    /// `Refuse` did not look at earlier tries.
+    #[test]
+    fn promises_hold(
+        fates in prop::collection::vec(fate(), 1..12),
+        may_repeat: bool,
+        max_runs in 1u32..4,
+        budget: bool,
+    ) {
+        let mut tries = Tries::new(may_repeat, max_runs);
+        let mut runs = 0;
+        for fate in fates {
+            runs += u32::from(ran(fate));
+            let next = tries.after(fate, || budget);
+            match next {
+                Next::Again => {
+                    prop_assert!(runs == 0 || may_repeat, "a request that ran is sent again");
+                    prop_assert!(runs < max_runs, "it runs on more upstreams than allowed");
+                    prop_assert!(budget || fate == Fate::Unsent, "a repeat without budget");
+                }
+                Next::Refuse => prop_assert_eq!(runs, 0, "a refusal after a run"),
+                Next::Pass => prop_assert_eq!(fate, Fate::Failed),
+                Next::Broken => prop_assert!(runs > 0, "an unknown outcome without a run"),
+            }
+            if next != Next::Again {
+                break;
+            }
+        }
+    }
+
+    /// Guards against routers that together exceed the budget of a service in some window.
+    #[test]
+    fn shares_stay_within_the_budget(
+        steps in prop::collection::vec((0u64..400, any::<bool>()), 1..400),
+        routers in 1u32..6,
+    ) {
+        let rule = BudgetRule {
+            ratio: 0.2,
+            slack: 56.0,
+            window_ms: DurationMs(10_000),
+        };
+        let mut share = Share::new(rule);
+        let mut now = TimeMs(0);
+        let mut requests: Vec<TimeMs> = Vec::new();
+        let mut repeats: Vec<TimeMs> = Vec::new();
+        for (pause_ms, repeat) in steps {
+            now = now + DurationMs(pause_ms);
+            if repeat {
+                if share.spend(routers, now) {
+                    repeats.push(now);
+                }
+            } else {
+                share.request(now);
+                requests.push(now);
+            }
+            let recent = |times: &[TimeMs]| {
+                times.iter().filter(|at| now.since(**at) < rule.window_ms).count() as f64
+            };
+            let allowed = rule.ratio * recent(&requests) + rule.slack / f64::from(routers);
+            // The oldest tenth of the window is counted whole or not at all.
+            let slack = 0.1 * (allowed + recent(&repeats)) + 1.0;
+            prop_assert!(recent(&repeats) <= allowed + slack);
+        }
+    }
+}
+
+/// Guards against endless tries while all upstreams refuse.
+#[test]
+fn tries_end() {
+    let mut tries = Tries::new(false, 1);
+    let ends = (0..20).position(|_| tries.after(Fate::NotRun, || true) == Next::Refuse);
+    assert_eq!(ends, Some(5));
+}
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,106 @@
+//! Lookup of routes and keys.
+
+use dw_base::Bytes;
+use dw_base::ConfigVersion;
+use dw_base::DurationMs;
+use dw_route::Destination;
+use dw_route::Kind;
+use dw_route::Limits;
+use dw_route::Organisation;
+use dw_route::Route;
+use dw_route::RouteTable;
+use dw_route::RouteTableParts;
+use dw_route::Unresolved;
+
+fn route(name: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: DurationMs(800),
+        objective_ms: DurationMs(300),
+        priority: 2,
+        max_attempts: 2,
+        anonymous,
+        destinations: vec![Destination {
+            service: "s".parse().unwrap(),
+            weight: 1,
+        }],
+    }
+}
+
+fn table(keys: &[&str]) -> RouteTable {
+    let organisation = Organisation {
+        org: "o".parse().unwrap(),
+        priority: Some(1),
+        exclusive: false,
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+    };
+    RouteTable::new(RouteTableParts {
+        version: ConfigVersion(7),
+        routes: vec![
+            route("short", "/a/", false),
+            route("long", "/a/b/", false),
+            route("open", "/open/", true),
+        ],
+        services: Vec::new(),
+        kv_stores: Vec::new(),
+        organisations: vec![organisation],
+        limits: Limits {
+            header_bytes: Bytes(16_384),
+            body_bytes: Bytes(4_194_304),
+            header_ms: DurationMs(3_000),
+            idle_ms: DurationMs(15_000),
+        },
+    })
+}
+
+fn name(table: &RouteTable, path: &str, key: Option<&str>) -> Result<String, Unresolved> {
+    let resolved = table.resolve("A.example", path, key);
+    resolved.map(|resolved| resolved.route.name.clone())
+}
+
+/// Guards against a request on a route that a longer prefix takes, or on none at all.
+#[test]
+fn longest_prefix_wins() {
+    let table = table(&["k"]);
+    assert_eq!(name(&table, "/a/b/c", Some("k")).unwrap(), "long");
+    assert_eq!(name(&table, "/a/c", Some("k")).unwrap(), "short");
+    assert_eq!(name(&table, "/a", Some("k")), Err(Unresolved::NoRoute));
+    let other = table.resolve("b.example", "/a/b/c", Some("k"));
+    assert_eq!(other.unwrap_err(), Unresolved::NoRoute);
+}
+
+/// Guards against requests without a valid key, and against refusing those that need none.
+#[test]
+fn keys_are_checked_where_needed() {
+    let table = table(&["k"]);
+    assert_eq!(name(&table, "/a/c", None), Err(Unresolved::NoKey));
+    assert_eq!(
+        name(&table, "/a/c", Some("revoked")),
+        Err(Unresolved::NoKey)
+    );
+    assert_eq!(name(&table, "/open/x", None).unwrap(), "open");
+    let resolved = table.resolve("a.example", "/a/c", Some("k")).unwrap();
+    assert_eq!(resolved.organisation.unwrap().org.as_str(), "o");
+}
+
+/// Guards against split routes that send everything to one service.
+#[test]
+fn destinations_share_by_weight() {
+    let mut route = route("split", "/", false);
+    route.destinations = vec![
+        Destination {
+            service: "x".parse().unwrap(),
+            weight: 90,
+        },
+        Destination {
+            service: "y".parse().unwrap(),
+            weight: 10,
+        },
+    ];
+    let points = (0..1_000u64).map(|i| (i * u64::from(u32::MAX) / 1_000) as u32);
+    let to_y = points.filter(|point| route.destination(*point).unwrap().as_str() == "y");
+    assert_eq!(to_y.count(), 99);
+}
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -75,7 +75,11 @@
         let before = state.report.as_ref().map(|report| report.born_ms);
         let restarted = before.is_some_and(|born| born != report.born_ms);
         if state.report.as_ref().map(|r| &r.models) != Some(&report.models) {
-            let models: Vec<String> = report.models.iter().map(|(m, w)| format!("{m}@{w}")).collect();
+            let models: Vec<String> = report
+                .models
+                .iter()
+                .map(|(m, w)| format!("{m}@{w}"))
+                .collect();
             log::info!(models = models.join(","), orders, restarted; "engine has weights");
         }
         state.report = Some(report);
@@ -85,11 +89,17 @@
         *sent = None;
     }
     if busy {
-        let phase = if running > 0 { Phase::Closing } else { Phase::Loading };
+        let phase = if running > 0 {
+            Phase::Closing
+        } else {
+            Phase::Loading
+        };
         set_phase(shared, phase);
         return;
     }
-    let pending = sent.as_ref().is_some_and(|sent| sent.orders_before == orders);
+    let pending = sent
+        .as_ref()
+        .is_some_and(|sent| sent.orders_before == orders);
     if !pending {
         *sent = None;
         set_phase(shared, Phase::Open);
@@ -106,7 +116,9 @@
         }
         state.due(now)
     };
-    let waits = sent.as_ref().is_some_and(|sent| now.since(sent.at) < RESEND_MS);
+    let waits = sent
+        .as_ref()
+        .is_some_and(|sent| now.since(sent.at) < RESEND_MS);
     let Some(behind) = due.filter(|_| !waits) else {
         return;
     };
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -102,7 +102,8 @@
 
     /// Forgets routers that have not been heard lately.
     pub(crate) fn forget(&mut self, now: TimeMs) {
-        self.routers.retain(|_, router| now.since(router.at) < FRESH_MS);
+        self.routers
+            .retain(|_, router| now.since(router.at) < FRESH_MS);
         let engines = &self.engines;
         self.peers
             .retain(|addr, peer| now.since(peer.at) < FRESH_MS || engines.contains(addr));
@@ -116,7 +117,10 @@
 
     /// Returns the addresses of the other engines.
     pub(crate) fn others(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.engines.iter().copied().filter(|addr| *addr != self.engine)
+        self.engines
+            .iter()
+            .copied()
+            .filter(|addr| *addr != self.engine)
     }
 
     /// Returns the outstanding tokens of all routers.
