--- a/crates/follow/tests/follow.rs
+++ b/crates/follow/tests/follow.rs
@@ -38,7 +38,7 @@
 
 impl Script {
     async fn next(&mut self, call: Call) -> Answer {
-        self.calls.lock().unwrap().push(call);
+        self.calls.lock().expect("test data is valid").push(call);
         match self.answers.pop_front() {
             Some(answer) => answer,
             None => std::future::pending().await,
@@ -74,7 +74,7 @@
 
 impl Ears {
     fn hear(&self, heard: Heard) {
-        self.0.lock().unwrap().push(heard);
+        self.0.lock().expect("test data is valid").push(heard);
     }
 }
 
@@ -123,8 +123,8 @@
     );
     // The script ends in a call that is never answered.
     let _ = timeout(std::time::Duration::from_secs(30), following).await;
-    let calls = calls.lock().unwrap().clone();
-    let heard = heard.lock().unwrap().clone();
+    let calls = calls.lock().expect("test data is valid").clone();
+    let heard = heard.lock().expect("test data is valid").clone();
     (calls, heard)
 }
 
--- a/crates/member/tests/directory.rs
+++ b/crates/member/tests/directory.rs
@@ -12,10 +12,10 @@
 
 fn listed(id: &str, born_ms: u64, leaving: bool) -> Listed {
     Listed {
-        upstream: id.parse().unwrap(),
-        service: "s".parse().unwrap(),
-        addr: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "a".parse().unwrap(),
+        upstream: id.parse().expect("test data is valid"),
+        service: "s".parse().expect("test data is valid"),
+        addr: "10.0.0.1:80".parse().expect("test data is valid"),
+        data_centre: "a".parse().expect("test data is valid"),
         slots: 6,
         leaving,
         models: Vec::new(),
@@ -24,7 +24,7 @@
 }
 
 fn serving(directory: &Directory) -> Vec<String> {
-    let service: ServiceId = "s".parse().unwrap();
+    let service: ServiceId = "s".parse().expect("test data is valid");
     let entries = directory.serving(&service);
     entries
         .map(|entry| entry.listed.upstream.to_string())
@@ -32,7 +32,7 @@
 }
 
 fn id(text: &str) -> UpstreamId {
-    text.parse().unwrap()
+    text.parse().expect("test data is valid")
 }
 
 /// Guards against new work for an upstream that leaves or is gone.
@@ -84,7 +84,7 @@
 fn suspect_upstream_gets_one_probe_at_a_time() {
     let mut directory = Directory::new(LAPSE);
     directory.put(listed("a", 1, false));
-    let health = directory.health(&id("a")).unwrap();
+    let health = directory.health(&id("a")).expect("test data is valid");
     health.unreachable(TimeMs(1_000));
     assert!(!health.usable(TimeMs(1_100)));
     assert!(health.usable(TimeMs(1_150)));
@@ -101,10 +101,13 @@
     directory.put(listed("a", 1, false));
     directory
         .health(&id("a"))
-        .unwrap()
+        .expect("test data is valid")
         .unreachable(TimeMs(1_000));
     directory.put(listed("a", 2, false));
-    assert!(directory.health(&id("a")).unwrap().usable(TimeMs(1_000)));
+    assert!(directory
+        .health(&id("a"))
+        .expect("test data is valid")
+        .usable(TimeMs(1_000)));
 }
 
 #[derive(Clone, Debug)]
--- a/crates/order/tests/rollout.rs
+++ b/crates/order/tests/rollout.rs
@@ -157,7 +157,7 @@
 /// Guards against a process that starts after a power loss and takes the weights for just named.
 #[test]
 fn earlier_time_of_a_naming_counts() {
-    let model: ModelId = "m".parse().unwrap();
+    let model: ModelId = "m".parse().expect("test data is valid");
     let mut namings = Namings::default();
     let newest = Newest {
         weights: WeightsVersion(4),
--- a/crates/place/tests/direct.rs
+++ b/crates/place/tests/direct.rs
@@ -26,8 +26,8 @@
 
 fn engines(count: usize) -> Vec<Engine> {
     let engine = |at: usize| Engine {
-        id: format!("e{at}").parse().unwrap(),
-        data_centre: format!("dc{}", at % 3).parse().unwrap(),
+        id: format!("e{at}").parse().expect("test data is valid"),
+        data_centre: format!("dc{}", at % 3).parse().expect("test data is valid"),
         weights: 1,
         old: false,
         failure_rate: 0.0,
@@ -72,7 +72,9 @@
         bytes: Bytes(13_000),
         stored: &stored,
     };
-    let choice = direct.place(&request, &targets(engines), NOW).unwrap();
+    let choice = direct
+        .place(&request, &targets(engines), NOW)
+        .expect("test data is valid");
     if send {
         let sent = direct.sent(&choice, &request, NOW);
         direct.first_token(&choice.upstream, &sent, NOW + DurationMs(120));
@@ -122,7 +124,7 @@
         };
         let choice = place(&mut direct(), &case, &engines, false);
         let chosen = engines.iter().find(|engine| engine.id == choice.upstream);
-        assert_eq!(chosen.unwrap().data_centre, near);
+        assert_eq!(chosen.expect("test data is valid").data_centre, near);
     }
 }
 
@@ -149,7 +151,9 @@
             bytes: Bytes(13_000),
             stored: &stored,
         };
-        let choice = direct.place(&request, &targets(&engines), NOW).unwrap();
+        let choice = direct
+            .place(&request, &targets(&engines), NOW)
+            .expect("test data is valid");
         // Nothing is complete before the burst is over.
         let _sent = direct.sent(&choice, &request, NOW);
         *used.entry(choice.upstream).or_default() += 1;
@@ -192,7 +196,7 @@
         };
         let choice = place(&mut direct(), &case, &engines, false);
         let chosen = engines.iter().find(|engine| engine.id == choice.upstream);
-        assert!(!chosen.unwrap().old);
+        assert!(!chosen.expect("test data is valid").old);
     }
 }
 
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -24,7 +24,7 @@
         max_attempts: 2,
         anonymous,
         destinations: vec![Destination {
-            service: "s".parse().unwrap(),
+            service: "s".parse().expect("test data is valid"),
             weight: 1,
         }],
     }
@@ -32,7 +32,7 @@
 
 fn table(keys: &[&str]) -> RouteTable {
     let organisation = Organisation {
-        org: "o".parse().unwrap(),
+        org: "o".parse().expect("test data is valid"),
         priority: Some(1),
         exclusive: false,
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
@@ -65,8 +65,14 @@
 #[test]
 fn longest_prefix_wins() {
     let table = table(&["k"]);
-    assert_eq!(name(&table, "/a/b/c", Some("k")).unwrap(), "long");
-    assert_eq!(name(&table, "/a/c", Some("k")).unwrap(), "short");
+    assert_eq!(
+        name(&table, "/a/b/c", Some("k")).expect("test data is valid"),
+        "long"
+    );
+    assert_eq!(
+        name(&table, "/a/c", Some("k")).expect("test data is valid"),
+        "short"
+    );
     assert_eq!(name(&table, "/a", Some("k")), Err(Unresolved::NoRoute));
     let other = table.resolve("b.example", "/a/b/c", Some("k"));
     assert_eq!(other.unwrap_err(), Unresolved::NoRoute);
@@ -81,9 +87,21 @@
         name(&table, "/a/c", Some("revoked")),
         Err(Unresolved::NoKey)
     );
-    assert_eq!(name(&table, "/open/x", None).unwrap(), "open");
-    let resolved = table.resolve("a.example", "/a/c", Some("k")).unwrap();
-    assert_eq!(resolved.organisation.unwrap().org.as_str(), "o");
+    assert_eq!(
+        name(&table, "/open/x", None).expect("test data is valid"),
+        "open"
+    );
+    let resolved = table
+        .resolve("a.example", "/a/c", Some("k"))
+        .expect("test data is valid");
+    assert_eq!(
+        resolved
+            .organisation
+            .expect("test data is valid")
+            .org
+            .as_str(),
+        "o"
+    );
 }
 
 /// Guards against split routes that send everything to one service.
@@ -92,15 +110,21 @@
     let mut route = route("split", "/", false);
     route.destinations = vec![
         Destination {
-            service: "x".parse().unwrap(),
+            service: "x".parse().expect("test data is valid"),
             weight: 90,
         },
         Destination {
-            service: "y".parse().unwrap(),
+            service: "y".parse().expect("test data is valid"),
             weight: 10,
         },
     ];
     let points = (0..1_000u64).map(|i| (i * u64::from(u32::MAX) / 1_000) as u32);
-    let to_y = points.filter(|point| route.destination(*point).unwrap().as_str() == "y");
+    let to_y = points.filter(|point| {
+        route
+            .destination(*point)
+            .expect("test data is valid")
+            .as_str()
+            == "y"
+    });
     assert_eq!(to_y.count(), 99);
 }
