--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -102,6 +102,8 @@
 pub struct Gateway {
     shared: Rc<Shared>,
     boot_path: PathBuf,
+    callers_addr: SocketAddr,
+    ready_addr: SocketAddr,
     accepting: JoinHandle<()>,
 }
 
@@ -117,8 +119,8 @@
         let ready = boot
             .ready
             .ok_or(StartError::Missing("the readiness probe"))?;
-        let callers = listen("callers", callers).await?;
-        let ready = listen("readiness", ready).await?;
+        let (callers, callers_addr) = listen("callers", callers).await?;
+        let (ready, ready_addr) = listen("readiness", ready).await?;
         let inner = SocketAddr::new(boot.ip, boot.inner_ports.0);
         let socket = UdpSocket::bind(inner).await;
         let socket = socket.map_err(|source| StartError::Bind {
@@ -143,17 +145,29 @@
         spawn(sweep(shared.clone()));
         if let Some(port) = parts.metrics_port {
             let addr = SocketAddr::new(boot.ip, port);
-            let metrics = listen("metrics", addr).await?;
+            let (metrics, _) = listen("metrics", addr).await?;
             spawn(probe::serve_metrics(shared.clone(), metrics));
         }
         let accepting = spawn(caller::accept(shared.clone(), callers));
         Ok(Gateway {
             shared,
             boot_path: parts.boot_path,
+            callers_addr,
+            ready_addr,
             accepting,
         })
     }
 
+    /// Returns the address for callers.
+    pub fn callers_addr(&self) -> SocketAddr {
+        self.callers_addr
+    }
+
+    /// Returns the address of the readiness probe.
+    pub fn ready_addr(&self) -> SocketAddr {
+        self.ready_addr
+    }
+
     /// Reads the settings file again and takes over its bounds.
     pub fn reload(&self) {
         match Boot::read(&self.boot_path) {
@@ -186,9 +200,19 @@
     tokio::task::spawn_local(task)
 }
 
-async fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
-    let bound = TcpListener::bind(addr).await;
-    bound.map_err(|source| StartError::Bind { what, addr, source })
+/// Binds an address and returns the one that is bound, which differs for port 0.
+async fn listen(
+    what: &'static str,
+    addr: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let bound = async {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        Ok((listener, addr))
+    };
+    bound
+        .await
+        .map_err(|source| StartError::Bind { what, addr, source })
 }
 
 fn share(boot: &Rc<Boot>, clock: Arc<dyn Clock>, codec: Arc<dyn Codec>) -> Rc<Shared> {
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,361 @@
+//! A gateway with tables, upstreams and callers of the test.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use dw_base::Bytes;
+use dw_base::ConfigVersion;
+use dw_base::DurationMs;
+use dw_base::ModelId;
+use dw_base::SystemClock;
+use dw_base::WeightsVersion;
+use dw_gateway::Gateway;
+use dw_gateway::GatewayParts;
+use dw_member::Listed;
+use dw_platform::Boot;
+use dw_platform::PlatformCodec;
+use dw_port::Declaration;
+use dw_port::Feed;
+use dw_port::FeedError;
+use dw_port::NamingTime;
+use dw_port::NamingTimes;
+use dw_port::Page;
+use dw_port::Registration;
+use dw_port::TableVersion;
+use dw_route::Destination;
+use dw_route::Kind;
+use dw_route::Limits;
+use dw_route::Route;
+use dw_route::RouteTableParts;
+use dw_route::Service;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+const SETTINGS: &str = r#"
+node: "gateway-1"
+ip: "127.0.0.1"
+zone: "a"
+listen: {front: "127.0.0.1:0", ready: "127.0.0.1:0"}
+port-range: [0, 0]
+limits: {memory-mb: 260}
+heartbeat-ms: 1200
+bounds: {grace-s: 8, config-ms: 2000, retry-ratio: 0.2, retry-slack: 56, budget-window-s: 10}
+platform: {addr: "127.0.0.1:1"}
+"#;
+
+/// A table that is read once and then stays as it is.
+struct Fixed<T>(Option<Vec<T>>);
+
+#[async_trait]
+impl<T: Send + 'static> Feed<T> for Fixed<T> {
+    async fn snapshot(&mut self, _: DurationMs) -> Result<Page<T>, FeedError> {
+        match self.0.take() {
+            Some(items) => Ok(Page {
+                items,
+                version: TableVersion(1),
+            }),
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn changes(
+        &mut self,
+        _: TableVersion,
+        _: DurationMs,
+        _: DurationMs,
+    ) -> Result<Page<T>, FeedError> {
+        std::future::pending().await
+    }
+}
+
+struct NoTimes;
+
+#[async_trait]
+impl NamingTimes for NoTimes {
+    async fn read(&mut self, _: DurationMs) -> Result<Vec<NamingTime>, FeedError> {
+        Ok(Vec::new())
+    }
+
+    async fn record(
+        &mut self,
+        _: &ModelId,
+        _: WeightsVersion,
+        _: DurationMs,
+    ) -> Result<(), FeedError> {
+        Ok(())
+    }
+}
+
+/// What an upstream does with one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Answers with these bytes; `{id}` stands for the id of the request.
+    Answer(&'static str),
+    /// Answers with these bytes and closes the connection.
+    AnswerAndClose(&'static str),
+    /// Closes the connection without an answer.
+    Close,
+    /// Gives no answer.
+    Silence,
+}
+
+/// What an upstream has seen.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Seen {
+    /// A request, as text.
+    Request(String),
+    /// The end of a connection on which no answer was given.
+    Left,
+}
+
+/// An upstream of the test.
+pub(crate) struct Upstream {
+    pub(crate) addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Upstream {
+    /// Starts an upstream that answers requests in turn, the last act for all later ones.
+    pub(crate) async fn start(acts: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("port is free");
+        let addr = listener.local_addr().expect("socket has an address");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let upstream = Upstream {
+            addr,
+            seen: seen.clone(),
+        };
+        let acts = Arc::new(Mutex::new(acts.to_vec()));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(act_on(stream, acts.clone(), seen.clone()));
+            }
+        });
+        upstream
+    }
+
+    /// Returns the requests that were seen.
+    pub(crate) fn requests(&self) -> Vec<String> {
+        let seen = self.seen.lock().expect("no thread has panicked");
+        let requests = seen.iter().filter_map(|seen| match seen {
+            Seen::Request(text) => Some(text.clone()),
+            Seen::Left => None,
+        });
+        requests.collect()
+    }
+
+    /// Waits until the upstream has seen this.
+    pub(crate) async fn until(&self, wanted: impl Fn(&Seen) -> bool) {
+        loop {
+            if self
+                .seen
+                .lock()
+                .expect("no thread has panicked")
+                .iter()
+                .any(&wanted)
+            {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn act_on(mut stream: TcpStream, acts: Arc<Mutex<Vec<Act>>>, seen: Arc<Mutex<Vec<Seen>>>) {
+    let push = |item| seen.lock().expect("no thread has panicked").push(item);
+    while let Some(request) = read_message(&mut stream).await {
+        let id = header(&request, "attempt-id").unwrap_or_default();
+        push(Seen::Request(request));
+        let act = {
+            let mut acts = acts.lock().expect("no thread has panicked");
+            match acts.len() {
+                1 => acts[0].clone(),
+                _ => acts.remove(0),
+            }
+        };
+        match act {
+            Act::Answer(text) => {
+                if stream
+                    .write_all(text.replace("{id}", &id).as_bytes())
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            Act::AnswerAndClose(text) => {
+                // The gateway may have left already.
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                return;
+            }
+            Act::Close => return,
+            Act::Silence => {
+                let mut buffer = [0; 64];
+                while stream
+                    .read(&mut buffer)
+                    .await
+                    .is_ok_and(|length| length > 0)
+                {}
+                push(Seen::Left);
+                return;
+            }
+        }
+    }
+}
+
+/// Returns the value of a header in a message.
+pub(crate) fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.lines().skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found
+            .eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+/// Reads one message whose body has a length, is chunked, or is empty.
+pub(crate) async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = header(head, "content-length");
+            let chunked = header(head, "transfer-encoding").is_some();
+            let complete = match length.and_then(|length| length.parse::<usize>().ok()) {
+                Some(length) => body.len() >= length,
+                None => !chunked || body.ends_with("0\r\n\r\n"),
+            };
+            if complete {
+                return Some(text);
+            }
+        }
+        let length = stream.read(&mut buffer).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+}
+
+/// Returns a route with one service.
+pub(crate) fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "h.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout_ms: DurationMs(20_000),
+        objective_ms: DurationMs(10_000),
+        priority: 2,
+        max_attempts: 2,
+        anonymous: true,
+        destinations: vec![Destination {
+            service: "desk".parse().expect("name is valid"),
+            weight: 1,
+        }],
+    }
+}
+
+/// Returns a configuration with these routes.
+pub(crate) fn configuration(routes: Vec<Route>) -> RouteTableParts {
+    RouteTableParts {
+        version: ConfigVersion(1),
+        routes,
+        services: vec![Service {
+            service: "desk".parse().expect("name is valid"),
+            max_connections: 110,
+            kv_capacity: None,
+        }],
+        kv_stores: Vec::new(),
+        organisations: Vec::new(),
+        limits: Limits {
+            header_bytes: Bytes(16_384),
+            body_bytes: Bytes(100_000),
+            header_ms: DurationMs(3_000),
+            idle_ms: DurationMs(15_000),
+        },
+    }
+}
+
+fn listed(at: usize, upstream: &Upstream) -> Listed {
+    Listed {
+        upstream: format!("i-{at}").parse().expect("name is valid"),
+        service: "desk".parse().expect("name is valid"),
+        addr: upstream.addr,
+        data_centre: "a".parse().expect("name is valid"),
+        slots: 6,
+        leaving: false,
+        models: Vec::new(),
+        born_ms: 1,
+    }
+}
+
+/// Starts a gateway in front of these upstreams and runs a test against it.
+pub(crate) fn with_gateway<F: std::future::Future<Output = ()>>(
+    configuration: Option<RouteTableParts>,
+    upstreams: &[&[Act]],
+    test: impl FnOnce(Gateway, Vec<Upstream>) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let mut started = Vec::new();
+        for acts in upstreams {
+            started.push(Upstream::start(acts).await);
+        }
+        let all = started.iter().enumerate();
+        let registrations = all.map(|(at, upstream)| Registration::Put(listed(at, upstream)));
+        let declarations = configuration.map(|parts| vec![Declaration::Routes(Box::new(parts))]);
+        let gateway = Gateway::start(GatewayParts {
+            boot: Boot::parse(Path::new("boot.yaml"), SETTINGS).expect("settings are valid"),
+            boot_path: PathBuf::from("boot.yaml"),
+            metrics_port: None,
+            clock: Arc::new(SystemClock::new()),
+            codec: Arc::new(PlatformCodec),
+            declarations: Box::new(Fixed(declarations)),
+            registrations: Box::new(Fixed(Some(registrations.collect()))),
+            naming_times: Box::new(NoTimes),
+        })
+        .await
+        .expect("gateway starts");
+        // The feeds answer at once, on tasks that run when this one waits.
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        test(gateway, started).await;
+    });
+}
+
+/// Sends a request on a new connection.
+pub(crate) async fn send(gateway: &Gateway, request: &str) -> TcpStream {
+    let stream = TcpStream::connect(gateway.callers_addr()).await;
+    let mut stream = stream.expect("gateway accepts");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("gateway reads");
+    stream
+}
+
+/// Sends a request and returns the answer; none if the connection ends before it is complete.
+pub(crate) async fn call(gateway: &Gateway, request: &str) -> Option<String> {
+    read_message(&mut send(gateway, request).await).await
+}
+
+/// Returns a request for a path.
+pub(crate) fn request(method: &str, path: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-1\r\n\
+         Deadline-Ms: 20000\r\nAuthorization: Bearer secret\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
