place, gateway: homes by memory among engines with the same weights; saves by pressure; earlier end of a drain

(2) The speed was learned from samples with work queued before them and came out two to three times too high, so long prompts went to slow engines. (5) A sidecar went on with a fencing number that was refused. Changes that follow one another share a call of the table: cloud calls were the largest price on the grown site.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -38,14 +38,23 @@
     fn answered(&mut self) {}
 }
 
-/// Follows a feed until the task is aborted; one call waits up to `longest_wait_ms` for changes.
+/// How often a feed is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Longest wait of one call for changes.
+    pub longest_wait_ms: DurationMs,
+    /// Pause after changes, so that those which follow come with one call.
+    pub pause_ms: DurationMs,
+}
+
+/// Follows a feed until the task is aborted.
 ///
 /// A call that is under way while the table is silent is never answered, also not after its return.
 /// After a failure the calls therefore do not wait until one is answered.
 pub async fn follow<T>(
     mut feed: Box<dyn Feed<T>>,
     mut follower: impl Follower<T>,
-    longest_wait_ms: DurationMs,
+    pace: Pace,
     clock: Arc<dyn Clock>,
 ) {
     let mut position = None;
@@ -57,7 +66,7 @@
             None => feed.snapshot(ANSWER_MS).await,
             Some(after) => {
                 let wait_ms = match lost_since {
-                    None => longest_wait_ms,
+                    None => pace.longest_wait_ms,
                     Some(_) => DurationMs::ZERO,
                 };
                 feed.changes(after, wait_ms, wait_ms + ANSWER_MS).await
@@ -70,12 +79,16 @@
                     log::info!(feed = follower.name(), away_ms; "table answers again");
                 }
                 follower.answered();
+                let is_change = position.is_some() && !items.is_empty();
                 match position {
                     None => follower.snapshot(items),
                     Some(_) => follower.changes(items),
                 }
                 position = Some(version);
                 pause_ms = RETRY_MS.0;
+                if is_change {
+                    tokio::time::sleep(pace.pause_ms.into()).await;
+                }
             }
             Err(FeedError::Expired) => {
                 log::warn!(feed = follower.name(); "history of the table has expired");
--- a/crates/follow/tests/follow.rs
+++ b/crates/follow/tests/follow.rs
@@ -9,6 +9,7 @@
 use dw_base::SystemClock;
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_follow::Pace;
 use dw_port::Feed;
 use dw_port::FeedError;
 use dw_port::Page;
@@ -118,7 +119,10 @@
     let following = follow(
         Box::new(script),
         Ears(heard.clone()),
-        DurationMs(3_000),
+        Pace {
+            longest_wait_ms: DurationMs(3_000),
+            pause_ms: DurationMs(400),
+        },
         clock,
     );
     // The script ends in a call that is never answered.
@@ -166,3 +170,15 @@
     assert_eq!(calls[2], Call::Snapshot);
     assert!(heard.contains(&Heard::Snapshot(vec![1, 2])));
 }
+
+/// Guards against one call for each of many changes that come within a second, as when all engines
+/// of a large fleet load weights.
+#[tokio::test(start_paused = true)]
+async fn changes_that_follow_one_another_share_a_call() {
+    let started = tokio::time::Instant::now();
+    let answers = vec![page(&[], 1), page(&[1], 2), page(&[2], 3), page(&[], 3)];
+    let (calls, _) = play(answers).await;
+    assert_eq!(calls.len(), 5);
+    // Two changes, each with a pause, and then the end of the play.
+    assert!(started.elapsed() >= std::time::Duration::from_millis(800));
+}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -4,6 +4,7 @@
 
 use dw_base::ModelId;
 use dw_base::PromptPart;
+use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
@@ -17,6 +18,14 @@
 use crate::shared::Shared;
 use crate::weights::Age;
 
+/// Length of a request's own part, relative to the shared ones, up to which it saves them: with an
+/// empty store, and with one that is filled anew all the time.
+const MOST_OWN: f64 = 4.0;
+const LEAST_OWN: f64 = 1.5;
+
+/// Pressure at which a store drops parts before their next use whatever else is saved.
+const FULL_PRESSURE: f64 = 1.3;
+
 /// Upstreams that have refused or failed a request.
 #[derive(Default)]
 pub(crate) struct Exclusions(Vec<UpstreamId>);
@@ -120,10 +129,17 @@
         })?;
     let salt = choice.weights.map(|weights| salt(&scope, weights));
     let cached = salt.as_ref().filter(|_| !shared_parts.is_empty());
-    let fetch_from = store.filter(|_| cached.is_some());
-    let save_to = fetch_from.filter(|_| {
-        let salt = cached.map_or("", String::as_str);
-        is_worth_saving(prompt, stored_tokens(shared, store, salt, shared_parts))
+    let holder = choice.holder.as_ref().and_then(|holder| {
+        let holder = candidates.iter().find(|e| e.listed.upstream == *holder)?;
+        Some(holder.listed.addr)
+    });
+    let fetch_from = holder.or(store).filter(|_| cached.is_some());
+    let save_to = store.filter(|store| {
+        let Some(salt) = cached else {
+            return false;
+        };
+        let stored = stored_tokens(shared, Some(*store), salt, shared_parts);
+        is_worth_saving(prompt, stored, kv_pressure(shared, *store, now))
     });
     Ok(Plan {
         addr: entry.listed.addr,
@@ -164,12 +180,25 @@
     contents.map_or(Tokens(0), |contents| contents.leading(salt, parts))
 }
 
-/// A request saves its shared parts if the store lacks some and its own part is the smaller one,
-/// since the store keeps that as well and drops shared parts for it.
-fn is_worth_saving(prompt: &[PromptPart], stored: Tokens) -> bool {
+/// A request saves its shared parts if the store lacks some. The store keeps the request's own part
+/// as well and drops shared parts for it, so the own part may be the smaller the more was saved
+/// lately.
+fn is_worth_saving(prompt: &[PromptPart], stored: Tokens, pressure: f64) -> bool {
     let Some((own, shared)) = prompt.split_last() else {
         return false;
     };
     let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
-    stored.0 < shared && own.tokens.0 * 2 <= shared * 3
+    let most_own = (MOST_OWN * (FULL_PRESSURE - pressure)).clamp(LEAST_OWN, MOST_OWN);
+    stored.0 < shared && own.tokens.0 as f64 <= shared as f64 * most_own
+}
+
+fn kv_pressure(shared: &Shared, store: SocketAddr, now: TimeMs) -> f64 {
+    let routes = shared.routes();
+    let stores = routes.as_ref().map_or(&[][..], |routes| routes.kv_stores());
+    let capacity = stores.iter().find(|s| s.addr == store).map(|s| s.capacity);
+    let kv = shared.kv.borrow();
+    let contents = kv.get(&store);
+    contents.map_or(0.0, |contents| {
+        contents.pressure(capacity.unwrap_or_default(), now)
+    })
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use dw_base::DurationMs;
 use dw_net::connect;
+use dw_net::describe;
 use dw_net::Connection;
 use dw_net::Dial;
 use dw_place::DirectRequest;
@@ -119,7 +120,7 @@
             health.unreachable(now);
         }
         log::warn!(
-            request_id = job.ask.request_id.as_str(), upstream:% = upstream, error:% = e;
+            request_id = job.ask.request_id.as_str(), upstream:% = upstream, error = describe(&e);
             "upstream cannot be reached"
         );
         Fate::Unsent
@@ -196,7 +197,7 @@
                 shared.measures.tried("unsent");
                 return Ended::Fate(Fate::Unsent);
             }
-            failed(shared, job, plan, &e.into_error().to_string());
+            failed(shared, job, plan, &describe(&e.into_error()));
             return Ended::Fate(Fate::Unknown);
         }
         Ok(Ok(response)) => response,
@@ -260,7 +261,7 @@
             Ended::TimedOut
         }
         Ok(Some(Err(e))) => {
-            failed(shared, job, plan, &e.to_string());
+            failed(shared, job, plan, &describe(&e));
             Ended::Fate(Fate::Unknown)
         }
         Ok(Some(Ok(frame))) => {
@@ -317,6 +318,7 @@
         shared: shared.clone(),
         job: job.clone(),
         choice: plan.choice.clone(),
+        saves: plan.save_to.is_some(),
         addr: plan.addr,
         response: answered.response,
         head: answered.head,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::ages::Ages;
 use crate::caller;
 use crate::connections::Connections;
+use crate::drain::Drain;
 use crate::gossip;
 use crate::kv;
 use crate::measures::Measures;
@@ -51,12 +52,6 @@
 /// Share of the idle time by which a caller's connection is kept longer.
 const IDLE_SLACK: f64 = 1.1;
 
-/// Time after SIGTERM in which callers are still accepted: the balancer misses two probes.
-const ACCEPT_MS: DurationMs = DurationMs(3_500);
-
-/// Time before SIGKILL at which the process ends by itself.
-const EXIT_MARGIN_MS: DurationMs = DurationMs(400);
-
 /// Pause between looks at open connections while the process ends.
 const EXIT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -184,9 +179,9 @@
         let begun = self.shared.now();
         self.shared.draining.set(true);
         log::info!(connections = self.shared.connections.count(); "gateway is draining");
-        let grace_ms = self.shared.boot().bounds.grace_ms;
-        let until = begun + grace_ms.saturating_sub(EXIT_MARGIN_MS);
-        tokio::time::sleep(ACCEPT_MS.min(grace_ms).into()).await;
+        let drain = Drain::new(self.shared.boot().bounds.grace_ms);
+        let until = begun + drain.exit_ms;
+        tokio::time::sleep(drain.accept_ms.into()).await;
         self.accepting.abort();
         self.shared.connections.close_idle(DurationMs::ZERO, begun);
         while self.shared.connections.count() > 0 && self.shared.now() < until {
--- a/crates/gateway/src/kv.rs
+++ b/crates/gateway/src/kv.rs
@@ -8,6 +8,7 @@
 use dw_base::DurationMs;
 use dw_base::PrefixKey;
 use dw_base::PromptPart;
+use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_platform::KvEvents;
 use dw_port::KvIndex;
@@ -27,6 +28,19 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Pause between looks for a first store, which comes with the configuration.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Wait of the first call, whose answer shows that the store is up.
+const FIRST_WAIT_MS: DurationMs = DurationMs(200);
+
+/// Time in which most shared parts come into use again.
+const FADE_MS: f64 = 10_000.0;
+
+fn fade(passed_ms: DurationMs) -> f64 {
+    (-(passed_ms.0 as f64) / FADE_MS).exp()
+}
+
 /// Contents of one store.
 #[derive(Default)]
 pub(crate) struct KvContents {
@@ -34,6 +48,9 @@
     epoch: u64,
     next: u64,
     is_up: bool,
+    /// Tokens that came lately, fading with [`FADE_MS`].
+    came: f64,
+    faded: TimeMs,
 }
 
 fn key(salt: &str, part: u64) -> PrefixKey {
@@ -61,18 +78,27 @@
         Tokens(leading.map(|part| part.tokens.0).sum())
     }
 
+    /// Returns the share of the store's room that was filled in the time in which parts come into
+    /// use again; near 1, shared parts are dropped before their next use.
+    pub(crate) fn pressure(&self, capacity: Tokens, now: TimeMs) -> f64 {
+        self.came * fade(now.since(self.faded)) / (capacity.0 as f64).max(1.0)
+    }
+
     fn lost(&mut self) -> bool {
         std::mem::replace(&mut self.is_up, false)
     }
 
-    fn apply(&mut self, page: KvPage) {
+    fn apply(&mut self, page: KvPage, now: TimeMs) {
         if page.epoch != self.epoch || page.lost {
             self.held.clear();
         }
         self.epoch = page.epoch;
         self.next = page.next;
         self.is_up = true;
+        self.came *= fade(now.since(self.faded));
+        self.faded = now;
         for change in page.changes {
+            self.came += change.tokens.0 as f64;
             let key = key(&change.salt, change.part);
             match change.tokens {
                 Tokens(0) => drop(self.held.remove(&key)),
@@ -94,7 +120,12 @@
                 }
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        let pause = if followed.is_empty() {
+            FIRST_PAUSE
+        } else {
+            RETRY_PAUSE
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -105,8 +136,14 @@
             let mut kv = shared.kv.borrow_mut();
             kv.entry(store).or_default().next
         };
-        let timeout_ms = WAIT_MS + ANSWER_MS;
-        let result = events.changes(since, WAIT_MS, timeout_ms).await;
+        let is_up = shared
+            .kv
+            .borrow()
+            .get(&store)
+            .is_some_and(KvContents::is_up);
+        let wait_ms = if is_up { WAIT_MS } else { FIRST_WAIT_MS };
+        let result = events.changes(since, wait_ms, wait_ms + ANSWER_MS).await;
+        let now = shared.now();
         let pause = {
             let mut kv = shared.kv.borrow_mut();
             let contents = kv.entry(store).or_default();
@@ -115,7 +152,7 @@
                     if !contents.is_up {
                         log::info!(store:%, epoch = page.epoch; "store of kept KV cache answers");
                     }
-                    contents.apply(page);
+                    contents.apply(page, now);
                     PAUSE
                 }
                 Err(e) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod choose;
 mod connections;
+mod drain;
 mod forward;
 mod gateway;
 mod gossip;
@@ -27,6 +28,7 @@
 mod turn_away;
 mod weights;
 
+pub use drain::Drain;
 pub use gateway::Gateway;
 pub use gateway::GatewayParts;
 pub use gateway::StartError;
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -5,16 +5,15 @@
 use dw_base::DurationMs;
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_follow::Pace;
 use dw_port::Feed;
 use dw_port::Registration;
 
+use crate::routes::longest_wait_ms;
 use crate::shared::Shared;
 
-/// Longest wait of one call for changes.
-///
-/// A call that is lost with a silent table must end well within the time that a changed
-/// configuration or a leaving upstream may take.
-pub(crate) const CHANGES_WAIT_MS: DurationMs = DurationMs(3_000);
+/// Pause after changed registrations, within the time that a leaving upstream may be used.
+const PAUSE_MS: DurationMs = DurationMs(400);
 
 struct Upstreams(Rc<Shared>);
 
@@ -103,5 +102,9 @@
 /// Follows the registrations until the task is aborted.
 pub(crate) async fn follow_registrations(shared: Rc<Shared>, feed: Box<dyn Feed<Registration>>) {
     let clock = shared.clock.clone();
-    follow(feed, Upstreams(shared), CHANGES_WAIT_MS, clock).await;
+    let pace = Pace {
+        longest_wait_ms: longest_wait_ms(&shared),
+        pause_ms: PAUSE_MS,
+    };
+    follow(feed, Upstreams(shared), pace, clock).await;
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use dw_base::TimeMs;
+use dw_net::describe;
 use dw_net::Connection;
 use dw_place::Choice;
 use dw_port::AnswerHead;
@@ -44,6 +45,8 @@
     pub(crate) shared: Rc<Shared>,
     pub(crate) job: SharedJob,
     pub(crate) choice: Choice,
+    /// Whether the engine saves the shared parts of the prompt.
+    pub(crate) saves: bool,
     pub(crate) addr: SocketAddr,
     pub(crate) response: Response<Incoming>,
     pub(crate) head: AnswerHead,
@@ -58,6 +61,7 @@
     shared: Rc<Shared>,
     job: SharedJob,
     choice: Choice,
+    saves: bool,
     addr: SocketAddr,
     status: StatusCode,
     head: AnswerHead,
@@ -94,6 +98,7 @@
             shared: parts.shared,
             job: parts.job,
             choice: parts.choice,
+            saves: parts.saves,
             addr: parts.addr,
             head: parts.head,
         }
@@ -131,7 +136,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Ready(Some(Err(e))) => {
-                    self.fail(&e.to_string());
+                    self.fail(&describe(&e));
                     return Poll::Ready(Some(Err(e.into())));
                 }
                 Poll::Ready(Some(Ok(frame))) => {
@@ -211,7 +216,8 @@
             weights = self.choice.weights.unwrap_or_default().0,
             expected_ms = self.choice.first_token_ms.0, backlog_ms = self.choice.backlog_ms.0,
             missing = self.choice.missing_tokens.0,
-            missing_shared = self.choice.missing_shared_tokens.0;
+            missing_shared = self.choice.missing_shared_tokens.0,
+            stored = self.choice.stored_tokens.0, saves = self.saves;
             "request answered"
         );
     }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -2,8 +2,10 @@
 
 use std::rc::Rc;
 
+use dw_base::DurationMs;
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_follow::Pace;
 use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
@@ -13,9 +15,23 @@
 
 use crate::ages::Ages;
 use crate::gossip::tell_all;
-use crate::registrations::CHANGES_WAIT_MS;
 use crate::shared::Shared;
 
+/// Pause after a changed declaration.
+const PAUSE_MS: DurationMs = DurationMs(100);
+
+/// Longest wait of a call, in times within which a changed configuration must be in force.
+const WAIT_FACTOR: f64 = 1.5;
+
+/// Returns the longest wait of one call for changes.
+///
+/// A call that is lost with a silent table must end well within the time that a changed
+/// configuration or a leaving upstream may take, counted from when the table is stable again.
+pub(crate) fn longest_wait_ms(shared: &Shared) -> DurationMs {
+    let config_ms = shared.boot().bounds.config_ms.0 as f64;
+    DurationMs((config_ms * WAIT_FACTOR) as u64)
+}
+
 struct Routes(Rc<Shared>, Ages);
 
 impl Follower<Declaration> for Routes {
@@ -92,5 +108,9 @@
     ages: Ages,
 ) {
     let clock = shared.clock.clone();
-    follow(feed, Routes(shared, ages), CHANGES_WAIT_MS, clock).await;
+    let pace = Pace {
+        longest_wait_ms: longest_wait_ms(&shared),
+        pause_ms: PAUSE_MS,
+    };
+    follow(feed, Routes(shared, ages), pace, clock).await;
 }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -92,7 +92,7 @@
     for act in [Act::Close, CROSSED] {
         with_gateway(
             routes(),
-            &[&[act.clone()], &[act]],
+            &[std::slice::from_ref(&act); 2],
             |gateway, upstreams| async move {
                 let answer = call(&gateway, &request("POST", "/once/x", "b"))
                     .await
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -110,6 +110,10 @@
     pub missing_tokens: Tokens,
     /// Part of them that belongs to shared parts.
     pub missing_shared_tokens: Tokens,
+    /// Part of these that the store of kept KV cache holds.
+    pub stored_tokens: Tokens,
+    /// Upstream that is expected to hold shared parts which this one and the store lack.
+    pub holder: Option<UpstreamId>,
     /// Whether it is the preferred upstream for the prompt.
     pub home: bool,
     /// Upstreams that were compared.
@@ -122,6 +126,8 @@
     at: TimeMs,
     tokens: u64,
     ahead: u64,
+    /// Whether the tokens are really computed: other routers may have brought shared parts.
+    certain: bool,
 }
 
 /// Placement with what one router knows of each upstream.
@@ -133,9 +139,11 @@
     routers: u32,
 }
 
-/// Preferred upstreams for the shared parts of a prompt.
+/// Preferred upstreams for the shared parts of a prompt among those with the same weights, since
+/// cached parts of other weights are of no use.
 #[derive(Clone, Copy)]
 struct Homes<'a> {
+    weights: Option<WeightsVersion>,
     /// Of all upstreams: computes the parts while the store lacks them.
     first: Option<&'a UpstreamId>,
     /// Of those in the data centre of the router: used once the store holds them.
@@ -194,13 +202,19 @@
         targets: &[DirectTarget<'_>],
         now: TimeMs,
     ) -> Option<Choice> {
-        let homes = self.homes(request, targets);
-        let scored = targets
-            .iter()
-            .map(|target| match request.prompt.is_empty() {
-                true => self.score_plain(request, target),
-                false => self.score_prompt(request, target, homes, now),
-            });
+        let mut homes: Vec<Homes<'_>> = Vec::new();
+        for target in targets {
+            if !homes.iter().any(|homes| homes.weights == target.weights) {
+                homes.push(self.homes(request, targets, target.weights));
+            }
+        }
+        let scored = targets.iter().map(|target| {
+            let homes = homes.iter().find(|homes| homes.weights == target.weights);
+            match homes.filter(|_| !request.prompt.is_empty()) {
+                None => self.score_plain(request, target),
+                Some(homes) => self.score_prompt(request, target, *homes, now),
+            }
+        });
         let best = scored.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         Some(Choice {
             compared: targets.len(),
@@ -226,6 +240,7 @@
             at: now,
             tokens: choice.missing_tokens.0,
             ahead,
+            certain: choice.missing_shared_tokens.0 * 5 <= choice.missing_tokens.0,
         }
     }
 
@@ -233,7 +248,9 @@
     pub fn first_token(&mut self, upstream: &UpstreamId, sent: &Sent, now: TimeMs) {
         let load = self.load(upstream);
         load.computed(sent.tokens);
-        load.learn(sent.tokens + sent.ahead, now.since(sent.at));
+        if sent.certain {
+            load.learn(sent.tokens, sent.ahead, now.since(sent.at));
+        }
     }
 
     /// Records that a request ended before its first token.
@@ -247,7 +264,12 @@
     }
 
     /// Returns the upstreams that all routers prefer for the shared parts.
-    fn homes<'a>(&self, request: &DirectRequest<'_>, targets: &[DirectTarget<'a>]) -> Homes<'a> {
+    fn homes<'a>(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'a>],
+        weights: Option<WeightsVersion>,
+    ) -> Homes<'a> {
         let shared = request
             .prompt
             .split_last()
@@ -255,17 +277,16 @@
         let root = PrefixKey::root(request.scope);
         let key = shared.iter().fold(root, |key, part| key.with(part));
         let score = |target: &&DirectTarget<'_>| {
-            let rate = self
-                .loads
-                .get(target.upstream)
-                .map_or(1.0, UpstreamLoad::weight);
-            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), rate);
+            // Homes share the prompts by memory, which is equal, and not by speed.
+            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), 1.0);
             score.to_bits()
         };
         let near = |target: &&DirectTarget<'_>| target.data_centre == request.data_centre;
-        let first = targets.iter().max_by_key(score);
-        let nearest = targets.iter().filter(near).max_by_key(score);
+        let same = || targets.iter().filter(|target| target.weights == weights);
+        let first = same().max_by_key(score);
+        let nearest = same().filter(near).max_by_key(score);
         Homes {
+            weights,
             first: first.map(|target| target.upstream),
             near: nearest.or(first).map(|target| target.upstream),
         }
@@ -283,6 +304,8 @@
                 backlog_ms: DurationMs::ZERO,
                 missing_tokens: Tokens(0),
                 missing_shared_tokens: Tokens(0),
+                stored_tokens: Tokens(0),
+                holder: None,
                 home: false,
                 compared: 0,
             },
@@ -320,6 +343,10 @@
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
         let mut cost = self.waiting_cost(request, first_token_ms);
         cost += self.common_cost(request, target);
+        let lacks = missing_shared > fetched;
+        let holder = homes
+            .first
+            .filter(|first| lacks && *first != target.upstream);
         if !home {
             // The home is expected to hold what other routers have sent there.
             let again = missing_shared - fetched;
@@ -334,6 +361,8 @@
                 backlog_ms: DurationMs(backlog_ms as u64),
                 missing_tokens: Tokens(missing),
                 missing_shared_tokens: Tokens(missing_shared),
+                stored_tokens: Tokens(fetched),
+                holder: holder.cloned(),
                 home,
                 compared: 0,
             },
--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -8,13 +8,25 @@
 const PRIOR_TOKENS_PER_MS: f64 = 90.0;
 
 /// Time to first token of an empty engine without its computation.
-const PRIOR_BASE_MS: f64 = 50.0;
+const BASE_MS: f64 = 55.0;
 
-/// Weight of the newest measurement of the speed.
-const SMOOTHING: f64 = 0.1;
+/// Time for a million pairs of tokens at the prior speed; attention grows with their square.
+const PAIRS_MS_PER_M: f64 = 0.3;
+
+/// Part of what was learned that remains after a new measurement.
+const MEMORY: f64 = 0.85;
+
+/// Tokens that the prior counts for.
+const PRIOR_TOKENS: f64 = 2_000.0;
 
 /// Shorter computations say more about overhead than about speed.
-const MIN_TOKENS: u64 = 3_000;
+const MIN_TOKENS: u64 = 2_500;
+
+/// Longest queue before a computation, as a part of it, from which the speed is learned.
+const MOST_AHEAD: f64 = 0.2;
+
+/// Weight of the newest measurement of a plain service.
+const SMOOTHING: f64 = 0.1;
 
 /// Bounds of the learned speed in tokens per millisecond.
 const SPEED_RANGE: (f64, f64) = (10.0, 1_000.0);
@@ -38,7 +50,8 @@
     own_tokens: u64,
     in_flight: u32,
     reported: Option<Reported>,
-    tokens_per_ms: f64,
+    learned_tokens: f64,
+    learned_ms: f64,
     plain_ms: f64,
 }
 
@@ -48,7 +61,8 @@
             own_tokens: 0,
             in_flight: 0,
             reported: None,
-            tokens_per_ms: PRIOR_TOKENS_PER_MS,
+            learned_tokens: PRIOR_TOKENS,
+            learned_ms: PRIOR_TOKENS / PRIOR_TOKENS_PER_MS,
             plain_ms: PRIOR_PLAIN_MS,
         }
     }
@@ -75,7 +89,8 @@
 
     /// Returns the learned speed in tokens per millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
-        self.tokens_per_ms
+        let speed = self.learned_tokens / self.learned_ms;
+        speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
 
     /// Learns the time of a request at a plain service.
@@ -96,13 +111,21 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    pub(crate) fn learn(&mut self, tokens: u64, took: DurationMs) {
-        if tokens < MIN_TOKENS {
+    /// Learns from one computation of `tokens` with `ahead` tokens queued before it.
+    pub(crate) fn learn(&mut self, tokens: u64, ahead: u64, took: DurationMs) {
+        if tokens < MIN_TOKENS || ahead as f64 > tokens as f64 * MOST_AHEAD {
             return;
         }
-        let computing_ms = (took.0 as f64 - PRIOR_BASE_MS).max(1.0);
-        let measured = (tokens as f64 / computing_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1);
-        self.tokens_per_ms += SMOOTHING * (measured - self.tokens_per_ms);
+        let computing_ms = took.0 as f64 - BASE_MS - self.pairs_ms(tokens);
+        let least_ms = tokens as f64 / SPEED_RANGE.1;
+        self.learned_tokens = self.learned_tokens * MEMORY + tokens as f64;
+        self.learned_ms = self.learned_ms * MEMORY + computing_ms.max(least_ms);
+    }
+
+    /// Returns the time that attention over a long prompt takes beside its tokens.
+    fn pairs_ms(&self, tokens: u64) -> f64 {
+        let pairs_m = (tokens as f64 / 1_000.0).powi(2) / 2.0;
+        pairs_m * PAIRS_MS_PER_M * PRIOR_TOKENS_PER_MS / self.tokens_per_ms()
     }
 
     /// Returns the outstanding prompt tokens of all routers.
@@ -113,16 +136,11 @@
     }
 
     pub(crate) fn backlog_ms(&self, now: TimeMs) -> f64 {
-        self.outstanding_tokens(now) as f64 / self.tokens_per_ms
+        self.outstanding_tokens(now) as f64 / self.tokens_per_ms()
     }
 
     pub(crate) fn compute_ms(&self, tokens: u64) -> f64 {
-        PRIOR_BASE_MS + tokens as f64 / self.tokens_per_ms
-    }
-
-    /// Weight in the choice of homes; coarse, so that routers that learn apart agree.
-    pub(crate) fn weight(&self) -> f64 {
-        2f64.powf((self.tokens_per_ms / PRIOR_TOKENS_PER_MS).log2().round())
+        BASE_MS + tokens as f64 / self.tokens_per_ms() + self.pairs_ms(tokens)
     }
 
     /// Returns the expected time at a plain service with `slots` places for all routers.
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dw_base::DurationMs;
+use dw_base::FenceNumber;
 use dw_base::TimeMs;
 use dw_port::Engine;
 use dw_port::Order;
@@ -40,23 +41,41 @@
     orders_before: u64,
 }
 
+/// Orders to one life of the engine.
+#[derive(Default)]
+struct Orders {
+    /// The last one, if it may still be accepted.
+    pending: Option<Sent>,
+    /// Fencing number that the engine has refused; only a greater one may be sent.
+    refused: Option<FenceNumber>,
+}
+
+impl Orders {
+    /// Returns whether an order with a fencing number may be sent, or sent again.
+    fn may_send(&self, fence: FenceNumber, now: TimeMs) -> bool {
+        let waits = |sent: &Sent| now.since(sent.at) < RESEND_MS;
+        let refused = self.refused.is_some_and(|refused| fence <= refused);
+        !refused && !self.pending.as_ref().is_some_and(waits)
+    }
+}
+
 /// Watches the engine and orders its weights until the task is aborted.
 pub(crate) async fn watch(shared: Rc<Shared>, mut engine: Box<dyn Engine>) {
     let mut silent = 0;
-    let mut sent: Option<Sent> = None;
+    let mut orders = Orders::default();
     loop {
         match engine.report(REPORT_MS).await {
             Ok(report) => {
                 silent = 0;
-                heard(&shared, report, &mut sent);
-                order_if_due(&shared, engine.as_mut(), &mut sent).await;
+                heard(&shared, report, &mut orders);
+                order_if_due(&shared, engine.as_mut(), &mut orders).await;
             }
             Err(e) => {
                 silent += 1;
                 if silent == SILENT_REPORTS {
                     log::warn!(error:% = e; "engine does not answer");
                     set_phase(&shared, Phase::Unreachable);
-                    sent = None;
+                    orders = Orders::default();
                 }
             }
         }
@@ -66,10 +85,10 @@
     }
 }
 
-fn heard(shared: &Shared, report: dw_port::Report, sent: &mut Option<Sent>) {
+fn heard(shared: &Shared, report: dw_port::Report, orders: &mut Orders) {
     let busy = report.busy;
     let running = report.running;
-    let orders = report.orders;
+    let accepted = report.orders;
     let restarted = {
         let mut state = shared.state.borrow_mut();
         let before = state.report.as_ref().map(|report| report.born_ms);
@@ -80,13 +99,13 @@
                 .iter()
                 .map(|(m, w)| format!("{m}@{w}"))
                 .collect();
-            log::info!(models = models.join(","), orders, restarted; "engine has weights");
+            log::info!(models = models.join(","), accepted, restarted; "engine has weights");
         }
         state.report = Some(report);
         restarted
     };
     if restarted {
-        *sent = None;
+        *orders = Orders::default();
     }
     if busy {
         let phase = if running > 0 {
@@ -97,16 +116,15 @@
         set_phase(shared, phase);
         return;
     }
-    let pending = sent
-        .as_ref()
-        .is_some_and(|sent| sent.orders_before == orders);
+    let last = orders.pending.as_ref();
+    let pending = last.is_some_and(|sent| sent.orders_before == accepted);
     if !pending {
-        *sent = None;
+        orders.pending = None;
         set_phase(shared, Phase::Open);
     }
 }
 
-async fn order_if_due(shared: &Shared, engine: &mut dyn Engine, sent: &mut Option<Sent>) {
+async fn order_if_due(shared: &Shared, engine: &mut dyn Engine, orders: &mut Orders) {
     let now = shared.clock.now();
     let due = {
         let state = shared.state.borrow();
@@ -116,26 +134,23 @@
         }
         state.due(now)
     };
-    let waits = sent
-        .as_ref()
-        .is_some_and(|sent| now.since(sent.at) < RESEND_MS);
-    let Some(behind) = due.filter(|_| !waits) else {
+    let Some(behind) = due.filter(|behind| orders.may_send(behind.newest.fence, now)) else {
         return;
     };
-    if sent.is_none() {
+    if orders.pending.is_none() {
         set_phase(shared, Phase::Closing);
         tokio::time::sleep(CLOSING).await;
     }
-    send_order(shared, engine, &behind, sent).await;
+    send_order(shared, engine, &behind, orders).await;
 }
 
 async fn send_order(
     shared: &Shared,
     engine: &mut dyn Engine,
     behind: &Behind,
-    sent: &mut Option<Sent>,
+    orders: &mut Orders,
 ) {
-    let orders = {
+    let accepted = {
         let state = shared.state.borrow();
         state.report.as_ref().map_or(0, |report| report.orders)
     };
@@ -144,25 +159,29 @@
         weights: behind.newest.weights,
         holder: shared.node.to_string(),
         fence: behind.newest.fence,
-        expected_orders: orders,
+        expected_orders: accepted,
     };
     let answer = engine.order(&order, ORDER_MS).await;
     let now = shared.clock.now();
     log::info!(
         model:% = order.model, weights:% = order.weights, fence:% = order.fence,
-        held:% = behind.held, expected_orders = orders, answer:? = answer;
+        held:% = behind.held, expected_orders = accepted, answer:? = answer;
         "order is sent"
     );
     match answer {
-        Ok(OrderAnswer::Accepted) => {
-            *sent = None;
+        Ok(OrderAnswer::Accepted | OrderAnswer::Holds | OrderAnswer::Conflict) => {
+            orders.pending = None;
+        }
+        Ok(OrderAnswer::Fenced) => {
+            orders.pending = None;
+            orders.refused = Some(order.fence);
+            set_phase(shared, Phase::Open);
         }
-        Ok(OrderAnswer::Holds | OrderAnswer::Conflict) => *sent = None,
         // Without an answer it may have been accepted; the next report tells.
-        Ok(OrderAnswer::Fenced | OrderAnswer::Rejected(_)) | Err(_) => {
-            *sent = Some(Sent {
+        Ok(OrderAnswer::Rejected(_)) | Err(_) => {
+            orders.pending = Some(Sent {
                 at: now,
-                orders_before: orders,
+                orders_before: accepted,
             });
         }
     }
--- a/crates/sidecar/src/weights.rs
+++ b/crates/sidecar/src/weights.rs
@@ -5,14 +5,18 @@
 use dw_base::DurationMs;
 use dw_follow::follow;
 use dw_follow::Follower;
+use dw_follow::Pace;
 use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
 
 use crate::sidecar::Shared;
 
-/// Longest wait of one call for changes; routers tell of named weights, too.
-const CHANGES_WAIT_MS: DurationMs = DurationMs(10_000);
+/// Calls are rare, since routers tell of named weights, too.
+const PACE: Pace = Pace {
+    longest_wait_ms: DurationMs(10_000),
+    pause_ms: DurationMs(100),
+};
 
 struct Names(Rc<Shared>);
 
@@ -56,5 +60,5 @@
 /// Follows named weights until the task is aborted.
 pub(crate) async fn follow_weights(shared: Rc<Shared>, feed: Box<dyn Feed<Declaration>>) {
     let clock = shared.clock.clone();
-    follow(feed, Names(shared), CHANGES_WAIT_MS, clock).await;
+    follow(feed, Names(shared), PACE, clock).await;
 }
--- /dev/null
+++ b/crates/sidecar/tests/orders.rs
@@ -0,0 +1,197 @@
+//! Orders of a sidecar to its engine.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dw_base::DurationMs;
+use dw_base::FenceNumber;
+use dw_base::SystemClock;
+use dw_base::WeightsVersion;
+use dw_platform::Boot;
+use dw_port::Declaration;
+use dw_port::Engine;
+use dw_port::EngineError;
+use dw_port::Feed;
+use dw_port::FeedError;
+use dw_port::NamedWeights;
+use dw_port::Order;
+use dw_port::OrderAnswer;
+use dw_port::Page;
+use dw_port::Report;
+use dw_port::TableVersion;
+use dw_sidecar::Sidecar;
+use dw_sidecar::SidecarParts;
+use tokio::task::LocalSet;
+
+const SETTINGS: &str = r#"
+node: "side-1"
+ip: "127.0.0.1"
+zone: "a"
+listen: {}
+app: "127.0.0.1:1"
+port-range: [0, 0]
+limits: {memory-mb: 192}
+heartbeat-ms: 1200
+bounds: {grace-s: 8, config-ms: 2000, retry-ratio: 0.2, retry-slack: 56, budget-window-s: 10, version-ms: 100}
+platform: {addr: "127.0.0.1:1"}
+"#;
+
+/// What the engine does with one order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Act {
+    /// Carries it out.
+    Load,
+    /// Carries it out without an answer.
+    LoadSilently,
+    /// Gives no answer and does nothing.
+    Ignore,
+    /// Refuses its fencing number.
+    Fence,
+}
+
+#[derive(Debug, Default)]
+struct Life {
+    acts: Vec<Act>,
+    held: u64,
+    accepted: u64,
+    orders: Vec<Order>,
+}
+
+/// An engine that loads at once and restarts with what it had.
+struct FakeEngine(Arc<Mutex<Life>>);
+
+#[async_trait]
+impl Engine for FakeEngine {
+    async fn report(&mut self, _: DurationMs) -> Result<Report, EngineError> {
+        let life = self.0.lock().expect("no thread has panicked");
+        Ok(Report {
+            models: vec![(
+                "m".parse().expect("name is valid"),
+                WeightsVersion(life.held),
+            )],
+            busy: false,
+            orders: life.accepted,
+            waiting: 0,
+            running: 0,
+            born_ms: 7,
+        })
+    }
+
+    async fn order(&mut self, order: &Order, _: DurationMs) -> Result<OrderAnswer, EngineError> {
+        let mut life = self.0.lock().expect("no thread has panicked");
+        life.orders.push(order.clone());
+        let act = match life.acts.len() {
+            1 => life.acts[0],
+            _ => life.acts.remove(0),
+        };
+        if order.expected_orders != life.accepted {
+            return Ok(OrderAnswer::Conflict);
+        }
+        if matches!(act, Act::Load | Act::LoadSilently) {
+            life.held = order.weights.0;
+            life.accepted += 1;
+        }
+        match act {
+            Act::Load => Ok(OrderAnswer::Accepted),
+            Act::Fence => Ok(OrderAnswer::Fenced),
+            Act::LoadSilently | Act::Ignore => Err(EngineError("no answer".to_owned())),
+        }
+    }
+}
+
+/// Names weights 2, and weights 3 a second later.
+struct Names(u64);
+
+#[async_trait]
+impl Feed<Declaration> for Names {
+    async fn snapshot(&mut self, _: DurationMs) -> Result<Page<Declaration>, FeedError> {
+        Ok(page(2, 41))
+    }
+
+    async fn changes(
+        &mut self,
+        _: TableVersion,
+        _: DurationMs,
+        _: DurationMs,
+    ) -> Result<Page<Declaration>, FeedError> {
+        self.0 += 1;
+        if self.0 > 1 {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        Ok(page(3, 50))
+    }
+}
+
+fn page(weights: u64, fence: u64) -> Page<Declaration> {
+    let named = NamedWeights {
+        model: "m".parse().expect("name is valid"),
+        weights: WeightsVersion(weights),
+        fence: FenceNumber(fence),
+    };
+    Page {
+        items: vec![Declaration::Weights(named)],
+        version: TableVersion(fence),
+    }
+}
+
+/// Plays four seconds and returns weights and orders.
+fn play(acts: &[Act]) -> (u64, Vec<Order>) {
+    let life = Arc::new(Mutex::new(Life {
+        acts: acts.to_vec(),
+        held: 1,
+        ..Life::default()
+    }));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let sidecar = Sidecar::start(SidecarParts {
+            boot: Boot::parse(Path::new("boot.yaml"), SETTINGS).expect("settings are valid"),
+            clock: Arc::new(SystemClock::new()),
+            engine: Box::new(FakeEngine(life.clone())),
+            declarations: Box::new(Names(0)),
+        });
+        let _sidecar = sidecar.await.expect("sidecar starts");
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    });
+    let life = life.lock().expect("no thread has panicked");
+    (life.held, life.orders.clone())
+}
+
+/// Guards against weights that are not loaded, or loaded twice, and against an order whose fence or
+/// condition does not fit.
+#[test]
+fn each_naming_leads_to_one_order() {
+    let (held, orders) = play(&[Act::Load]);
+    assert_eq!(held, 3);
+    let sent = |order: &Order| (order.weights.0, order.fence.0, order.expected_orders);
+    assert_eq!(
+        orders.iter().map(sent).collect::<Vec<_>>(),
+        [(2, 41, 0), (3, 50, 1)]
+    );
+    assert!(orders.iter().all(|order| order.holder == "side-1"));
+}
+
+/// Guards against an order that is sent again although it was carried out, and against one that is
+/// lost for good.
+#[test]
+fn orders_without_an_answer_are_settled_by_the_report() {
+    let (held, orders) = play(&[Act::LoadSilently, Act::Ignore, Act::Load]);
+    assert_eq!(held, 3);
+    let expected: Vec<u64> = orders.iter().map(|order| order.expected_orders).collect();
+    assert_eq!(expected, [0, 1, 1]);
+}
+
+/// Guards against a sender that goes on with a fencing number that the engine has refused.
+#[test]
+fn refused_fence_is_not_used_again() {
+    let (held, orders) = play(&[Act::Fence, Act::Load]);
+    assert_eq!(held, 3);
+    let fences: Vec<u64> = orders.iter().map(|order| order.fence.0).collect();
+    assert_eq!(fences, [41, 50]);
+}
