soak: play the real gateway processes under overlapping faults; spread parts over all KV stores

(2) On the grown sites there are three KV stores, of which only the first was used, and 21 gateways exceeded the calls that a store serves at once, which was taken for an outage. Ruled out: a store that is down (status 429, the other two answered). Conclusion: a busy store counts as up; each part has its store by rendezvous.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use dw_base::rendezvous_score;
 use dw_base::ModelId;
 use dw_base::PromptPart;
 use dw_base::TimeMs;
@@ -15,6 +16,7 @@
 
 use crate::job::salt;
 use crate::job::Job;
+use crate::kv::KvContents;
 use crate::shared::Shared;
 use crate::weights::Age;
 
@@ -103,10 +105,10 @@
             })
         })
         .collect();
-    let store = kv_store(shared);
     let scope = job.scope();
     let prompt = job.ask.prompt.as_slice();
     let shared_parts = prompt.split_last().map_or(prompt, |(_, parts)| parts);
+    let store = kv_store(shared, shared_parts);
     let stored = |weights| stored_tokens(shared, store, &salt(&scope, weights), shared_parts);
     let boot = shared.boot();
     let request = DirectRequest {
@@ -161,12 +163,17 @@
     listed.max(told).max(seen)
 }
 
-fn kv_store(shared: &Shared) -> Option<SocketAddr> {
+/// Returns the store that all routers use for these shared parts, among those that answer.
+fn kv_store(shared: &Shared, parts: &[PromptPart]) -> Option<SocketAddr> {
     let routes = shared.routes()?;
     let kv = shared.kv.borrow();
-    let is_up = |addr: &SocketAddr| kv.get(addr).is_some_and(|contents| contents.is_up());
+    let is_up = |addr: &SocketAddr| kv.get(addr).is_some_and(KvContents::is_up);
+    let key = parts.last()?.id;
     let stores = routes.kv_stores().iter().map(|store| store.addr);
-    stores.into_iter().find(|addr| is_up(addr))
+    stores.filter(is_up).max_by_key(|addr| {
+        let score = rendezvous_score(u128::from(key), &addr.to_string(), 1.0);
+        score.to_bits()
+    })
 }
 
 fn stored_tokens(
--- a/crates/gateway/src/kv.rs
+++ b/crates/gateway/src/kv.rs
@@ -11,19 +11,21 @@
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_platform::KvEvents;
+use dw_port::KvError;
 use dw_port::KvIndex;
 use dw_port::KvPage;
 
 use crate::shared::Shared;
 
-/// Longest wait of one call for events.
-const WAIT_MS: DurationMs = DurationMs(1_000);
+/// Longest wait of one call for events. A store serves a few such calls at once, and all routers
+/// follow it.
+const WAIT_MS: DurationMs = DurationMs(250);
 
 /// Time beyond the wait after which the store counts as down.
 const ANSWER_MS: DurationMs = DurationMs(500);
 
-/// Pause between calls, so that events are fetched together.
-const PAUSE: Duration = Duration::from_millis(400);
+/// Pause between calls, so that events are fetched together and calls of routers rarely meet.
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
@@ -31,9 +33,6 @@
 /// Pause between looks for a first store, which comes with the configuration.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// Wait of the first call, whose answer shows that the store is up.
-const FIRST_WAIT_MS: DurationMs = DurationMs(200);
-
 /// Time in which most shared parts come into use again.
 const FADE_MS: f64 = 10_000.0;
 
@@ -136,13 +135,7 @@
             let mut kv = shared.kv.borrow_mut();
             kv.entry(store).or_default().next
         };
-        let is_up = shared
-            .kv
-            .borrow()
-            .get(&store)
-            .is_some_and(KvContents::is_up);
-        let wait_ms = if is_up { WAIT_MS } else { FIRST_WAIT_MS };
-        let result = events.changes(since, wait_ms, wait_ms + ANSWER_MS).await;
+        let result = events.changes(since, WAIT_MS, WAIT_MS + ANSWER_MS).await;
         let now = shared.now();
         let pause = {
             let mut kv = shared.kv.borrow_mut();
@@ -155,6 +148,8 @@
                     contents.apply(page, now);
                     PAUSE
                 }
+                // A busy store is up; what it tells later is complete all the same.
+                Err(KvError::Busy) => PAUSE,
                 Err(e) => {
                     if contents.lost() {
                         log::warn!(store:%, error:% = e; "store of kept KV cache is lost");
--- a/crates/port/src/kv.rs
+++ b/crates/port/src/kv.rs
@@ -4,7 +4,7 @@
 use dw_base::DurationMs;
 use dw_base::Tokens;
 
-use crate::engine::EngineError;
+use thiserror::Error;
 
 /// A part came or went.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -30,6 +30,17 @@
     pub changes: Vec<KvChange>,
 }
 
+/// A store of kept KV cache did not tell its changes.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum KvError {
+    /// It serves as many such calls as it can.
+    #[error("the store serves too many such calls")]
+    Busy,
+    /// It cannot be reached or gives no readable answer.
+    #[error("the store did not answer: {0}")]
+    Lost(String),
+}
+
 /// A store of kept KV cache, or an engine, that tells what it holds.
 #[async_trait]
 pub trait KvIndex: Send {
@@ -43,5 +54,5 @@
         since: u64,
         wait_ms: DurationMs,
         timeout_ms: DurationMs,
-    ) -> Result<KvPage, EngineError>;
+    ) -> Result<KvPage, KvError>;
 }
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -29,6 +29,7 @@
 pub use feed::TableVersion;
 pub use feed::Unreadable;
 pub use kv::KvChange;
+pub use kv::KvError;
 pub use kv::KvIndex;
 pub use kv::KvPage;
 pub use naming::NamingTime;
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -19,6 +20,9 @@
 
 use crate::wait::until;
 
+/// Packages whose binaries are started.
+const PACKAGES: [&str; 4] = ["dw-router", "dw-agent", "dw-gateway", "dw-sidecar"];
+
 /// Directory of the built binaries, after they were built once in this process.
 static BINARIES: OnceLock<Result<PathBuf, String>> = OnceLock::new();
 
@@ -33,10 +37,9 @@
 /// Builds the binaries, because cargo builds them only for the tests of their own package.
 fn binaries() -> eyre::Result<&'static Path> {
     let built = BINARIES.get_or_init(|| {
-        let packages = ["-p", "dw-router", "-p", "dw-agent"];
         let build = Command::new(env!("CARGO"))
             .args(["build", "--quiet", "--offline", "--bins"])
-            .args(packages)
+            .args(PACKAGES.iter().flat_map(|package| ["-p", package]))
             .current_dir(env!("CARGO_MANIFEST_DIR"))
             .output()
             .map_err(|error| error.to_string())?;
@@ -60,6 +63,19 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Collects the lines of an output on a thread of its own.
+fn collect(output: Option<impl Read + Send + 'static>, log: &Arc<Mutex<Vec<String>>>) {
+    let Some(output) = output else {
+        return;
+    };
+    let log = Arc::clone(log);
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            locked(&log).push(line);
+        }
+    });
+}
+
 impl Process {
     /// Starts a binary with a settings file.
     ///
@@ -71,19 +87,13 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .wrap_err_with(|| format!("{binary} cannot be started"))?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        if let Some(output) = child.stderr.take() {
-            let log = Arc::clone(&log);
-            thread::spawn(move || {
-                for line in BufReader::new(output).lines().map_while(Result::ok) {
-                    locked(&log).push(line);
-                }
-            });
-        }
+        collect(child.stdout.take(), &log);
+        collect(child.stderr.take(), &log);
         Ok(Process {
             id: child.id().to_string(),
             child: Mutex::new(child),
