gateway: probe an upstream again after a 421 of another one; decisions on saves and returns in pure crates

Cause: a 421 of another instance removed the registration from the directory for good. Ruled out: a lost feed (the store held three registrations and the gateway followed it). Conclusion: such an upstream is suspect and probed on a new connection. Saves and the time to come back are decided in cache and admit with tests that replay their load; main functions and datagrams stand once.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -21,6 +21,7 @@
 mod slots;
 mod speed;
 mod ticket;
+mod turn_away;
 
 pub use fair::Fair;
 pub use fair::FairSettings;
@@ -31,3 +32,4 @@
 pub use gate::Gate;
 pub use gate::Load;
 pub use ticket::Ticket;
+pub use turn_away::retry_after;
--- a/crates/gateway/src/turn_away.rs
+++ b/crates/admit/src/turn_away.rs
@@ -16,7 +16,7 @@
 const WILLING_PART: u64 = 3;
 
 /// Returns when a caller with `left_ms` may come back; `point` is uniform in `0..=u32::MAX`.
-pub(crate) fn retry_after(left_ms: DurationMs, point: u32) -> DurationMs {
+pub fn retry_after(left_ms: DurationMs, point: u32) -> DurationMs {
     let spread = (u64::from(point) * SPREAD_MS) >> 32;
     let most = (left_ms.0 / WILLING_PART).max(1);
     DurationMs((SHORTEST_MS + spread).min(most))
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -5,30 +5,13 @@
 
 use dw_agent::ProcessSettings;
 use dw_settings::open;
-use dw_settings::Opened;
-use dw_settings::EXIT_BAD_SETTINGS;
+use dw_settings::start;
 
 const PROGRAM: &str = "dandelionwall-agent";
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match open::<ProcessSettings>(PROGRAM, &args) {
-        Opened::Done(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Opened::Bad(text) => {
-            eprintln!("{text}");
-            ExitCode::from(EXIT_BAD_SETTINGS)
-        }
-        Opened::Run(settings) => match run(settings) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("{error:#}");
-                ExitCode::FAILURE
-            }
-        },
-    }
+    start(open::<ProcessSettings>(PROGRAM, &args), run)
 }
 
 fn run(settings: ProcessSettings) -> eyre::Result<()> {
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -28,6 +28,7 @@
 mod index;
 mod pieces;
 mod recent;
+mod saving;
 
 pub use breaker::BREAKER_PAUSE_MS;
 pub use event::Action;
@@ -48,3 +49,5 @@
 pub use index::LOST_TAIL_MS;
 pub use pieces::MAX_KNOWN_PIECES;
 pub use recent::RecentChains;
+pub use saving::is_worth_saving;
+pub use saving::Inflow;
--- /dev/null
+++ b/crates/gateway/src/candidates.rs
@@ -0,0 +1,96 @@
+//! Upstreams that may run a request.
+
+use dw_base::ModelId;
+use dw_base::Tokens;
+use dw_base::UpstreamId;
+use dw_base::WeightsVersion;
+use dw_member::Directory;
+use dw_member::Entry;
+use dw_place::DirectTarget;
+
+use crate::job::Job;
+use crate::shared::Shared;
+use crate::weights::Age;
+
+/// Upstreams that have refused or failed a request.
+#[derive(Default)]
+pub(crate) struct Exclusions(Vec<UpstreamId>);
+
+impl Exclusions {
+    /// Adds an upstream.
+    pub(crate) fn add(&mut self, upstream: &UpstreamId) {
+        self.0.push(upstream.clone());
+    }
+
+    fn has(&self, upstream: &UpstreamId) -> bool {
+        self.0.contains(upstream)
+    }
+}
+
+/// Returns the upstreams of the request's service that are open, the healthy ones if there are any.
+pub(crate) fn open<'a>(
+    shared: &Shared,
+    directory: &'a Directory,
+    job: &'a Job,
+    exclusions: &Exclusions,
+) -> Vec<&'a Entry> {
+    let now = shared.now();
+    let sidecars = shared.sidecars.borrow();
+    let open: Vec<&Entry> = directory
+        .serving(&job.service)
+        .filter(|entry| !exclusions.has(&entry.listed.upstream))
+        .filter(|entry| sidecars.is_open(entry.listed.addr, now))
+        .collect();
+    let healthy = open.iter().filter(|entry| entry.health.usable(now));
+    let healthy: Vec<&Entry> = healthy.copied().collect();
+    // Without a healthy one, a suspect one is better than none: an unreachable one costs little.
+    if healthy.is_empty() {
+        open
+    } else {
+        healthy
+    }
+}
+
+/// Returns what the placement compares of an upstream; nothing if its weights are unknown or must
+/// not be used any more.
+pub(crate) fn target<'a>(
+    shared: &Shared,
+    job: &Job,
+    entry: &'a Entry,
+    kv_capacity: Option<Tokens>,
+) -> Option<DirectTarget<'a>> {
+    let now = shared.now();
+    let (weights, age) = match kv_capacity {
+        None => (None, Age::Current),
+        Some(_) => {
+            let model = model(job, entry)?;
+            let held = held_weights(shared, entry, model)?;
+            (Some(held), shared.weights.borrow().age(model, held, now))
+        }
+    };
+    (age != Age::TooOld).then(|| DirectTarget {
+        upstream: &entry.listed.upstream,
+        data_centre: &entry.listed.data_centre,
+        slots: entry.listed.slots,
+        kv_capacity,
+        weights,
+        old_weights: age == Age::Old,
+        failure_rate: entry.health.failure_rate(now),
+    })
+}
+
+/// Returns the wanted model, or the engine's first one if the request names none.
+fn model<'a>(job: &'a Job, entry: &'a Entry) -> Option<&'a ModelId> {
+    let first = entry.listed.models.first().map(|(model, _)| model);
+    job.ask.model.as_ref().or(first)
+}
+
+/// Returns the newest weights that an engine is known to have.
+///
+/// Weights of an engine only grow, so the greatest of what is known is the newest.
+fn held_weights(shared: &Shared, entry: &Entry, model: &ModelId) -> Option<WeightsVersion> {
+    let listed = entry.listed.weights(model);
+    let told = shared.sidecars.borrow().weights(entry.listed.addr, model);
+    let seen = shared.weights.borrow().seen(&entry.listed.upstream);
+    listed.max(told).max(seen)
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -278,7 +278,13 @@
     let other = answered.head.upstream.as_deref();
     let displaced = answered.head.misdirected && other.is_some_and(|id| id != upstream.as_str());
     if displaced {
-        shared.directory.borrow_mut().displaced(upstream);
+        // The answer may come over a connection from before a restart at the same address, so the
+        // upstream is probed again on a new one.
+        shared.pool.close(plan.addr);
+        let mut directory = shared.directory.borrow_mut();
+        if let Some(health) = directory.health(upstream) {
+            health.unreachable(shared.now());
+        }
     }
     shared.measures.tried("not_run");
     log::info!(
@@ -287,7 +293,9 @@
         weights_held = answered.head.weights.unwrap_or_default().0;
         "upstream did not run the request"
     );
-    recycle(shared, plan, answered).await;
+    if !displaced {
+        recycle(shared, plan, answered).await;
+    }
     Ended::Fate(Fate::NotRun)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -134,8 +134,8 @@
         spawn(follow_routes(shared.clone(), parts.declarations, ages));
         spawn(follow_registrations(shared.clone(), parts.registrations));
         spawn(kv::follow_all(shared.clone()));
-        spawn(gossip::tell(shared.clone(), socket.clone()));
-        spawn(gossip::hear(shared.clone(), socket));
+        spawn(gossip::tell_sidecars(shared.clone(), socket.clone()));
+        spawn(gossip::hear_sidecars(shared.clone(), socket));
         spawn(probe::serve_ready(shared.clone(), ready));
         spawn(sweep(shared.clone()));
         if let Some(port) = parts.metrics_port {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,13 +8,12 @@
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
-use dw_wire::decode;
-use dw_wire::encode;
+use dw_wire::hear;
+use dw_wire::tell;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
 use dw_wire::Phase;
 use dw_wire::RouterState;
-use dw_wire::MAX_DATAGRAM_BYTES;
 use tokio::net::UdpSocket;
 
 use crate::shared::Shared;
@@ -37,10 +36,11 @@
 }
 
 /// Tells sidecars of outstanding work and named weights until the task is aborted.
-pub(crate) async fn tell(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+pub(crate) async fn tell_sidecars(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut told: Vec<Told> = Vec::new();
     let mut news = Vec::new();
     let mut seq = 0;
+    let port = shared.boot().inner_ports.0;
     loop {
         let now = shared.now();
         let names: Vec<_> = named(&shared, now);
@@ -66,8 +66,9 @@
                 at: now,
             });
             seq += 1;
+            let sidecar = SocketAddr::new(engine.addr.ip(), port);
             let state = state(&shared, engine, seq, &engines, now);
-            send(&shared, &socket, engine.addr, &Datagram::Router(state)).await;
+            tell(&socket, sidecar, &Datagram::Router(state)).await;
         }
         tokio::time::sleep(SHORTEST_PAUSE).await;
         let changed = shared.work_changed.notified();
@@ -127,35 +128,13 @@
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, engine: SocketAddr, datagram: &Datagram) {
-    let port = shared.boot.borrow().inner_ports.0;
-    let sidecar = SocketAddr::new(engine.ip(), port);
-    match encode(datagram) {
-        // A lost datagram is repaired by the next one.
-        Ok(bytes) => drop(socket.send_to(&bytes, sidecar).await),
-        Err(e) => log::error!(error:% = e; "datagram cannot be encoded"),
-    }
-}
-
 /// Hears sidecars until the task is aborted.
-pub(crate) async fn hear(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(e) => {
-                // A refused datagram is reported here; the sender may be gone.
-                log::debug!(error:% = e; "datagram is lost");
-                tokio::time::sleep(Duration::from_millis(5)).await;
-                continue;
-            }
-        };
-        match decode(&buffer[..length]) {
-            Ok(Datagram::Engine(state)) => heard(&shared, state),
-            Ok(Datagram::Router(_)) => {}
-            Err(e) => log::warn!(from:%, error:% = e; "datagram cannot be read"),
-        }
-    }
+pub(crate) async fn hear_sidecars(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    hear(&socket, |_, datagram| match datagram {
+        Datagram::Engine(state) => heard(&shared, state),
+        Datagram::Router(_) => {}
+    })
+    .await;
 }
 
 fn heard(shared: &Shared, state: EngineState) {
--- a/crates/gateway/src/kv.rs
+++ b/crates/gateway/src/kv.rs
@@ -10,6 +10,7 @@
 use dw_base::PromptPart;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_cache::Inflow;
 use dw_platform::KvEvents;
 use dw_port::KvError;
 use dw_port::KvIndex;
@@ -33,13 +34,6 @@
 /// Pause between looks for a first store, which comes with the configuration.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time in which most shared parts come into use again.
-const FADE_MS: f64 = 10_000.0;
-
-fn fade(passed_ms: DurationMs) -> f64 {
-    (-(passed_ms.0 as f64) / FADE_MS).exp()
-}
-
 /// Contents of one store.
 #[derive(Default)]
 pub(crate) struct KvContents {
@@ -47,9 +41,7 @@
     epoch: u64,
     next: u64,
     is_up: bool,
-    /// Tokens that came lately, fading with [`FADE_MS`].
-    came: f64,
-    faded: TimeMs,
+    inflow: Inflow,
 }
 
 fn key(salt: &str, part: u64) -> PrefixKey {
@@ -77,10 +69,9 @@
         Tokens(leading.map(|part| part.tokens.0).sum())
     }
 
-    /// Returns the share of the store's room that was filled in the time in which parts come into
-    /// use again; near 1, shared parts are dropped before their next use.
+    /// Returns the share of the store's room that is filled anew before parts are used again.
     pub(crate) fn pressure(&self, capacity: Tokens, now: TimeMs) -> f64 {
-        self.came * fade(now.since(self.faded)) / (capacity.0 as f64).max(1.0)
+        self.inflow.pressure(capacity, now)
     }
 
     fn lost(&mut self) -> bool {
@@ -94,10 +85,8 @@
         self.epoch = page.epoch;
         self.next = page.next;
         self.is_up = true;
-        self.came *= fade(now.since(self.faded));
-        self.faded = now;
         for change in page.changes {
-            self.came += change.tokens.0 as f64;
+            self.inflow.came(change.tokens, now);
             let key = key(&change.salt, change.part);
             match change.tokens {
                 Tokens(0) => drop(self.held.remove(&key)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod body;
 mod caller;
+mod candidates;
 mod choose;
 mod connections;
 mod drain;
@@ -25,7 +26,6 @@
 mod routes;
 mod shared;
 mod sidecars;
-mod turn_away;
 mod weights;
 
 pub use drain::Drain;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -13,8 +13,7 @@
 use dw_platform::Options;
 use dw_platform::PlatformCodec;
 use dw_platform::Registrations;
-use dw_settings::Opened;
-use dw_settings::EXIT_BAD_SETTINGS;
+use dw_settings::start;
 use dw_telem::start_logs;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
@@ -24,23 +23,7 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match open(PROGRAM, &args) {
-        Opened::Run(options) => match run(options) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("{e:#}");
-                ExitCode::FAILURE
-            }
-        },
-        Opened::Done(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Opened::Bad(text) => {
-            eprintln!("{text}");
-            ExitCode::from(EXIT_BAD_SETTINGS)
-        }
-    }
+    start(open(PROGRAM, &args), run)
 }
 
 fn run(options: Options) -> eyre::Result<()> {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Closes all idle connections to an upstream.
+    pub(crate) fn close(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     /// Closes connections that are past their time, and those to upstreams that are gone.
     pub(crate) fn sweep(&self, keep: impl Fn(&SocketAddr) -> bool, now: TimeMs) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dw_admit::retry_after;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_retry::Fate;
@@ -23,8 +24,8 @@
 
 use crate::answer::OwnAnswer;
 use crate::body::AnswerBody;
+use crate::candidates::Exclusions;
 use crate::choose::choose;
-use crate::choose::Exclusions;
 use crate::choose::NoChoice;
 use crate::connections::RequestGuard;
 use crate::forward::forward;
@@ -32,7 +33,6 @@
 use crate::job::Job;
 use crate::job::SharedJob;
 use crate::shared::Shared;
-use crate::turn_away::retry_after;
 
 /// Time that a caller waits if its request does not say so.
 const DEFAULT_DEADLINE_MS: DurationMs = DurationMs(30_000);
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -321,3 +321,23 @@
         tokio::join!(ending, calling);
     });
 }
+
+/// Guards against an upstream that is dropped for good because another one answered for it once, as
+/// over a connection from before a restart at the same address. Found by the soak, seed 122.
+#[test]
+fn upstream_that_was_taken_for_another_is_used_again() {
+    let other =
+        Act::AnswerAndClose("HTTP/1.1 421 Other\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n");
+    let acts: &[Act] = &[other, GOOD];
+    with_gateway(routes(), &[acts], |gateway, _| async move {
+        let first = call(&gateway, &request("POST", "/once/x", "b")).await;
+        assert_eq!(status(&first.expect("answer")), 503);
+        loop {
+            let answer = call(&gateway, &request("POST", "/once/x", "b")).await;
+            if status(&answer.expect("answer")) == 200 {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    });
+}
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -116,11 +116,6 @@
         self.entries.remove(id);
     }
 
-    /// Learns that another upstream answers at the address of this one.
-    pub fn displaced(&mut self, id: &UpstreamId) {
-        self.entries.remove(id);
-    }
-
     /// Drops the registrations that did not come back after an outage of the table.
     pub fn expire(&mut self, now: TimeMs) {
         let Some(until) = self.table.lapses_until else {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -19,8 +19,7 @@
 use dw_router::SyncedParts;
 use dw_router::SyncedRouter;
 use dw_settings::open;
-use dw_settings::Opened;
-use dw_settings::EXIT_BAD_SETTINGS;
+use dw_settings::start;
 use dw_store::Endpoint;
 use dw_store::HttpObjects;
 use dw_store::HttpTable;
@@ -42,24 +41,7 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let settings = match open::<Settings>(PROGRAM, &args) {
-        Opened::Run(settings) => settings,
-        Opened::Done(text) => {
-            println!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        Opened::Bad(text) => {
-            eprintln!("{text}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
-    };
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    start(open::<Settings>(PROGRAM, &args), run)
 }
 
 fn run(settings: Settings) -> eyre::Result<()> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod load;
 mod options;
+mod program;
 mod value;
 
 pub use error::Fault;
@@ -17,6 +18,7 @@
 pub use options::Options;
 pub use options::OptionsError;
 pub use options::EXIT_BAD_SETTINGS;
+pub use program::start;
 pub use value::Addr;
 pub use value::Delay;
 pub use value::ParseAddrError;
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -7,12 +7,11 @@
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_base::Tokens;
-use dw_wire::decode;
-use dw_wire::encode;
+use dw_wire::hear;
+use dw_wire::tell;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
 use dw_wire::WeightsNews;
-use dw_wire::MAX_DATAGRAM_BYTES;
 use tokio::net::UdpSocket;
 
 use crate::sidecar::Shared;
@@ -37,7 +36,7 @@
 }
 
 /// Tells routers and other sidecars of the engine until the task is aborted.
-pub(crate) async fn tell(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+pub(crate) async fn tell_others(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut told: Option<(Summary, Tokens)> = None;
     let (mut router_at, mut peer_at) = (TimeMs(0), TimeMs(0));
     let mut seq = 0;
@@ -97,7 +96,7 @@
     let routers: Vec<_> = shared.state.borrow().routers().collect();
     for (router, own_tokens) in routers {
         let state = engine_state(shared, seq, own_tokens, now);
-        send(socket, router, &Datagram::Engine(state)).await;
+        tell(socket, router, &Datagram::Engine(state)).await;
     }
 }
 
@@ -106,34 +105,16 @@
     let datagram = Datagram::Engine(engine_state(shared, seq, Tokens(0), now));
     for engine in others {
         let sidecar = SocketAddr::new(engine.ip(), shared.inner_port);
-        send(socket, sidecar, &datagram).await;
-    }
-}
-
-async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    match encode(datagram) {
-        // A lost datagram is repaired by the next one.
-        Ok(bytes) => drop(socket.send_to(&bytes, to).await),
-        Err(e) => log::error!(error:% = e; "datagram cannot be encoded"),
+        tell(socket, sidecar, &datagram).await;
     }
 }
 
 /// Hears routers and other sidecars until the task is aborted.
-pub(crate) async fn hear(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(e) => {
-                // A refused datagram is reported here; its receiver may be gone.
-                log::debug!(error:% = e; "datagram is lost");
-                tokio::time::sleep(Duration::from_millis(5)).await;
-                continue;
-            }
-        };
+pub(crate) async fn hear_others(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    hear(&socket, |from, datagram| {
         let now = shared.clock.now();
-        match decode(&buffer[..length]) {
-            Ok(Datagram::Router(state)) => {
+        match datagram {
+            Datagram::Router(state) => {
                 take_news(&shared, &state.weights, now, "router");
                 let mut own = shared.state.borrow_mut();
                 let before = own.outstanding();
@@ -142,13 +123,13 @@
                     shared.changed.notify_one();
                 }
             }
-            Ok(Datagram::Engine(state)) => {
+            Datagram::Engine(state) => {
                 take_news(&shared, &state.weights, now, "sidecar");
                 shared.state.borrow_mut().hear_peer(state, now);
             }
-            Err(e) => log::warn!(from:%, error:% = e; "datagram cannot be read"),
         }
-    }
+    })
+    .await;
 }
 
 fn take_news(shared: &Shared, news: &[WeightsNews], now: TimeMs, source: &str) {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -9,8 +9,7 @@
 use dw_platform::Declarations;
 use dw_platform::EngineCalls;
 use dw_platform::Options;
-use dw_settings::Opened;
-use dw_settings::EXIT_BAD_SETTINGS;
+use dw_settings::start;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
 use dw_sidecar::StartError;
@@ -23,23 +22,7 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match open(PROGRAM, &args) {
-        Opened::Run(options) => match run(options) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("{e:#}");
-                ExitCode::FAILURE
-            }
-        },
-        Opened::Done(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Opened::Bad(text) => {
-            eprintln!("{text}");
-            ExitCode::from(EXIT_BAD_SETTINGS)
-        }
-    }
+    start(open(PROGRAM, &args), run)
 }
 
 fn run(options: Options) -> eyre::Result<()> {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -87,8 +87,8 @@
         });
         log::info!(node:% = boot.node, engine:%, table:% = boot.table; "sidecar starts");
         spawn_local(follow_weights(shared.clone(), parts.declarations));
-        spawn_local(gossip::tell(shared.clone(), socket.clone()));
-        spawn_local(gossip::hear(shared.clone(), socket));
+        spawn_local(gossip::tell_others(shared.clone(), socket.clone()));
+        spawn_local(gossip::hear_others(shared.clone(), socket));
         spawn_local(orders::watch(shared, parts.engine));
         Ok(Sidecar(()))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod codec;
 mod control;
+mod datagrams;
 mod frame;
 mod gossip;
 mod run;
@@ -31,6 +32,8 @@
 pub use control::LoanDenied;
 pub use control::LoanRequest;
 pub use control::ServeControl;
+pub use datagrams::hear;
+pub use datagrams::tell;
 pub use frame::Answer;
 pub use frame::Failure;
 pub use frame::FailureKind;
