place: a token computed again costs half as much; the style test covers platform/

Cause: since engines ask the home of a prompt for parts that the store lacks, a part is computed again less often than the cost said, and prompts crossed data centres to avoid it. The style test looked at crates/ only.

--- a/crates/base/tests/style.rs
+++ b/crates/base/tests/style.rs
@@ -17,7 +17,7 @@
 }
 
 fn sources() -> Vec<(PathBuf, String)> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut files = Vec::new();
     rust_files(&root, &mut files);
     assert!(files.len() > 20, "the source tree was not found");
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -28,7 +28,7 @@
 #[derive(Builder, Clone, Debug)]
 pub struct DirectSettings {
     /// Cost of computing a token of a shared part that another engine has computed.
-    #[builder(default = 0.1)]
+    #[builder(default = 0.05)]
     pub again_ms_per_token: f64,
     /// Time to fetch a token of a shared part from the store of kept KV cache.
     #[builder(default = 0.003)]
