--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -1,15 +1,16 @@
 //! Orders of a sidecar to its engine.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
+use dw_base::Bytes;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::SystemClock;
 use dw_base::WeightsVersion;
+use dw_platform::boot::Bounds;
 use dw_platform::Boot;
 use dw_port::Declaration;
 use dw_port::Engine;
@@ -26,18 +27,32 @@
 use dw_sidecar::SidecarParts;
 use tokio::task::LocalSet;
 
-const SETTINGS: &str = r#"
-node: "side-1"
-ip: "127.0.0.1"
-zone: "a"
-listen: {}
-app: "127.0.0.1:1"
-port-range: [0, 0]
-limits: {memory-mb: 192}
-heartbeat-ms: 1200
-bounds: {grace-s: 8, config-ms: 2000, retry-ratio: 0.2, retry-slack: 56, budget-window-s: 10, version-ms: 100}
-platform: {addr: "127.0.0.1:1"}
-"#;
+/// Time within which the plan by rank has a lone sidecar load.
+const WEIGHTS_MS: DurationMs = DurationMs(100);
+
+fn boot() -> Boot {
+    Boot {
+        node: "side-1".parse().expect("name is valid"),
+        ip: "127.0.0.1".parse().expect("address is valid"),
+        data_centre: "a".parse().expect("name is valid"),
+        data_centres: Vec::new(),
+        callers: None,
+        ready: None,
+        inner_ports: (0, 0),
+        memory: Bytes(192_000_000),
+        engine: Some("127.0.0.1:1".parse().expect("address is valid")),
+        table: "127.0.0.1:1".parse().expect("address is valid"),
+        heartbeat_ms: DurationMs(1_200),
+        bounds: Bounds {
+            grace_ms: DurationMs(8_000),
+            config_ms: DurationMs(2_000),
+            retry_ratio: 0.2,
+            retry_slack: 56.0,
+            retry_window_ms: DurationMs(10_000),
+            weights_ms: WEIGHTS_MS,
+        },
+    }
+}
 
 /// What the engine does with one order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -151,7 +166,7 @@
         .expect("runtime starts");
     LocalSet::new().block_on(&runtime, async {
         let sidecar = Sidecar::start(SidecarParts {
-            boot: Boot::parse(Path::new("boot.yaml"), SETTINGS).expect("settings are valid"),
+            boot: boot(),
             clock: Arc::new(SystemClock::new()),
             engine: Box::new(FakeEngine(life.clone())),
             declarations: Box::new(Names(0)),
