--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -105,6 +105,10 @@
     pub(crate) paused: bool,
     /// Whether the connection is cut after a call has run.
     pub(crate) lose_call_answers: bool,
+    /// Answers about the state that still lose their connection.
+    pub(crate) lost_states: u32,
+    /// Answers about the state so far.
+    pub(crate) states: u32,
 }
 
 /// A running fake upstream.
@@ -122,6 +126,12 @@
     state.lock().expect("no test has panicked")
 }
 
+/// An answer whose connection breaks after the head.
+fn cut_answer() -> Response<StreamBody<Pieces>> {
+    let cut: Pieces = Box::pin(futures::stream::iter([Err(io::Error::other("cut"))]));
+    Response::new(StreamBody::new(cut))
+}
+
 impl Upstream {
     /// Starts an engine with weights 1 that emits tokens without limit.
     pub(crate) async fn start() -> Self {
@@ -168,6 +178,19 @@
         }
     }
 
+    fn state(&self) -> Response<StreamBody<Pieces>> {
+        let mut lost = false;
+        self.set(|fake| {
+            fake.states += 1;
+            lost = fake.lost_states > 0;
+            fake.lost_states = fake.lost_states.saturating_sub(1);
+        });
+        if lost {
+            return cut_answer();
+        }
+        json_answer(200, &state_of(&lock(&self.state)))
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<StreamBody<Pieces>> {
         self.until(|fake| !fake.paused).await;
         let path = request.uri().path().to_owned();
@@ -181,7 +204,7 @@
         let body: Value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
         let id = body["request_id"].as_str().unwrap_or_default().to_owned();
         match path.as_str() {
-            "/v1/state" => json_answer(200, &state_of(&lock(&self.state))),
+            "/v1/state" => self.state(),
             "/v1/orders" => self.order(&body),
             "/v1/generate" => self.generate(&id, &body),
             "/v1/resume" => self.resume(&id, body["from_index"].as_u64().unwrap_or(0)),
@@ -355,8 +378,7 @@
             lost = fake.lose_call_answers;
         });
         if lost {
-            let cut: Pieces = Box::pin(futures::stream::iter([Err(io::Error::other("cut"))]));
-            return Response::new(StreamBody::new(cut));
+            return cut_answer();
         }
         let answer = json!({"request_id": id, "status": 201, "body": {"booked": body["body"]}});
         json_answer(200, &answer)
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -180,6 +180,33 @@
     }
 }
 
+/// Guards against an agent that takes no work because one connection broke while it asked the
+/// engine for its state.
+#[tokio::test]
+async fn lost_state_answer_keeps_the_agent_ready() {
+    let setup = Setup::new().await;
+    let agent = setup.agent("e").await;
+    setup.upstream.set(|fake| {
+        fake.lost_states = 1;
+        fake.states = 0;
+    });
+    while setup.upstream.state.lock().expect("lives").states < 3 {
+        assert!(agent.status().accepting, "one lost answer stops the work");
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against an agent that offers an engine which no longer tells its state.
+#[tokio::test]
+async fn silent_engine_gets_no_work() {
+    let setup = Setup::new().await;
+    let agent = setup.agent("e").await;
+    setup.upstream.set(|fake| fake.lost_states = u32::MAX);
+    while agent.status().accepting {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Guards against a predecessor that was paused and raises its number over its successor's.
 #[tokio::test]
 async fn superseded_agent_sends_no_orders() {
--- a/crates/proof/src/proxy.rs
+++ b/crates/proof/src/proxy.rs
@@ -28,6 +28,7 @@
     target: SocketAddr,
     cut: CancellationToken,
     cut_after: Vec<u32>,
+    cut_next: Option<&'static str>,
     cross: Option<&'static str>,
     waiting: Option<Arc<Link>>,
     cuts: u32,
@@ -64,6 +65,13 @@
         if WORK.iter().any(|path| starts(path)) && !self.cut_after.is_empty() {
             *locked(&link.limit) = Some(self.cut_after.remove(0));
         }
+        if self
+            .cut_next
+            .is_some_and(|start| request.starts_with(start.as_bytes()))
+        {
+            self.cut_next = None;
+            *locked(&link.limit) = Some(0);
+        }
         if !self.cross.is_some_and(starts) {
             return;
         }
@@ -95,6 +103,7 @@
             target,
             cut: CancellationToken::new(),
             cut_after: Vec::new(),
+            cut_next: None,
             cross: None,
             waiting: None,
             cuts: 0,
@@ -137,12 +146,17 @@
         locked(&self.state).cut_after = reads.into_iter().collect();
     }
 
+    /// Breaks the connection of the next request that begins with `start` before its answer.
+    pub fn cut_next(&self, start: &'static str) {
+        locked(&self.state).cut_next = Some(start);
+    }
+
     /// Exchanges the answers of the next two requests with this path.
     pub fn cross(&self, path: &'static str) {
         locked(&self.state).cross = Some(path);
     }
 
-    /// Returns how many connections were broken by [`Proxy::cut_after`].
+    /// Returns how many connections were broken by [`Proxy::cut_after`] and [`Proxy::cut_next`].
     pub fn cuts(&self) -> u32 {
         locked(&self.state).cuts
     }
--- a/crates/proof/tests/streams.rs
+++ b/crates/proof/tests/streams.rs
@@ -35,6 +35,9 @@
 /// Tokens of an answer during which a process is ended.
 const LONG: u64 = 60;
 
+/// Answers about the state that are lost, of which a router must notice some.
+const LOST_STATES: u32 = 8;
+
 /// Rounds after which a fault that no stream has met is a failure of the test.
 const MOST_ROUNDS: usize = 40;
 
@@ -120,6 +123,22 @@
     );
 }
 
+/// Guards against refusals because the agent lost one answer of its engine about the state, as when
+/// a kept connection breaks under it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_state_answers_refuse_nothing() {
+    let site = site(1).await;
+    let proxy = &site.to_upstream["e0"];
+    for cuts in 1..=LOST_STATES {
+        proxy.cut_next("GET /v1/state");
+        while proxy.cuts() < cuts {
+            let replies = streams(&site, 6, 1).await;
+            check(&replies, 1);
+            all_done(&replies);
+        }
+    }
+}
+
 /// Guards against the same when the connection between router and agent breaks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn agent_connections_break_at_each_read() {
