net, process: one copy of listening and of the start of a program

Cause: gateway, sidecar, router and agent each bound their addresses with an error type of their own, and gateway and sidecar each had the same start of log, runtime and signals.

Ruled out: keeping the two errors of router and agent; their texts differed in nothing an operator needs.

Before: 4 copies of bind, 2 of run. After: dw_net::listen and datagrams with one BindError, dw_process::run_local with Signals.

Conclusion: no behaviour changes but the wording of a failed bind.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -13,10 +13,11 @@
 
 use dw_base::Incarnation;
 use dw_cache::Exchange;
+use dw_net::listen;
+use dw_net::BindError;
 use dw_store::VmSource;
 use dw_wire::Status;
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -47,15 +48,8 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// An address cannot be bound.
-    #[error("address {addr} of key {key} cannot be bound: {source}; choose a free address")]
-    Bind {
-        /// Key in the settings.
-        key: &'static str,
-        /// Address.
-        addr: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// A thread cannot be started.
     #[error("the cache thread cannot be started: {0}; raise the limit on threads")]
     Thread(std::io::Error),
@@ -79,19 +73,16 @@
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub async fn start(parts: Parts) -> Result<Self, StartError> {
-        let data = bind("data_addr", parts.settings.data_addr.0).await?;
-        let control = bind("control_addr", parts.settings.control_addr.0).await?;
-        let local = |listener: &TcpListener, fallback| listener.local_addr().unwrap_or(fallback);
-        let data_addr = local(&data, parts.settings.data_addr.0);
-        let control_addr = local(&control, parts.settings.control_addr.0);
+        let (data, data_addr) = listen("data", parts.settings.data_addr.0).await?;
+        let (control, control_addr) = listen("control", parts.settings.control_addr.0).await?;
         let vms = parts.vms.clone();
         let metrics_addr = parts.settings.metrics_addr;
         let shared = shared(parts)?;
         let metrics_addr = metrics_addr
             .map(|addr| {
                 let served = metrics::serve(addr.0, &shared);
-                served.map_err(|source| StartError::Bind {
-                    key: "metrics_addr",
+                served.map_err(|source| BindError {
+                    what: "metrics",
                     addr: addr.0,
                     source,
                 })
@@ -163,12 +154,6 @@
     }
 }
 
-async fn bind(key: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|source| StartError::Bind { key, addr, source })
-}
-
 fn shared(parts: Parts) -> Result<Arc<Shared>, StartError> {
     let metrics = AgentMetrics::new();
     let resume_total_bytes = parts.settings.resume_total_bytes;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -14,6 +13,9 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_member::Directory;
+use dw_net::datagrams;
+use dw_net::listen;
+use dw_net::BindError;
 use dw_place::Direct;
 use dw_place::DirectSettings;
 use dw_platform::Boot;
@@ -23,8 +25,6 @@
 use dw_port::NamingTimes;
 use dw_port::Registration;
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -59,15 +59,8 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// An address cannot be bound.
-    #[error("{what} address {addr} cannot be bound: {source}; free it or change the settings")]
-    Bind {
-        /// What the address is for.
-        what: &'static str,
-        /// Address.
-        addr: SocketAddr,
-        /// What the system reported.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// An address is missing.
     #[error("the settings have no address for {0}; add it")]
     Missing(&'static str),
@@ -117,13 +110,7 @@
         let (callers, callers_addr) = listen("callers", callers).await?;
         let (ready, ready_addr) = listen("readiness", ready).await?;
         let inner = SocketAddr::new(boot.ip, boot.inner_ports.0);
-        let socket = UdpSocket::bind(inner).await;
-        let socket = socket.map_err(|source| StartError::Bind {
-            what: "inner",
-            addr: inner,
-            source,
-        })?;
-        let socket = Rc::new(socket);
+        let socket = Rc::new(datagrams("inner", inner).await?);
         let shared = share(&boot, parts.clock, parts.codec);
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
@@ -195,21 +182,6 @@
     tokio::task::spawn_local(task)
 }
 
-/// Binds an address and returns the one that is bound, which differs for port 0.
-async fn listen(
-    what: &'static str,
-    addr: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), StartError> {
-    let bound = async {
-        let listener = TcpListener::bind(addr).await?;
-        let addr = listener.local_addr()?;
-        Ok((listener, addr))
-    };
-    bound
-        .await
-        .map_err(|source| StartError::Bind { what, addr, source })
-}
-
 fn share(boot: &Rc<Boot>, clock: Arc<dyn Clock>, codec: Arc<dyn Codec>) -> Rc<Shared> {
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,6 +1,5 @@
 //! The gateway process.
 
-use std::io;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -13,11 +12,9 @@
 use dw_platform::Options;
 use dw_platform::PlatformCodec;
 use dw_platform::Registrations;
+use dw_process::run_local;
+use dw_process::Signals;
 use dw_settings::start;
-use dw_telem::start_logs;
-use tokio::signal::unix::signal;
-use tokio::signal::unix::SignalKind;
-use tokio::task::LocalSet;
 
 const PROGRAM: &str = "dandelionwall-gateway";
 
@@ -27,16 +24,10 @@
 }
 
 fn run(options: Options) -> eyre::Result<()> {
-    let _logs = start_logs(log::LevelFilter::Info, io::stdout())?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, serve(options))
+    run_local(|signals| serve(options, signals))
 }
 
-async fn serve(options: Options) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn serve(options: Options, mut signals: Signals) -> eyre::Result<()> {
     let table = options.boot.table;
     let gateway = Gateway::start(GatewayParts {
         boot: options.boot,
@@ -49,12 +40,7 @@
         naming_times: Box::new(NamingRows::new(table)),
     })
     .await?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => gateway.reload(),
-        }
-    }
+    signals.until_terminated(|| gateway.reload()).await;
     gateway.shutdown().await;
     Ok(())
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,11 +1,15 @@
-//! HTTP/1.1 connections to upstreams and to the platform.
+//! Sockets: addresses that a process listens on, and HTTP/1.1 connections to others.
 //!
 //! [`connect`] sets the socket options that make a connection end when its peer falls silent.
 
+mod bind;
 mod connect;
 mod describe;
 mod error;
 
+pub use bind::datagrams;
+pub use bind::listen;
+pub use bind::BindError;
 pub use connect::connect;
 pub use connect::Connection;
 pub use connect::Dial;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,7 +34,6 @@
 pub use handle::NodeHandle;
 pub use parts::Parts;
 pub use router::Router;
-pub use router::StartError;
 pub use settings::Settings;
 pub use settings::Store;
 pub use sync::SyncDelegate;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,5 @@
 //! Start and shutdown of a router.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -12,9 +11,9 @@
 use dw_base::ConfigVersion;
 use dw_base::Incarnation;
 use dw_base::RequestId;
+use dw_net::listen;
+use dw_net::BindError;
 use dw_wire::serve_control;
-use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -36,15 +35,6 @@
 use crate::tokens::Tokens;
 use crate::vms;
 
-/// A router cannot start.
-#[derive(Debug, Error)]
-#[error("{what} address {addr} cannot be bound: {source}; free it or change the settings")]
-pub struct StartError {
-    what: &'static str,
-    addr: SocketAddr,
-    source: io::Error,
-}
-
 /// A running router.
 pub struct Router {
     shared: Arc<Shared>,
@@ -62,10 +52,10 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub async fn start(parts: Parts) -> Result<Router, StartError> {
+    pub async fn start(parts: Parts) -> Result<Router, BindError> {
         let settings = parts.settings.clone();
-        let (callers, callers_addr) = bind("listen", settings.listen.0).await?;
-        let (control, control_addr) = bind("control", settings.control.0).await?;
+        let (callers, callers_addr) = listen("listen", settings.listen.0).await?;
+        let (control, control_addr) = listen("control", settings.control.0).await?;
         let statements = parts.statements.clone();
         let handle = parts.handle.clone();
         let shared = share(parts);
@@ -74,7 +64,7 @@
             None => None,
             Some(addr) => {
                 let started = admin::start(addr.0, &shared, statements.as_ref());
-                Some(started.map_err(|source| StartError {
+                Some(started.map_err(|source| BindError {
                     what: "admin",
                     addr: addr.0,
                     source,
@@ -151,20 +141,6 @@
     }
 }
 
-async fn bind(
-    what: &'static str,
-    addr: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), StartError> {
-    let bound = async {
-        let listener = TcpListener::bind(addr).await?;
-        let addr = listener.local_addr()?;
-        Ok((listener, addr))
-    };
-    bound
-        .await
-        .map_err(|source| StartError { what, addr, source })
-}
-
 fn share(parts: Parts) -> Arc<Shared> {
     let measures = Measures::new(&parts.metrics);
     let started = parts.clock.now();
--- a/crates/router/src/synced.rs
+++ b/crates/router/src/synced.rs
@@ -7,6 +7,7 @@
 use dw_admin::RuntimeHandler;
 use dw_base::Clock;
 use dw_base::SystemClock;
+use dw_net::BindError;
 use dw_place::Policy;
 use dw_store::Objects;
 use dw_store::Table;
@@ -18,7 +19,6 @@
 use crate::handle::NodeHandle;
 use crate::parts::Parts;
 use crate::router::Router;
-use crate::router::StartError;
 use crate::settings::Settings;
 use crate::sync::SyncDelegate;
 
@@ -59,7 +59,7 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
-    pub async fn start(parts: SyncedParts) -> Result<Self, StartError> {
+    pub async fn start(parts: SyncedParts) -> Result<Self, BindError> {
         let handle = NodeHandle::new();
         let node = ConfigNode::builder()
             .id(parts.settings.node.clone())
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,6 +1,5 @@
 //! The sidecar process.
 
-use std::io;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -9,14 +8,12 @@
 use dw_platform::Declarations;
 use dw_platform::EngineCalls;
 use dw_platform::Options;
+use dw_process::run_local;
+use dw_process::Signals;
 use dw_settings::start;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
 use dw_sidecar::StartError;
-use dw_telem::start_logs;
-use tokio::signal::unix::signal;
-use tokio::signal::unix::SignalKind;
-use tokio::task::LocalSet;
 
 const PROGRAM: &str = "dandelionwall-sidecar";
 
@@ -26,17 +23,10 @@
 }
 
 fn run(options: Options) -> eyre::Result<()> {
-    let _logs = start_logs(log::LevelFilter::Info, io::stdout())?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, serve(options))
+    run_local(|signals| serve(options, signals))
 }
 
-async fn serve(options: Options) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    // The sidecar takes its settings at its start; a changed file must not end it.
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn serve(options: Options, mut signals: Signals) -> eyre::Result<()> {
     let table = options.boot.table;
     let engine = options.boot.engine.ok_or(StartError::NoEngine)?;
     let _sidecar = Sidecar::start(SidecarParts {
@@ -46,12 +36,9 @@
         declarations: Box::new(Declarations::new(table)),
     })
     .await?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => log::info!("settings changed; they are read at the next start"),
-        }
-    }
+    // The sidecar takes its settings at its start; a changed file must not end it.
+    let ignored = || log::info!("settings changed; they are read at the next start");
+    signals.until_terminated(ignored).await;
     log::info!("sidecar stops");
     Ok(())
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,7 +1,6 @@
 //! Start of a sidecar.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,12 +8,13 @@
 use dw_base::Clock;
 use dw_base::NodeId;
 use dw_base::TimeMs;
+use dw_net::datagrams;
+use dw_net::BindError;
 use dw_platform::Boot;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::Feed;
 use thiserror::Error;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -27,13 +27,8 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// The address for other processes cannot be bound.
-    #[error("inner address {addr} cannot be bound: {source}; free it or change the settings")]
-    Bind {
-        /// Address.
-        addr: SocketAddr,
-        /// What the system reported.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// The settings name no engine.
     #[error("the settings name no engine on this VM; run the sidecar beside an engine only")]
     NoEngine,
@@ -74,9 +69,7 @@
         let boot = parts.boot;
         let engine = boot.engine.ok_or(StartError::NoEngine)?;
         let addr = SocketAddr::new(boot.ip, boot.inner_ports.0);
-        let socket = UdpSocket::bind(addr).await;
-        let socket = socket.map_err(|source| StartError::Bind { addr, source })?;
-        let socket = Rc::new(socket);
+        let socket = Rc::new(datagrams("inner", addr).await?);
         let shared = Rc::new(Shared {
             node: boot.node.clone(),
             inner_port: boot.inner_ports.0,
