place, order, admit, sidecar: what engines hold is told; overload ends by itself

With 12 of 47 engines dark and new weights named, first tokens came 1 s late from 8 s to 22 s. A gateway sees 1/26 of the traffic and cannot know what engines hold. Engines wait up to 4 s for long answers before they load.

Change: sidecars follow the events of their engine and tell which parts it holds; gateways fetch from engines before stores; the cost of work away from the home grows with the mean queue; the speed at which a queue is worked off is learned; long answers keep away from engines that load soon; engines that are away do not count for loads at once; the least urgent work is turned away while more than half of the first tokens come late.

New tests fail without the rule they guard (crowding shown by taking the rule out).

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -17,6 +17,7 @@
 mod fair;
 mod fifo;
 mod gate;
+mod overload;
 mod queue;
 mod slots;
 mod speed;
@@ -31,5 +32,8 @@
 pub use gate::Finished;
 pub use gate::Gate;
 pub use gate::Load;
+pub use overload::Offer;
+pub use overload::Overload;
 pub use ticket::Ticket;
 pub use turn_away::retry_after;
+pub use turn_away::retry_after_overload;
--- a/crates/admit/src/turn_away.rs
+++ b/crates/admit/src/turn_away.rs
@@ -12,12 +12,27 @@
 /// Time over which returns are spread.
 const SPREAD_MS: u64 = 350;
 
+/// The same for requests that are turned away because first tokens come late: queues of a second
+/// or two must be worked off before.
+const OVERLOAD_SHORTEST_MS: u64 = 800;
+const OVERLOAD_SPREAD_MS: u64 = 2_400;
+
 /// Part of the remaining time that a caller is willing to wait.
 const WILLING_PART: u64 = 3;
 
 /// Returns when a caller with `left_ms` may come back; `point` is uniform in `0..=u32::MAX`.
 pub fn retry_after(left_ms: DurationMs, point: u32) -> DurationMs {
-    let spread = (u64::from(point) * SPREAD_MS) >> 32;
+    spread(left_ms, point, SHORTEST_MS, SPREAD_MS)
+}
+
+/// The same for a request that is turned away because first tokens come late.
+pub fn retry_after_overload(left_ms: DurationMs, point: u32) -> DurationMs {
+    spread(left_ms, point, OVERLOAD_SHORTEST_MS, OVERLOAD_SPREAD_MS)
+}
+
+fn spread(left_ms: DurationMs, point: u32, shortest_ms: u64, spread_ms: u64) -> DurationMs {
     let most = (left_ms.0 / WILLING_PART).max(1);
-    DurationMs((SHORTEST_MS + spread).min(most))
+    let shortest_ms = shortest_ms.min(most);
+    let spread_ms = spread_ms.min(most - shortest_ms);
+    DurationMs(shortest_ms + ((u64::from(point) * spread_ms) >> 32))
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -47,6 +47,7 @@
 pub use number::Worth;
 pub use priority::ParsePriorityError;
 pub use priority::Priority;
+pub use prompt::PartKey;
 pub use prompt::PrefixKey;
 pub use prompt::PromptPart;
 pub use rendezvous::rendezvous_score;
--- a/crates/base/src/prompt.rs
+++ b/crates/base/src/prompt.rs
@@ -1,5 +1,7 @@
 //! Prompts that are described by their parts.
 
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::number::Tokens;
@@ -13,6 +15,18 @@
     pub tokens: Tokens,
 }
 
+/// Identifies a part of a prompt under one salt in few bytes; rarely, two parts share a key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartKey(pub u32);
+
+impl PartKey {
+    /// Returns the key of the part with the hashed id `part`.
+    pub fn new(salt: &str, part: u64) -> Self {
+        let salted = xxh3_64_with_seed(salt.as_bytes(), 0);
+        PartKey(xxh3_64_with_seed(&part.to_le_bytes(), salted) as u32)
+    }
+}
+
 /// Identifies a prefix of a prompt under one salt.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PrefixKey(pub u64);
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod allowance;
 mod breaker;
+mod contents;
 mod event;
 mod exchange;
 mod index;
@@ -31,6 +32,9 @@
 mod saving;
 
 pub use breaker::BREAKER_PAUSE_MS;
+pub use contents::Contents;
+pub use contents::KvChange;
+pub use contents::KvPage;
 pub use event::Action;
 pub use event::Batch;
 pub use event::Event;
--- /dev/null
+++ b/crates/cache/tests/contents.rs
@@ -0,0 +1,88 @@
+//! Contents of an engine or a store from its events.
+
+use dw_base::PartKey;
+use dw_base::PromptPart;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_cache::Contents;
+use dw_cache::KvChange;
+use dw_cache::KvPage;
+
+const NOW: TimeMs = TimeMs(1_000_000);
+
+fn change(part: u64, tokens: u64) -> KvChange {
+    KvChange {
+        salt: "m@1".to_owned(),
+        part,
+        tokens: Tokens(tokens),
+    }
+}
+
+fn page(epoch: u64, changes: Vec<KvChange>) -> KvPage {
+    KvPage {
+        epoch,
+        next: 7,
+        lost: false,
+        changes,
+    }
+}
+
+fn key(part: u64) -> PartKey {
+    PartKey::new("m@1", part)
+}
+
+fn prompt(ids: &[u64]) -> (Vec<PartKey>, Vec<PromptPart>) {
+    let parts = ids.iter().map(|id| PromptPart {
+        id: *id,
+        tokens: Tokens(100),
+    });
+    (ids.iter().map(|id| key(*id)).collect(), parts.collect())
+}
+
+/// Guards against parts that count although an earlier one is missing or they are cut short.
+#[test]
+fn only_leading_whole_parts_count() {
+    let mut contents = Contents::default();
+    let changes = vec![change(1, 96), change(3, 100), change(4, 20)];
+    contents.apply(page(1, changes), NOW);
+    let leading = |ids: &[u64]| {
+        let (keys, parts) = prompt(ids);
+        contents.leading(&keys, &parts).0
+    };
+    assert_eq!(leading(&[1, 2, 3]), 100);
+    assert_eq!(leading(&[1, 3, 4]), 200);
+    assert_eq!(leading(&[2, 1]), 0);
+}
+
+/// Guards against parts of an earlier life, and those of which the removal may have been missed.
+#[test]
+fn restart_and_gap_empty_the_contents() {
+    let mut contents = Contents::default();
+    contents.apply(page(1, vec![change(1, 100)]), NOW);
+    contents.apply(page(1, vec![change(1, 0), change(2, 100)]), NOW);
+    assert_eq!(contents.newest(10), [key(2)]);
+    contents.apply(page(2, vec![change(3, 100)]), NOW);
+    assert_eq!(contents.newest(10), [key(3)]);
+    let gap = KvPage {
+        lost: true,
+        ..page(2, vec![change(4, 100)])
+    };
+    contents.apply(gap, NOW);
+    assert_eq!(contents.newest(10), [key(4)]);
+    assert_eq!(contents.next(), 7);
+}
+
+/// Guards against memory that grows with removals that never come, and against datagrams that are
+/// too long to send.
+#[test]
+fn contents_are_bounded_and_the_newest_stay() {
+    let mut contents = Contents::default();
+    for part in 0..40_000 {
+        contents.apply(page(1, vec![change(part, 16)]), NOW);
+    }
+    assert!(contents.newest(usize::MAX).len() <= 8_192);
+    let newest = contents.newest(1_000);
+    let mut expected: Vec<PartKey> = (39_000..40_000).map(key).collect();
+    expected.sort_unstable();
+    assert_eq!(newest, expected);
+}
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -5,6 +5,8 @@
 //! | answer | [`Follower::changes`], or [`Follower::snapshot`] after a start or lost history |
 //! | no answer in time | [`Follower::lost`], then another call after a growing pause |
 
+mod contents;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +16,9 @@
 use dw_port::FeedError;
 use dw_port::Page;
 
+pub use contents::follow_contents;
+pub use contents::ContentsPace;
+
 /// Time beyond the wait after which the table counts as lost.
 const ANSWER_MS: DurationMs = DurationMs(900);
 
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -9,6 +9,7 @@
 use dw_place::DirectTarget;
 
 use crate::job::Job;
+use crate::part_keys::PartKeys;
 use crate::shared::Shared;
 use crate::weights::Age;
 
@@ -57,6 +58,7 @@
     shared: &Shared,
     job: &Job,
     entry: &'a Entry,
+    keys: &PartKeys<'_>,
     kv_capacity: Option<Tokens>,
 ) -> Option<DirectTarget<'a>> {
     let now = shared.now();
@@ -68,13 +70,18 @@
             (Some(held), shared.weights.borrow().age(model, held, now))
         }
     };
+    let sidecars = shared.sidecars.borrow();
+    let addr = entry.listed.addr;
+    let keys = weights.map(|weights| keys.get(weights));
     (age != Age::TooOld).then(|| DirectTarget {
         upstream: &entry.listed.upstream,
         data_centre: &entry.listed.data_centre,
         slots: entry.listed.slots,
         kv_capacity,
         weights,
+        cached_parts: keys.and_then(|keys| sidecars.cached_parts(addr, &keys, now)),
         old_weights: age == Age::Old,
+        loads_soon: sidecars.loads_soon(addr, now),
         failure_rate: entry.health.failure_rate(now),
     })
 }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,6 +6,7 @@
 use dw_base::PromptPart;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::WeightsVersion;
 use dw_cache::is_worth_saving;
 use dw_member::Entry;
 use dw_place::Choice;
@@ -17,7 +18,7 @@
 use crate::candidates::Exclusions;
 use crate::job::salt;
 use crate::job::Job;
-use crate::kv::KvContents;
+use crate::part_keys::PartKeys;
 use crate::shared::Shared;
 
 /// Where a try goes, and how.
@@ -46,15 +47,16 @@
     let kv_capacity = shared
         .routes()
         .and_then(|routes| routes.service(&job.service).and_then(|s| s.kv_capacity));
-    let targets: Vec<DirectTarget<'_>> = candidates
-        .iter()
-        .filter_map(|entry| target(shared, job, entry, kv_capacity))
-        .collect();
     let prompt = match kv_capacity {
         Some(_) => job.ask.prompt.as_slice(),
         None => &[],
     };
-    let cache = Cache::new(shared, job, prompt);
+    let scope = job.scope();
+    let cache = Cache::new(shared, &scope, prompt);
+    let targets: Vec<DirectTarget<'_>> = candidates
+        .iter()
+        .filter_map(|entry| target(shared, job, entry, &cache.keys, kv_capacity))
+        .collect();
     let choice = place(shared, job, &cache, &targets);
     let address = |choice: &Choice| address(&candidates, &choice.upstream);
     let chosen = choice.and_then(|choice| Some((address(&choice)?, choice)));
@@ -67,14 +69,16 @@
     };
     let holder = choice.holder.as_ref();
     let holder = holder.and_then(|holder| self::address(&candidates, holder));
-    let salt = choice.weights.map(|weights| salt(&cache.scope, weights));
+    let salt = choice.weights.map(|weights| salt(&scope, weights));
     let is_shared = salt.is_some() && !cache.parts.is_empty();
     let fetch_from = holder.or(cache.store).filter(|_| is_shared);
-    let save_to = cache.save_to(salt.as_deref(), shared.now());
+    let save_to = choice
+        .weights
+        .and_then(|weights| cache.save_to(weights, shared.now()));
     Ok(Plan {
         addr,
         choice,
-        scope: cache.scope,
+        scope,
         salt,
         fetch_from,
         save_to,
@@ -95,13 +99,14 @@
 ) -> Option<Choice> {
     let now = shared.now();
     let boot = shared.boot();
-    let stored = |weights| cache.stored(&salt(&cache.scope, weights));
+    let stored = |weights| cache.stored(weights);
     let request = DirectRequest {
         prompt: cache.prompt,
-        scope: &cache.scope,
+        scope: cache.scope,
         data_centre: &boot.data_centre,
         objective_ms: (job.arrived + job.route.objective_ms).since(now),
         bytes: job.bytes(),
+        output_tokens: job.ask.output_tokens,
         stored: &stored,
     };
     shared.place.borrow().place(&request, targets, now)
@@ -110,7 +115,8 @@
 /// Kept KV cache of a prompt.
 struct Cache<'a> {
     shared: &'a Shared,
-    scope: String,
+    scope: &'a str,
+    keys: PartKeys<'a>,
     prompt: &'a [PromptPart],
     /// Parts that other requests share.
     parts: &'a [PromptPart],
@@ -118,27 +124,31 @@
 }
 
 impl<'a> Cache<'a> {
-    fn new(shared: &'a Shared, job: &Job, prompt: &'a [PromptPart]) -> Self {
+    fn new(shared: &'a Shared, scope: &'a str, prompt: &'a [PromptPart]) -> Self {
         let parts = prompt.split_last().map_or(prompt, |(_, parts)| parts);
         Cache {
             shared,
-            scope: job.scope(),
+            scope,
+            keys: PartKeys::new(scope, prompt),
             prompt,
             parts,
             store: store(shared, parts),
         }
     }
 
-    /// Returns the tokens of shared parts that the store holds under a salt.
-    fn stored(&self, salt: &str) -> Tokens {
+    /// Returns the tokens of shared parts that the store holds for some weights.
+    fn stored(&self, weights: WeightsVersion) -> Tokens {
         let kv = self.shared.kv.borrow();
         let contents = self.store.and_then(|store| kv.get(&store));
-        contents.map_or(Tokens(0), |contents| contents.leading(salt, self.parts))
+        contents.map_or(Tokens(0), |contents| {
+            let keys = self.keys.get(weights);
+            contents.borrow().leading(&keys, self.parts)
+        })
     }
 
     /// Returns the store if the request is to save its shared parts there.
-    fn save_to(&self, salt: Option<&str>, now: TimeMs) -> Option<SocketAddr> {
-        let stored = self.stored(salt?);
+    fn save_to(&self, weights: WeightsVersion, now: TimeMs) -> Option<SocketAddr> {
+        let stored = self.stored(weights);
         let store = self.store?;
         let pressure = pressure(self.shared, store, now);
         is_worth_saving(self.prompt, stored, pressure).then_some(store)
@@ -149,7 +159,10 @@
 fn store(shared: &Shared, parts: &[PromptPart]) -> Option<SocketAddr> {
     let routes = shared.routes()?;
     let kv = shared.kv.borrow();
-    let is_up = |addr: &SocketAddr| kv.get(addr).is_some_and(KvContents::is_up);
+    let is_up = |addr: &SocketAddr| {
+        kv.get(addr)
+            .is_some_and(|contents| contents.borrow().is_up())
+    };
     let key = parts.last()?.id;
     let stores = routes.kv_stores().iter().map(|store| store.addr);
     stores.filter(is_up).max_by_key(|addr| {
@@ -165,6 +178,7 @@
     let kv = shared.kv.borrow();
     let contents = kv.get(&store);
     contents.map_or(0.0, |contents| {
+        let contents = contents.borrow();
         contents.pressure(capacity.unwrap_or_default(), now)
     })
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dw_base::DurationMs;
+use dw_base::TimeMs;
 use dw_net::connect;
 use dw_net::describe;
 use dw_net::Connection;
@@ -53,8 +54,11 @@
 /// Accounts for a request under way until its first token, its end or its cancellation.
 pub(crate) struct InFlight {
     shared: Rc<Shared>,
+    job: SharedJob,
     upstream: dw_base::UpstreamId,
     sent: Sent,
+    sent_at: TimeMs,
+    is_prompt: bool,
     computing: bool,
 }
 
@@ -65,9 +69,21 @@
             let now = self.shared.now();
             let mut place = self.shared.place.borrow_mut();
             place.first_token(&self.upstream, &self.sent, now);
+            self.waited(now);
             self.shared.work_changed.notify_one();
         }
     }
+
+    /// Records the wait for the first token, or until the caller left without one.
+    fn waited(&self, now: TimeMs) {
+        if self.is_prompt {
+            let waited_ms = now.since(self.sent_at);
+            let objective_ms = self.job.route.objective_ms;
+            let mut overload = self.shared.overload.borrow_mut();
+            let overload = overload.entry(self.job.service.clone()).or_default();
+            overload.first_token(waited_ms, objective_ms, now);
+        }
+    }
 }
 
 impl Drop for InFlight {
@@ -75,6 +91,7 @@
         let mut place = self.shared.place.borrow_mut();
         if self.computing {
             place.abandoned(&self.upstream, &self.sent);
+            self.waited(self.shared.now());
             self.shared.work_changed.notify_one();
         }
         place.ended(&self.upstream);
@@ -137,6 +154,7 @@
         data_centre: &boot.data_centre,
         objective_ms: DurationMs::ZERO,
         bytes: job.bytes(),
+        output_tokens: job.ask.output_tokens,
         stored: &stored,
     };
     let now = shared.now();
@@ -144,8 +162,11 @@
     shared.work_changed.notify_one();
     InFlight {
         shared: shared.clone(),
+        job: job.clone(),
         upstream: plan.choice.upstream.clone(),
         sent,
+        sent_at: now,
+        is_prompt,
         computing: true,
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -197,6 +197,7 @@
         weights: RefCell::new(Weights::new(boot.bounds.weights_ms)),
         budgets: RefCell::new(HashMap::new()),
         kv: RefCell::new(HashMap::new()),
+        overload: RefCell::default(),
         pool: Pool::default(),
         connections: Connections::default(),
         measures: Measures::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod kv;
 mod measures;
+mod part_keys;
 mod pool;
 mod probe;
 mod registrations;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -217,7 +217,7 @@
             expected_ms = self.choice.first_token_ms.0, backlog_ms = self.choice.backlog_ms.0,
             missing = self.choice.missing_tokens.0,
             missing_shared = self.choice.missing_shared_tokens.0,
-            stored = self.choice.stored_tokens.0, saves = self.saves;
+            fetched = self.choice.fetched_tokens.0, saves = self.saves;
             "request answered"
         );
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use dw_admit::retry_after;
+use dw_admit::retry_after_overload;
+use dw_admit::Offer;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_retry::Fate;
@@ -27,6 +29,7 @@
 use crate::candidates::Exclusions;
 use crate::choose::choose;
 use crate::choose::NoChoice;
+use crate::choose::Plan;
 use crate::connections::RequestGuard;
 use crate::forward::forward;
 use crate::forward::Ended;
@@ -163,6 +166,12 @@
             Ok(plan) => plan,
             Err(NoChoice { reason }) => return Err(give_up(job, &tries, reason, now)),
         };
+        if job.tries.get() == 0 && is_turned_away(shared, job, &plan, now) {
+            return Err(OwnAnswer::NotRun {
+                reason: "overload",
+                retry_after_ms: retry_after_overload(job.left(now), point(&job.ask.request_id)),
+            });
+        }
         exclusions.add(&plan.choice.upstream);
         let ended = forward(shared, job, &plan).await;
         job.tries.set(job.tries.get() + 1);
@@ -189,6 +198,29 @@
     }
 }
 
+/// Returns whether a prompt is turned away because first tokens come late.
+fn is_turned_away(shared: &Shared, job: &Job, plan: &Plan, now: TimeMs) -> bool {
+    if plan.choice.weights.is_none() {
+        return false;
+    }
+    let mut overload = shared.overload.borrow_mut();
+    let overload = overload.entry(job.service.clone()).or_default();
+    let before = overload.share();
+    let offer = Offer {
+        priority: job.priority(),
+        tokens: job.ask.prompt_tokens(),
+        expected_ms: plan.choice.first_token_ms,
+        objective_ms: job.route.objective_ms,
+        point: point(&job.ask.request_id),
+    };
+    let turns_away = overload.turns_away(&offer, now);
+    let share = overload.share();
+    if (before == 0.0) != (share == 0.0) {
+        log::warn!(service:% = job.service, share_before = before, share; "overload has changed");
+    }
+    turns_away
+}
+
 fn give_up(job: &Job, tries: &Tries, reason: &'static str, now: TimeMs) -> OwnAnswer {
     if tries.may_have_run() {
         return OwnAnswer::Unknown;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,9 +7,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use dw_admit::Overload;
 use dw_base::Clock;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
+use dw_cache::Contents;
 use dw_member::Directory;
 use dw_place::Direct;
 use dw_platform::Boot;
@@ -20,7 +22,6 @@
 use tokio::sync::Notify;
 
 use crate::connections::Connections;
-use crate::kv::KvContents;
 use crate::measures::Measures;
 use crate::pool::Pool;
 use crate::sidecars::Sidecars;
@@ -40,7 +41,8 @@
     pub(crate) sidecars: RefCell<Sidecars>,
     pub(crate) weights: RefCell<Weights>,
     pub(crate) budgets: RefCell<HashMap<ServiceId, Share>>,
-    pub(crate) kv: RefCell<HashMap<SocketAddr, KvContents>>,
+    pub(crate) kv: RefCell<HashMap<SocketAddr, Rc<RefCell<Contents>>>>,
+    pub(crate) overload: RefCell<HashMap<ServiceId, Overload>>,
     pub(crate) pool: Pool,
     pub(crate) connections: Connections,
     pub(crate) measures: Measures,
--- a/crates/gateway/src/sidecars.rs
+++ b/crates/gateway/src/sidecars.rs
@@ -5,6 +5,7 @@
 
 use dw_base::DurationMs;
 use dw_base::ModelId;
+use dw_base::PartKey;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
 use dw_wire::EngineState;
@@ -57,7 +58,27 @@
     /// Returns whether an engine takes requests; an engine without a sidecar does.
     pub(crate) fn is_open(&self, engine: SocketAddr, now: TimeMs) -> bool {
         let state = self.fresh(engine, now);
-        state.is_none_or(|state| state.phase == Phase::Open)
+        state.is_none_or(|state| matches!(state.phase, Phase::Open | Phase::LoadsSoon))
+    }
+
+    /// Returns whether an engine is to load weights soon.
+    pub(crate) fn loads_soon(&self, engine: SocketAddr, now: TimeMs) -> bool {
+        let state = self.fresh(engine, now);
+        state.is_some_and(|state| state.phase == Phase::LoadsSoon)
+    }
+
+    /// Returns how many leading parts an engine has cached; nothing if its sidecar is silent.
+    pub(crate) fn cached_parts(
+        &self,
+        engine: SocketAddr,
+        keys: &[PartKey],
+        now: TimeMs,
+    ) -> Option<usize> {
+        let cached = &self.fresh(engine, now)?.cached;
+        let leading = keys
+            .iter()
+            .take_while(|key| cached.binary_search(key).is_ok());
+        Some(leading.count())
     }
 
     /// Returns the weights that the sidecar last told.
--- a/crates/order/src/rollout.rs
+++ b/crates/order/src/rollout.rs
@@ -20,6 +20,13 @@
 /// Engines that finish their requests while others load, so that the next load starts at once.
 const CLOSING_AHEAD: usize = 1;
 
+/// Groups of engines after those at work that are told to load soon. Long answers take about as
+/// long as one group.
+const GROUPS_SOON: usize = 1;
+
+/// The same for the plan by rank.
+const SOON_MS: DurationMs = DurationMs(2_000);
+
 /// Part of the time limit within which the plan by rank has every engine start its load.
 const PLANNED_PART: f64 = 0.7;
 
@@ -64,14 +71,30 @@
             return true;
         }
         match self.hears_others() {
-            true => self.is_next(),
-            false => self.is_planned(),
+            true => self.place_in_line() < self.at_work_at_once(),
+            false => self.is_planned(DurationMs::ZERO),
+        }
+    }
+
+    /// Returns whether the own engine is to load soon, so that it should start no long answers: it
+    /// takes no requests at all from its turn until they are finished.
+    pub fn is_soon(&self) -> bool {
+        if self.weights >= self.named {
+            return false;
+        }
+        let soon = self.at_work_at_once() * (1 + GROUPS_SOON);
+        match self.hears_others() {
+            true => self.place_in_line() < soon,
+            false => self.is_planned(SOON_MS),
         }
     }
 
-    /// Returns the most loads at once.
+    /// Returns the most loads at once; engines that are away leave less room for it.
     pub fn concurrency(&self) -> usize {
-        let engines = self.peers.len() + 1;
+        let engines = match self.hears_others() {
+            true => self.peers.iter().filter(|p| p.weights.is_some()).count() + 1,
+            false => self.peers.len() + 1,
+        };
         (engines / ENGINES_PER_LOAD).max(FEWEST_LOADS)
     }
 
@@ -86,7 +109,13 @@
         !self.peers.is_empty() && heard.count() * 2 >= self.peers.len()
     }
 
-    fn is_next(&self) -> bool {
+    /// Returns the most engines at once that load or finish their requests for it.
+    fn at_work_at_once(&self) -> usize {
+        self.concurrency() + CLOSING_AHEAD
+    }
+
+    /// Returns how many engines are at work or have their turn before the own one.
+    fn place_in_line(&self) -> usize {
         let own = self.order(self.engine, self.weights);
         let at_work = |peer: &&Peer| peer.loading || peer.closing;
         let busy = self.peers.iter().filter(at_work).count();
@@ -94,11 +123,12 @@
             let behind = peer.weights.filter(|weights| *weights < self.named);
             !at_work(peer) && behind.is_some_and(|weights| self.order(peer.engine, weights) < own)
         };
-        busy + self.peers.iter().filter(ahead).count() < self.concurrency() + CLOSING_AHEAD
+        busy + self.peers.iter().filter(ahead).count()
     }
 
-    /// The plan needs no talk: an even spread of the starts by rank.
-    fn is_planned(&self) -> bool {
+    /// Returns whether the start lies at most `ahead_ms` ahead by the plan, which needs no talk: an
+    /// even spread of the starts by rank.
+    fn is_planned(&self, ahead_ms: DurationMs) -> bool {
         let own = self.order(self.engine, WeightsVersion(0));
         let before = |peer: &&Peer| self.order(peer.engine, WeightsVersion(0)) < own;
         let rank = self.peers.iter().filter(before).count();
@@ -107,6 +137,6 @@
             false => rank as f64 / self.peers.len() as f64,
         };
         let planned_ms = self.limit_ms.0 as f64 * PLANNED_PART * share.max(0.1);
-        self.behind_ms.0 as f64 >= planned_ms
+        (self.behind_ms + ahead_ms).0 as f64 >= planned_ms
     }
 }
--- a/crates/order/tests/rollout.rs
+++ b/crates/order/tests/rollout.rs
@@ -38,19 +38,32 @@
         .collect()
 }
 
-fn is_due(fleet: &[Engine], own: usize, named: u64, behind_ms: u64) -> bool {
-    let peers = peers(fleet, own);
+fn rollout<'a>(fleet: &[Engine], own: usize, peers: &'a [Peer]) -> Rollout<'a> {
     Rollout {
         engine: engine(own),
         weights: WeightsVersion(fleet[own].weights),
+        named: WeightsVersion(2),
+        behind_ms: DurationMs(100),
+        limit_ms: LIMIT,
+        peers,
+    }
+}
+
+fn is_due(fleet: &[Engine], own: usize, named: u64, behind_ms: u64) -> bool {
+    let peers = peers(fleet, own);
+    Rollout {
         named: WeightsVersion(named),
         behind_ms: DurationMs(behind_ms),
-        limit_ms: LIMIT,
-        peers: &peers,
+        ..rollout(fleet, own, &peers)
     }
     .is_due()
 }
 
+fn is_soon(fleet: &[Engine], own: usize) -> bool {
+    let peers = peers(fleet, own);
+    rollout(fleet, own, &peers).is_soon()
+}
+
 fn fleet(size: usize) -> Vec<Engine> {
     let engine = Engine {
         weights: 1,
@@ -176,3 +189,35 @@
     assert_eq!(told, Some(DurationMs(20_000)));
     assert_eq!(other.newest(&model), Some(newest));
 }
+
+/// Guards against engines that learn of their turn only when it comes, and then take no requests
+/// until long answers are finished, and against a fleet that takes no long answers at all.
+#[test]
+fn engines_next_in_line_are_told() {
+    for size in [9, 18, 47] {
+        let mut fleet = fleet(size);
+        let soon: Vec<usize> = (0..size).filter(|at| is_soon(&fleet, *at)).collect();
+        let due: Vec<usize> = (0..size).filter(|at| is_due(&fleet, *at, 2, 100)).collect();
+        assert!(due.iter().all(|at| soon.contains(at)));
+        assert!(soon.len() > due.len(), "{} of {size}", soon.len());
+        assert!(soon.len() < size, "all of {size}");
+        for at in &due {
+            fleet[*at].weights = 2;
+        }
+        let next = (0..size).filter(|at| is_due(&fleet, *at, 2, 100));
+        assert!(next.into_iter().all(|at| soon.contains(&at)));
+        assert!(due.iter().all(|at| !is_soon(&fleet, *at)));
+    }
+}
+
+/// Guards against a rollout that takes as many engines out as usual although some are away: with 12
+/// of 47 dark, requests found no room.
+#[test]
+fn fewer_engines_load_while_others_are_away() {
+    let mut fleet = fleet(47);
+    for engine in fleet.iter_mut().take(12) {
+        engine.heard = false;
+    }
+    let due = (12..47).filter(|at| is_due(&fleet, *at, 2, 100)).count();
+    assert!((4..=8).contains(&due), "{due} of 35 load at once");
+}
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -42,12 +42,24 @@
     /// Cost of an answer on older weights, once newer ones have been named for a while.
     #[builder(default = 60.0)]
     pub old_weights_ms: f64,
+    /// Tokens of an answer that is finished before an engine's turn to load weights.
+    #[builder(default = Tokens(150))]
+    pub short_answer_tokens: Tokens,
+    /// Cost of a token beyond them, which keeps an engine from loading weights.
+    #[builder(default = 2.0)]
+    pub loads_soon_ms_per_token: f64,
     /// Cost of an upstream all of whose recent requests failed.
     #[builder(default = 1_500.0)]
     pub failure_ms: f64,
     /// Advantage of the upstream that all routers prefer for a prompt.
     #[builder(default = 15.0)]
     pub home_ms: f64,
+    /// Mean wait at the engines that doubles the cost of work which another engine would save.
+    #[builder(default = 25.0)]
+    pub crowd_ms: f64,
+    /// Cost of fetching a token of a shared part away from its home.
+    #[builder(default = 0.005)]
+    pub fetch_away_ms_per_token: f64,
     /// Part of the objective that may be used up at little cost.
     #[builder(default = 0.4)]
     pub easy_part: f64,
@@ -72,8 +84,12 @@
     pub kv_capacity: Option<Tokens>,
     /// Weights of the wanted model.
     pub weights: Option<WeightsVersion>,
+    /// Leading parts of the prompt that the engine has told to hold; absent if it is silent.
+    pub cached_parts: Option<usize>,
     /// Whether answers on these weights are worth less by now.
     pub old_weights: bool,
+    /// Whether it takes no requests soon, from when on it only finishes its answers.
+    pub loads_soon: bool,
     /// Share of recent requests that failed.
     pub failure_rate: f64,
 }
@@ -91,6 +107,8 @@
     pub objective_ms: DurationMs,
     /// Length of the request.
     pub bytes: Bytes,
+    /// Most tokens of the answer.
+    pub output_tokens: Tokens,
     /// Tokens of shared parts that the store of kept KV cache holds, for given weights.
     pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
 }
@@ -110,9 +128,9 @@
     pub missing_tokens: Tokens,
     /// Part of them that belongs to shared parts.
     pub missing_shared_tokens: Tokens,
-    /// Part of these that the store of kept KV cache holds.
-    pub stored_tokens: Tokens,
-    /// Upstream that is expected to hold shared parts which this one and the store lack.
+    /// Part of these that another engine or the store of kept KV cache holds.
+    pub fetched_tokens: Tokens,
+    /// Upstream that is expected to hold shared parts which this one lacks, unless the store does.
     pub holder: Option<UpstreamId>,
     /// Whether it is the preferred upstream for the prompt.
     pub home: bool,
@@ -150,6 +168,15 @@
     near: Option<&'a UpstreamId>,
 }
 
+/// What the other targets mean for one target.
+struct Others<'a> {
+    homes: Homes<'a>,
+    /// Engine from which the most parts can be fetched.
+    holder: Option<&'a DirectTarget<'a>>,
+    /// Factor of the cost of work that another engine would save.
+    crowding: f64,
+}
+
 struct Scored {
     cost: f64,
     choice: Choice,
@@ -208,11 +235,19 @@
                 homes.push(self.homes(request, targets, target.weights));
             }
         }
+        let crowding = self.crowding(targets, now);
         let scored = targets.iter().map(|target| {
             let homes = homes.iter().find(|homes| homes.weights == target.weights);
             match homes.filter(|_| !request.prompt.is_empty()) {
                 None => self.score_plain(request, target),
-                Some(homes) => self.score_prompt(request, target, *homes, now),
+                Some(homes) => {
+                    let others = Others {
+                        homes: *homes,
+                        holder: holder(targets, target, homes.first),
+                        crowding,
+                    };
+                    self.score_prompt(request, target, &others, now)
+                }
             }
         });
         let best = scored.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
@@ -230,7 +265,7 @@
         if !request.prompt.is_empty() {
             let warm = self.warm.entry(choice.upstream.clone()).or_default();
             for (key, part) in keys.iter().zip(request.prompt) {
-                warm.used(*key, part.tokens, routers);
+                warm.used(*key, part.tokens, routers, now);
             }
         }
         let load = self.load(&choice.upstream);
@@ -248,6 +283,7 @@
     pub fn first_token(&mut self, upstream: &UpstreamId, sent: &Sent, now: TimeMs) {
         let load = self.load(upstream);
         load.computed(sent.tokens);
+        load.learn_queue(sent.tokens, sent.ahead, now.since(sent.at));
         if sent.certain {
             load.learn(sent.tokens, sent.ahead, now.since(sent.at));
         }
@@ -304,7 +340,7 @@
                 backlog_ms: DurationMs::ZERO,
                 missing_tokens: Tokens(0),
                 missing_shared_tokens: Tokens(0),
-                stored_tokens: Tokens(0),
+                fetched_tokens: Tokens(0),
                 holder: None,
                 home: false,
                 compared: 0,
@@ -316,22 +352,35 @@
         &self,
         request: &DirectRequest<'_>,
         target: &DirectTarget<'_>,
-        homes: Homes<'_>,
+        others: &Others<'_>,
         now: TimeMs,
     ) -> Scored {
+        let Others {
+            homes,
+            holder,
+            crowding,
+        } = others;
         let weights = target.weights.unwrap_or_default();
         let keys = prefix_keys(request.scope, weights, request.prompt);
         let capacity = target.kv_capacity.unwrap_or_default();
         let warm = self.warm.get(target.upstream);
-        let held = warm.map_or(0, |warm| warm.depth(&keys, capacity));
+        let warm_depth = warm.map_or(0, |warm| match target.cached_parts {
+            Some(_) => warm.untold_depth(&keys, now),
+            None => warm.depth(&keys, capacity),
+        });
+        let held = target.cached_parts.unwrap_or(0).max(warm_depth);
+        let held = held.min(request.prompt.len());
         let tokens = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0).sum::<u64>();
         let missing = tokens(&request.prompt[held..]);
         let shared = request.prompt.len() - 1;
         let missing_shared = tokens(&request.prompt[held.min(shared)..shared]);
         let known = tokens(&request.prompt[..held.min(shared)]);
         let stored = (request.stored)(weights).0.saturating_sub(known);
-        let fetched = stored.min(missing_shared);
-        let is_stored = stored + known >= tokens(&request.prompt[..shared]);
+        let holder_parts = holder.and_then(|holder| holder.cached_parts);
+        let holder_parts = holder_parts.unwrap_or(0).min(shared);
+        let elsewhere = tokens(&request.prompt[..holder_parts]).saturating_sub(known);
+        let fetched = stored.max(elsewhere).min(missing_shared);
+        let is_stored = stored.max(elsewhere) + known >= tokens(&request.prompt[..shared]);
         let preferred = if is_stored { homes.near } else { homes.first };
         let home = preferred == Some(target.upstream);
         let load = self.loads.get(target.upstream);
@@ -343,14 +392,20 @@
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
         let mut cost = self.waiting_cost(request, first_token_ms);
         cost += self.common_cost(request, target);
-        let lacks = missing_shared > fetched;
-        let holder = homes
-            .first
-            .filter(|first| lacks && *first != target.upstream);
+        let holder = match elsewhere > 0 && elsewhere >= stored {
+            true => holder.map(|holder| holder.upstream),
+            // The home may have begun to compute them.
+            false => homes
+                .first
+                .filter(|first| missing_shared > fetched && *first != target.upstream),
+        };
         if !home {
-            // The home is expected to hold what other routers have sent there.
+            // The home is expected to hold what other routers have sent there. Copies at other
+            // engines push out other parts, so also one that holds the parts is no home.
             let again = missing_shared - fetched;
-            cost += self.settings.home_ms + again as f64 * self.settings.again_ms_per_token;
+            let again_ms = again as f64 * self.settings.again_ms_per_token;
+            let fetch_ms = fetched as f64 * self.settings.fetch_away_ms_per_token;
+            cost += (self.settings.home_ms + again_ms + fetch_ms) * crowding;
         }
         Scored {
             cost,
@@ -361,7 +416,7 @@
                 backlog_ms: DurationMs(backlog_ms as u64),
                 missing_tokens: Tokens(missing),
                 missing_shared_tokens: Tokens(missing_shared),
-                stored_tokens: Tokens(fetched),
+                fetched_tokens: Tokens(fetched),
                 holder: holder.cloned(),
                 home,
                 compared: 0,
@@ -369,6 +424,13 @@
         }
     }
 
+    /// Returns the factor of the cost of work that a home would save: all that wait bear it.
+    fn crowding(&self, targets: &[DirectTarget<'_>], now: TimeMs) -> f64 {
+        let loads = targets.iter().filter_map(|t| self.loads.get(t.upstream));
+        let backlog_ms: f64 = loads.map(|load| load.backlog_ms(now)).sum();
+        1.0 + backlog_ms / targets.len().max(1) as f64 / self.settings.crowd_ms
+    }
+
     /// A wait matters little while the objective is far, and much once it is near.
     fn waiting_cost(&self, request: &DirectRequest<'_>, wait_ms: f64) -> f64 {
         let easy_ms = request.objective_ms.0 as f64 * self.settings.easy_part;
@@ -385,10 +447,30 @@
         if target.old_weights {
             cost += self.settings.old_weights_ms;
         }
+        if target.loads_soon {
+            let short = self.settings.short_answer_tokens.0;
+            let long = request.output_tokens.0.saturating_sub(short);
+            cost += long as f64 * self.settings.loads_soon_ms_per_token;
+        }
         cost
     }
 }
 
+/// Returns the engine from which `target` can fetch the most parts, near it if possible.
+fn holder<'t, 'a>(
+    targets: &'t [DirectTarget<'a>],
+    target: &DirectTarget<'_>,
+    home: Option<&UpstreamId>,
+) -> Option<&'t DirectTarget<'a>> {
+    let same = |other: &&DirectTarget<'_>| {
+        other.weights == target.weights && other.upstream != target.upstream
+    };
+    targets.iter().filter(same).max_by_key(|other| {
+        let is_near = other.data_centre == target.data_centre;
+        (other.cached_parts, is_near, home == Some(other.upstream))
+    })
+}
+
 /// Returns the key of each prefix of a prompt, the shortest first.
 fn prefix_keys(scope: &str, weights: WeightsVersion, prompt: &[PromptPart]) -> Vec<PrefixKey> {
     let salt = PromptPart {
--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -19,12 +19,18 @@
 /// Tokens that the prior counts for.
 const PRIOR_TOKENS: f64 = 2_000.0;
 
+/// The same for the speed at which a queue is worked off.
+const PRIOR_QUEUE_TOKENS: f64 = 8_000.0;
+
 /// Shorter computations say more about overhead than about speed.
 const MIN_TOKENS: u64 = 2_500;
 
 /// Longest queue before a computation, as a part of it, from which the speed is learned.
 const MOST_AHEAD: f64 = 0.2;
 
+/// Shorter queues say little about how fast a queue is worked off.
+const MIN_QUEUE_TOKENS: u64 = 4_000;
+
 /// Weight of the newest measurement of a plain service.
 const SMOOTHING: f64 = 0.1;
 
@@ -52,6 +58,8 @@
     reported: Option<Reported>,
     learned_tokens: f64,
     learned_ms: f64,
+    drained_tokens: f64,
+    drained_ms: f64,
     plain_ms: f64,
 }
 
@@ -63,6 +71,8 @@
             reported: None,
             learned_tokens: PRIOR_TOKENS,
             learned_ms: PRIOR_TOKENS / PRIOR_TOKENS_PER_MS,
+            drained_tokens: PRIOR_QUEUE_TOKENS,
+            drained_ms: PRIOR_QUEUE_TOKENS / PRIOR_TOKENS_PER_MS,
             plain_ms: PRIOR_PLAIN_MS,
         }
     }
@@ -122,6 +132,20 @@
         self.learned_ms = self.learned_ms * MEMORY + computing_ms.max(least_ms);
     }
 
+    /// Learns from the wait of a request with `tokens` of its own behind `ahead` tokens.
+    ///
+    /// Routers do not know all that an engine has cached, and an engine also generates, fetches and
+    /// may be slow, so a queue is worked off at another speed than a single prompt.
+    pub(crate) fn learn_queue(&mut self, tokens: u64, ahead: u64, took: DurationMs) {
+        if ahead < MIN_QUEUE_TOKENS.max(tokens / 2) {
+            return;
+        }
+        let waited_ms = took.0 as f64 - self.compute_ms(tokens);
+        let least_ms = ahead as f64 / SPEED_RANGE.1;
+        self.drained_tokens = self.drained_tokens * MEMORY + ahead as f64;
+        self.drained_ms = self.drained_ms * MEMORY + waited_ms.max(least_ms);
+    }
+
     /// Returns the time that attention over a long prompt takes beside its tokens.
     fn pairs_ms(&self, tokens: u64) -> f64 {
         let pairs_m = (tokens as f64 / 1_000.0).powi(2) / 2.0;
@@ -136,7 +160,8 @@
     }
 
     pub(crate) fn backlog_ms(&self, now: TimeMs) -> f64 {
-        self.outstanding_tokens(now) as f64 / self.tokens_per_ms()
+        let speed = self.drained_tokens / self.drained_ms;
+        self.outstanding_tokens(now) as f64 / speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
 
     pub(crate) fn compute_ms(&self, tokens: u64) -> f64 {
--- a/crates/port/src/kv.rs
+++ b/crates/port/src/kv.rs
@@ -2,34 +2,9 @@
 
 use async_trait::async_trait;
 use dw_base::DurationMs;
-use dw_base::Tokens;
-
+use dw_cache::KvPage;
 use thiserror::Error;
 
-/// A part came or went.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct KvChange {
-    /// Salt of the part.
-    pub salt: String,
-    /// Hash of the part's id.
-    pub part: u64,
-    /// Tokens that are kept now.
-    pub tokens: Tokens,
-}
-
-/// Changes since a position.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct KvPage {
-    /// Life of the store; another one means that it was restarted and is empty.
-    pub epoch: u64,
-    /// Position for the next call.
-    pub next: u64,
-    /// Whether changes are missing.
-    pub lost: bool,
-    /// Changes.
-    pub changes: Vec<KvChange>,
-}
-
 /// A store of kept KV cache did not tell its changes.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum KvError {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -47,7 +47,7 @@
             let state = shared.state.borrow();
             let report = state.report.clone().unwrap_or_default();
             let summary = Summary {
-                phase: state.phase,
+                phase: state.told_phase(now),
                 models: report.models,
             };
             (summary, state.outstanding(), state.behind().is_some())
@@ -73,20 +73,25 @@
     }
 }
 
-fn engine_state(shared: &Shared, seq: u64, own_tokens: Tokens, now: TimeMs) -> EngineState {
+/// Parts that a datagram names at most, so that it stays within its limit.
+const MAX_CACHED: usize = 1_000;
+
+/// Returns the state of the engine without what concerns one receiver only.
+fn engine_state(shared: &Shared, seq: u64, now: TimeMs) -> EngineState {
     let state = shared.state.borrow();
     let report = state.report.clone().unwrap_or_default();
     EngineState {
         engine: state.engine(),
         started_ms: shared.started.0,
         seq,
-        phase: state.phase,
+        phase: state.told_phase(now),
         born_ms: report.born_ms,
         models: report.models,
         waiting: report.waiting,
         running: report.running,
         outstanding_tokens: state.outstanding(),
-        own_tokens,
+        own_tokens: Tokens(0),
+        cached: Vec::new(),
         routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
         weights: state.namings.news(now),
     }
@@ -94,15 +99,24 @@
 
 async fn tell_routers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
     let routers: Vec<_> = shared.state.borrow().routers().collect();
+    let cached = {
+        let state = shared.state.borrow();
+        let contents = state.contents.borrow();
+        contents.newest(MAX_CACHED)
+    };
     for (router, own_tokens) in routers {
-        let state = engine_state(shared, seq, own_tokens, now);
+        let state = EngineState {
+            own_tokens,
+            cached: cached.clone(),
+            ..engine_state(shared, seq, now)
+        };
         tell(socket, router, &Datagram::Engine(state)).await;
     }
 }
 
 async fn tell_peers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
     let others: Vec<_> = shared.state.borrow().others().collect();
-    let datagram = Datagram::Engine(engine_state(shared, seq, Tokens(0), now));
+    let datagram = Datagram::Engine(engine_state(shared, seq, now));
     for engine in others {
         let sidecar = SocketAddr::new(engine.ip(), shared.inner_port);
         tell(socket, sidecar, &datagram).await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! It is the only sender of orders to its engine. It hears of named weights from the platform's
 //! table and from routers, and agrees with the other sidecars by datagrams on who loads when.
 
+mod cache;
 mod gossip;
 mod orders;
 mod sidecar;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -7,6 +7,7 @@
 use dw_platform::open;
 use dw_platform::Declarations;
 use dw_platform::EngineCalls;
+use dw_platform::KvEvents;
 use dw_platform::Options;
 use dw_process::run_local;
 use dw_process::Signals;
@@ -33,6 +34,7 @@
         boot: options.boot,
         clock: Arc::new(BootClock::new()),
         engine: Box::new(EngineCalls::new(engine)),
+        cache: Box::new(KvEvents::new(engine)),
         declarations: Box::new(Declarations::new(table)),
     })
     .await?;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -14,10 +14,12 @@
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::Feed;
+use dw_port::KvIndex;
 use thiserror::Error;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+use crate::cache::follow_cache;
 use crate::gossip;
 use crate::orders;
 use crate::state::State;
@@ -42,6 +44,8 @@
     pub clock: Arc<dyn Clock>,
     /// The engine.
     pub engine: Box<dyn Engine>,
+    /// What the engine has cached.
+    pub cache: Box<dyn KvIndex>,
     /// What operators declare.
     pub declarations: Box<dyn Feed<Declaration>>,
 }
@@ -80,6 +84,7 @@
         });
         log::info!(node:% = boot.node, engine:%, table:% = boot.table; "sidecar starts");
         spawn_local(follow_weights(shared.clone(), parts.declarations));
+        spawn_local(follow_cache(shared.clone(), parts.cache));
         spawn_local(gossip::tell_others(shared.clone(), socket.clone()));
         spawn_local(gossip::hear_others(shared.clone(), socket));
         spawn_local(orders::watch(shared, parts.engine));
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,7 +1,9 @@
 //! What a sidecar knows.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use dw_base::DurationMs;
 use dw_base::ModelId;
@@ -9,6 +11,7 @@
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
+use dw_cache::Contents;
 use dw_order::Namings;
 use dw_order::Newest;
 use dw_order::Peer;
@@ -51,6 +54,8 @@
     routers: HashMap<NodeId, Router>,
     peers: HashMap<SocketAddr, HeardPeer>,
     engines: Vec<SocketAddr>,
+    /// What the engine has cached.
+    pub(crate) contents: Rc<RefCell<Contents>>,
 }
 
 impl State {
@@ -65,6 +70,7 @@
             routers: HashMap::new(),
             peers: HashMap::new(),
             engines: Vec::new(),
+            contents: Rc::default(),
         }
     }
 
@@ -143,17 +149,33 @@
 
     /// Returns the model whose named weights the engine is to load now.
     pub(crate) fn due(&self, now: TimeMs) -> Option<Behind> {
-        let behind = self.behind()?;
+        self.behind()
+            .filter(|behind| self.rollout(behind, now, |rollout| rollout.is_due()))
+    }
+
+    /// Returns the phase to tell, which says whether an open engine is to load soon.
+    pub(crate) fn told_phase(&self, now: TimeMs) -> Phase {
+        let soon = |behind: &Behind| self.rollout(behind, now, |rollout| rollout.is_soon());
+        match self.phase {
+            Phase::Open if self.behind().is_some_and(|behind| soon(&behind)) => Phase::LoadsSoon,
+            phase => phase,
+        }
+    }
+
+    fn rollout(&self, behind: &Behind, now: TimeMs, decide: impl Fn(&Rollout<'_>) -> bool) -> bool {
+        let behind_ms = self.namings.behind_ms(&behind.model, behind.held, now);
+        let Some(behind_ms) = behind_ms else {
+            return false;
+        };
         let peers = self.known_peers(&behind.model, now);
-        let rollout = Rollout {
+        decide(&Rollout {
             engine: self.engine,
             weights: behind.held,
             named: behind.newest.weights,
-            behind_ms: self.namings.behind_ms(&behind.model, behind.held, now)?,
+            behind_ms,
             limit_ms: self.limit_ms,
             peers: &peers,
-        };
-        rollout.is_due().then_some(behind)
+        })
     }
 
     fn known_peers(&self, model: &ModelId, now: TimeMs) -> Vec<Peer> {
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -10,6 +10,7 @@
 use dw_base::FenceNumber;
 use dw_base::SystemClock;
 use dw_base::WeightsVersion;
+use dw_cache::KvPage;
 use dw_platform::boot::Bounds;
 use dw_platform::Boot;
 use dw_port::Declaration;
@@ -17,6 +18,8 @@
 use dw_port::EngineError;
 use dw_port::Feed;
 use dw_port::FeedError;
+use dw_port::KvError;
+use dw_port::KvIndex;
 use dw_port::NamedWeights;
 use dw_port::Order;
 use dw_port::OrderAnswer;
@@ -153,6 +156,16 @@
     }
 }
 
+/// An engine that tells nothing of its cache.
+struct SilentCache;
+
+#[async_trait]
+impl KvIndex for SilentCache {
+    async fn changes(&mut self, _: u64, _: DurationMs, _: DurationMs) -> Result<KvPage, KvError> {
+        std::future::pending().await
+    }
+}
+
 /// Plays four seconds and returns weights and orders.
 fn play(acts: &[Act]) -> (u64, Vec<Order>) {
     let life = Arc::new(Mutex::new(Life {
@@ -169,6 +182,7 @@
             boot: boot(),
             clock: Arc::new(SystemClock::new()),
             engine: Box::new(FakeEngine(life.clone())),
+            cache: Box::new(SilentCache),
             declarations: Box::new(Names(0)),
         });
         let _sidecar = sidecar.await.expect("sidecar starts");
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -8,6 +8,7 @@
 use dw_base::FenceNumber;
 use dw_base::ModelId;
 use dw_base::NodeId;
+use dw_base::PartKey;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
 use serde::Deserialize;
@@ -21,6 +22,8 @@
 pub enum Phase {
     /// It takes requests.
     Open,
+    /// It takes requests and is to load weights soon; long answers would delay that.
+    LoadsSoon,
     /// It takes no requests and finishes those that run, before it loads weights.
     Closing,
     /// It loads weights.
@@ -86,6 +89,8 @@
     pub own_tokens: Tokens,
     /// Routers that the sidecar hears.
     pub routers: u32,
+    /// Parts of prompts that the engine has cached, in order; empty in a datagram to a sidecar.
+    pub cached: Vec<PartKey>,
     /// Weights that the sidecar has heard of.
     pub weights: Vec<WeightsNews>,
 }
