wire, sidecar: cached parts in two bytes each, told at most every 300 ms

Each key took 5 bytes in each of up to 12 datagrams a second to each router.

Ruled out: a greater cost of remote engines in the placement; the bytes are those of datagrams.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -218,6 +218,14 @@
     if (before == 0.0) != (share == 0.0) {
         log::warn!(service:% = job.service, share_before = before, share; "overload has changed");
     }
+    if turns_away {
+        log::warn!(
+            request_id = job.ask.request_id.as_str(), priority = offer.priority, share,
+            tokens = offer.tokens.0, expected_ms = offer.expected_ms.0,
+            objective_ms = offer.objective_ms.0;
+            "request is turned away"
+        );
+    }
     turns_away
 }
 
--- a/crates/gateway/src/sidecars.rs
+++ b/crates/gateway/src/sidecars.rs
@@ -8,6 +8,8 @@
 use dw_base::PartKey;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
+use dw_wire::CachedParts;
+use dw_wire::CachedSet;
 use dw_wire::EngineState;
 use dw_wire::Phase;
 
@@ -17,6 +19,8 @@
 struct Heard {
     state: EngineState,
     at: TimeMs,
+    /// Cached parts that were told last.
+    cached: CachedSet,
 }
 
 /// What sidecars last told, by the address of the engine.
@@ -46,25 +50,34 @@
             before: known.map(|known| known.state.phase),
             restarted: known.is_some_and(|known| known.state.born_ms != state.born_ms),
         };
-        self.heard.insert(state.engine, Heard { state, at: now });
+        let told = state.cached.as_ref().map(CachedParts::set);
+        let known = self.heard.remove(&state.engine);
+        let kept = known.filter(|_| !change.restarted);
+        let cached = told.or(kept.map(|kept| kept.cached)).unwrap_or_default();
+        let heard = Heard {
+            cached,
+            at: now,
+            state,
+        };
+        self.heard.insert(heard.state.engine, heard);
         Some(change)
     }
 
-    fn fresh(&self, engine: SocketAddr, now: TimeMs) -> Option<&EngineState> {
+    fn fresh(&self, engine: SocketAddr, now: TimeMs) -> Option<&Heard> {
         let heard = self.heard.get(&engine)?;
-        (now.since(heard.at) < FRESH_MS).then_some(&heard.state)
+        (now.since(heard.at) < FRESH_MS).then_some(heard)
     }
 
     /// Returns whether an engine takes requests; an engine without a sidecar does.
     pub(crate) fn is_open(&self, engine: SocketAddr, now: TimeMs) -> bool {
-        let state = self.fresh(engine, now);
-        state.is_none_or(|state| matches!(state.phase, Phase::Open | Phase::LoadsSoon))
+        let heard = self.fresh(engine, now);
+        heard.is_none_or(|heard| matches!(heard.state.phase, Phase::Open | Phase::LoadsSoon))
     }
 
     /// Returns whether an engine is to load weights soon.
     pub(crate) fn loads_soon(&self, engine: SocketAddr, now: TimeMs) -> bool {
-        let state = self.fresh(engine, now);
-        state.is_some_and(|state| state.phase == Phase::LoadsSoon)
+        let heard = self.fresh(engine, now);
+        heard.is_some_and(|heard| heard.state.phase == Phase::LoadsSoon)
     }
 
     /// Returns how many leading parts an engine has cached; nothing if its sidecar is silent.
@@ -74,11 +87,7 @@
         keys: &[PartKey],
         now: TimeMs,
     ) -> Option<usize> {
-        let cached = &self.fresh(engine, now)?.cached;
-        let leading = keys
-            .iter()
-            .take_while(|key| cached.binary_search(key).is_ok());
-        Some(leading.count())
+        Some(self.fresh(engine, now)?.cached.leading(keys))
     }
 
     /// Returns the weights that the sidecar last told.
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -9,6 +9,7 @@
 use dw_base::Tokens;
 use dw_wire::hear;
 use dw_wire::tell;
+use dw_wire::CachedParts;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
 use dw_wire::WeightsNews;
@@ -22,6 +23,10 @@
 /// Longest time between two datagrams to one router.
 const ROUTER_MS: DurationMs = DurationMs(500);
 
+/// Shortest time between two datagrams to routers that tell what the engine has cached, which is
+/// most of their length.
+const CACHED_MS: DurationMs = DurationMs(300);
+
 /// Longest time between two datagrams to another sidecar.
 const PEER_MS: DurationMs = DurationMs(1_000);
 
@@ -38,7 +43,7 @@
 /// Tells routers and other sidecars of the engine until the task is aborted.
 pub(crate) async fn tell_others(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut told: Option<(Summary, Tokens)> = None;
-    let (mut router_at, mut peer_at) = (TimeMs(0), TimeMs(0));
+    let (mut router_at, mut peer_at, mut cached_at) = (TimeMs(0), TimeMs(0), TimeMs(0));
     let mut seq = 0;
     loop {
         let now = shared.clock.now();
@@ -56,8 +61,12 @@
         let load_changed = told.as_ref().map(|(_, tokens)| *tokens) != Some(tokens);
         if changed || load_changed || now.since(router_at) >= ROUTER_MS {
             seq += 1;
-            tell_routers(&shared, &socket, seq, now).await;
+            let tells_cached = now.since(cached_at) >= CACHED_MS;
+            tell_routers(&shared, &socket, seq, tells_cached, now).await;
             router_at = now;
+            if tells_cached {
+                cached_at = now;
+            }
         }
         let peer_ms = if behind { BUSY_PEER_MS } else { PEER_MS };
         if changed || now.since(peer_at) >= peer_ms {
@@ -91,19 +100,25 @@
         running: report.running,
         outstanding_tokens: state.outstanding(),
         own_tokens: Tokens(0),
-        cached: Vec::new(),
+        cached: None,
         routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
         weights: state.namings.news(now),
     }
 }
 
-async fn tell_routers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
+async fn tell_routers(
+    shared: &Shared,
+    socket: &UdpSocket,
+    seq: u64,
+    tells_cached: bool,
+    now: TimeMs,
+) {
     let routers: Vec<_> = shared.state.borrow().routers().collect();
-    let cached = {
+    let cached = tells_cached.then(|| {
         let state = shared.state.borrow();
         let contents = state.contents.borrow();
-        contents.newest(MAX_CACHED)
-    };
+        CachedParts::new(contents.newest(MAX_CACHED))
+    });
     for (router, own_tokens) in routers {
         let state = EngineState {
             own_tokens,
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -8,12 +8,13 @@
 use dw_base::FenceNumber;
 use dw_base::ModelId;
 use dw_base::NodeId;
-use dw_base::PartKey;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::cached_parts::CachedParts;
+
 /// Longest datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 8_192;
 
@@ -89,8 +90,9 @@
     pub own_tokens: Tokens,
     /// Routers that the sidecar hears.
     pub routers: u32,
-    /// Parts of prompts that the engine has cached, in order; empty in a datagram to a sidecar.
-    pub cached: Vec<PartKey>,
+    /// Parts of prompts that the engine has cached; absent if they were told a moment ago, and in
+    /// a datagram to a sidecar.
+    pub cached: Option<CachedParts>,
     /// Weights that the sidecar has heard of.
     pub weights: Vec<WeightsNews>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Where routers reach model engines directly, routers and sidecars exchange [`Datagram`]s.
 
+mod cached_parts;
 mod codec;
 mod control;
 mod datagrams;
@@ -15,6 +16,8 @@
 mod status;
 mod transport;
 
+pub use cached_parts::CachedParts;
+pub use cached_parts::CachedSet;
 pub use codec::decode;
 pub use codec::decode_frames;
 pub use codec::encode;
