place: the placement in files and functions of one job each

Ruled out: other files; homes.rs belongs to the nested placement and stays.

Conclusion: no behaviour changes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,6 @@
 use dw_net::describe;
 use dw_net::Connection;
 use dw_net::Dial;
-use dw_place::DirectRequest;
 use dw_place::Sent;
 use dw_port::AnswerHead;
 use dw_port::Envelope;
@@ -145,20 +144,12 @@
 }
 
 fn start(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan) -> InFlight {
-    let boot = shared.boot();
-    let stored = |_| dw_base::Tokens(0);
     let is_prompt = plan.choice.weights.is_some();
-    let request = DirectRequest {
-        prompt: if is_prompt { &job.ask.prompt } else { &[] },
-        scope: &plan.scope,
-        data_centre: &boot.data_centre,
-        objective_ms: DurationMs::ZERO,
-        bytes: job.bytes(),
-        output_tokens: job.ask.output_tokens,
-        stored: &stored,
-    };
+    let prompt = if is_prompt { &job.ask.prompt[..] } else { &[] };
     let now = shared.now();
-    let sent = shared.place.borrow_mut().sent(&plan.choice, &request, now);
+    let mut place = shared.place.borrow_mut();
+    let sent = place.sent(&plan.choice, &plan.scope, prompt, now);
+    drop(place);
     shared.work_changed.notify_one();
     InFlight {
         shared: shared.clone(),
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -9,145 +9,23 @@
 
 use std::collections::HashMap;
 
-use bon::Builder;
-use dw_base::rendezvous_score;
-use dw_base::Bytes;
-use dw_base::DataCentreId;
 use dw_base::DurationMs;
-use dw_base::PrefixKey;
 use dw_base::PromptPart;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::UpstreamId;
-use dw_base::WeightsVersion;
 
+use crate::direct_homes::holder;
+use crate::direct_homes::prefix_keys;
+use crate::direct_homes::Homes;
+use crate::direct_request::Choice;
+use crate::direct_request::DirectRequest;
+use crate::direct_request::DirectTarget;
+use crate::direct_request::Sent;
+use crate::direct_settings::DirectSettings;
 use crate::upstream_load::UpstreamLoad;
 use crate::warm::WarmSet;
 
-/// Settings of [`Direct`]; all costs are in milliseconds of a time to first token that matters.
-#[derive(Builder, Clone, Debug)]
-pub struct DirectSettings {
-    /// Cost of computing a token of a shared part that another engine has computed.
-    #[builder(default = 0.05)]
-    pub again_ms_per_token: f64,
-    /// Time to fetch a token of a shared part from the store of kept KV cache.
-    #[builder(default = 0.003)]
-    pub fetch_ms_per_token: f64,
-    /// Cost of a byte that is sent to another data centre.
-    #[builder(default = 0.0012)]
-    pub remote_ms_per_byte: f64,
-    /// Network time to another data centre and back.
-    #[builder(default = 3.0)]
-    pub remote_network_ms: f64,
-    /// Cost of an answer on older weights, once newer ones have been named for a while.
-    #[builder(default = 60.0)]
-    pub old_weights_ms: f64,
-    /// Tokens of an answer that is finished before an engine's turn to load weights.
-    #[builder(default = Tokens(150))]
-    pub short_answer_tokens: Tokens,
-    /// Cost of a token beyond them, which keeps an engine from loading weights.
-    #[builder(default = 2.0)]
-    pub loads_soon_ms_per_token: f64,
-    /// Cost of an upstream all of whose recent requests failed.
-    #[builder(default = 1_500.0)]
-    pub failure_ms: f64,
-    /// Advantage of the upstream that all routers prefer for a prompt.
-    #[builder(default = 15.0)]
-    pub home_ms: f64,
-    /// Mean wait at the engines that doubles the cost of work which another engine would save.
-    #[builder(default = 25.0)]
-    pub crowd_ms: f64,
-    /// Cost of fetching a token of a shared part away from its home.
-    #[builder(default = 0.005)]
-    pub fetch_away_ms_per_token: f64,
-    /// Part of the objective that may be used up at little cost.
-    #[builder(default = 0.4)]
-    pub easy_part: f64,
-    /// Cost of a millisecond within that part.
-    #[builder(default = 0.2)]
-    pub easy_weight: f64,
-    /// Cost of a millisecond beyond that part.
-    #[builder(default = 2.0)]
-    pub late_weight: f64,
-}
-
-/// An upstream that may be chosen.
-#[derive(Clone, Debug)]
-pub struct DirectTarget<'a> {
-    /// Upstream.
-    pub upstream: &'a UpstreamId,
-    /// Data centre.
-    pub data_centre: &'a DataCentreId,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Memory for prompts; absent for a plain service.
-    pub kv_capacity: Option<Tokens>,
-    /// Weights of the wanted model.
-    pub weights: Option<WeightsVersion>,
-    /// Leading parts of the prompt that the engine has told to hold; absent if it is silent.
-    pub cached_parts: Option<usize>,
-    /// Whether answers on these weights are worth less by now.
-    pub old_weights: bool,
-    /// Whether it takes no requests soon, from when on it only finishes its answers.
-    pub loads_soon: bool,
-    /// Share of recent requests that failed.
-    pub failure_rate: f64,
-}
-
-/// A request that needs an upstream.
-#[derive(Clone)]
-pub struct DirectRequest<'a> {
-    /// Parts of the prompt; the last one is the request's own. Empty for a plain service.
-    pub prompt: &'a [PromptPart],
-    /// Who shares the cached prompt; the weights are added to it.
-    pub scope: &'a str,
-    /// Data centre of the router.
-    pub data_centre: &'a DataCentreId,
-    /// Time that is left of the objective.
-    pub objective_ms: DurationMs,
-    /// Length of the request.
-    pub bytes: Bytes,
-    /// Most tokens of the answer.
-    pub output_tokens: Tokens,
-    /// Tokens of shared parts that the store of kept KV cache holds, for given weights.
-    pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
-}
-
-/// Chosen upstream with the numbers behind the choice.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Upstream.
-    pub upstream: UpstreamId,
-    /// Weights that it was chosen with.
-    pub weights: Option<WeightsVersion>,
-    /// Expected time to first token.
-    pub first_token_ms: DurationMs,
-    /// Part of it that is the wait for earlier prompts.
-    pub backlog_ms: DurationMs,
-    /// Tokens that the engine must compute or fetch.
-    pub missing_tokens: Tokens,
-    /// Part of them that belongs to shared parts.
-    pub missing_shared_tokens: Tokens,
-    /// Part of these that another engine or the store of kept KV cache holds.
-    pub fetched_tokens: Tokens,
-    /// Upstream that is expected to hold shared parts which this one lacks, unless the store does.
-    pub holder: Option<UpstreamId>,
-    /// Whether it is the preferred upstream for the prompt.
-    pub home: bool,
-    /// Upstreams that were compared.
-    pub compared: usize,
-}
-
-/// A request that is under way at an upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Sent {
-    at: TimeMs,
-    tokens: u64,
-    ahead: u64,
-    /// Whether the tokens are really computed: other routers may have brought shared parts.
-    certain: bool,
-}
-
 /// Placement with what one router knows of each upstream.
 #[derive(Debug)]
 pub struct Direct {
@@ -157,17 +35,6 @@
     routers: u32,
 }
 
-/// Preferred upstreams for the shared parts of a prompt among those with the same weights, since
-/// cached parts of other weights are of no use.
-#[derive(Clone, Copy)]
-struct Homes<'a> {
-    weights: Option<WeightsVersion>,
-    /// Of all upstreams: computes the parts while the store lacks them.
-    first: Option<&'a UpstreamId>,
-    /// Of those in the data centre of the router: used once the store holds them.
-    near: Option<&'a UpstreamId>,
-}
-
 /// What the other targets mean for one target.
 struct Others<'a> {
     homes: Homes<'a>,
@@ -177,6 +44,19 @@
     crowding: f64,
 }
 
+/// What a target lacks of a prompt, in tokens.
+struct Supply<'a> {
+    missing: u64,
+    /// Part of it that belongs to shared parts.
+    missing_shared: u64,
+    /// Part of these that is fetched.
+    fetched: u64,
+    /// Whether all shared parts are held here, at another engine or in the store.
+    is_reachable: bool,
+    /// Engine to fetch from, unless it is the store.
+    holder: Option<&'a UpstreamId>,
+}
+
 struct Scored {
     cost: f64,
     choice: Choice,
@@ -232,7 +112,7 @@
         let mut homes: Vec<Homes<'_>> = Vec::new();
         for target in targets {
             if !homes.iter().any(|homes| homes.weights == target.weights) {
-                homes.push(self.homes(request, targets, target.weights));
+                homes.push(Homes::find(request, targets, target.weights));
             }
         }
         let crowding = self.crowding(targets, now);
@@ -258,13 +138,19 @@
     }
 
     /// Records that a request was sent, and returns what is needed at its first token.
-    pub fn sent(&mut self, choice: &Choice, request: &DirectRequest<'_>, now: TimeMs) -> Sent {
+    pub fn sent(
+        &mut self,
+        choice: &Choice,
+        scope: &str,
+        prompt: &[PromptPart],
+        now: TimeMs,
+    ) -> Sent {
         let routers = u64::from(self.routers);
         let weights = choice.weights.unwrap_or_default();
-        let keys = prefix_keys(request.scope, weights, request.prompt);
-        if !request.prompt.is_empty() {
+        let keys = prefix_keys(scope, weights, prompt);
+        if !prompt.is_empty() {
             let warm = self.warm.entry(choice.upstream.clone()).or_default();
-            for (key, part) in keys.iter().zip(request.prompt) {
+            for (key, part) in keys.iter().zip(prompt) {
                 warm.used(*key, part.tokens, routers, now);
             }
         }
@@ -299,35 +185,6 @@
         self.load(upstream).ended();
     }
 
-    /// Returns the upstreams that all routers prefer for the shared parts.
-    fn homes<'a>(
-        &self,
-        request: &DirectRequest<'_>,
-        targets: &[DirectTarget<'a>],
-        weights: Option<WeightsVersion>,
-    ) -> Homes<'a> {
-        let shared = request
-            .prompt
-            .split_last()
-            .map_or(&[][..], |(_, parts)| parts);
-        let root = PrefixKey::root(request.scope);
-        let key = shared.iter().fold(root, |key, part| key.with(part));
-        let score = |target: &&DirectTarget<'_>| {
-            // Homes share the prompts by memory, which is equal, and not by speed.
-            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), 1.0);
-            score.to_bits()
-        };
-        let near = |target: &&DirectTarget<'_>| target.data_centre == request.data_centre;
-        let same = || targets.iter().filter(|target| target.weights == weights);
-        let first = same().max_by_key(score);
-        let nearest = same().filter(near).max_by_key(score);
-        Homes {
-            weights,
-            first: first.map(|target| target.upstream),
-            near: nearest.or(first).map(|target| target.upstream),
-        }
-    }
-
     fn score_plain(&self, request: &DirectRequest<'_>, target: &DirectTarget<'_>) -> Scored {
         let load = self.loads.get(target.upstream);
         let expected_ms = load.map_or(0.0, |load| load.plain_ms(target.slots, self.routers));
@@ -355,57 +212,24 @@
         others: &Others<'_>,
         now: TimeMs,
     ) -> Scored {
-        let Others {
-            homes,
-            holder,
-            crowding,
-        } = others;
-        let weights = target.weights.unwrap_or_default();
-        let keys = prefix_keys(request.scope, weights, request.prompt);
-        let capacity = target.kv_capacity.unwrap_or_default();
-        let warm = self.warm.get(target.upstream);
-        let warm_depth = warm.map_or(0, |warm| match target.cached_parts {
-            Some(_) => warm.untold_depth(&keys, now),
-            None => warm.depth(&keys, capacity),
-        });
-        let held = target.cached_parts.unwrap_or(0).max(warm_depth);
-        let held = held.min(request.prompt.len());
-        let tokens = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0).sum::<u64>();
-        let missing = tokens(&request.prompt[held..]);
-        let shared = request.prompt.len() - 1;
-        let missing_shared = tokens(&request.prompt[held.min(shared)..shared]);
-        let known = tokens(&request.prompt[..held.min(shared)]);
-        let stored = (request.stored)(weights).0.saturating_sub(known);
-        let holder_parts = holder.and_then(|holder| holder.cached_parts);
-        let holder_parts = holder_parts.unwrap_or(0).min(shared);
-        let elsewhere = tokens(&request.prompt[..holder_parts]).saturating_sub(known);
-        let fetched = stored.max(elsewhere).min(missing_shared);
-        let is_stored = stored.max(elsewhere) + known >= tokens(&request.prompt[..shared]);
-        let preferred = if is_stored { homes.near } else { homes.first };
+        let supply = self.supply(request, target, others, now);
+        let homes = &others.homes;
+        let preferred = match supply.is_reachable {
+            true => homes.near,
+            false => homes.first,
+        };
         let home = preferred == Some(target.upstream);
         let load = self.loads.get(target.upstream);
         let unknown = UpstreamLoad::default();
         let load = load.unwrap_or(&unknown);
         let backlog_ms = load.backlog_ms(now);
-        let compute_ms = load.compute_ms(missing - fetched);
-        let fetch_ms = fetched as f64 * self.settings.fetch_ms_per_token;
+        let compute_ms = load.compute_ms(supply.missing - supply.fetched);
+        let fetch_ms = supply.fetched as f64 * self.settings.fetch_ms_per_token;
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
         let mut cost = self.waiting_cost(request, first_token_ms);
         cost += self.common_cost(request, target);
-        let holder = match elsewhere > 0 && elsewhere >= stored {
-            true => holder.map(|holder| holder.upstream),
-            // The home may have begun to compute them.
-            false => homes
-                .first
-                .filter(|first| missing_shared > fetched && *first != target.upstream),
-        };
         if !home {
-            // The home is expected to hold what other routers have sent there. Copies at other
-            // engines push out other parts, so also one that holds the parts is no home.
-            let again = missing_shared - fetched;
-            let again_ms = again as f64 * self.settings.again_ms_per_token;
-            let fetch_ms = fetched as f64 * self.settings.fetch_away_ms_per_token;
-            cost += (self.settings.home_ms + again_ms + fetch_ms) * crowding;
+            cost += self.away_cost(&supply) * others.crowding;
         }
         Scored {
             cost,
@@ -414,16 +238,83 @@
                 weights: target.weights,
                 first_token_ms: DurationMs(first_token_ms as u64),
                 backlog_ms: DurationMs(backlog_ms as u64),
-                missing_tokens: Tokens(missing),
-                missing_shared_tokens: Tokens(missing_shared),
-                fetched_tokens: Tokens(fetched),
-                holder: holder.cloned(),
+                missing_tokens: Tokens(supply.missing),
+                missing_shared_tokens: Tokens(supply.missing_shared),
+                fetched_tokens: Tokens(supply.fetched),
+                holder: supply.holder.cloned(),
                 home,
                 compared: 0,
             },
         }
     }
 
+    /// Returns what `target` lacks of a prompt and where it gets that from.
+    fn supply<'a>(
+        &self,
+        request: &DirectRequest<'_>,
+        target: &DirectTarget<'_>,
+        others: &Others<'a>,
+        now: TimeMs,
+    ) -> Supply<'a> {
+        let prompt = request.prompt;
+        let tokens = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0).sum::<u64>();
+        let held = self.held_parts(request, target, now);
+        let shared = prompt.len() - 1;
+        let known = tokens(&prompt[..held.min(shared)]);
+        let missing_shared = tokens(&prompt[held.min(shared)..shared]);
+        let stored = (request.stored)(target.weights.unwrap_or_default()).0;
+        let stored = stored.saturating_sub(known);
+        let holder_parts = others.holder.and_then(|holder| holder.cached_parts);
+        let holder_parts = holder_parts.unwrap_or(0).min(shared);
+        let elsewhere = tokens(&prompt[..holder_parts]).saturating_sub(known);
+        let fetched = stored.max(elsewhere).min(missing_shared);
+        let lacks = missing_shared > fetched;
+        let holder = match elsewhere > 0 && elsewhere >= stored {
+            true => others.holder.map(|holder| holder.upstream),
+            // The home may have begun to compute them.
+            false => others
+                .homes
+                .first
+                .filter(|first| lacks && *first != target.upstream),
+        };
+        Supply {
+            missing: tokens(&prompt[held..]),
+            missing_shared,
+            fetched,
+            is_reachable: !lacks,
+            holder,
+        }
+    }
+
+    /// Returns how many leading parts of a prompt `target` is expected to hold.
+    fn held_parts(
+        &self,
+        request: &DirectRequest<'_>,
+        target: &DirectTarget<'_>,
+        now: TimeMs,
+    ) -> usize {
+        let weights = target.weights.unwrap_or_default();
+        let keys = prefix_keys(request.scope, weights, request.prompt);
+        let capacity = target.kv_capacity.unwrap_or_default();
+        let warm = self.warm.get(target.upstream);
+        let warm_depth = warm.map_or(0, |warm| match target.cached_parts {
+            Some(_) => warm.untold_depth(&keys, now),
+            None => warm.depth(&keys, capacity),
+        });
+        let held = target.cached_parts.unwrap_or(0).max(warm_depth);
+        held.min(request.prompt.len())
+    }
+
+    /// Returns the cost of work that the home is expected to save, since it holds what other
+    /// routers have sent there. Copies at other engines push out other parts, so also one that
+    /// holds the parts is no home.
+    fn away_cost(&self, supply: &Supply<'_>) -> f64 {
+        let again = supply.missing_shared - supply.fetched;
+        let again_ms = again as f64 * self.settings.again_ms_per_token;
+        let fetch_ms = supply.fetched as f64 * self.settings.fetch_away_ms_per_token;
+        self.settings.home_ms + again_ms + fetch_ms
+    }
+
     /// Returns the factor of the cost of work that a home would save: all that wait bear it.
     fn crowding(&self, targets: &[DirectTarget<'_>], now: TimeMs) -> f64 {
         let loads = targets.iter().filter_map(|t| self.loads.get(t.upstream));
@@ -455,34 +346,3 @@
         cost
     }
 }
-
-/// Returns the engine from which `target` can fetch the most parts, near it if possible.
-fn holder<'t, 'a>(
-    targets: &'t [DirectTarget<'a>],
-    target: &DirectTarget<'_>,
-    home: Option<&UpstreamId>,
-) -> Option<&'t DirectTarget<'a>> {
-    let same = |other: &&DirectTarget<'_>| {
-        other.weights == target.weights && other.upstream != target.upstream
-    };
-    targets.iter().filter(same).max_by_key(|other| {
-        let is_near = other.data_centre == target.data_centre;
-        (other.cached_parts, is_near, home == Some(other.upstream))
-    })
-}
-
-/// Returns the key of each prefix of a prompt, the shortest first.
-fn prefix_keys(scope: &str, weights: WeightsVersion, prompt: &[PromptPart]) -> Vec<PrefixKey> {
-    let salt = PromptPart {
-        id: weights.0,
-        tokens: Tokens(0),
-    };
-    let mut key = PrefixKey::root(scope).with(&salt);
-    prompt
-        .iter()
-        .map(|part| {
-            key = key.with(part);
-            key
-        })
-        .collect()
-}
