order: a model of the rollout over arbitrary fleets

Ruled out: nothing was found by it. It catches two mutations: engines that are away counted for the loads at once, and engines at work not counted.

Before: 9 examples.

Conclusion: kept; the model covers one naming, not several at once.

--- a/crates/order/tests/rollout.rs
+++ b/crates/order/tests/rollout.rs
@@ -12,6 +12,7 @@
 use dw_order::Newest;
 use dw_order::Peer;
 use dw_order::Rollout;
+use proptest::prelude::*;
 
 const LIMIT: DurationMs = DurationMs(12_000);
 
@@ -19,7 +20,7 @@
     SocketAddr::from(([10, 0, 0, number as u8], 8_080))
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Engine {
     weights: u64,
     loading: bool,
@@ -221,3 +222,38 @@
     let due = (12..47).filter(|at| is_due(&fleet, *at, 2, 100)).count();
     assert!((4..=8).contains(&due), "{due} of 35 load at once");
 }
+
+fn any_engine() -> impl Strategy<Value = Engine> {
+    (1..=2u64, any::<bool>(), prop::bool::weighted(0.9)).prop_map(|(weights, loading, heard)| {
+        Engine {
+            weights,
+            // An engine that has the weights has nothing to load, and a silent one does not tell.
+            loading: loading && heard && weights < 2,
+            heard,
+        }
+    })
+}
+
+proptest! {
+    /// Guards against a rollout that stops, one that takes more engines out than it may, and one
+    /// that concerns engines which have the weights already, whatever state the fleet is in.
+    #[test]
+    fn rollout_goes_on_and_stays_bounded(
+        fleet in prop::collection::vec(any_engine(), 2..60),
+        behind_ms in 0..LIMIT.0,
+    ) {
+        let heard = fleet.iter().filter(|engine| engine.heard).count();
+        // Each engine hears the same others, more than half of them.
+        prop_assume!(heard * 2 > fleet.len() + 1);
+        let at_work = fleet.iter().filter(|engine| engine.loading).count();
+        let idle = (0..fleet.len()).filter(|at| fleet[*at].heard && !fleet[*at].loading);
+        let behind: Vec<usize> = idle.filter(|at| fleet[*at].weights < 2).collect();
+        let due = behind.iter().filter(|at| is_due(&fleet, **at, 2, behind_ms)).count();
+        let most = (heard / 5).max(2) + 1;
+        prop_assert!(due == 0 || at_work + due <= most, "{} and {} of {}", at_work, due, heard);
+        prop_assert!(due > 0 || at_work > 0 || behind.is_empty());
+        for at in (0..fleet.len()).filter(|at| fleet[*at].weights == 2) {
+            prop_assert!(!is_due(&fleet, at, 2, behind_ms) && !is_soon(&fleet, at));
+        }
+    }
+}
