wire: an engine that does not tell of its cache is not taken for empty

Cause: read in the diff. A sidecar whose engine gives no events told an empty list, and gateways then trusted it over their own estimate, so on a deployment without such events only prompts of the last 1.5 s would count as held. A list told long ago counted for ever.

Ruled out: a flag in the datagram; the age of the last list is enough and also covers lost datagrams.

Conclusion: gateways fall back to their estimate 2 s after the last list.

--- a/crates/gateway/src/sidecars.rs
+++ b/crates/gateway/src/sidecars.rs
@@ -8,10 +8,9 @@
 use dw_base::PartKey;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
-use dw_wire::CachedParts;
-use dw_wire::CachedSet;
 use dw_wire::EngineState;
 use dw_wire::Phase;
+use dw_wire::ToldParts;
 
 /// Age from which a sidecar's word is not used any more.
 const FRESH_MS: DurationMs = DurationMs(1_500);
@@ -20,7 +19,7 @@
     state: EngineState,
     at: TimeMs,
     /// Cached parts that were told last.
-    cached: CachedSet,
+    cached: ToldParts,
 }
 
 /// What sidecars last told, by the address of the engine.
@@ -50,10 +49,10 @@
             before: known.map(|known| known.state.phase),
             restarted: known.is_some_and(|known| known.state.born_ms != state.born_ms),
         };
-        let told = state.cached.as_ref().map(CachedParts::set);
         let known = self.heard.remove(&state.engine);
-        let kept = known.filter(|_| !change.restarted);
-        let cached = told.or(kept.map(|kept| kept.cached)).unwrap_or_default();
+        let known = known.filter(|_| !change.restarted);
+        let mut cached = known.map(|known| known.cached).unwrap_or_default();
+        cached.hear(state.cached.as_ref(), now);
         let heard = Heard {
             cached,
             at: now,
@@ -80,14 +79,14 @@
         heard.is_some_and(|heard| heard.state.phase == Phase::LoadsSoon)
     }
 
-    /// Returns how many leading parts an engine has cached; nothing if its sidecar is silent.
+    /// Returns how many leading parts an engine has cached, if its sidecar has told so lately.
     pub(crate) fn cached_parts(
         &self,
         engine: SocketAddr,
         keys: &[PartKey],
         now: TimeMs,
     ) -> Option<usize> {
-        Some(self.fresh(engine, now)?.cached.leading(keys))
+        self.fresh(engine, now)?.cached.leading(keys, now)
     }
 
     /// Returns the weights that the sidecar last told.
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -33,6 +33,9 @@
 /// The same while the engine is to load weights.
 const BUSY_PEER_MS: DurationMs = DurationMs(250);
 
+/// Parts that a datagram names at most, so that it stays within its limit.
+const MAX_CACHED: usize = 1_000;
+
 /// What the last datagrams said.
 #[derive(Clone, Debug, PartialEq)]
 struct Summary {
@@ -82,9 +85,6 @@
     }
 }
 
-/// Parts that a datagram names at most, so that it stays within its limit.
-const MAX_CACHED: usize = 1_000;
-
 /// Returns the state of the engine without what concerns one receiver only.
 fn engine_state(shared: &Shared, seq: u64, now: TimeMs) -> EngineState {
     let state = shared.state.borrow();
@@ -114,11 +114,11 @@
     now: TimeMs,
 ) {
     let routers: Vec<_> = shared.state.borrow().routers().collect();
-    let cached = tells_cached.then(|| {
-        let state = shared.state.borrow();
-        let contents = state.contents.borrow();
-        CachedParts::new(contents.newest(MAX_CACHED))
-    });
+    let cached = if tells_cached {
+        cached_parts(shared)
+    } else {
+        None
+    };
     for (router, own_tokens) in routers {
         let state = EngineState {
             own_tokens,
@@ -129,6 +129,15 @@
     }
 }
 
+/// Returns what the engine has cached, if it tells of it.
+fn cached_parts(shared: &Shared) -> Option<CachedParts> {
+    let state = shared.state.borrow();
+    let contents = state.contents.borrow();
+    contents
+        .is_up()
+        .then(|| CachedParts::new(contents.newest(MAX_CACHED)))
+}
+
 async fn tell_peers(shared: &Shared, socket: &UdpSocket, seq: u64, now: TimeMs) {
     let others: Vec<_> = shared.state.borrow().others().collect();
     let datagram = Datagram::Engine(engine_state(shared, seq, now));
--- a/crates/wire/src/cached_parts.rs
+++ b/crates/wire/src/cached_parts.rs
@@ -1,9 +1,14 @@
 //! Which parts of prompts an engine has cached, in few bytes.
 
+use dw_base::DurationMs;
 use dw_base::PartKey;
+use dw_base::TimeMs;
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Age from which what was told is not used any more; three datagrams of an idle engine fit in.
+const TOLD_MS: DurationMs = DurationMs(2_000);
+
 /// Parts of prompts that an engine has cached, as two bytes a part.
 ///
 /// They are hints: with 150 parts one of 400 others is taken for one of them, which costs a
@@ -31,8 +36,8 @@
         }
     }
 
-    /// Returns the set of the parts.
-    pub fn set(&self) -> CachedSet {
+    /// Returns the hashes in order.
+    fn hashes(&self) -> Vec<u16> {
         let mut last: u16 = 0;
         let hashes = self.gaps.iter().map(|gap| {
             last = last.wrapping_add(*gap);
@@ -41,19 +46,35 @@
         let mut hashes: Vec<u16> = hashes.collect();
         // Gaps from another process may wrap around.
         hashes.sort_unstable();
-        CachedSet(hashes)
+        hashes
     }
 }
 
-/// Parts of prompts that an engine has told to hold.
+/// What an engine's sidecar last told of its cache.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct CachedSet(Vec<u16>);
+pub struct ToldParts {
+    hashes: Vec<u16>,
+    at: Option<TimeMs>,
+}
+
+impl ToldParts {
+    /// Takes over the parts of a datagram, if it tells any.
+    pub fn hear(&mut self, told: Option<&CachedParts>, now: TimeMs) {
+        if let Some(told) = told {
+            self.hashes = told.hashes();
+            self.at = Some(now);
+        }
+    }
 
-impl CachedSet {
-    /// Returns how many leading parts are held.
-    pub fn leading(&self, keys: &[PartKey]) -> usize {
-        let is_held = |key: &&PartKey| self.0.binary_search(&hash(**key)).is_ok();
-        keys.iter().take_while(is_held).count()
+    /// Returns how many leading parts are held; nothing if the cache was not told of lately, as
+    /// while the engine does not tell its sidecar of it.
+    pub fn leading(&self, keys: &[PartKey], now: TimeMs) -> Option<usize> {
+        let at = self.at?;
+        if now.since(at) >= TOLD_MS {
+            return None;
+        }
+        let is_held = |key: &&PartKey| self.hashes.binary_search(&hash(**key)).is_ok();
+        Some(keys.iter().take_while(is_held).count())
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 mod transport;
 
 pub use cached_parts::CachedParts;
-pub use cached_parts::CachedSet;
+pub use cached_parts::ToldParts;
 pub use codec::decode;
 pub use codec::decode_frames;
 pub use codec::encode;
