net: reset upstream connections when they are closed

The engine's VM was frozen from 26.5 s to 33.2 s. The gateway had closed its connections when the callers left, but an ordinary close leaves the bytes that the frozen VM had not taken in, and it ran them after the thaw.

Ruled out: a gateway that sends after its caller has left; its log has no line of these requests after 28.2 s, and the VM of the gateway was not frozen.

A connection to an upstream is closed only once its answer is complete or nobody waits for it, so a reset loses nothing.

--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -46,7 +46,7 @@
             waited_ms: dial.connect_ms,
         })?
         .map_err(|source| ConnectError::Refused { addr, source })?;
-    watch(&stream, dial.silence_ms).map_err(|source| ConnectError::Refused { addr, source })?;
+    configure(&stream, dial.silence_ms).map_err(|source| ConnectError::Refused { addr, source })?;
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
     let (sender, connection) = handshake
         .await
@@ -56,7 +56,7 @@
     Ok(sender)
 }
 
-fn watch(stream: &TcpStream, silence_ms: DurationMs) -> std::io::Result<()> {
+fn configure(stream: &TcpStream, silence_ms: DurationMs) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let silence = Duration::from(silence_ms);
     let pause = (silence / 2).max(SHORTEST_PROBE_PAUSE);
@@ -65,6 +65,9 @@
         .with_interval(pause)
         .with_retries(1);
     let socket = SockRef::from(stream);
+    // A connection is closed once its answer is complete or nobody waits for it any longer. A reset
+    // then keeps a request that a frozen peer has not read yet from being run.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(silence))
 }
