place: a home near the router only where it holds the parts

Cause: shared parts that can be fetched had a home in each data centre.

A near engine that got a copy under load stays the home while it holds it.

--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -112,7 +112,8 @@
         let mut homes: Vec<Homes<'_>> = Vec::new();
         for target in targets {
             if !homes.iter().any(|homes| homes.weights == target.weights) {
-                homes.push(Homes::find(request, targets, target.weights));
+                let warm = |near: &DirectTarget<'_>| self.is_warm(request, near, now);
+                homes.push(Homes::find(request, targets, target.weights, warm));
             }
         }
         let crowding = self.crowding(targets, now);
@@ -215,7 +216,7 @@
         let supply = self.supply(request, target, others, now);
         let homes = &others.homes;
         let preferred = match supply.is_reachable {
-            true => homes.near,
+            true => homes.warm,
             false => homes.first,
         };
         let home = preferred == Some(target.upstream);
@@ -305,6 +306,12 @@
         held.min(request.prompt.len())
     }
 
+    /// Returns whether `target` holds all shared parts of a prompt, or does not tell what it holds.
+    fn is_warm(&self, request: &DirectRequest<'_>, target: &DirectTarget<'_>, now: TimeMs) -> bool {
+        let held = self.held_parts(request, target, now);
+        target.cached_parts.is_none() || held + 1 >= request.prompt.len()
+    }
+
     /// Returns the cost of work that the home is expected to save, since it holds what other
     /// routers have sent there. Copies at other engines push out other parts, so also one that
     /// holds the parts is no home.
--- a/crates/place/src/direct_homes.rs
+++ b/crates/place/src/direct_homes.rs
@@ -17,16 +17,20 @@
     pub(crate) weights: Option<WeightsVersion>,
     /// Of all upstreams: computes the parts while the store lacks them.
     pub(crate) first: Option<&'a UpstreamId>,
-    /// Of those in the data centre of the router: used once the store holds them.
-    pub(crate) near: Option<&'a UpstreamId>,
+    /// Of those in the data centre of the router if it holds the parts, else the first one: used
+    /// once the parts can be fetched. Own copies for each data centre push one another out before
+    /// they are used again.
+    pub(crate) warm: Option<&'a UpstreamId>,
 }
 
 impl<'a> Homes<'a> {
-    /// Returns the upstreams that all routers prefer for the shared parts.
+    /// Returns the upstreams that all routers prefer for the shared parts; `is_warm` tells whether
+    /// one holds them.
     pub(crate) fn find(
         request: &DirectRequest<'_>,
         targets: &[DirectTarget<'a>],
         weights: Option<WeightsVersion>,
+        is_warm: impl Fn(&DirectTarget<'a>) -> bool,
     ) -> Self {
         let shared = request
             .prompt
@@ -43,10 +47,11 @@
         let same = || targets.iter().filter(|target| target.weights == weights);
         let first = same().max_by_key(score);
         let nearest = same().filter(near).max_by_key(score);
+        let warm = nearest.filter(|nearest| is_warm(nearest)).or(first);
         Homes {
             weights,
             first: first.map(|target| target.upstream),
-            near: nearest.or(first).map(|target| target.upstream),
+            warm: warm.map(|target| target.upstream),
         }
     }
 }
--- a/crates/place/tests/direct_cache.rs
+++ b/crates/place/tests/direct_cache.rs
@@ -127,3 +127,33 @@
     let later = place_at(&mut direct, &case, &engines, NOW + DurationMs(2_000));
     assert_eq!(later.missing_shared_tokens, Tokens(5_382));
 }
+
+/// Guards against copies of shared parts in each data centre that push one another out before they
+/// are used again: on letargo-ops each part came into use at its home every 4 s, at one home for
+/// each data centre every 11 s, and engines are filled anew within 9 s.
+#[test]
+fn one_home_holds_parts_that_no_near_engine_holds() {
+    let mut engines = telling_engines(9);
+    for kind in 0..40 {
+        let parts = prompt(kind, 9_000 + kind, 2_000);
+        let centre = engines[0].data_centre.clone();
+        let case = case_of(&parts, &centre, 0);
+        let first = place(&mut direct(), &case, &engines, false).upstream;
+        for near in 0..3 {
+            let centre = engines[near].data_centre.clone();
+            let case = case_of(&parts, &centre, 5_382);
+            let choice = place(&mut direct(), &case, &engines, false);
+            assert_eq!(choice.upstream, first);
+        }
+        let near = engines
+            .iter()
+            .position(|e| e.data_centre == centre && e.id != first);
+        let near = near.expect("test data is valid");
+        let case = case_of(&parts, &centre, 5_382);
+        engines[near].cached_parts = Some(2);
+        let choice = place(&mut direct(), &case, &engines, false);
+        engines[near].cached_parts = Some(0);
+        let chosen = engines.iter().find(|engine| engine.id == choice.upstream);
+        assert_eq!(chosen.expect("test data is valid").data_centre, centre);
+    }
+}
