place, wire: routers learn the speed of engines together; fewer homes at slow ones

One router of 26 measures each of 47 engines too rarely to know its speed.

Change: routers tell sidecars what they have measured, sidecars tell the sum; it counts once it is more than the router's own. An engine below 0.7 of the median speed is home of half as many prompts.

Ruled out: homes in proportion to the speed; memory is equal, and routers that measure slightly different speeds would disagree on homes.

New tests cover both rules.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 mod prompt;
 mod rendezvous;
 mod rng;
+mod work;
 
 pub use chain::BlockHash;
 pub use chain::Chain;
@@ -53,3 +54,5 @@
 pub use rendezvous::rendezvous_score;
 pub use rng::seeded_rng;
 pub use rng::Rng;
+pub use work::MeasuredSpeeds;
+pub use work::MeasuredWork;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dw_base::DurationMs;
+use dw_base::MeasuredSpeeds;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
@@ -89,6 +90,7 @@
     addr: SocketAddr,
     service: ServiceId,
     tokens: Tokens,
+    speeds: MeasuredSpeeds,
 }
 
 fn engines(shared: &Shared) -> Vec<Engine> {
@@ -103,6 +105,7 @@
                 addr: entry.listed.addr,
                 service: entry.listed.service.clone(),
                 tokens: load.own_tokens(),
+                speeds: load.measured_speeds(),
             }
         })
         .collect()
@@ -123,6 +126,7 @@
         started_ms: shared.started.0,
         seq,
         outstanding_tokens: engine.tokens,
+        speeds: engine.speeds,
         weights: shared.weights.borrow().namings.news(now),
         engines: same.map(|other| other.addr).collect(),
     }
@@ -149,6 +153,7 @@
         .0
         .saturating_sub(state.own_tokens.0);
     let routers = state.routers;
+    let speeds = state.speeds;
     let Some(change) = shared.sidecars.borrow_mut().hear(state, now) else {
         return;
     };
@@ -163,6 +168,7 @@
         }
         let load = place.load(&entry.listed.upstream);
         load.reported(Tokens(others), now);
+        load.told_speeds(speeds);
     }
     if routers > 0 {
         place.set_routers(routers);
--- a/crates/place/src/direct_homes.rs
+++ b/crates/place/src/direct_homes.rs
@@ -24,12 +24,13 @@
 }
 
 impl<'a> Homes<'a> {
-    /// Returns the upstreams that all routers prefer for the shared parts; `is_warm` tells whether
-    /// one holds them.
+    /// Returns the upstreams that all routers prefer for the shared parts; `weight` tells how large
+    /// a share of the prompts one gets, `is_warm` whether it holds the parts.
     pub(crate) fn find(
         request: &DirectRequest<'_>,
         targets: &[DirectTarget<'a>],
         weights: Option<WeightsVersion>,
+        weight: impl Fn(&UpstreamId) -> f64,
         is_warm: impl Fn(&DirectTarget<'a>) -> bool,
     ) -> Self {
         let shared = request
@@ -39,8 +40,8 @@
         let root = PrefixKey::root(request.scope);
         let key = shared.iter().fold(root, |key, part| key.with(part));
         let score = |target: &&DirectTarget<'_>| {
-            // Homes share the prompts by memory, which is equal, and not by speed.
-            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), 1.0);
+            let weight = weight(target.upstream);
+            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), weight);
             score.to_bits()
         };
         let near = |target: &&DirectTarget<'_>| target.data_centre == request.data_centre;
--- a/crates/place/src/direct_settings.rs
+++ b/crates/place/src/direct_settings.rs
@@ -33,6 +33,12 @@
     /// Advantage of the upstream that all routers prefer for a prompt.
     #[builder(default = 15.0)]
     pub home_ms: f64,
+    /// Part of the median speed below which an engine counts as slow.
+    #[builder(default = 0.7)]
+    pub slow_part: f64,
+    /// Prompts of which a slow engine is the home, relative to the others.
+    #[builder(default = 0.5)]
+    pub slow_home_weight: f64,
     /// Mean wait at the engines that doubles the cost of work which another engine would save.
     #[builder(default = 25.0)]
     pub crowd_ms: f64,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -21,6 +21,7 @@
 mod flat_prompt;
 mod heat;
 mod homes;
+mod learned_speed;
 mod least_loaded;
 mod load;
 mod nested;
--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -1,11 +1,12 @@
 //! Load and speed of one upstream as one router knows them.
 
 use dw_base::DurationMs;
+use dw_base::MeasuredSpeeds;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 
-/// Prompt tokens that an engine computes in a millisecond, before its speed is learned.
-const PRIOR_TOKENS_PER_MS: f64 = 90.0;
+use crate::learned_speed::LearnedSpeed;
+use crate::learned_speed::PRIOR_TOKENS_PER_MS;
 
 /// Time to first token of an empty engine without its computation.
 const BASE_MS: f64 = 55.0;
@@ -13,9 +14,6 @@
 /// Time for a million pairs of tokens at the prior speed; attention grows with their square.
 const PAIRS_MS_PER_M: f64 = 0.3;
 
-/// Part of what was learned that remains after a new measurement.
-const MEMORY: f64 = 0.85;
-
 /// Tokens that the prior counts for.
 const PRIOR_TOKENS: f64 = 2_000.0;
 
@@ -34,9 +32,6 @@
 /// Weight of the newest measurement of a plain service.
 const SMOOTHING: f64 = 0.1;
 
-/// Bounds of the learned speed in tokens per millisecond.
-const SPEED_RANGE: (f64, f64) = (10.0, 1_000.0);
-
 /// Age from which a report is not used any more.
 const REPORT_MS: DurationMs = DurationMs(1_000);
 
@@ -50,34 +45,6 @@
     at: TimeMs,
 }
 
-/// Speed from weighted measurements, the newest of which count most.
-#[derive(Clone, Copy, Debug)]
-struct LearnedSpeed {
-    tokens: f64,
-    ms: f64,
-}
-
-impl LearnedSpeed {
-    /// Creates a speed of which nothing is measured; the prior counts for so many tokens.
-    fn prior(tokens: f64) -> Self {
-        LearnedSpeed {
-            tokens,
-            ms: tokens / PRIOR_TOKENS_PER_MS,
-        }
-    }
-
-    fn learn(&mut self, tokens: u64, took_ms: f64) {
-        let least_ms = tokens as f64 / SPEED_RANGE.1;
-        self.tokens = self.tokens * MEMORY + tokens as f64;
-        self.ms = self.ms * MEMORY + took_ms.max(least_ms);
-    }
-
-    fn tokens_per_ms(&self) -> f64 {
-        let speed = self.tokens / self.ms;
-        speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1)
-    }
-}
-
 /// Load and speed of one upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamLoad {
@@ -113,6 +80,20 @@
         });
     }
 
+    /// Takes over what all routers have measured of its speed.
+    pub fn told_speeds(&mut self, all: MeasuredSpeeds) {
+        self.computing.told(all.computing);
+        self.draining.told(all.draining);
+    }
+
+    /// Returns what this router has measured of its speed.
+    pub fn measured_speeds(&self) -> MeasuredSpeeds {
+        MeasuredSpeeds {
+            computing: self.computing.measured(),
+            draining: self.draining.measured(),
+        }
+    }
+
     /// Returns the prompt tokens that this router has sent and that have no first token yet.
     pub fn own_tokens(&self) -> Tokens {
         Tokens(self.own_tokens)
--- a/crates/place/tests/direct_load.rs
+++ b/crates/place/tests/direct_load.rs
@@ -3,6 +3,8 @@
 mod direct_fleet;
 
 use dw_base::DurationMs;
+use dw_base::MeasuredSpeeds;
+use dw_base::MeasuredWork;
 use dw_base::Tokens;
 use dw_base::UpstreamId;
 
@@ -97,3 +99,62 @@
     let choice = place(&mut direct, &case, &engines, false);
     assert_ne!(choice.upstream, slow);
 }
+
+fn measured(tokens: u64, took_ms: u64) -> MeasuredSpeeds {
+    let computing = MeasuredWork {
+        tokens: Tokens(tokens),
+        took_ms: DurationMs(took_ms),
+    };
+    MeasuredSpeeds {
+        computing,
+        draining: MeasuredWork::default(),
+    }
+}
+
+/// Guards against an engine of half the others' speed that is the home of as many prompts: its
+/// queue grows, and half of its prompts leave the engine that holds their parts. One router of 26
+/// measures too little of each of 47 engines to know, so what all routers have measured counts.
+#[test]
+fn slow_engines_are_home_of_fewer_prompts() {
+    let engines = telling_engines(8);
+    let near = engines[0].data_centre.clone();
+    let mut direct = direct();
+    for engine in &engines {
+        let is_slow = engine.id == engines[0].id;
+        let took_ms = if is_slow { 2_000 } else { 1_000 };
+        direct
+            .load(&engine.id)
+            .told_speeds(measured(100_000, took_ms));
+    }
+    let mut at_slow = 0;
+    for kind in 0..800 {
+        let parts = prompt(kind, 9_000, 500);
+        let choice = place(&mut direct, &case_of(&parts, &near, 0), &engines, false);
+        at_slow += u32::from(choice.home && choice.upstream == engines[0].id);
+    }
+    // An equal share is 100 of 800, half of one is 53.
+    assert!((30..75).contains(&at_slow), "{at_slow} of 800");
+}
+
+/// Guards against told speeds that outweigh what this router measures more often itself.
+#[test]
+fn own_measurements_count_once_they_are_more() {
+    let engines = engines(1);
+    let near = engines[0].data_centre.clone();
+    let mut direct = direct();
+    let id = engines[0].id.clone();
+    direct.load(&id).told_speeds(measured(3_000, 300));
+    for own in 0..20 {
+        let parts = prompt(1, 9_000 + own, 30_000);
+        let case = case_of(&parts, &near, 0);
+        let choice = place_at(&mut direct, &case, &engines, NOW);
+        let sent = direct.sent(&choice, "m", case.prompt, NOW);
+        // The time of 30,000 tokens at the speed of the prior.
+        direct.first_token(&choice.upstream, &sent, NOW + DurationMs(520));
+        direct.ended(&choice.upstream);
+    }
+    let speed = direct.load(&id).tokens_per_ms();
+    assert!(speed > 60.0, "{speed} tokens/ms");
+    let measured = direct.load(&id).measured_speeds().computing;
+    assert!(measured.tokens > Tokens(3_000), "{measured:?}");
+}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -128,6 +128,7 @@
             running: report.running,
             outstanding_tokens: state.outstanding(),
             own_tokens: Tokens(0),
+            speeds: state.speeds(),
             cached: None,
             routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
             weights: state.namings.news(now),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use dw_base::DurationMs;
+use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
 use dw_base::NodeId;
 use dw_base::TimeMs;
@@ -134,6 +135,12 @@
         Tokens(self.routers().map(|(_, tokens)| tokens.0).sum())
     }
 
+    /// Returns what all routers have measured of the engine's speed.
+    pub(crate) fn speeds(&self) -> MeasuredSpeeds {
+        let speeds = self.routers.values().map(|router| router.state.speeds);
+        speeds.fold(MeasuredSpeeds::default(), |all, speeds| all + speeds)
+    }
+
     /// Returns the model whose named weights the engine does not have yet.
     pub(crate) fn behind(&self) -> Option<Behind> {
         let report = self.report.as_ref()?;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
+use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
 use dw_base::NodeId;
 use dw_base::Tokens;
@@ -59,6 +60,8 @@
     pub seq: u64,
     /// Prompt tokens that it has sent to the engine and that have no first token yet.
     pub outstanding_tokens: Tokens,
+    /// What it has measured of the engine's speed.
+    pub speeds: MeasuredSpeeds,
     /// Named weights.
     pub weights: Vec<WeightsNews>,
     /// Addresses of the engines of the same service.
@@ -88,6 +91,8 @@
     pub outstanding_tokens: Tokens,
     /// Part of them that belongs to the receiver, as the sidecar knows it.
     pub own_tokens: Tokens,
+    /// What all routers have measured of the engine's speed.
+    pub speeds: MeasuredSpeeds,
     /// Routers that the sidecar hears.
     pub routers: u32,
     /// Parts of prompts that the engine has cached; absent if they were told a moment ago, and in
