sidecar, telem, net: metrics of sidecars, why an order was sent, dropped log lines

Change: orders by answer, reports and the time in each phase are on the metrics address of a sidecar; "order is sent" tells how long newer weights have been named, the engines heard and the place in line; the writer tells how many lines were dropped once it goes on. dw_net serves short answers for both programs. gateway::forward hands the account of a request under way to gateway::in_flight.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,12 +4,10 @@
 
 use bytes::Bytes;
 use dw_base::DurationMs;
-use dw_base::TimeMs;
 use dw_net::connect;
 use dw_net::describe;
 use dw_net::Connection;
 use dw_net::Dial;
-use dw_place::Sent;
 use dw_port::AnswerHead;
 use dw_port::Envelope;
 use dw_retry::Fate;
@@ -22,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::choose::Plan;
+use crate::in_flight::InFlight;
 use crate::job::SharedJob;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
@@ -50,52 +49,6 @@
     Fate(Fate),
 }
 
-/// Accounts for a request under way until its first token, its end or its cancellation.
-pub(crate) struct InFlight {
-    shared: Rc<Shared>,
-    job: SharedJob,
-    upstream: dw_base::UpstreamId,
-    sent: Sent,
-    is_prompt: bool,
-    computing: bool,
-}
-
-impl InFlight {
-    /// Records the first token or the head of a plain answer.
-    pub(crate) fn first_token(&mut self) {
-        if std::mem::replace(&mut self.computing, false) {
-            let now = self.shared.now();
-            let mut place = self.shared.place.borrow_mut();
-            place.first_token(&self.upstream, &self.sent, now);
-            self.waited(now);
-            self.shared.work_changed.notify_one();
-        }
-    }
-
-    /// Records the wait for the first token, or until the caller left without one.
-    fn waited(&self, now: TimeMs) {
-        if self.is_prompt {
-            let waited_ms = now.since(self.sent.at);
-            let objective_ms = self.job.route.objective_ms;
-            self.shared.with_overload(&self.job.service, |overload| {
-                overload.first_token(waited_ms, objective_ms, now);
-            });
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut place = self.shared.place.borrow_mut();
-        if self.computing {
-            place.abandoned(&self.upstream, &self.sent);
-            self.waited(self.shared.now());
-            self.shared.work_changed.notify_one();
-        }
-        place.ended(&self.upstream);
-    }
-}
-
 /// Sends a request to the planned upstream and waits for the start of its answer.
 pub(crate) async fn forward(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan) -> Ended {
     let upstream = &plan.choice.upstream;
@@ -110,7 +63,7 @@
             return Ended::Fate(fate);
         }
     };
-    let in_flight = start(shared, job, plan);
+    let in_flight = InFlight::start(shared, job, plan);
     exchange(shared, job, plan, (connection, in_flight)).await
 }
 
@@ -142,24 +95,6 @@
     })
 }
 
-fn start(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan) -> InFlight {
-    let is_prompt = plan.choice.weights.is_some();
-    let prompt = if is_prompt { &job.ask.prompt[..] } else { &[] };
-    let now = shared.now();
-    let mut place = shared.place.borrow_mut();
-    let sent = place.sent(&plan.choice, &plan.scope, prompt, now);
-    drop(place);
-    shared.work_changed.notify_one();
-    InFlight {
-        shared: shared.clone(),
-        job: job.clone(),
-        upstream: plan.choice.upstream.clone(),
-        sent,
-        is_prompt,
-        computing: true,
-    }
-}
-
 fn request(shared: &Shared, job: &SharedJob, plan: &Plan) -> Option<Request<Full<Bytes>>> {
     let is_prompt = plan.choice.weights.is_some();
     let envelope = Envelope {
--- /dev/null
+++ b/crates/gateway/src/in_flight.rs
@@ -0,0 +1,76 @@
+//! Work that a request causes at its upstream.
+
+use std::rc::Rc;
+
+use dw_base::TimeMs;
+use dw_base::UpstreamId;
+use dw_place::Sent;
+
+use crate::choose::Plan;
+use crate::job::SharedJob;
+use crate::shared::Shared;
+
+/// Accounts for a request under way until its first token, its end or its cancellation.
+pub(crate) struct InFlight {
+    shared: Rc<Shared>,
+    job: SharedJob,
+    upstream: UpstreamId,
+    sent: Sent,
+    is_prompt: bool,
+    computing: bool,
+}
+
+impl InFlight {
+    /// Records that a request is sent to the planned upstream.
+    pub(crate) fn start(shared: &Rc<Shared>, job: &SharedJob, plan: &Plan) -> Self {
+        let is_prompt = plan.choice.weights.is_some();
+        let prompt = if is_prompt { &job.ask.prompt[..] } else { &[] };
+        let now = shared.now();
+        let mut place = shared.place.borrow_mut();
+        let sent = place.sent(&plan.choice, &plan.scope, prompt, now);
+        drop(place);
+        shared.work_changed.notify_one();
+        InFlight {
+            shared: shared.clone(),
+            job: job.clone(),
+            upstream: plan.choice.upstream.clone(),
+            sent,
+            is_prompt,
+            computing: true,
+        }
+    }
+
+    /// Records the first token or the head of a plain answer.
+    pub(crate) fn first_token(&mut self) {
+        if std::mem::replace(&mut self.computing, false) {
+            let now = self.shared.now();
+            let mut place = self.shared.place.borrow_mut();
+            place.first_token(&self.upstream, &self.sent, now);
+            self.waited(now);
+            self.shared.work_changed.notify_one();
+        }
+    }
+
+    /// Records the wait for the first token, or until the caller left without one.
+    fn waited(&self, now: TimeMs) {
+        if self.is_prompt {
+            let waited_ms = now.since(self.sent.at);
+            let objective_ms = self.job.route.objective_ms;
+            self.shared.with_overload(&self.job.service, |overload| {
+                overload.first_token(waited_ms, objective_ms, now);
+            });
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut place = self.shared.place.borrow_mut();
+        if self.computing {
+            place.abandoned(&self.upstream, &self.sent);
+            self.waited(self.shared.now());
+            self.shared.work_changed.notify_one();
+        }
+        place.ended(&self.upstream);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod forward;
 mod gateway;
 mod gossip;
+mod in_flight;
 mod job;
 mod kv;
 mod measures;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::body::AnswerBody;
 use crate::connections::RequestGuard;
 use crate::forward::is_good;
-use crate::forward::InFlight;
+use crate::in_flight::InFlight;
 use crate::job::SharedJob;
 use crate::shared::Shared;
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,4 @@
-//! Sockets: addresses that a process listens on, and HTTP/1.1 connections to others.
+//! Sockets: addresses that a process listens on, short answers, and HTTP/1.1 connections to others.
 //!
 //! [`connect`] sets the socket options that make a connection end when its peer falls silent.
 
@@ -6,6 +6,7 @@
 mod connect;
 mod describe;
 mod error;
+mod serve;
 
 pub use bind::datagrams;
 pub use bind::listen;
@@ -15,3 +16,7 @@
 pub use connect::Dial;
 pub use describe::describe;
 pub use error::ConnectError;
+pub use serve::empty_answer;
+pub use serve::serve_short;
+pub use serve::text_answer;
+pub use serve::ShortAnswer;
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -48,3 +48,4 @@
 pub use namings::Newest;
 pub use rollout::Peer;
 pub use rollout::Rollout;
+pub use rollout::TurnInputs;
--- a/crates/order/src/rollout.rs
+++ b/crates/order/src/rollout.rs
@@ -67,6 +67,23 @@
     pub peers: &'a [Peer],
 }
 
+/// What decides whether the own engine has its turn, for logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TurnInputs {
+    /// For how long newer weights have been named.
+    pub behind_ms: DurationMs,
+    /// Other engines.
+    pub peers: usize,
+    /// Those that are heard; the plan by rank decides if they are less than half.
+    pub peers_heard: usize,
+    /// Engines at work or before the own one in line.
+    pub place: usize,
+    /// Most engines at work at once.
+    pub most_at_work: usize,
+    /// Requests that wait or run at the own engine.
+    pub requests: u32,
+}
+
 /// Place of an engine in the order of turns; the least goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Turn {
@@ -104,10 +121,27 @@
         }
     }
 
+    /// Returns what decides.
+    pub fn inputs(&self) -> TurnInputs {
+        TurnInputs {
+            behind_ms: self.behind_ms,
+            peers: self.peers.len(),
+            peers_heard: self.peers_heard(),
+            place: self.place_in_line(),
+            most_at_work: self.at_work_at_once(),
+            requests: self.requests,
+        }
+    }
+
+    fn peers_heard(&self) -> usize {
+        let heard = self.peers.iter().filter(|peer| peer.weights.is_some());
+        heard.count()
+    }
+
     /// Returns the most loads at once; engines that are away leave less room for it.
     fn concurrency(&self) -> usize {
         let engines = match self.hears_others() {
-            true => self.peers.iter().filter(|p| p.weights.is_some()).count() + 1,
+            true => self.peers_heard() + 1,
             false => self.peers.len() + 1,
         };
         (engines / ENGINES_PER_LOAD).max(FEWEST_LOADS)
@@ -126,8 +160,7 @@
     }
 
     fn hears_others(&self) -> bool {
-        let heard = self.peers.iter().filter(|peer| peer.weights.is_some());
-        !self.peers.is_empty() && heard.count() * 2 >= self.peers.len()
+        !self.peers.is_empty() && self.peers_heard() * 2 >= self.peers.len()
     }
 
     /// Returns the most engines at once that load or finish their requests for it.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod cache;
 mod gossip;
+mod measures;
 mod orders;
 mod sidecar;
 mod state;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -32,6 +32,7 @@
     let engine = options.boot.engine.ok_or(StartError::NoEngine)?;
     let _sidecar = Sidecar::start(SidecarParts {
         boot: options.boot,
+        metrics_port: options.metrics_port,
         clock: Arc::new(BootClock::new()),
         engine: Box::new(EngineCalls::new(engine)),
         cache: Box::new(KvEvents::new(engine)),
--- /dev/null
+++ b/crates/sidecar/src/measures.rs
@@ -0,0 +1,99 @@
+//! Metrics of a sidecar.
+
+use std::cell::Cell;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_port::OrderAnswer;
+use dw_telem::Metrics;
+use dw_wire::Phase;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+
+/// Upper bounds of the buckets of phases in seconds; loads take from 0.27 s to some seconds.
+const PHASE_BUCKETS_S: [f64; 8] = [0.1, 0.3, 0.6, 1.2, 2.4, 4.8, 9.6, 20.0];
+
+/// Upper bounds of the buckets of calls to the engine in seconds.
+const CALL_BUCKETS_S: [f64; 7] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.25, 0.4];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Label {
+    kind: &'static str,
+}
+
+/// Metrics of a sidecar.
+pub(crate) struct Measures {
+    metrics: Metrics,
+    orders: Family<Label, Counter>,
+    reports: Family<Label, Counter>,
+    report_s: Histogram,
+    phase_s: Family<Label, Histogram, fn() -> Histogram>,
+    /// When the present phase began.
+    phase_since: Cell<TimeMs>,
+}
+
+fn phase_histogram() -> Histogram {
+    Histogram::new(PHASE_BUCKETS_S)
+}
+
+impl Measures {
+    /// Registers the metrics.
+    pub(crate) fn new(now: TimeMs) -> Self {
+        let metrics = Metrics::new();
+        let phases = "Time that the engine spent in a phase, once it has ended";
+        let phase_s = Family::new_with_constructor(phase_histogram as fn() -> Histogram);
+        let call = "Time that the engine took to report its state";
+        Measures {
+            orders: metrics.add("orders", "Orders by their answer", Family::default()),
+            reports: metrics.add("reports", "Reports of the engine", Family::default()),
+            report_s: metrics.add("report_seconds", call, Histogram::new(CALL_BUCKETS_S)),
+            phase_s: metrics.add("phase_seconds", phases, phase_s),
+            phase_since: Cell::new(now),
+            metrics,
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        self.metrics.render()
+    }
+
+    /// Counts an order by its answer, which is absent if it was lost.
+    pub(crate) fn order(&self, answer: Option<&OrderAnswer>) {
+        let kind = match answer {
+            Some(OrderAnswer::Accepted) => "accepted",
+            Some(OrderAnswer::Holds) => "holds",
+            Some(OrderAnswer::Conflict) => "conflict",
+            Some(OrderAnswer::Fenced) => "fenced",
+            Some(OrderAnswer::Rejected(_)) => "rejected",
+            None => "lost",
+        };
+        self.orders.get_or_create(&Label { kind }).inc();
+    }
+
+    /// Counts a report of the engine, or its absence.
+    pub(crate) fn report(&self, is_answered: bool, took_ms: DurationMs) {
+        let kind = if is_answered { "answered" } else { "lost" };
+        self.reports.get_or_create(&Label { kind }).inc();
+        if is_answered {
+            self.report_s.observe(took_ms.as_secs_f64());
+        }
+    }
+
+    /// Records that a phase has ended.
+    pub(crate) fn phase_ended(&self, phase: Phase, now: TimeMs) {
+        let kind = match phase {
+            Phase::Open => "open",
+            Phase::LoadsSoon => "loads_soon",
+            Phase::Closing => "closing",
+            Phase::Loading => "loading",
+            Phase::Unreachable => "unreachable",
+        };
+        let began = self.phase_since.replace(now);
+        let label = Label { kind };
+        let phase_s = self.phase_s.get_or_create(&label);
+        phase_s.observe(now.since(began).as_secs_f64());
+    }
+}
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -12,7 +12,7 @@
 use dw_wire::Phase;
 
 use crate::sidecar::Shared;
-use crate::state::Behind;
+use crate::state::Due;
 
 /// Pause between two reports of the engine.
 const REPORT_PAUSE: Duration = Duration::from_millis(120);
@@ -64,7 +64,11 @@
     let mut silent = 0;
     let mut orders = Orders::default();
     loop {
-        match engine.report(REPORT_MS).await {
+        let asked = shared.clock.now();
+        let report = engine.report(REPORT_MS).await;
+        let took_ms = shared.clock.now().since(asked);
+        shared.measures.report(report.is_ok(), took_ms);
+        match report {
             Ok(report) => {
                 silent = 0;
                 heard(&shared, report, &mut orders);
@@ -134,22 +138,18 @@
         }
         state.due(now)
     };
-    let Some(behind) = due.filter(|behind| orders.may_send(behind.newest.fence, now)) else {
+    let Some(due) = due.filter(|due| orders.may_send(due.behind.newest.fence, now)) else {
         return;
     };
     if orders.pending.is_none() {
         set_phase(shared, Phase::Closing);
         tokio::time::sleep(CLOSING).await;
     }
-    send_order(shared, engine, &behind, orders).await;
+    send_order(shared, engine, &due, orders).await;
 }
 
-async fn send_order(
-    shared: &Shared,
-    engine: &mut dyn Engine,
-    behind: &Behind,
-    orders: &mut Orders,
-) {
+async fn send_order(shared: &Shared, engine: &mut dyn Engine, due: &Due, orders: &mut Orders) {
+    let behind = &due.behind;
     let accepted = {
         let state = shared.state.borrow();
         state.report.as_ref().map_or(0, |report| report.orders)
@@ -163,9 +163,13 @@
     };
     let answer = engine.order(&order, ORDER_MS).await;
     let now = shared.clock.now();
+    shared.measures.order(answer.as_ref().ok());
+    let turn = due.inputs;
     log::info!(
         model:% = order.model, weights:% = order.weights, fence:% = order.fence,
-        held:% = behind.held, expected_orders = accepted, answer:? = answer;
+        held:% = behind.held, expected_orders = accepted, behind_ms = turn.behind_ms.0,
+        peers = turn.peers, peers_heard = turn.peers_heard, place = turn.place,
+        most_at_work = turn.most_at_work, requests = turn.requests, answer:? = answer;
         "order is sent"
     );
     match answer {
@@ -190,6 +194,7 @@
 fn set_phase(shared: &Shared, phase: Phase) {
     let mut state = shared.state.borrow_mut();
     if state.phase != phase {
+        shared.measures.phase_ended(state.phase, shared.clock.now());
         log::info!(before:? = state.phase, phase:? = phase; "engine has changed its phase");
         state.phase = phase;
         shared.changed.notify_one();
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -9,18 +9,23 @@
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_net::datagrams;
+use dw_net::listen;
+use dw_net::serve_short;
+use dw_net::text_answer;
 use dw_net::BindError;
 use dw_platform::Boot;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::Feed;
 use dw_port::KvIndex;
+use dw_telem::Metrics;
 use thiserror::Error;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::cache::follow_cache;
 use crate::gossip;
+use crate::measures::Measures;
 use crate::orders;
 use crate::state::State;
 use crate::weights::follow_weights;
@@ -40,6 +45,8 @@
 pub struct SidecarParts {
     /// Settings.
     pub boot: Boot,
+    /// Port for metrics, if they are served.
+    pub metrics_port: Option<u16>,
     /// Clock.
     pub clock: Arc<dyn Clock>,
     /// The engine.
@@ -57,11 +64,14 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) started: TimeMs,
     pub(crate) state: RefCell<State>,
+    pub(crate) measures: Measures,
     pub(crate) changed: Notify,
 }
 
 /// A running sidecar.
-pub struct Sidecar(());
+pub struct Sidecar {
+    metrics_addr: Option<SocketAddr>,
+}
 
 impl Sidecar {
     /// Starts a sidecar; must be called inside a `LocalSet`.
@@ -74,20 +84,36 @@
         let engine = boot.engine.ok_or(StartError::NoEngine)?;
         let addr = SocketAddr::new(boot.ip, boot.inner_ports.0);
         let socket = Rc::new(datagrams("inner", addr).await?);
+        let started = parts.clock.now();
         let shared = Rc::new(Shared {
             node: boot.node.clone(),
             inner_port: boot.inner_ports.0,
-            started: parts.clock.now(),
+            started,
+            measures: Measures::new(started),
             clock: parts.clock,
             state: RefCell::new(State::new(engine, boot.bounds.weights_ms)),
             changed: Notify::new(),
         });
         log::info!(node:% = boot.node, engine:%, table:% = boot.table; "sidecar starts");
+        let mut metrics_addr = None;
+        if let Some(port) = parts.metrics_port {
+            let addr = SocketAddr::new(boot.ip, port);
+            let (metrics, bound) = listen("metrics", addr).await?;
+            metrics_addr = Some(bound);
+            let shared = shared.clone();
+            let answer = move || text_answer(Metrics::CONTENT_TYPE, shared.measures.render());
+            spawn_local(serve_short(metrics, answer));
+        }
         spawn_local(follow_weights(shared.clone(), parts.declarations));
         spawn_local(follow_cache(shared.clone(), parts.cache));
         spawn_local(gossip::tell_others(shared.clone(), socket.clone()));
         spawn_local(gossip::hear_others(shared.clone(), socket));
         spawn_local(orders::watch(shared, parts.engine));
-        Ok(Sidecar(()))
+        Ok(Sidecar { metrics_addr })
+    }
+
+    /// Returns the address of the metrics, if they are served.
+    pub fn metrics_addr(&self) -> Option<SocketAddr> {
+        self.metrics_addr
     }
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -17,6 +17,7 @@
 use dw_order::Newest;
 use dw_order::Peer;
 use dw_order::Rollout;
+use dw_order::TurnInputs;
 use dw_port::Report;
 use dw_wire::EngineState;
 use dw_wire::Phase;
@@ -40,6 +41,13 @@
     pub(crate) newest: Newest,
 }
 
+/// A turn of the engine to load named weights.
+#[derive(Clone, Debug)]
+pub(crate) struct Due {
+    pub(crate) behind: Behind,
+    pub(crate) inputs: TurnInputs,
+}
+
 struct HeardPeer {
     state: EngineState,
     at: TimeMs,
@@ -155,27 +163,33 @@
     }
 
     /// Returns the model whose named weights the engine is to load now.
-    pub(crate) fn due(&self, now: TimeMs) -> Option<Behind> {
-        self.behind()
-            .filter(|behind| self.rollout(behind, now, |rollout| rollout.is_due()))
+    pub(crate) fn due(&self, now: TimeMs) -> Option<Due> {
+        let behind = self.behind()?;
+        let due = |rollout: &Rollout<'_>| rollout.is_due().then(|| rollout.inputs());
+        let inputs = self.rollout(&behind, now, due).flatten()?;
+        Some(Due { behind, inputs })
     }
 
     /// Returns the phase to tell, which says whether an open engine is to load soon.
     pub(crate) fn told_phase(&self, now: TimeMs) -> Phase {
-        let soon = |behind: &Behind| self.rollout(behind, now, |rollout| rollout.is_soon());
+        let is_soon = |rollout: &Rollout<'_>| rollout.is_soon();
+        let soon = |behind: &Behind| self.rollout(behind, now, is_soon).unwrap_or(false);
         match self.phase {
             Phase::Open if self.behind().is_some_and(|behind| soon(&behind)) => Phase::LoadsSoon,
             phase => phase,
         }
     }
 
-    fn rollout(&self, behind: &Behind, now: TimeMs, decide: impl Fn(&Rollout<'_>) -> bool) -> bool {
-        let behind_ms = self.namings.behind_ms(&behind.model, behind.held, now);
-        let Some(behind_ms) = behind_ms else {
-            return false;
-        };
+    /// Returns what `decide` says of the rollout of weights that the engine does not have yet.
+    fn rollout<T>(
+        &self,
+        behind: &Behind,
+        now: TimeMs,
+        decide: impl Fn(&Rollout<'_>) -> T,
+    ) -> Option<T> {
+        let behind_ms = self.namings.behind_ms(&behind.model, behind.held, now)?;
         let peers = self.known_peers(&behind.model, now);
-        decide(&Rollout {
+        Some(decide(&Rollout {
             engine: self.engine,
             weights: behind.held,
             requests: self.report.as_ref().map_or(0, |r| r.waiting + r.running),
@@ -183,7 +197,7 @@
             behind_ms,
             limit_ms: self.limit_ms,
             peers: &peers,
-        })
+        }))
     }
 
     fn known_peers(&self, model: &ModelId, now: TimeMs) -> Vec<Peer> {
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -28,6 +28,9 @@
 use dw_port::TableVersion;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 /// Time within which the plan by rank has a lone sidecar load.
@@ -167,8 +170,27 @@
     }
 }
 
-/// Plays four seconds and returns weights and orders.
-fn play(acts: &[Act]) -> (u64, Vec<Order>) {
+/// What four seconds of play have led to.
+struct Played {
+    held: u64,
+    orders: Vec<Order>,
+    metrics: String,
+}
+
+/// Returns the answer of the metrics address.
+async fn metrics(sidecar: &Sidecar) -> String {
+    let addr = sidecar.metrics_addr().expect("metrics are served");
+    let mut stream = TcpStream::connect(addr).await.expect("metrics accept");
+    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("request is sent");
+    let mut text = String::new();
+    let read = stream.read_to_string(&mut text).await;
+    read.expect("metrics answer");
+    text
+}
+
+/// Plays four seconds.
+fn play(acts: &[Act]) -> Played {
     let life = Arc::new(Mutex::new(Life {
         acts: acts.to_vec(),
         held: 1,
@@ -178,26 +200,32 @@
         .enable_all()
         .build()
         .expect("runtime starts");
-    LocalSet::new().block_on(&runtime, async {
+    let metrics = LocalSet::new().block_on(&runtime, async {
         let sidecar = Sidecar::start(SidecarParts {
             boot: boot(),
+            metrics_port: Some(0),
             clock: Arc::new(SystemClock::new()),
             engine: Box::new(FakeEngine(life.clone())),
             cache: Box::new(SilentCache),
             declarations: Box::new(Names(0)),
         });
-        let _sidecar = sidecar.await.expect("sidecar starts");
+        let sidecar = sidecar.await.expect("sidecar starts");
         tokio::time::sleep(Duration::from_secs(4)).await;
+        metrics(&sidecar).await
     });
     let life = life.lock().expect("no thread has panicked");
-    (life.held, life.orders.clone())
+    Played {
+        held: life.held,
+        orders: life.orders.clone(),
+        metrics,
+    }
 }
 
 /// Guards against weights that are not loaded, or loaded twice, and against an order whose fence or
 /// condition does not fit.
 #[test]
 fn each_naming_leads_to_one_order() {
-    let (held, orders) = play(&[Act::Load]);
+    let Played { held, orders, .. } = play(&[Act::Load]);
     assert_eq!(held, 3);
     let sent = |order: &Order| (order.weights.0, order.fence.0, order.expected_orders);
     assert_eq!(
@@ -211,7 +239,8 @@
 /// lost for good.
 #[test]
 fn orders_without_an_answer_are_settled_by_the_report() {
-    let (held, orders) = play(&[Act::LoadSilently, Act::Ignore, Act::Load]);
+    let played = play(&[Act::LoadSilently, Act::Ignore, Act::Load]);
+    let Played { held, orders, .. } = played;
     assert_eq!(held, 3);
     let expected: Vec<u64> = orders.iter().map(|order| order.expected_orders).collect();
     assert_eq!(expected, [0, 1, 1]);
@@ -220,8 +249,21 @@
 /// Guards against a sender that goes on with a fencing number that the engine has refused.
 #[test]
 fn refused_fence_is_not_used_again() {
-    let (held, orders) = play(&[Act::Fence, Act::Load]);
+    let Played { held, orders, .. } = play(&[Act::Fence, Act::Load]);
     assert_eq!(held, 3);
     let fences: Vec<u64> = orders.iter().map(|order| order.fence.0).collect();
     assert_eq!(fences, [41, 50]);
 }
+
+/// Guards against a failed rollout that the metrics do not show.
+#[test]
+fn orders_and_phases_are_counted() {
+    let Played { metrics, .. } = play(&[Act::Fence, Act::Load]);
+    for line in [
+        "dandelionwall_orders_total{kind=\"fenced\"} 1",
+        "dandelionwall_orders_total{kind=\"accepted\"} 1",
+        "dandelionwall_phase_seconds_count{kind=\"closing\"} 2",
+    ] {
+        assert!(metrics.contains(line), "{line} is not in {metrics}");
+    }
+}
--- a/crates/telem/src/logs.rs
+++ b/crates/telem/src/logs.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crossbeam::channel::bounded;
 use crossbeam::channel::Receiver;
@@ -121,9 +123,10 @@
     log::set_boxed_logger(Box::new(LogBridge::new(logger)))
         .map_err(|_| LogError::AlreadyStarted)?;
     log::set_max_level(level);
+    let lost = dropped.clone();
     let writer = thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&lines, out))
+        .spawn(move || write_lines(&lines, &lost, out))
         .map_err(LogError::NoThread)?;
     Ok(LogGuard {
         queue,
@@ -132,12 +135,27 @@
     })
 }
 
-fn write_lines(messages: &Receiver<Message>, mut out: impl Write) {
+/// Returns the line that tells of dropped ones.
+fn dropped_line(lines: u64) -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ts_ms = since.unwrap_or_default().as_millis();
+    format!(
+        "ts_ms={ts_ms} level=warn target=dw_telem msg=\"log lines were dropped\" lines={lines}\n"
+    )
+}
+
+fn write_lines(messages: &Receiver<Message>, dropped: &AtomicU64, mut out: impl Write) {
+    let mut told = 0;
     // Write errors are ignored: there is no other place to report them.
     while let Ok(message) = messages.recv() {
         match message {
             Message::Line(line) => {
                 let _ = out.write_all(line.as_bytes());
+                let lines = dropped.load(Ordering::Relaxed);
+                if lines > told {
+                    let _ = out.write_all(dropped_line(lines - told).as_bytes());
+                    told = lines;
+                }
             }
             Message::Flush(done) => {
                 let _ = out.flush();
