member: no work for an upstream whose address belongs to a younger one

After a power loss of all VMs each engine was registered twice until its old registration lapsed. Gateways sent to both; engines refused what was meant for the old one, and gateways that had just started had repeats for a few requests only, so they answered 503.

Ruled out: a larger budget at the start, since all routers share it; a wrong version of the weights, as the refusals say "misdirected".

--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -1,6 +1,8 @@
 //! Upstreams as a router that reaches them directly sees them.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use dw_base::DurationMs;
 use dw_base::ServiceId;
@@ -22,6 +24,8 @@
     pub health: Health,
     /// When the registration was removed, if it may still come back.
     lapsed: Option<TimeMs>,
+    /// Whether another upstream has started at its address since.
+    displaced: bool,
 }
 
 /// The table as this router sees it.
@@ -76,15 +80,21 @@
             .cloned()
             .collect();
         for listed in all {
-            self.put(listed);
+            self.insert(listed);
         }
         for id in missing {
-            self.remove(&id, now);
+            self.drop_or_lapse(&id, now);
         }
+        self.find_displaced();
     }
 
     /// Takes over one registration.
     pub fn put(&mut self, listed: Listed) {
+        self.insert(listed);
+        self.find_displaced();
+    }
+
+    fn insert(&mut self, listed: Listed) {
         let id = listed.upstream.clone();
         match self.entries.get_mut(&id) {
             Some(entry) => {
@@ -99,6 +109,7 @@
                     listed,
                     health: Health::default(),
                     lapsed: None,
+                    displaced: false,
                 };
                 self.entries.insert(id, entry);
             }
@@ -107,6 +118,11 @@
 
     /// Learns that a registration was removed.
     pub fn remove(&mut self, id: &UpstreamId, now: TimeMs) {
+        self.drop_or_lapse(id, now);
+        self.find_displaced();
+    }
+
+    fn drop_or_lapse(&mut self, id: &UpstreamId, now: TimeMs) {
         if self.table.lapses_until.is_some_and(|until| now < until) {
             if let Some(entry) = self.entries.get_mut(id) {
                 entry.lapsed.get_or_insert(now);
@@ -124,6 +140,24 @@
         if now >= until {
             self.table.lapses_until = None;
             self.entries.retain(|_, entry| entry.lapsed.is_none());
+            self.find_displaced();
+        }
+    }
+
+    /// Finds registrations of upstreams that have ended because others started at their address.
+    ///
+    /// Load pattern: all VMs lose power, and for some heartbeats each engine is registered twice.
+    /// A request to the earlier registration is refused, and a router that has just started has
+    /// repeats for a few only.
+    fn find_displaced(&mut self) {
+        let mut youngest: HashMap<SocketAddr, u64> = HashMap::new();
+        for entry in self.entries.values() {
+            let born_ms = youngest.entry(entry.listed.addr).or_default();
+            *born_ms = entry.listed.born_ms.max(*born_ms);
+        }
+        for entry in self.entries.values_mut() {
+            let youngest_ms = youngest.get(&entry.listed.addr);
+            entry.displaced = youngest_ms.is_some_and(|born_ms| entry.listed.born_ms < *born_ms);
         }
     }
 
@@ -147,6 +181,6 @@
         let serves = move |entry: &&Entry| entry.listed.service == *service;
         self.all()
             .filter(serves)
-            .filter(|entry| !entry.listed.leaving)
+            .filter(|entry| !entry.listed.leaving && !entry.displaced)
     }
 }
--- a/crates/member/tests/directory.rs
+++ b/crates/member/tests/directory.rs
@@ -47,6 +47,24 @@
     assert!(serving(&directory).is_empty());
 }
 
+/// Guards against work for an upstream that has ended, while its registration has not lapsed yet
+/// and another one has started at its address: after a power loss of all VMs of arch-orders-grown
+/// (inc-0dd4) such requests were refused, and the routers had repeats for a few only.
+#[test]
+fn upstream_displaced_at_its_address_gets_no_work() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("old", 1, false));
+    directory.put(listed("new", 5, false));
+    assert_eq!(serving(&directory), ["new"]);
+    directory.replace(
+        vec![listed("old", 1, false), listed("new", 5, false)],
+        TimeMs(10),
+    );
+    assert_eq!(serving(&directory), ["new"]);
+    directory.remove(&id("new"), TimeMs(20));
+    assert_eq!(serving(&directory), ["old"]);
+}
+
 /// Guards against dropping live upstreams whose registrations lapsed while the table was away, and
 /// against keeping one that does not come back within two seconds of its return.
 #[test]
