--- a/crates/order/src/rollout.rs
+++ b/crates/order/src/rollout.rs
@@ -88,6 +88,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Turn {
     weights: WeightsVersion,
+    /// In steps of [`REQUESTS_ALIKE`].
     requests: u32,
     score: u64,
 }
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -23,6 +23,7 @@
 use crate::direct_request::DirectTarget;
 use crate::direct_request::Sent;
 use crate::direct_settings::DirectSettings;
+use crate::home_shares::HomeShares;
 use crate::learned_speed::PRIOR_TOKENS_PER_MS;
 use crate::upstream_load::UpstreamLoad;
 use crate::warm::WarmSet;
@@ -110,13 +111,14 @@
         targets: &[DirectTarget<'_>],
         now: TimeMs,
     ) -> Option<Choice> {
-        let slow = self.slow_speed(targets);
-        let weight = |upstream: &UpstreamId| self.home_weight(upstream, slow);
+        let speeds = targets.iter().map(|t| self.tokens_per_ms(t.upstream));
+        let shares = HomeShares::new(&self.settings, speeds);
+        let share = |upstream: &UpstreamId| shares.share(self.tokens_per_ms(upstream));
         let mut homes: Vec<Homes<'_>> = Vec::new();
         for target in targets {
             if !homes.iter().any(|homes| homes.weights == target.weights) {
                 let warm = |near: &DirectTarget<'_>| self.is_warm(request, near, now);
-                homes.push(Homes::find(request, targets, target.weights, weight, warm));
+                homes.push(Homes::find(request, targets, target.weights, share, warm));
             }
         }
         let crowding = self.crowding(targets, now);
@@ -309,27 +311,6 @@
         held.min(request.prompt.len())
     }
 
-    /// Returns the speed below which an engine counts as slow among `targets`.
-    fn slow_speed(&self, targets: &[DirectTarget<'_>]) -> f64 {
-        let speed = |target: &DirectTarget<'_>| self.tokens_per_ms(target.upstream);
-        let mut speeds: Vec<f64> = targets.iter().map(speed).collect();
-        let middle = speeds.len() / 2;
-        if speeds.is_empty() {
-            return 0.0;
-        }
-        let (_, median, _) = speeds.select_nth_unstable_by(middle, f64::total_cmp);
-        *median * self.settings.slow_part
-    }
-
-    /// Returns the share of prompts for which an engine is the home. Memory is equal, so few steps
-    /// are enough, and routers agree on them although each measures other speeds.
-    fn home_weight(&self, upstream: &UpstreamId, slow: f64) -> f64 {
-        match self.tokens_per_ms(upstream) < slow {
-            true => self.settings.slow_home_weight,
-            false => 1.0,
-        }
-    }
-
     fn tokens_per_ms(&self, upstream: &UpstreamId) -> f64 {
         let load = self.loads.get(upstream);
         load.map_or(PRIOR_TOKENS_PER_MS, UpstreamLoad::tokens_per_ms)
--- a/crates/place/src/direct_homes.rs
+++ b/crates/place/src/direct_homes.rs
@@ -24,13 +24,13 @@
 }
 
 impl<'a> Homes<'a> {
-    /// Returns the upstreams that all routers prefer for the shared parts; `weight` tells how large
-    /// a share of the prompts one gets, `is_warm` whether it holds the parts.
+    /// Returns the upstreams that all routers prefer for the shared parts; `share` tells for how
+    /// many prompts one is the home, `is_warm` whether it holds the parts.
     pub(crate) fn find(
         request: &DirectRequest<'_>,
         targets: &[DirectTarget<'a>],
         weights: Option<WeightsVersion>,
-        weight: impl Fn(&UpstreamId) -> f64,
+        share: impl Fn(&UpstreamId) -> f64,
         is_warm: impl Fn(&DirectTarget<'a>) -> bool,
     ) -> Self {
         let shared = request
@@ -40,8 +40,8 @@
         let root = PrefixKey::root(request.scope);
         let key = shared.iter().fold(root, |key, part| key.with(part));
         let score = |target: &&DirectTarget<'_>| {
-            let weight = weight(target.upstream);
-            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), weight);
+            let share = share(target.upstream);
+            let score = rendezvous_score(u128::from(key.0), target.upstream.as_str(), share);
             score.to_bits()
         };
         let near = |target: &&DirectTarget<'_>| target.data_centre == request.data_centre;
--- a/crates/place/src/direct_settings.rs
+++ b/crates/place/src/direct_settings.rs
@@ -38,7 +38,7 @@
     pub slow_part: f64,
     /// Prompts of which a slow engine is the home, relative to the others.
     #[builder(default = 0.5)]
-    pub slow_home_weight: f64,
+    pub slow_home_share: f64,
     /// Mean wait at the engines that doubles the cost of work which another engine would save.
     #[builder(default = 25.0)]
     pub crowd_ms: f64,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,6 +20,7 @@
 mod flat_block;
 mod flat_prompt;
 mod heat;
+mod home_shares;
 mod homes;
 mod learned_speed;
 mod least_loaded;
