--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,6 +8,7 @@
 mod prompt;
 mod rendezvous;
 mod rng;
+mod speeds;
 mod work;
 
 pub use chain::BlockHash;
@@ -54,5 +55,5 @@
 pub use rendezvous::rendezvous_score;
 pub use rng::seeded_rng;
 pub use rng::Rng;
-pub use work::MeasuredSpeeds;
+pub use speeds::MeasuredSpeeds;
 pub use work::MeasuredWork;
--- a/crates/base/src/work.rs
+++ b/crates/base/src/work.rs
@@ -1,6 +1,6 @@
 //! Work that was measured.
 
-use std::ops::Add;
+use std::iter::Sum;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,33 +17,11 @@
     pub took_ms: DurationMs,
 }
 
-impl Add for MeasuredWork {
-    type Output = MeasuredWork;
-
-    fn add(self, rhs: MeasuredWork) -> MeasuredWork {
-        MeasuredWork {
-            tokens: Tokens(self.tokens.0 + rhs.tokens.0),
-            took_ms: self.took_ms + rhs.took_ms,
-        }
-    }
-}
-
-/// What was measured of an engine's speed, the newest measurements most.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct MeasuredSpeeds {
-    /// Single prompts.
-    pub computing: MeasuredWork,
-    /// Queues of prompts.
-    pub draining: MeasuredWork,
-}
-
-impl Add for MeasuredSpeeds {
-    type Output = MeasuredSpeeds;
-
-    fn add(self, rhs: MeasuredSpeeds) -> MeasuredSpeeds {
-        MeasuredSpeeds {
-            computing: self.computing + rhs.computing,
-            draining: self.draining + rhs.draining,
-        }
+impl Sum for MeasuredWork {
+    fn sum<I: Iterator<Item = MeasuredWork>>(works: I) -> MeasuredWork {
+        works.fold(MeasuredWork::default(), |sum, work| MeasuredWork {
+            tokens: Tokens(sum.tokens.0 + work.tokens.0),
+            took_ms: sum.took_ms + work.took_ms,
+        })
     }
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dw_net::accept_each;
 use http::header;
 use http::HeaderValue;
 use hyper::server::conn::http1;
@@ -16,9 +17,6 @@
 use crate::request::serve;
 use crate::shared::Shared;
 
-/// Pause after a failed accept, such as one for lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Time without an acknowledgement after which a caller's connection ends.
 const CALLER_SILENCE: Duration = Duration::from_secs(5);
 
@@ -30,17 +28,10 @@
 
 /// Accepts callers until the task is aborted.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!(error:% = e; "caller cannot be accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let handle = |stream| {
+        tokio::task::spawn_local(connection(shared.clone(), stream));
+    };
+    accept_each("callers", listener, handle).await;
 }
 
 async fn connection(shared: Rc<Shared>, stream: TcpStream) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use dw_member::Directory;
 use dw_net::datagrams;
 use dw_net::listen;
+use dw_net::start_text;
 use dw_net::BindError;
 use dw_place::Direct;
 use dw_place::DirectSettings;
@@ -24,6 +25,7 @@
 use dw_port::Feed;
 use dw_port::NamingTimes;
 use dw_port::Registration;
+use dw_telem::Metrics;
 use thiserror::Error;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -127,8 +129,9 @@
         spawn(sweep(shared.clone()));
         if let Some(port) = parts.metrics_port {
             let addr = SocketAddr::new(boot.ip, port);
-            let (metrics, _) = listen("metrics", addr).await?;
-            spawn(probe::serve_metrics(shared.clone(), metrics));
+            let shared = shared.clone();
+            let text = move || shared.measures.render();
+            start_text("metrics", addr, Metrics::CONTENT_TYPE, text).await?;
         }
         let accepting = spawn(caller::accept(shared.clone(), callers));
         Ok(Gateway {
@@ -213,8 +216,7 @@
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
         let directory = shared.directory.borrow();
-        let is_known = |addr: &SocketAddr| directory.all().any(|e| e.listed.addr == *addr);
-        shared.pool.sweep(is_known, now);
+        shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
         if let Some(routes) = shared.routes() {
             let idle_ms = routes.limits().idle_ms.0 as f64 * IDLE_SLACK;
             let idle_ms = DurationMs(idle_ms.max(1.0) as u64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -162,7 +162,7 @@
     }
     let directory = shared.directory.borrow();
     let mut place = shared.place.borrow_mut();
-    if let Some(entry) = directory.all().find(|entry| entry.listed.addr == engine) {
+    if let Some(entry) = directory.at(&engine) {
         if change.restarted {
             place.cache_lost(&entry.listed.upstream);
         }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -90,8 +90,8 @@
         let is_known = |id: &dw_base::UpstreamId| directory.get(id).is_some();
         self.0.place.borrow_mut().retain(is_known);
         self.0.weights.borrow_mut().retain(is_known);
-        let at = |addr: &std::net::SocketAddr| directory.all().any(|e| e.listed.addr == *addr);
-        self.0.sidecars.borrow_mut().retain(at);
+        let mut sidecars = self.0.sidecars.borrow_mut();
+        sidecars.retain(|addr| directory.at(addr).is_some());
     }
 }
 
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -171,9 +171,14 @@
         self.entries.get_mut(id).map(|entry| &mut entry.health)
     }
 
-    /// Returns all upstreams.
+    /// Returns all upstreams but those whose address a younger one has.
     pub fn all(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+        self.entries.values().filter(|entry| !entry.displaced)
+    }
+
+    /// Returns the upstream at an address.
+    pub fn at(&self, addr: &SocketAddr) -> Option<&Entry> {
+        self.all().find(|entry| entry.listed.addr == *addr)
     }
 
     /// Returns the upstreams of a service that receive new work.
@@ -181,6 +186,6 @@
         let serves = move |entry: &&Entry| entry.listed.service == *service;
         self.all()
             .filter(serves)
-            .filter(|entry| !entry.listed.leaving && !entry.displaced)
+            .filter(|entry| !entry.listed.leaving)
     }
 }
--- a/crates/member/tests/directory.rs
+++ b/crates/member/tests/directory.rs
@@ -65,6 +65,19 @@
     assert_eq!(serving(&directory), ["old"]);
 }
 
+/// Guards against a sidecar's word that is taken for that of the upstream which ended at its
+/// address, and against two states that are told to the sidecar by turns.
+#[test]
+fn upstream_at_an_address_is_the_youngest() {
+    let mut directory = Directory::new(LAPSE);
+    directory.put(listed("a-old", 1, false));
+    directory.put(listed("b-new", 5, false));
+    let addr = listed("b-new", 5, false).addr;
+    let at = directory.at(&addr).map(|entry| &entry.listed.upstream);
+    assert_eq!(at, Some(&id("b-new")));
+    assert_eq!(directory.all().count(), 1);
+}
+
 /// Guards against dropping live upstreams whose registrations lapsed while the table was away, and
 /// against keeping one that does not come back within two seconds of its return.
 #[test]
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -1,6 +1,7 @@
-//! Short answers over HTTP, such as probes and metrics.
+//! Accepting connections, and short answers over HTTP such as probes and metrics.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,39 +15,76 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 
-/// Pause after a connection that could not be accepted, as when descriptors are short.
+use crate::bind::listen;
+use crate::bind::BindError;
+
+/// Pause after a failed accept, such as one for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A short answer.
-pub type ShortAnswer = Response<Full<Bytes>>;
+/// Hands each accepted connection to `handle` until the task is aborted; `what` names the address
+/// in the log.
+pub async fn accept_each(what: &str, listener: TcpListener, handle: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => handle(stream),
+            Err(e) => {
+                log::warn!(what, error:% = e; "connection cannot be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
 
-/// Returns an answer with no body.
-pub fn empty_answer(status: StatusCode) -> ShortAnswer {
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = status;
-    response
+/// Answers every request with the status that `status` returns, until the task is aborted; must be
+/// called inside a `LocalSet`.
+pub async fn serve_status(
+    what: &'static str,
+    listener: TcpListener,
+    status: impl Fn() -> StatusCode + 'static,
+) {
+    let answer = move || {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = status();
+        response
+    };
+    serve_short(what, listener, answer).await;
 }
 
-/// Returns an answer with a text of the given content type.
-pub fn text_answer(content_type: &'static str, text: String) -> ShortAnswer {
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    let kind = HeaderValue::from_static(content_type);
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
+/// Binds an address, starts to answer every request there with the text that `text` returns, and
+/// returns the address that is bound; must be called inside a `LocalSet`.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn start_text(
+    what: &'static str,
+    addr: SocketAddr,
+    content_type: &'static str,
+    text: impl Fn() -> String + 'static,
+) -> Result<SocketAddr, BindError> {
+    let (listener, bound) = listen(what, addr).await?;
+    let answer = move || {
+        let mut response = Response::new(Full::new(Bytes::from(text())));
+        let kind = HeaderValue::from_static(content_type);
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        response
+    };
+    spawn_local(serve_short(what, listener, answer));
+    Ok(bound)
 }
 
-/// Answers every request with what `answer` returns, until the task is aborted; must be called
-/// inside a `LocalSet`.
-pub async fn serve_short(listener: TcpListener, answer: impl Fn() -> ShortAnswer + 'static) {
+async fn serve_short(
+    what: &str,
+    listener: TcpListener,
+    answer: impl Fn() -> Response<Full<Bytes>> + 'static,
+) {
     let answer = Rc::new(answer);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let handle = |stream| {
         let answer = answer.clone();
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             let service = service_fn(move |_| {
                 let response = answer();
                 async move { Ok::<_, Infallible>(response) }
@@ -55,5 +93,6 @@
             // The prober sees the error of its own connection.
             drop(serving.await);
         });
-    }
+    };
+    accept_each(what, listener, handle).await;
 }
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -64,6 +64,10 @@
     choice: Choice,
 }
 
+fn least(scored: impl Iterator<Item = Scored>) -> Option<Scored> {
+    scored.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
 impl Direct {
     /// Creates the placement without any knowledge.
     pub fn new(settings: DirectSettings) -> Self {
@@ -111,38 +115,48 @@
         targets: &[DirectTarget<'_>],
         now: TimeMs,
     ) -> Option<Choice> {
-        let speeds = targets.iter().map(|t| self.tokens_per_ms(t.upstream));
-        let shares = HomeShares::new(&self.settings, speeds);
-        let share = |upstream: &UpstreamId| shares.share(self.tokens_per_ms(upstream));
-        let mut homes: Vec<Homes<'_>> = Vec::new();
-        for target in targets {
-            if !homes.iter().any(|homes| homes.weights == target.weights) {
-                let warm = |near: &DirectTarget<'_>| self.is_warm(request, near, now);
-                homes.push(Homes::find(request, targets, target.weights, share, warm));
-            }
-        }
-        let crowding = self.crowding(targets, now);
-        let scored = targets.iter().map(|target| {
-            let homes = homes.iter().find(|homes| homes.weights == target.weights);
-            match homes.filter(|_| !request.prompt.is_empty()) {
-                None => self.score_plain(request, target),
-                Some(homes) => {
-                    let others = Others {
-                        homes: *homes,
-                        holder: holder(targets, target, homes.first),
-                        crowding,
-                    };
-                    self.score_prompt(request, target, &others, now)
-                }
-            }
-        });
-        let best = scored.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let best = match request.prompt.is_empty() {
+            true => least(
+                targets
+                    .iter()
+                    .map(|target| self.score_plain(request, target)),
+            ),
+            false => self.best_for_prompt(request, targets, now),
+        }?;
         Some(Choice {
             compared: targets.len(),
             ..best.choice
         })
     }
 
+    fn best_for_prompt(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'_>],
+        now: TimeMs,
+    ) -> Option<Scored> {
+        let speeds = targets.iter().map(|t| self.tokens_per_ms(t.upstream));
+        let shares = HomeShares::new(&self.settings, speeds);
+        let share = |upstream: &UpstreamId| shares.share(self.tokens_per_ms(upstream));
+        let is_warm = |near: &DirectTarget<'_>| self.is_warm(request, near, now);
+        let mut known: Vec<Homes<'_>> = Vec::new();
+        let crowding = self.crowding(targets, now);
+        least(targets.iter().map(|target| {
+            let found = known.iter().find(|homes| homes.weights == target.weights);
+            let homes = found.copied().unwrap_or_else(|| {
+                let homes = Homes::find(request, targets, target.weights, share, is_warm);
+                known.push(homes);
+                homes
+            });
+            let others = Others {
+                homes,
+                holder: holder(targets, target, homes.first),
+                crowding,
+            };
+            self.score_prompt(request, target, &others, now)
+        }))
+    }
+
     /// Records that a request was sent, and returns what is needed at its first token.
     pub fn sent(
         &mut self,
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -164,12 +164,12 @@
     let answer = engine.order(&order, ORDER_MS).await;
     let now = shared.clock.now();
     shared.measures.order(answer.as_ref().ok());
-    let turn = due.inputs;
+    let inputs = due.inputs;
     log::info!(
         model:% = order.model, weights:% = order.weights, fence:% = order.fence,
-        held:% = behind.held, expected_orders = accepted, behind_ms = turn.behind_ms.0,
-        peers = turn.peers, peers_heard = turn.peers_heard, place = turn.place,
-        most_at_work = turn.most_at_work, requests = turn.requests, answer:? = answer;
+        held:% = behind.held, expected_orders = accepted, behind_ms = inputs.behind_ms.0,
+        peers = inputs.peers, peers_heard = inputs.peers_heard, place = inputs.place,
+        most_at_work = inputs.most_at_work, requests = inputs.requests, answer:? = answer;
         "order is sent"
     );
     match answer {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -9,9 +9,7 @@
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_net::datagrams;
-use dw_net::listen;
-use dw_net::serve_short;
-use dw_net::text_answer;
+use dw_net::start_text;
 use dw_net::BindError;
 use dw_platform::Boot;
 use dw_port::Declaration;
@@ -98,11 +96,10 @@
         let mut metrics_addr = None;
         if let Some(port) = parts.metrics_port {
             let addr = SocketAddr::new(boot.ip, port);
-            let (metrics, bound) = listen("metrics", addr).await?;
-            metrics_addr = Some(bound);
             let shared = shared.clone();
-            let answer = move || text_answer(Metrics::CONTENT_TYPE, shared.measures.render());
-            spawn_local(serve_short(metrics, answer));
+            let text = move || shared.measures.render();
+            let bound = start_text("metrics", addr, Metrics::CONTENT_TYPE, text).await?;
+            metrics_addr = Some(bound);
         }
         spawn_local(follow_weights(shared.clone(), parts.declarations));
         spawn_local(follow_cache(shared.clone(), parts.cache));
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -145,8 +145,11 @@
 
     /// Returns what all routers have measured of the engine's speed.
     pub(crate) fn speeds(&self) -> MeasuredSpeeds {
-        let speeds = self.routers.values().map(|router| router.state.speeds);
-        speeds.fold(MeasuredSpeeds::default(), |all, speeds| all + speeds)
+        let speeds = || self.routers.values().map(|router| router.state.speeds);
+        MeasuredSpeeds {
+            computing: speeds().map(|speeds| speeds.computing).sum(),
+            draining: speeds().map(|speeds| speeds.draining).sum(),
+        }
     }
 
     /// Returns the model whose named weights the engine does not have yet.
--- a/crates/telem/src/log_line.rs
+++ b/crates/telem/src/log_line.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::fmt::Write;
+use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use logforth::kv::KeyView;
@@ -12,14 +13,9 @@
 
 /// Returns one line of `key=value` pairs: time, level, target, message and the record's fields.
 pub(crate) fn format_line(record: &Record<'_>) -> String {
-    let since = record.time().duration_since(UNIX_EPOCH);
-    let mut line = format!(
-        "ts_ms={} level={} target={} msg={}",
-        since.unwrap_or_default().as_millis(),
-        record.level().name().to_ascii_lowercase(),
-        record.target(),
-        quote(&record.payload().to_string()),
-    );
+    let level = record.level().name().to_ascii_lowercase();
+    let message = record.payload().to_string();
+    let mut line = line_start(record.time(), &level, record.target(), &message);
     let mut fields = Fields(&mut line);
     // The visitor itself never fails; a failing value ends the fields but keeps the line.
     let _ = record.key_values().visit(&mut fields);
@@ -27,6 +23,20 @@
     line
 }
 
+/// Returns the line that tells of dropped ones.
+pub(crate) fn dropped_line(lines: u64) -> String {
+    let message = "log lines were dropped";
+    let start = line_start(SystemTime::now(), "warn", module_path!(), message);
+    format!("{start} lines={lines}\n")
+}
+
+fn line_start(time: SystemTime, level: &str, target: &str, message: &str) -> String {
+    let since = time.duration_since(UNIX_EPOCH);
+    let ts_ms = since.unwrap_or_default().as_millis();
+    let message = quote(message);
+    format!("ts_ms={ts_ms} level={level} target={target} msg={message}")
+}
+
 struct Fields<'a>(&'a mut String);
 
 impl Visitor for Fields<'_> {
--- a/crates/telem/src/logs.rs
+++ b/crates/telem/src/logs.rs
@@ -7,8 +7,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use crossbeam::channel::bounded;
 use crossbeam::channel::Receiver;
@@ -20,6 +18,7 @@
 use logforth::Error;
 use thiserror::Error as ThisError;
 
+use crate::log_line::dropped_line;
 use crate::log_line::format_line;
 
 /// Lines that may wait for the writer. A full channel drops lines, so that a slow standard error
@@ -135,15 +134,6 @@
     })
 }
 
-/// Returns the line that tells of dropped ones.
-fn dropped_line(lines: u64) -> String {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let ts_ms = since.unwrap_or_default().as_millis();
-    format!(
-        "ts_ms={ts_ms} level=warn target=dw_telem msg=\"log lines were dropped\" lines={lines}\n"
-    )
-}
-
 fn write_lines(messages: &Receiver<Message>, dropped: &AtomicU64, mut out: impl Write) {
     let mut told = 0;
     // Write errors are ignored: there is no other place to report them.
