spans, telem: programs of the platform do not measure the clock before main

Cause: fastant, which fastrace brings, reads the clock in a loop before main until two clocks agree: 20 of the 23 ms of processor time of `--help` (profile). Gateways and sidecars were linked with it through dw_telem and never export spans. With 0.2 of a core or beside other work the loop lasts for seconds.

Change: spans are the crate dw_spans; dw_telem keeps logs and metrics. The tests of spans moved with them unchanged.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -17,7 +17,7 @@
 fn run(settings: ProcessSettings) -> eyre::Result<()> {
     let _logs = dw_telem::start_logs(log::LevelFilter::Info, io::stderr())?;
     let _spans = match &settings.otlp {
-        Some(endpoint) => Some(dw_telem::start_spans(PROGRAM, endpoint)?),
+        Some(endpoint) => Some(dw_spans::start_spans(PROGRAM, endpoint)?),
         None => None,
     };
     tokio::runtime::Builder::new_multi_thread()
--- a/crates/agent/src/trace.rs
+++ b/crates/agent/src/trace.rs
@@ -1,6 +1,6 @@
 //! Spans of one request.
 
-use dw_telem::TraceParent;
+use dw_spans::TraceParent;
 use fastrace::Span;
 
 /// Spans of one request below the router's span.
--- a/crates/router/src/filter/validate.rs
+++ b/crates/router/src/filter/validate.rs
@@ -11,7 +11,7 @@
 use dw_base::ModelId;
 use dw_base::Priority;
 use dw_base::ServiceId;
-use dw_telem::TraceParent;
+use dw_spans::TraceParent;
 use http::HeaderMap;
 use serde::de::DeserializeOwned;
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -15,7 +15,7 @@
 use dw_retry::Attempt;
 use dw_retry::Decision;
 use dw_retry::Outcome;
-use dw_telem::TraceParent;
+use dw_spans::TraceParent;
 use dw_wire::Answer;
 use dw_wire::Failure;
 use dw_wire::FailureKind;
--- a/crates/telem/tests/export.rs
+++ b/crates/spans/tests/export.rs
@@ -5,8 +5,8 @@
 use std::net::TcpListener;
 use std::thread;
 
-use dw_telem::start_spans;
-use dw_telem::TraceParent;
+use dw_spans::start_spans;
+use dw_spans::TraceParent;
 
 /// Reads one request head and answers it.
 fn collect_one(listener: &TcpListener) -> String {
