member, gateway, platform: heed the word of an upstream that leaves or asks for a pause

Cause: an upstream may say in an answer that it leaves, or turn a request away and ask for a pause. Nothing read either: only the registrations took an upstream out of use, and an upstream that asked for 4.5 s got a request from each of eight callers.

Ruled out: marks on the entries of the directory alone. A registration that lapses in an outage of the table and comes back has a new entry, so notices are kept by upstream and start, also for a start that a foreign writer's row hides for a moment (found by the property test).

Change: answers of all kinds are heeded at their head, streams and refusals too. No request follows the word "leaving", and none comes before the end of a pause, after which routers begin over 150 ms. Callers are refused at once while all upstreams of a service have asked for a pause, with a time to come back that is not before its end.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -37,3 +37,4 @@
 pub use ticket::Ticket;
 pub use turn_away::retry_after;
 pub use turn_away::retry_after_overload;
+pub use turn_away::retry_after_pause;
--- a/crates/admit/src/turn_away.rs
+++ b/crates/admit/src/turn_away.rs
@@ -30,6 +30,13 @@
     spread(left_ms, point, OVERLOAD_SHORTEST_MS, OVERLOAD_SPREAD_MS)
 }
 
+/// The same while all upstreams have asked for a pause, the first of which ends in `pause_ms`.
+///
+/// Load pattern: a burst fills all upstreams, and their pauses end together.
+pub fn retry_after_pause(left_ms: DurationMs, point: u32, pause_ms: DurationMs) -> DurationMs {
+    spread(left_ms, point, pause_ms.0.max(SHORTEST_MS), SPREAD_MS)
+}
+
 fn spread(left_ms: DurationMs, point: u32, shortest_ms: u64, spread_ms: u64) -> DurationMs {
     let most = (left_ms.0 / WILLING_PART).max(1);
     let shortest_ms = shortest_ms.min(most);
--- a/crates/admit/tests/turn_away.rs
+++ b/crates/admit/tests/turn_away.rs
@@ -1,6 +1,7 @@
 //! When requests that are turned away may come back.
 
 use dw_admit::retry_after;
+use dw_admit::retry_after_pause;
 use dw_base::DurationMs;
 
 /// Guards against callers who all come back at the same moment, after an engine was away.
@@ -33,3 +34,11 @@
         assert!(most.0 <= (left / 3).max(1), "{left}: {most}");
     }
 }
+
+/// Guards against callers who come back before the pause of all upstreams ends, or all at its end.
+#[test]
+fn returns_follow_a_pause_and_are_spread() {
+    let time = |point| retry_after_pause(DurationMs(15_000), point, DurationMs(2_000)).0;
+    let (first, last) = (time(0), time(u32::MAX));
+    assert!(first >= 2_000 && last >= first + 300, "{first} to {last}");
+}
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -40,6 +40,7 @@
     let open: Vec<&Entry> = directory
         .serving(&job.service)
         .filter(|entry| !exclusions.has(&entry.listed.upstream))
+        .filter(|entry| !entry.is_paused(now))
         .filter(|entry| sidecars.is_open(entry.listed.addr, now))
         .collect();
     let healthy = open.iter().filter(|entry| entry.health.usable(now));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::job::SharedJob;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
+use crate::request::point;
 use crate::shared::Shared;
 
 /// Longest time until an upstream accepts a connection; a live one takes a few milliseconds.
@@ -37,6 +38,9 @@
 /// A request on a connection that the upstream closes at that moment has an unknown outcome.
 const FRESH_IDLE_MS: DurationMs = DurationMs(1_000);
 
+/// Time over which routers spread their first requests after a pause that an upstream has asked for.
+const PAUSE_SPREAD_MS: DurationMs = DurationMs(150);
+
 /// How a try ended.
 pub(crate) enum Ended {
     /// The upstream answers.
@@ -178,6 +182,7 @@
         failed(shared, job, plan, "answer of another request");
         return Ended::Fate(Fate::Unknown);
     }
+    heed(shared, job, plan, &answered.head);
     if answered.head.not_run {
         return not_run(shared, job, plan, answered).await;
     }
@@ -191,6 +196,34 @@
     first_event(shared, job, plan, answered).await
 }
 
+/// Takes in what an upstream says of itself in an answer.
+fn heed(shared: &Shared, job: &SharedJob, plan: &Plan, head: &AnswerHead) {
+    let upstream = &plan.choice.upstream;
+    let other = head.upstream.as_deref();
+    if other.is_some_and(|id| id != upstream.as_str()) {
+        // The word of another upstream that has the address by now.
+        return;
+    }
+    let now = shared.now();
+    let mut directory = shared.directory.borrow_mut();
+    if head.leaving && directory.said_it_leaves(upstream, now) {
+        log::info!(
+            request_id = job.ask.request_id.as_str(), upstream:% = upstream;
+            "upstream says that it leaves"
+        );
+    }
+    if let Some(pause_ms) = head.pause_ms {
+        let spread_ms = PAUSE_SPREAD_MS.0 * u64::from(point(&job.ask.request_id));
+        let until = now + pause_ms + DurationMs(spread_ms >> 32);
+        directory.asked_for_pause(upstream, until, now);
+        log::info!(
+            request_id = job.ask.request_id.as_str(), upstream:% = upstream,
+            pause_ms = pause_ms.0, until:%;
+            "upstream asks for a pause"
+        );
+    }
+}
+
 /// Waits for the first bytes of a stream, so that a failure before them can still be repeated.
 async fn first_event(
     shared: &Rc<Shared>,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dw_admit::retry_after;
 use dw_admit::retry_after_overload;
+use dw_admit::retry_after_pause;
 use dw_admit::Offer;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
@@ -160,11 +161,11 @@
     loop {
         let now = shared.now();
         if job.left(now) == DurationMs::ZERO {
-            return Err(give_up(job, &tries, "no_time", now));
+            return Err(give_up(shared, job, &tries, "no_time"));
         }
         let plan = match choose(shared, job, &exclusions) {
             Ok(plan) => plan,
-            Err(NoChoice { reason }) => return Err(give_up(job, &tries, reason, now)),
+            Err(NoChoice { reason }) => return Err(give_up(shared, job, &tries, reason)),
         };
         if job.tries.get() == 0 {
             if let Some(answer) = turn_away(shared, job, &plan, now) {
@@ -191,7 +192,7 @@
         match (next, failure) {
             (Next::Again, _) => {}
             (_, Some(relay)) => return Ok(relay.response(guard.take())),
-            (Next::Refuse, None) => return Err(give_up(job, &tries, "refused", now)),
+            (Next::Refuse, None) => return Err(give_up(shared, job, &tries, "refused")),
             (_, None) => return Err(OwnAnswer::Unknown),
         }
     }
@@ -228,13 +229,23 @@
     })
 }
 
-fn give_up(job: &Job, tries: &Tries, reason: &'static str, now: TimeMs) -> OwnAnswer {
+fn give_up(shared: &Shared, job: &Job, tries: &Tries, reason: &'static str) -> OwnAnswer {
     if tries.may_have_run() {
         return OwnAnswer::Unknown;
     }
-    OwnAnswer::NotRun {
-        reason,
-        retry_after_ms: retry_after(job.left(now), point(&job.ask.request_id)),
+    let now = shared.now();
+    let left_ms = job.left(now);
+    let point = point(&job.ask.request_id);
+    let paused_until = shared.directory.borrow().paused_until(&job.service, now);
+    match paused_until {
+        Some(until) => OwnAnswer::NotRun {
+            reason: "upstreams_paused",
+            retry_after_ms: retry_after_pause(left_ms, point, until.since(now)),
+        },
+        None => OwnAnswer::NotRun {
+            reason,
+            retry_after_ms: retry_after(left_ms, point),
+        },
     }
 }
 
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -11,6 +11,8 @@
 
 use crate::health::Health;
 use crate::listed::Listed;
+use crate::notices::Notice;
+use crate::notices::Notices;
 
 /// Time after the return of the table in which registrations that lapsed may come back.
 const RETURN_MS: DurationMs = DurationMs(2_000);
@@ -22,12 +24,26 @@
     pub listed: Listed,
     /// What its answers and failures say.
     pub health: Health,
+    /// What it has said of itself in its answers.
+    notice: Notice,
     /// When the registration was removed, if it may still come back.
     lapsed: Option<TimeMs>,
     /// Whether another upstream has started at its address since.
     displaced: bool,
 }
 
+impl Entry {
+    /// Returns whether it takes no new work, by its registration or by its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.notice.leaving
+    }
+
+    /// Returns whether it has asked this router for a pause that has not ended yet.
+    pub fn is_paused(&self, now: TimeMs) -> bool {
+        now < self.notice.paused_until
+    }
+}
+
 /// The table as this router sees it.
 #[derive(Clone, Copy, Debug, Default)]
 struct TableState {
@@ -40,6 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct Directory {
     entries: BTreeMap<UpstreamId, Entry>,
+    notices: Notices,
     table: TableState,
     lapse_ms: DurationMs,
 }
@@ -49,6 +66,7 @@
     pub fn new(lapse_ms: DurationMs) -> Self {
         Directory {
             entries: BTreeMap::new(),
+            notices: Notices::default(),
             table: TableState::default(),
             lapse_ms,
         }
@@ -96,18 +114,21 @@
 
     fn insert(&mut self, listed: Listed) {
         let id = listed.upstream.clone();
+        let notice = self.notices.get(&id, listed.born_ms);
         match self.entries.get_mut(&id) {
             Some(entry) => {
                 if entry.listed.born_ms != listed.born_ms || entry.listed.addr != listed.addr {
                     entry.health = Health::default();
                 }
                 entry.listed = listed;
+                entry.notice = notice;
                 entry.lapsed = None;
             }
             None => {
                 let entry = Entry {
                     listed,
                     health: Health::default(),
+                    notice,
                     lapsed: None,
                     displaced: false,
                 };
@@ -132,8 +153,47 @@
         self.entries.remove(id);
     }
 
+    /// Learns from an answer of an upstream that it leaves; returns whether that is news.
+    pub fn said_it_leaves(&mut self, id: &UpstreamId, now: TimeMs) -> bool {
+        self.notice(id, now, |notice| {
+            !std::mem::replace(&mut notice.leaving, true)
+        })
+    }
+
+    /// Learns from an answer of an upstream that it wants no requests until a time.
+    pub fn asked_for_pause(&mut self, id: &UpstreamId, until: TimeMs, now: TimeMs) {
+        self.notice(id, now, |notice| {
+            notice.paused_until = notice.paused_until.max(until);
+            true
+        });
+    }
+
+    fn notice(
+        &mut self,
+        id: &UpstreamId,
+        now: TimeMs,
+        change: impl FnOnce(&mut Notice) -> bool,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let is_news = change(&mut entry.notice);
+        self.notices
+            .set(id, entry.listed.born_ms, entry.notice, now);
+        is_news
+    }
+
+    /// Returns when the first upstream of a service takes requests again, if all that are not
+    /// leaving have asked for a pause.
+    pub fn paused_until(&self, service: &ServiceId, now: TimeMs) -> Option<TimeMs> {
+        let ends = || self.serving(service).map(|entry| entry.notice.paused_until);
+        ends().min().filter(|first| now < *first)
+    }
+
     /// Drops the registrations that did not come back after an outage of the table.
     pub fn expire(&mut self, now: TimeMs) {
+        let entries = &self.entries;
+        self.notices.retain(|id| entries.contains_key(id), now);
         let Some(until) = self.table.lapses_until else {
             return;
         };
@@ -186,6 +246,6 @@
         let serves = move |entry: &&Entry| entry.listed.service == *service;
         self.all()
             .filter(serves)
-            .filter(|entry| !entry.listed.leaving)
+            .filter(|entry| !entry.is_leaving())
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -17,6 +17,8 @@
 //! | [`Directory::remove`] | drops one; after an outage of the table only if it stays away |
 //! | [`Health::unreachable`], [`Health::failed`] | `suspect`, with a later next probe |
 //! | [`Health::answered`] | in use again |
+//! | [`Directory::said_it_leaves`] | no new work for this start of it, whatever the table says |
+//! | [`Directory::asked_for_pause`] | no requests until the pause ends |
 //!
 //! No event means that the list or the table is down: then nothing changes.
 
@@ -25,6 +27,7 @@
 mod listed;
 mod members;
 mod node;
+mod notices;
 
 pub use directory::Directory;
 pub use directory::Entry;
@@ -33,3 +36,4 @@
 pub use members::Event;
 pub use members::Members;
 pub use node::State;
+pub use notices::Notice;
--- a/crates/port/src/codec.rs
+++ b/crates/port/src/codec.rs
@@ -53,6 +53,10 @@
     pub idle_ms: Option<DurationMs>,
     /// Whether the upstream closes the connection after this answer.
     pub closes: bool,
+    /// Whether the upstream leaves and takes no new work.
+    pub leaving: bool,
+    /// Time for which the upstream, which turns the request away, wants no others.
+    pub pause_ms: Option<DurationMs>,
 }
 
 /// Names and formats of headers.
