--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,34 @@
+//! What the processes of a fleet tell one another through relays.
+//!
+//! Load pattern: routers times engines grow to many thousands of pairs, most of them in different
+//! data centres, and the smallest router has a few hundredths of a core. What one process sends and
+//! receives must depend on the number of data centres and on a budget, not on the number of pairs.
+//!
+//! | type | used by | decides |
+//! | --- | --- | --- |
+//! | [`Members`] | all | which engines there are, and who could be a relay |
+//! | [`Relays`] | all | which of these are used: silent ones are replaced without asking anyone |
+//! | [`Aggregate`] | relays | what a data centre tells: changed engines at once, sums of loads at a pace |
+//! | [`PassOn`] | relays | which states of other data centres are passed on, and to whom |
+//! | [`View`] | all | what is known of engines and loads, and for how long it is used |
+//! | [`ToldLoads`] | routers | which part of a sum is the router's own |
+//! | [`Pace`] | relays | pauses from the length and the receivers of a datagram |
+
+mod aggregate;
+mod members;
+mod pace;
+mod pass_on;
+mod relays;
+mod told_loads;
+mod view;
+
+pub use aggregate::router_mark;
+pub use aggregate::Aggregate;
+pub use members::Members;
+pub use pace::Pace;
+pub use pass_on::PassOn;
+pub use pass_on::Receivers;
+pub use relays::Relays;
+pub use told_loads::ToldLoads;
+pub use view::Change;
+pub use view::View;
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,104 @@
+//! Registered engines, as routers tell of them.
+
+use std::cmp::Reverse;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use dw_base::rendezvous_score;
+use dw_base::DataCentreId;
+use dw_wire::Roster;
+use dw_wire::RosterEntry;
+
+/// Key under which engines are ordered as relays.
+const RELAY_KEY: u128 = 0x7265_6c61_7973;
+
+/// Registered engines with their data centres and services.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    roster: Roster,
+    /// All engines in the order in which they are preferred as relays.
+    order: Vec<RosterEntry>,
+}
+
+impl Members {
+    /// Takes over a roster unless a newer one is known; returns whether it names other engines.
+    pub fn hear(&mut self, roster: Roster) -> bool {
+        if roster.version <= self.roster.version && !self.roster.engines.is_empty() {
+            return false;
+        }
+        self.set(roster)
+    }
+
+    /// Takes over a roster; returns whether it names other engines.
+    pub fn set(&mut self, roster: Roster) -> bool {
+        let is_news = roster.engines != self.roster.engines
+            || roster.data_centres != self.roster.data_centres
+            || roster.services != self.roster.services;
+        self.roster = roster;
+        if is_news {
+            self.order = relay_order(&self.roster.engines);
+        }
+        is_news
+    }
+
+    /// Returns the roster, to tell it.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns the data centres with engines.
+    pub fn data_centres(&self) -> &[DataCentreId] {
+        &self.roster.data_centres
+    }
+
+    /// Returns the data centre of the engine on a VM.
+    pub fn data_centre_of(&self, ip: IpAddr) -> Option<&DataCentreId> {
+        let mut engines = self.roster.engines.iter();
+        let entry = engines.find(|entry| entry.engine.ip() == ip)?;
+        self.data_centre(entry)
+    }
+
+    fn data_centre(&self, entry: &RosterEntry) -> Option<&DataCentreId> {
+        self.roster.data_centres.get(usize::from(entry.data_centre))
+    }
+
+    /// Returns the engines of a data centre.
+    pub fn engines_in<'a>(
+        &'a self,
+        data_centre: &'a DataCentreId,
+    ) -> impl Iterator<Item = SocketAddr> + 'a {
+        let is_in = move |entry: &&RosterEntry| self.data_centre(entry) == Some(data_centre);
+        let entries = self.roster.engines.iter().filter(is_in);
+        entries.map(|entry| entry.engine)
+    }
+
+    /// Returns the other engines of the service of an engine.
+    pub fn others_of_service(&self, engine: SocketAddr) -> Vec<SocketAddr> {
+        let engines = &self.roster.engines;
+        let own = engines.iter().find(|entry| entry.engine == engine);
+        let service = own.map(|entry| entry.service);
+        let same = |entry: &&RosterEntry| entry.engine != engine && Some(entry.service) == service;
+        let others = engines.iter().filter(same);
+        others.map(|entry| entry.engine).collect()
+    }
+
+    /// Returns the engines whose sidecars may be relays of a data centre, the preferred ones first:
+    /// its own, or all engines if it has none.
+    pub fn relay_order(&self, data_centre: &DataCentreId) -> Vec<SocketAddr> {
+        let is_in = |entry: &&RosterEntry| self.data_centre(entry) == Some(data_centre);
+        let own: Vec<SocketAddr> = self.order.iter().filter(is_in).map(|e| e.engine).collect();
+        match own.is_empty() {
+            true => self.order.iter().map(|entry| entry.engine).collect(),
+            false => own,
+        }
+    }
+}
+
+fn relay_order(engines: &[RosterEntry]) -> Vec<RosterEntry> {
+    let mut order = engines.to_vec();
+    order.sort_by_cached_key(|entry| {
+        let score = rendezvous_score(RELAY_KEY, &entry.engine.to_string(), 1.0);
+        Reverse(score.to_bits())
+    });
+    order
+}
--- /dev/null
+++ b/crates/fleet/src/pace.rs
@@ -0,0 +1,23 @@
+//! Pauses between datagrams that bound what a process sends.
+
+use dw_base::DurationMs;
+
+/// Bounds of what a relay sends to one kind of receivers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Shortest pause.
+    pub shortest_ms: DurationMs,
+    /// Longest pause, however long the datagram is.
+    pub longest_ms: DurationMs,
+    /// Bytes to all receivers in a second.
+    pub bytes_per_s: u64,
+}
+
+impl Pace {
+    /// Returns the pause after a datagram of `bytes` to `receivers` receivers.
+    pub fn pause_ms(&self, bytes: usize, receivers: usize) -> DurationMs {
+        let sent = bytes as u64 * receivers as u64;
+        let pause_ms = DurationMs(sent * 1_000 / self.bytes_per_s.max(1));
+        pause_ms.clamp(self.shortest_ms, self.longest_ms)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/relays.rs
@@ -0,0 +1,130 @@
+//! Which relays are used while some of them are lost.
+
+#[allow(dead_code)]
+mod common;
+
+use common::data_centre;
+use common::engine;
+use common::roster;
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_fleet::Members;
+use dw_fleet::Pace;
+use dw_fleet::Relays;
+use dw_wire::Roster;
+use dw_wire::RosterEntry;
+use proptest::prelude::*;
+
+/// Guards against processes of one data centre that use different relays, and against relays in
+/// other data centres while there are near ones.
+#[test]
+fn relays_are_near_and_the_same_for_all() {
+    let mut members = Members::default();
+    assert!(members.hear(roster(5, 3, 4)));
+    let order = members.relay_order(&data_centre(1));
+    assert_eq!(order.len(), 4);
+    assert!((0..4).all(|number| order.contains(&engine(1, number))));
+    let used = Relays::default().choose(&order, TimeMs(0));
+    assert_eq!(used, order[..2]);
+    // A data centre without engines uses those of the others.
+    assert_eq!(members.relay_order(&data_centre(9)).len(), 12);
+}
+
+/// Guards against a lost relay that is used for seconds, against one that is dropped though it
+/// answers, and against one that is never tried again.
+#[test]
+fn silent_relay_is_replaced_and_tried_again() {
+    let mut members = Members::default();
+    members.hear(roster(5, 1, 5));
+    let order = members.relay_order(&data_centre(0));
+    let mut relays = Relays::default();
+    let mut replaced = None;
+    for now in (0..12_000).step_by(100) {
+        let now = TimeMs(now);
+        let used = relays.choose(&order, now);
+        for relay in &used {
+            relays.told(*relay, now);
+            // The first relay is lost; the others answer.
+            if *relay != order[0] {
+                relays.heard(relay.ip());
+            }
+        }
+        assert!(used.contains(&order[1]));
+        if !used.contains(&order[0]) {
+            replaced.get_or_insert(now);
+            assert_eq!(used, order[1..3]);
+        }
+    }
+    let replaced = replaced.expect("the lost relay is replaced");
+    assert!(replaced <= TimeMs(1_500), "{replaced}");
+    // It comes back and is used again.
+    let mut now = TimeMs(20_000);
+    for _ in 0..80 {
+        now = now + DurationMs(100);
+        for relay in relays.choose(&order, now) {
+            relays.told(relay, now);
+            relays.heard(relay.ip());
+        }
+    }
+    assert_eq!(relays.choose(&order, now), order[..2]);
+}
+
+/// Guards against an earlier roster that replaces a later one.
+#[test]
+fn roster_never_goes_back() {
+    let mut members = Members::default();
+    assert!(members.hear(roster(5, 2, 3)));
+    assert!(!members.hear(roster(4, 1, 1)));
+    assert!(
+        !members.hear(roster(6, 2, 3)),
+        "the same engines are no news"
+    );
+    assert!(members.hear(roster(7, 2, 2)));
+    assert_eq!(members.others_of_service(engine(0, 0)).len(), 3);
+}
+
+/// Guards against a control plane whose bytes grow with the fleet: the pause grows with the length
+/// and the receivers, up to a bound within which loads are of use.
+#[test]
+fn bytes_of_a_relay_are_bounded() {
+    let pace = Pace {
+        shortest_ms: DurationMs(60),
+        longest_ms: DurationMs(500),
+        bytes_per_s: 40_000,
+    };
+    for (bytes, receivers) in [(200, 2), (1_200, 8), (1_500, 12)] {
+        let pause_ms = pace.pause_ms(bytes, receivers);
+        assert!((60..=500).contains(&pause_ms.0));
+        let bytes_per_s = (bytes * receivers) as u64 * 1_000 / pause_ms.0;
+        assert!(bytes_per_s <= 40_500, "{bytes_per_s}");
+    }
+    assert_eq!(pace.pause_ms(100_000, 100), DurationMs(500));
+}
+
+proptest! {
+    /// Guards against a roster of another release, or a damaged one, that ends the process.
+    #[test]
+    fn odd_rosters_are_harmless(
+        entries in prop::collection::vec((0u8..9, 0u8..9, 0u8..9), 0..20),
+        names in 0u8..4,
+    ) {
+        let engines = entries.iter().map(|(dc, number, service)| RosterEntry {
+            engine: engine(*dc, *number),
+            data_centre: *dc,
+            service: *service,
+        });
+        let odd = Roster {
+            version: 1,
+            data_centres: (0..names).map(data_centre).collect(),
+            services: Vec::new(),
+            engines: engines.collect(),
+        };
+        let mut members = Members::default();
+        members.hear(odd);
+        for (dc, number, _) in entries {
+            members.others_of_service(engine(dc, number));
+            members.relay_order(&data_centre(dc));
+            members.data_centre_of(engine(dc, number).ip());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/states.rs
@@ -0,0 +1,172 @@
+//! What is told of engines and loads, and what receivers make of it.
+
+#[allow(dead_code)]
+mod common;
+
+use common::data_centre;
+use common::engine;
+use common::router;
+use common::state;
+use dw_base::DurationMs;
+use dw_base::MeasuredSpeeds;
+use dw_base::MeasuredWork;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_fleet::router_mark;
+use dw_fleet::Aggregate;
+use dw_fleet::PassOn;
+use dw_fleet::Receivers;
+use dw_fleet::ToldLoads;
+use dw_fleet::View;
+use dw_wire::DataCentreState;
+use dw_wire::Phase;
+use dw_wire::RouterLoads;
+
+/// Guards against a changed phase that is told late, twice or never, and against an older word that
+/// comes over a second way.
+#[test]
+fn changed_engines_are_news_once() {
+    let mut aggregate = Aggregate::default();
+    let addr = engine(0, 1);
+    assert!(aggregate.hear_engine(state(addr, 10, Phase::Open, 1), TimeMs(10)));
+    assert_eq!(aggregate.take_news().len(), 1);
+    assert!(!aggregate.hear_engine(state(addr, 20, Phase::Open, 1), TimeMs(20)));
+    assert!(aggregate.hear_engine(state(addr, 40, Phase::Closing, 1), TimeMs(40)));
+    assert!(!aggregate.hear_engine(state(addr, 30, Phase::Open, 1), TimeMs(45)));
+    let news = aggregate.take_news();
+    assert_eq!(news.len(), 1);
+    assert_eq!(news[0].phase, Phase::Closing);
+    assert!(aggregate.take_news().is_empty());
+    aggregate.forget(TimeMs(3_000));
+    assert!(
+        aggregate.engines().is_empty(),
+        "a silent sidecar is not told of"
+    );
+}
+
+/// Guards against loads that are counted twice or after their router is gone, and against a router
+/// that takes its own requests for those of others.
+#[test]
+fn loads_are_sums_without_the_own_part() {
+    let mut aggregate = Aggregate::default();
+    let (near, far) = (engine(0, 1), engine(1, 1));
+    let (from, first) = router(1, 100, &[(near, 500), (far, 70)]);
+    let own = first.router.clone();
+    aggregate.hear_router(from, first, TimeMs(100));
+    let (from, second) = router(2, 90, &[(near, 1_000)]);
+    aggregate.hear_router(from, second, TimeMs(100));
+    let loads = aggregate.loads();
+    assert_eq!(loads.routers, 2);
+    assert_eq!(
+        loads.outstanding,
+        [(near, Tokens(1_500)), (far, Tokens(70))]
+    );
+    let mut told = ToldLoads::default();
+    told.told(TimeMs(100), vec![(near, Tokens(500)), (far, Tokens(70))]);
+    told.told(TimeMs(160), vec![(near, Tokens(9_000))]);
+    let mark = router_mark(&own);
+    let heard = loads.heard.iter().find(|(known, _)| *known == mark);
+    let stamp = heard.map(|(_, stamp)| *stamp);
+    assert_eq!(told.own(stamp, near), Tokens(500));
+    assert_eq!(told.own(None, near), Tokens(0));
+    aggregate.forget(TimeMs(4_000));
+    assert!(aggregate.loads().outstanding.is_empty());
+}
+
+/// Guards against loads of other data centres that are lost or stay for ever, and against a budget
+/// for repeats that grows when the routers of a data centre are not heard for a while.
+#[test]
+fn view_adds_data_centres_up_and_forgets() {
+    let mut view = View::default();
+    let addr = engine(0, 1);
+    let loads = |routers, tokens| RouterLoads {
+        routers,
+        outstanding: vec![(addr, Tokens(tokens))],
+        ..RouterLoads::default()
+    };
+    view.hear_loads(&data_centre(0), &loads(20, 300), TimeMs(1_000));
+    view.hear_loads(&data_centre(1), &loads(30, 50), TimeMs(1_500));
+    assert_eq!(view.outstanding(addr, TimeMs(1_600)), Tokens(350));
+    assert_eq!(view.outstanding(addr, TimeMs(2_400)), Tokens(50));
+    assert_eq!(view.routers(TimeMs(9_000)), 50);
+    assert_eq!(view.routers(TimeMs(60_000)), 0);
+}
+
+/// Guards against an engine that stays closed after its sidecar is lost, against an older word, and
+/// against a clock that was set back before a restart.
+#[test]
+fn view_uses_the_latest_word_while_it_is_fresh() {
+    let mut view = View::default();
+    let addr = engine(0, 1);
+    view.hear(state(addr, 50, Phase::Closing, 1), TimeMs(1_000));
+    assert!(view
+        .hear(state(addr, 40, Phase::Open, 1), TimeMs(1_010))
+        .is_none());
+    assert!(!view.is_open(addr, TimeMs(1_500)));
+    assert!(view.is_open(addr, TimeMs(4_000)));
+    let change = view.hear(state(addr, 10, Phase::Loading, 1), TimeMs(4_000));
+    assert_eq!(
+        change.map(|change| change.before),
+        Some(Some(Phase::Closing))
+    );
+    assert!(!view.is_open(addr, TimeMs(4_100)));
+}
+
+/// Guards against measured speeds of a large fleet that no datagram has room for: they follow in
+/// turn, and all are told after a few states.
+#[test]
+fn speeds_of_all_engines_are_told_in_turn() {
+    let mut aggregate = Aggregate::default();
+    let measured = MeasuredSpeeds {
+        computing: MeasuredWork {
+            tokens: Tokens(100),
+            took_ms: DurationMs(2),
+        },
+        ..MeasuredSpeeds::default()
+    };
+    for number in 1..=2 {
+        let (from, mut router) = router(number, 1, &[]);
+        router.speeds = (0..50).map(|at| (engine(0, at), measured)).collect();
+        aggregate.hear_router(from, router, TimeMs(1));
+    }
+    let mut view = View::default();
+    for _ in 0..6 {
+        let loads = aggregate.loads();
+        assert!(loads.speeds.len() <= 12);
+        view.hear_loads(&data_centre(0), &loads, TimeMs(2));
+    }
+    for at in 0..50 {
+        let all = view.speeds(engine(0, at), TimeMs(3)).computing;
+        assert_eq!(all.tokens, Tokens(200));
+    }
+}
+
+/// Guards against each state of another data centre that comes twice, and against a data centre
+/// that is not heard of once one of its relays is lost.
+#[test]
+fn one_relay_of_a_data_centre_is_passed_on() {
+    let mut pass_on = PassOn::default();
+    let told = |loads: Option<RouterLoads>| DataCentreState {
+        data_centre: data_centre(1),
+        stamp: TimeMs(1),
+        engines: vec![state(engine(1, 1), 1, Phase::Open, 1)],
+        loads,
+        weights: Vec::new(),
+    };
+    let (first, second) = (engine(1, 1), engine(1, 2));
+    let all = Receivers {
+        routers: true,
+        sidecars: true,
+    };
+    let full = told(Some(RouterLoads::default()));
+    assert_eq!(pass_on.decide(first, &full, TimeMs(0)), all);
+    assert_eq!(
+        pass_on.decide(second, &full, TimeMs(10)),
+        Receivers::default()
+    );
+    assert_eq!(pass_on.decide(second, &told(None), TimeMs(20)), all);
+    let next = pass_on.decide(first, &full, TimeMs(100));
+    assert!(next.routers && !next.sidecars, "sidecars need loads rarely");
+    assert_eq!(pass_on.decide(second, &full, TimeMs(900)), all);
+    assert!(pass_on.is_preferred(second, &data_centre(1)));
+}
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -15,6 +15,7 @@
 use dw_port::Feed;
 use dw_port::FeedError;
 use dw_port::Page;
+use dw_port::TableVersion;
 
 pub use contents::follow_contents;
 pub use contents::ContentsPace;
@@ -36,6 +37,9 @@
     /// Takes in changes.
     fn changes(&mut self, items: Vec<T>);
 
+    /// Learns the position up to which items were taken in.
+    fn read_up_to(&mut self, _version: TableVersion) {}
+
     /// Learns that the table does not answer.
     fn lost(&mut self) {}
 
@@ -103,6 +107,7 @@
                     Some(_) => follower.changes(items),
                 }
                 position = Some(version);
+                follower.read_up_to(version);
                 pause_ms = RETRY_MS.0;
                 if is_change {
                     tokio::time::sleep(pace.pause_ms.into()).await;
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -36,12 +36,12 @@
     exclusions: &Exclusions,
 ) -> Vec<&'a Entry> {
     let now = shared.now();
-    let sidecars = shared.sidecars.borrow();
+    let view = shared.view.borrow();
     let open: Vec<&Entry> = directory
         .serving(&job.service)
         .filter(|entry| !exclusions.has(&entry.listed.upstream))
         .filter(|entry| !entry.is_paused(now))
-        .filter(|entry| sidecars.is_open(entry.listed.addr, now))
+        .filter(|entry| view.is_open(entry.listed.addr, now))
         .collect();
     let healthy = open.iter().filter(|entry| entry.health.usable(now));
     let healthy: Vec<&Entry> = healthy.copied().collect();
@@ -71,7 +71,7 @@
             (Some(held), shared.weights.borrow().age(model, held, now))
         }
     };
-    let sidecars = shared.sidecars.borrow();
+    let view = shared.view.borrow();
     let addr = entry.listed.addr;
     let keys = weights.map(|weights| keys.get(weights));
     (age != Age::TooOld).then(|| DirectTarget {
@@ -80,9 +80,9 @@
         slots: entry.listed.slots,
         kv_capacity,
         weights,
-        cached_parts: keys.and_then(|keys| sidecars.cached_parts(addr, &keys, now)),
+        cached_parts: keys.and_then(|keys| view.cached_parts(addr, &keys, now)),
         old_weights: age == Age::Old,
-        loads_soon: sidecars.loads_soon(addr, now),
+        loads_soon: view.loads_soon(addr, now),
         failure_rate: entry.health.failure_rate(now),
     })
 }
@@ -98,7 +98,7 @@
 /// Weights of an engine only grow, so the greatest of what is known is the newest.
 fn held_weights(shared: &Shared, entry: &Entry, model: &ModelId) -> Option<WeightsVersion> {
     let listed = entry.listed.weights(model);
-    let told = shared.sidecars.borrow().weights(entry.listed.addr, model);
+    let told = shared.view.borrow().weights(entry.listed.addr, model);
     let seen = shared.weights.borrow().seen(&entry.listed.upstream);
     listed.max(told).max(seen)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 
 use dw_base::Clock;
 use dw_base::DurationMs;
+use dw_fleet::View;
 use dw_member::Directory;
 use dw_net::datagrams;
 use dw_net::listen;
@@ -34,7 +35,7 @@
 use crate::caller;
 use crate::connections::Connections;
 use crate::drain::Drain;
-use crate::gossip;
+use crate::gossip::Gossip;
 use crate::kv;
 use crate::measures::Measures;
 use crate::pool::Pool;
@@ -42,7 +43,6 @@
 use crate::registrations::follow_registrations;
 use crate::routes::follow_routes;
 use crate::shared::Shared;
-use crate::sidecars::Sidecars;
 use crate::weights::Weights;
 
 /// Heartbeats that an upstream misses before its registration lapses, less one for delays.
@@ -123,8 +123,9 @@
         spawn(follow_routes(shared.clone(), parts.declarations, ages));
         spawn(follow_registrations(shared.clone(), parts.registrations));
         spawn(kv::follow_all(shared.clone()));
-        spawn(gossip::tell_sidecars(shared.clone(), socket.clone()));
-        spawn(gossip::hear_sidecars(shared.clone(), socket));
+        let gossip = Rc::new(Gossip::new(shared.clone(), socket));
+        spawn(gossip.clone().tell_relays());
+        spawn(gossip.hear_relays());
         spawn(probe::serve_ready(shared.clone(), ready));
         spawn(sweep(shared.clone()));
         if let Some(port) = parts.metrics_port {
@@ -189,14 +190,14 @@
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
         boot: RefCell::new(boot.clone()),
-        started: clock.now(),
         clock,
         codec,
         routes: RefCell::new(None),
         directory: RefCell::new(Directory::new(lapse_ms)),
         listed: Cell::new(false),
         place: RefCell::new(Direct::new(DirectSettings::builder().build())),
-        sidecars: RefCell::new(Sidecars::default()),
+        view: RefCell::new(View::default()),
+        listed_version: Cell::new(0),
         weights: RefCell::new(Weights::new(boot.bounds.weights_ms)),
         budgets: RefCell::new(HashMap::new()),
         kv: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,6 @@
 mod request;
 mod routes;
 mod shared;
-mod sidecars;
 mod weights;
 
 pub use drain::Drain;
--- a/crates/gateway/src/measures.rs
+++ b/crates/gateway/src/measures.rs
@@ -44,6 +44,8 @@
     own_answers: Family<Label, Counter>,
     tries: Family<Label, Counter>,
     repeats: Family<Label, Counter>,
+    told_bytes: Family<Label, Counter>,
+    heard_bytes: Family<Label, Counter>,
     first_token: Latency,
     whole: Latency,
     log_second: Cell<(u64, u32)>,
@@ -66,6 +68,12 @@
             own_answers: metrics.add("own_answers", "Own answers", Family::default()),
             tries: metrics.add("failed_tries", "Tries without an answer", Family::default()),
             repeats: metrics.add("repeats", "Repeats by the budget", Family::default()),
+            told_bytes: metrics.add("told_bytes", "Bytes of sent datagrams", Family::default()),
+            heard_bytes: metrics.add(
+                "heard_bytes",
+                "Bytes of received datagrams",
+                Family::default(),
+            ),
             first_token: metrics.add("first_token_seconds", first, latencies()),
             whole: metrics.add("answer_seconds", whole, latencies()),
             log_second: Cell::new((0, 0)),
@@ -127,6 +135,18 @@
         self.repeats.get_or_create(&Label { kind }).inc();
     }
 
+    /// Counts a datagram that was sent.
+    pub(crate) fn told(&self, kind: &'static str, bytes: usize) {
+        let told = self.told_bytes.get_or_create(&Label { kind });
+        told.inc_by(bytes as u64);
+    }
+
+    /// Counts a datagram that was received.
+    pub(crate) fn heard(&self, kind: &'static str, bytes: usize) {
+        let heard = self.heard_bytes.get_or_create(&Label { kind });
+        heard.inc_by(bytes as u64);
+    }
+
     /// Returns whether an ordinary answer may be logged in this second.
     pub(crate) fn may_log(&self, now: TimeMs) -> bool {
         let second = now.0 / 1_000;
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -7,6 +7,7 @@
 use dw_follow::Pace;
 use dw_port::Feed;
 use dw_port::Registration;
+use dw_port::TableVersion;
 
 use crate::routes::longest_wait_ms;
 use crate::shared::Shared;
@@ -55,6 +56,10 @@
         self.forget();
     }
 
+    fn read_up_to(&mut self, version: TableVersion) {
+        self.0.listed_version.set(version.0);
+    }
+
     fn lost(&mut self) {
         let now = self.0.now();
         self.0.directory.borrow_mut().table_lost(now);
@@ -90,8 +95,8 @@
         let is_known = |id: &dw_base::UpstreamId| directory.get(id).is_some();
         self.0.place.borrow_mut().retain(is_known);
         self.0.weights.borrow_mut().retain(is_known);
-        let mut sidecars = self.0.sidecars.borrow_mut();
-        sidecars.retain(|addr| directory.at(addr).is_some());
+        let mut view = self.0.view.borrow_mut();
+        view.retain(|addr| directory.at(addr).is_some());
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_cache::Contents;
+use dw_fleet::View;
 use dw_member::Directory;
 use dw_place::Direct;
 use dw_platform::Boot;
@@ -24,7 +25,6 @@
 use crate::connections::Connections;
 use crate::measures::Measures;
 use crate::pool::Pool;
-use crate::sidecars::Sidecars;
 use crate::weights::Weights;
 
 /// State that all tasks of a gateway share.
@@ -32,13 +32,15 @@
     pub(crate) boot: RefCell<Rc<Boot>>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) codec: Arc<dyn Codec>,
-    pub(crate) started: TimeMs,
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) directory: RefCell<Directory>,
     /// Whether the registrations were read at least once.
     pub(crate) listed: Cell<bool>,
     pub(crate) place: RefCell<Direct>,
-    pub(crate) sidecars: RefCell<Sidecars>,
+    /// What relays tell of engines.
+    pub(crate) view: RefCell<View>,
+    /// Position of the registrations in the history of the platform's table.
+    pub(crate) listed_version: Cell<u64>,
     pub(crate) weights: RefCell<Weights>,
     pub(crate) budgets: RefCell<HashMap<ServiceId, Share>>,
     pub(crate) kv: RefCell<HashMap<SocketAddr, Rc<RefCell<Contents>>>>,
@@ -47,7 +49,7 @@
     pub(crate) connections: Connections,
     pub(crate) measures: Measures,
     pub(crate) draining: Cell<bool>,
-    /// Wakes the task that tells sidecars of outstanding work.
+    /// Wakes the task that tells relays of outstanding work.
     pub(crate) work_changed: Notify,
 }
 
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -1,180 +1,126 @@
-//! Datagrams to and from routers and other sidecars.
+//! Datagrams from routers, relays and other sidecars.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use dw_base::DurationMs;
-use dw_base::ModelId;
 use dw_base::TimeMs;
-use dw_base::Tokens;
-use dw_base::WeightsVersion;
 use dw_wire::hear;
-use dw_wire::tell;
-use dw_wire::CachedParts;
+use dw_wire::pass_on;
+use dw_wire::DataCentreState;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
-use dw_wire::Phase;
+use dw_wire::Roster;
 use dw_wire::WeightsNews;
-use tokio::net::UdpSocket;
 
+use crate::own_state::OwnState;
+use crate::relay::RelayTeller;
 use crate::sidecar::Shared;
 
-/// Shortest time between two datagrams to one process.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(80);
+/// Shortest time between two rounds, in which changes are collected.
+const SHORTEST_MS: DurationMs = DurationMs(20);
 
-/// Longest time between two datagrams to one router.
-const ROUTER_MS: DurationMs = DurationMs(500);
-
-/// Shortest time between two datagrams to routers that tell what the engine has cached, which is
-/// most of their length.
-const CACHED_MS: DurationMs = DurationMs(300);
-
-/// Longest time between two datagrams to another sidecar.
-const PEER_MS: DurationMs = DurationMs(1_000);
-
-/// The same while the engine is to load weights.
-const BUSY_PEER_MS: DurationMs = DurationMs(250);
-
-/// Parts that a datagram names at most, so that it stays within its limit.
-const MAX_CACHED: usize = 1_000;
-
-/// What is told at once when it changes.
-#[derive(Clone, Debug, PartialEq)]
-struct News {
-    phase: Phase,
-    models: Vec<(ModelId, WeightsVersion)>,
-}
-
-/// What the last datagrams said, and when they were sent.
-#[derive(Default)]
-struct Told {
-    news: Option<News>,
-    outstanding: Tokens,
-    routers_at: TimeMs,
-    cached_at: TimeMs,
-    peers_at: TimeMs,
-    seq: u64,
-}
-
-/// Tells routers and other sidecars of the engine until the task is aborted.
-pub(crate) async fn tell_others(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let mut told = Told::default();
+/// Tells the relays of the engine, and as a relay tells others, until the task is aborted.
+pub(crate) async fn tell_others(shared: Rc<Shared>) {
+    let mut own = OwnState::default();
+    let mut relay = RelayTeller::default();
     loop {
         let now = shared.clock.now();
-        shared.state.borrow_mut().forget(now);
-        let news = news(&shared, now);
-        let (outstanding, is_behind) = {
-            let state = shared.state.borrow();
-            (state.outstanding(), state.behind().is_some())
-        };
-        let changed = told.news.as_ref() != Some(&news);
-        let load_changed = told.outstanding != outstanding;
-        if changed || load_changed || now.since(told.routers_at) >= ROUTER_MS {
-            told.tell_routers(&shared, &socket, now).await;
-        }
-        let peer_ms = if is_behind { BUSY_PEER_MS } else { PEER_MS };
-        if changed || now.since(told.peers_at) >= peer_ms {
-            told.tell_peers(&shared, &socket, now).await;
-        }
-        told.news = Some(news);
-        told.outstanding = outstanding;
-        tokio::time::sleep(SHORTEST_PAUSE).await;
-        let longest = if is_behind { BUSY_PEER_MS } else { ROUTER_MS };
-        // Nothing has to be told earlier than the longest pause.
-        let _ = tokio::time::timeout(longest.into(), shared.changed.notified()).await;
+        let own_due = own.tell(&shared, now).await;
+        let relay_due = relay.tell(&shared, now).await;
+        tokio::time::sleep(SHORTEST_MS.into()).await;
+        let pause_ms = own_due.min(relay_due).since(shared.clock.now());
+        // Nothing has to be told before the next round is due.
+        let _ = tokio::time::timeout(pause_ms.into(), shared.changed.notified()).await;
     }
 }
 
-impl Told {
-    async fn tell_routers(&mut self, shared: &Shared, socket: &UdpSocket, now: TimeMs) {
-        self.routers_at = now;
-        let mut state = self.next_state(shared, now);
-        if now.since(self.cached_at) >= CACHED_MS {
-            self.cached_at = now;
-            state.cached = cached_parts(shared);
-        }
-        let routers: Vec<_> = shared.state.borrow().routers().collect();
-        for (router, own_tokens) in routers {
-            state.own_tokens = own_tokens;
-            tell(socket, router, &Datagram::Engine(state.clone())).await;
+/// Hears others until the task is aborted.
+pub(crate) async fn hear_others(shared: Rc<Shared>) {
+    hear(&shared.socket, |from, datagram, bytes| {
+        let now = shared.clock.now();
+        shared.relays.borrow_mut().heard(from.ip());
+        match datagram {
+            Datagram::Router(state) => {
+                take_news(&shared, &state.weights, now, "router");
+                let mut relay = shared.relay.borrow_mut();
+                relay.used(now);
+                if relay.aggregate.hear_router(from, state, now) {
+                    shared.changed.notify_one();
+                }
+            }
+            Datagram::Engine(state) => hear_engine(&shared, state, now),
+            Datagram::Cached(states) => {
+                let is_own = is_own_data_centre(&shared, from);
+                let mut relay = shared.relay.borrow_mut();
+                if is_own {
+                    for state in states {
+                        relay.aggregate.hear_cached(state);
+                    }
+                } else if is_preferred(&shared, &relay.pass_on, from) {
+                    pass_on(&shared.socket, &relay.aggregate.listeners(), bytes);
+                }
+            }
+            Datagram::DataCentre(state) => {
+                hear_data_centre(&shared, from, state, bytes);
+            }
+            Datagram::Roster(roster) => hear_roster(&shared, roster),
         }
-    }
+    })
+    .await;
+}
 
-    async fn tell_peers(&mut self, shared: &Shared, socket: &UdpSocket, now: TimeMs) {
-        self.peers_at = now;
-        let datagram = Datagram::Engine(self.next_state(shared, now));
-        let others: Vec<_> = shared.state.borrow().others().collect();
-        for engine in others {
-            let sidecar = SocketAddr::new(engine.ip(), shared.inner_port);
-            tell(socket, sidecar, &datagram).await;
-        }
+fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
+    let mut relay = shared.relay.borrow_mut();
+    relay.used(now);
+    if relay.aggregate.hear_engine(state.clone(), now) {
+        shared.changed.notify_one();
     }
+    shared.state.borrow_mut().view.hear(state, now);
+}
 
-    /// Returns the state of the engine without what concerns one receiver only.
-    fn next_state(&mut self, shared: &Shared, now: TimeMs) -> EngineState {
-        self.seq += 1;
-        let News { phase, models } = news(shared, now);
-        let state = shared.state.borrow();
-        let report = state.report.clone().unwrap_or_default();
-        EngineState {
-            engine: state.engine(),
-            started_ms: shared.started.0,
-            seq: self.seq,
-            phase,
-            born_ms: report.born_ms,
-            models,
-            waiting: report.waiting,
-            running: report.running,
-            outstanding_tokens: state.outstanding(),
-            own_tokens: Tokens(0),
-            speeds: state.speeds(),
-            cached: None,
-            routers: u32::try_from(state.routers().count()).unwrap_or(u32::MAX),
-            weights: state.namings.news(now),
-        }
+fn hear_roster(shared: &Shared, roster: Roster) {
+    let mut state = shared.state.borrow_mut();
+    let version = roster.version;
+    let engines = roster.engines.len();
+    if state.members.hear(roster) {
+        log::info!(version, engines; "engines of the fleet are told");
+        state.view.retain(|_| true);
+        shared.changed.notify_one();
     }
 }
 
-fn news(shared: &Shared, now: TimeMs) -> News {
-    let state = shared.state.borrow();
-    let report = state.report.as_ref();
-    News {
-        phase: state.told_phase(now),
-        models: report.map_or_else(Vec::new, |report| report.models.clone()),
+/// Takes in the state of a data centre, and passes it on if it comes from a relay of another one.
+fn hear_data_centre(shared: &Shared, from: SocketAddr, told: DataCentreState, bytes: &[u8]) {
+    let now = shared.clock.now();
+    take_news(shared, &told.weights, now, "relay");
+    let is_relayed = is_own_data_centre(shared, from);
+    if !is_relayed && told.data_centre != shared.data_centre {
+        let mut relay = shared.relay.borrow_mut();
+        relay.used(now);
+        let receivers = relay.pass_on.decide(from, &told, now);
+        if receivers.routers {
+            pass_on(&shared.socket, &relay.aggregate.listeners(), bytes);
+        }
+        if receivers.sidecars {
+            pass_on(&shared.socket, &shared.near_sidecars(), bytes);
+        }
+    }
+    let mut state = shared.state.borrow_mut();
+    for engine in told.engines {
+        state.view.hear(engine, now);
     }
 }
 
-/// Returns what the engine has cached, if it tells of it.
-fn cached_parts(shared: &Shared) -> Option<CachedParts> {
+fn is_own_data_centre(shared: &Shared, from: SocketAddr) -> bool {
     let state = shared.state.borrow();
-    let contents = state.contents.borrow();
-    contents
-        .is_up()
-        .then(|| CachedParts::new(contents.newest(MAX_CACHED)))
+    state.members.data_centre_of(from.ip()) == Some(&shared.data_centre)
 }
 
-/// Hears routers and other sidecars until the task is aborted.
-pub(crate) async fn hear_others(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    hear(&socket, |from, datagram| {
-        let now = shared.clock.now();
-        match datagram {
-            Datagram::Router(state) => {
-                take_news(&shared, &state.weights, now, "router");
-                let mut own = shared.state.borrow_mut();
-                let before = own.outstanding();
-                own.hear_router(from, state, now);
-                if own.outstanding() != before {
-                    shared.changed.notify_one();
-                }
-            }
-            Datagram::Engine(state) => {
-                take_news(&shared, &state.weights, now, "sidecar");
-                shared.state.borrow_mut().hear_peer(state, now);
-            }
-        }
-    })
-    .await;
+fn is_preferred(shared: &Shared, pass_on: &dw_fleet::PassOn, from: SocketAddr) -> bool {
+    let state = shared.state.borrow();
+    let data_centre = state.members.data_centre_of(from.ip());
+    data_centre.is_some_and(|data_centre| pass_on.is_preferred(from, data_centre))
 }
 
 fn take_news(shared: &Shared, news: &[WeightsNews], now: TimeMs, source: &str) {
@@ -186,6 +132,7 @@
                 age_ms = news.age_ms.0, source;
                 "weights are named"
             );
+            shared.changed.notify_one();
         }
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,8 @@
 mod gossip;
 mod measures;
 mod orders;
+mod own_state;
+mod relay;
 mod sidecar;
 mod state;
 mod weights;
--- a/crates/sidecar/src/measures.rs
+++ b/crates/sidecar/src/measures.rs
@@ -30,6 +30,8 @@
     reports: Family<Label, Counter>,
     report_s: Histogram,
     phase_s: Family<Label, Histogram, fn() -> Histogram>,
+    told_bytes: Family<Label, Counter>,
+    told: Family<Label, Counter>,
     /// When the present phase began.
     phase_since: Cell<TimeMs>,
 }
@@ -50,6 +52,8 @@
             reports: metrics.add("reports", "Reports of the engine", Family::default()),
             report_s: metrics.add("report_seconds", call, Histogram::new(CALL_BUCKETS_S)),
             phase_s: metrics.add("phase_seconds", phases, phase_s),
+            told_bytes: metrics.add("told_bytes", "Bytes of sent datagrams", Family::default()),
+            told: metrics.add("told", "Sent datagrams", Family::default()),
             phase_since: Cell::new(now),
             metrics,
         }
@@ -82,6 +86,15 @@
         }
     }
 
+    /// Counts a datagram that was sent to several receivers.
+    pub(crate) fn told(&self, kind: &'static str, bytes: usize, receivers: usize) {
+        let label = Label { kind };
+        let receivers = receivers as u64;
+        let told_bytes = self.told_bytes.get_or_create(&label);
+        told_bytes.inc_by(bytes as u64 * receivers);
+        self.told.get_or_create(&label).inc_by(receivers);
+    }
+
     /// Records that a phase has ended.
     pub(crate) fn phase_ended(&self, phase: Phase, now: TimeMs) {
         let kind = match phase {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 
 use dw_base::Clock;
+use dw_base::DataCentreId;
 use dw_base::NodeId;
 use dw_base::TimeMs;
+use dw_fleet::Relays;
 use dw_net::datagrams;
 use dw_net::start_text;
 use dw_net::BindError;
@@ -18,6 +20,7 @@
 use dw_port::KvIndex;
 use dw_telem::Metrics;
 use thiserror::Error;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -25,6 +28,7 @@
 use crate::gossip;
 use crate::measures::Measures;
 use crate::orders;
+use crate::relay::Relay;
 use crate::state::State;
 use crate::weights::follow_weights;
 
@@ -58,14 +62,62 @@
 /// State that all tasks of a sidecar share, on its only thread.
 pub(crate) struct Shared {
     pub(crate) node: NodeId,
-    pub(crate) inner_port: u16,
+    pub(crate) engine: SocketAddr,
+    pub(crate) data_centre: DataCentreId,
+    inner_port: u16,
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) started: TimeMs,
     pub(crate) state: RefCell<State>,
+    pub(crate) socket: UdpSocket,
+    pub(crate) relays: RefCell<Relays>,
+    pub(crate) relay: RefCell<Relay>,
     pub(crate) measures: Measures,
     pub(crate) changed: Notify,
 }
 
+impl Shared {
+    /// Returns the relays of the own data centre.
+    pub(crate) fn own_relays(&self, now: TimeMs) -> Vec<SocketAddr> {
+        let order = self.state.borrow().members.relay_order(&self.data_centre);
+        self.relays.borrow_mut().choose(&order, now)
+    }
+
+    /// Returns the sidecars of the relays that are to be told something, without this one.
+    pub(crate) fn tell_relays(&self, relays: &[SocketAddr], now: TimeMs) -> Vec<SocketAddr> {
+        let others = relays.iter().filter(|relay| **relay != self.engine);
+        let mut told = self.relays.borrow_mut();
+        others
+            .map(|relay| {
+                told.told(*relay, now);
+                self.sidecar(*relay)
+            })
+            .collect()
+    }
+
+    /// Returns the sidecars of the relays of all other data centres, which are to be told something.
+    pub(crate) fn other_relays(&self, now: TimeMs) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let is_other = |data_centre: &&DataCentreId| **data_centre != self.data_centre;
+        let others = state.members.data_centres().iter().filter(is_other);
+        let orders = others.map(|data_centre| state.members.relay_order(data_centre));
+        let relays: Vec<SocketAddr> = orders
+            .flat_map(|order| self.relays.borrow_mut().choose(&order, now))
+            .collect();
+        self.tell_relays(&relays, now)
+    }
+
+    /// Returns the other sidecars of the data centre.
+    pub(crate) fn near_sidecars(&self) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let engines = state.members.engines_in(&self.data_centre);
+        let others = engines.filter(|engine| *engine != self.engine);
+        others.map(|engine| self.sidecar(engine)).collect()
+    }
+
+    fn sidecar(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.inner_port)
+    }
+}
+
 /// A running sidecar.
 pub struct Sidecar {
     metrics_addr: Option<SocketAddr>,
@@ -81,14 +133,17 @@
         let boot = parts.boot;
         let engine = boot.engine.ok_or(StartError::NoEngine)?;
         let addr = SocketAddr::new(boot.ip, boot.inner_ports.0);
-        let socket = Rc::new(datagrams("inner", addr).await?);
-        let started = parts.clock.now();
+        let socket = datagrams("inner", addr).await?;
         let shared = Rc::new(Shared {
             node: boot.node.clone(),
+            engine,
+            data_centre: boot.data_centre.clone(),
             inner_port: boot.inner_ports.0,
-            started,
-            measures: Measures::new(started),
+            measures: Measures::new(parts.clock.now()),
             clock: parts.clock,
+            socket,
+            relays: RefCell::default(),
+            relay: RefCell::default(),
             state: RefCell::new(State::new(engine, boot.bounds.weights_ms)),
             changed: Notify::new(),
         });
@@ -103,8 +158,8 @@
         }
         spawn_local(follow_weights(shared.clone(), parts.declarations));
         spawn_local(follow_cache(shared.clone(), parts.cache));
-        spawn_local(gossip::tell_others(shared.clone(), socket.clone()));
-        spawn_local(gossip::hear_others(shared.clone(), socket));
+        spawn_local(gossip::tell_others(shared.clone()));
+        spawn_local(gossip::hear_others(shared.clone()));
         spawn_local(orders::watch(shared, parts.engine));
         Ok(Sidecar { metrics_addr })
     }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,18 +1,16 @@
 //! What a sidecar knows.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dw_base::DurationMs;
-use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
-use dw_base::NodeId;
 use dw_base::TimeMs;
-use dw_base::Tokens;
 use dw_base::WeightsVersion;
 use dw_cache::Contents;
+use dw_fleet::Members;
+use dw_fleet::View;
 use dw_order::Namings;
 use dw_order::Newest;
 use dw_order::Peer;
@@ -21,17 +19,6 @@
 use dw_port::Report;
 use dw_wire::EngineState;
 use dw_wire::Phase;
-use dw_wire::RouterState;
-
-/// Age from which another process counts as not heard.
-const FRESH_MS: DurationMs = DurationMs(3_000);
-
-/// A router that has been heard.
-struct Router {
-    from: SocketAddr,
-    state: RouterState,
-    at: TimeMs,
-}
 
 /// A model whose named weights the engine does not have yet.
 #[derive(Clone, Debug)]
@@ -48,11 +35,6 @@
     pub(crate) inputs: TurnInputs,
 }
 
-struct HeardPeer {
-    state: EngineState,
-    at: TimeMs,
-}
-
 /// What a sidecar knows.
 pub(crate) struct State {
     engine: SocketAddr,
@@ -60,9 +42,10 @@
     pub(crate) phase: Phase,
     pub(crate) report: Option<Report>,
     pub(crate) namings: Namings,
-    routers: HashMap<NodeId, Router>,
-    peers: HashMap<SocketAddr, HeardPeer>,
-    engines: Vec<SocketAddr>,
+    /// Engines that routers tell of.
+    pub(crate) members: Members,
+    /// What relays tell of the other engines.
+    pub(crate) view: View,
     /// What the engine has cached.
     pub(crate) contents: Rc<RefCell<Contents>>,
 }
@@ -76,9 +59,8 @@
             phase: Phase::Unreachable,
             report: None,
             namings: Namings::default(),
-            routers: HashMap::new(),
-            peers: HashMap::new(),
-            engines: Vec::new(),
+            members: Members::default(),
+            view: View::default(),
             contents: Rc::default(),
         }
     }
@@ -88,67 +70,17 @@
         self.engine
     }
 
-    /// Takes over a router's datagram, unless it is older than the last one.
-    pub(crate) fn hear_router(&mut self, from: SocketAddr, state: RouterState, now: TimeMs) {
-        let order = |state: &RouterState| (state.started_ms, state.seq);
-        let known = self.routers.get(&state.router);
-        if known.is_some_and(|known| order(&known.state) >= order(&state)) {
-            return;
-        }
-        self.engines.clone_from(&state.engines);
-        let router = Router {
-            from,
-            at: now,
-            state,
-        };
-        self.routers.insert(router.state.router.clone(), router);
-    }
-
-    /// Takes over another sidecar's datagram, unless it is older than the last one.
-    pub(crate) fn hear_peer(&mut self, state: EngineState, now: TimeMs) {
-        let order = |state: &EngineState| (state.started_ms, state.seq);
-        let known = self.peers.get(&state.engine);
-        if known.is_some_and(|known| order(&known.state) >= order(&state)) {
-            return;
-        }
-        let peer = HeardPeer { state, at: now };
-        self.peers.insert(peer.state.engine, peer);
-    }
-
-    /// Forgets routers that have not been heard lately.
-    pub(crate) fn forget(&mut self, now: TimeMs) {
-        self.routers
-            .retain(|_, router| now.since(router.at) < FRESH_MS);
-        let engines = &self.engines;
-        self.peers
-            .retain(|addr, peer| now.since(peer.at) < FRESH_MS || engines.contains(addr));
-    }
-
-    /// Returns the addresses of routers with their outstanding tokens.
-    pub(crate) fn routers(&self) -> impl Iterator<Item = (SocketAddr, Tokens)> + '_ {
-        let routers = self.routers.values();
-        routers.map(|router| (router.from, router.state.outstanding_tokens))
-    }
-
-    /// Returns the addresses of the other engines.
-    pub(crate) fn others(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.engines
-            .iter()
-            .copied()
-            .filter(|addr| *addr != self.engine)
-    }
-
-    /// Returns the outstanding tokens of all routers.
-    pub(crate) fn outstanding(&self) -> Tokens {
-        Tokens(self.routers().map(|(_, tokens)| tokens.0).sum())
-    }
-
-    /// Returns what all routers have measured of the engine's speed.
-    pub(crate) fn speeds(&self) -> MeasuredSpeeds {
-        let speeds = || self.routers.values().map(|router| router.state.speeds);
-        MeasuredSpeeds {
-            computing: speeds().map(|speeds| speeds.computing).sum(),
-            draining: speeds().map(|speeds| speeds.draining).sum(),
+    /// Returns the state of the engine for other processes.
+    pub(crate) fn told(&self, stamp: TimeMs) -> EngineState {
+        let report = self.report.as_ref();
+        EngineState {
+            engine: self.engine,
+            stamp,
+            phase: self.told_phase(stamp),
+            born_ms: report.map_or(0, |report| report.born_ms),
+            models: report.map_or_else(Vec::new, |report| report.models.clone()),
+            waiting: report.map_or(0, |report| report.waiting),
+            running: report.map_or(0, |report| report.running),
         }
     }
 
@@ -205,22 +137,19 @@
 
     fn known_peers(&self, model: &ModelId, now: TimeMs) -> Vec<Peer> {
         let peer = |engine: SocketAddr| {
-            let heard = self.peers.get(&engine);
-            let fresh = heard.filter(|peer| now.since(peer.at) < FRESH_MS);
-            let held = fresh.and_then(|peer| {
-                let models = &peer.state.models;
-                models.iter().find(|(name, _)| name == model)
-            });
-            let phase = fresh.map(|peer| peer.state.phase);
+            let told = self.view.engine(engine, now);
+            let held = told.and_then(|told| told.models.iter().find(|(name, _)| name == model));
+            let phase = told.map(|told| told.phase);
             let absent = phase == Some(Phase::Unreachable);
             Peer {
                 engine,
-                requests: fresh.map_or(0, |peer| peer.state.waiting + peer.state.running),
+                requests: told.map_or(0, |told| told.waiting + told.running),
                 weights: held.map(|(_, weights)| *weights).filter(|_| !absent),
                 loading: phase == Some(Phase::Loading),
                 closing: phase == Some(Phase::Closing),
             }
         };
-        self.others().map(peer).collect()
+        let others = self.members.others_of_service(self.engine);
+        others.into_iter().map(peer).collect()
     }
 }
--- a/crates/wire/src/cached_parts.rs
+++ b/crates/wire/src/cached_parts.rs
@@ -9,6 +9,9 @@
 /// Age from which what was told is not used any more; three datagrams of an idle engine fit in.
 const TOLD_MS: DurationMs = DurationMs(2_000);
 
+/// Longest encoding of a difference.
+const MOST_GAP_BYTES: usize = 3;
+
 /// Parts of prompts that an engine has cached, as two bytes a part.
 ///
 /// They are hints: with 150 parts one of 400 others is taken for one of them, which costs a
@@ -36,6 +39,11 @@
         }
     }
 
+    /// Returns the most bytes that the parts take in a datagram.
+    pub fn most_bytes(&self) -> usize {
+        self.gaps.len() * MOST_GAP_BYTES
+    }
+
     /// Returns the hashes in order.
     fn hashes(&self) -> Vec<u16> {
         let mut last: u16 = 0;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -1,14 +1,27 @@
 //! Datagrams between routers and the sidecars of model engines.
 //!
-//! Each carries the whole state of its sender, so a lost one is repaired by the next.
+//! In each data centre a few sidecars are relays. Routers and sidecars tell the relays of their own
+//! data centre; a relay tells those of the others and passes on what it hears from them. A lost
+//! datagram is repaired by a later one, since everything is told again after a while.
+//!
+//! | datagram | from | to |
+//! | --- | --- | --- |
+//! | [`RouterState`] | router | relays of its data centre |
+//! | [`EngineState`] | sidecar | relays of its data centre |
+//! | [`CachedState`] | sidecar, relay | relays, routers |
+//! | [`DataCentreState`] | relay | routers and sidecars of its data centre, relays of the others |
+//! | [`Roster`] | router, relay | relays, sidecars |
 
 use std::net::SocketAddr;
 
+use dw_base::DataCentreId;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
 use dw_base::NodeId;
+use dw_base::ServiceId;
+use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
 use serde::Deserialize;
@@ -17,7 +30,7 @@
 use crate::cached_parts::CachedParts;
 
 /// Longest datagram.
-pub const MAX_DATAGRAM_BYTES: usize = 8_192;
+pub const MAX_DATAGRAM_BYTES: usize = 16_384;
 
 /// Whether an engine takes requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,34 +62,30 @@
     pub earlier: Vec<(WeightsVersion, DurationMs)>,
 }
 
-/// State of a router, as one sidecar receives it.
+/// State of a router.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouterState {
     /// Router.
     pub router: NodeId,
-    /// Start of the router's process; a later one has a greater number.
-    pub started_ms: u64,
-    /// Grows with each datagram of the process.
-    pub seq: u64,
-    /// Prompt tokens that it has sent to the engine and that have no first token yet.
-    pub outstanding_tokens: Tokens,
-    /// What it has measured of the engine's speed.
-    pub speeds: MeasuredSpeeds,
+    /// When it was sent, by the clock of the router; later ones replace earlier ones.
+    pub stamp: TimeMs,
+    /// Whether the receiver is to tell the router of the fleet.
+    pub listens: bool,
+    /// Engines with prompt tokens that the router has sent and that have no first token yet.
+    pub outstanding: Vec<(SocketAddr, Tokens)>,
+    /// What it has measured of the speed of some engines.
+    pub speeds: Vec<(SocketAddr, MeasuredSpeeds)>,
     /// Named weights.
     pub weights: Vec<WeightsNews>,
-    /// Addresses of the engines of the same service.
-    pub engines: Vec<SocketAddr>,
 }
 
-/// State of an engine, as its sidecar tells routers and the other sidecars.
+/// State of an engine, as its sidecar tells it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineState {
     /// Address of the engine.
     pub engine: SocketAddr,
-    /// Start of the sidecar's process; a later one has a greater number.
-    pub started_ms: u64,
-    /// Grows with each datagram of the process.
-    pub seq: u64,
+    /// When it was told, by the clock of the sidecar; later ones replace earlier ones.
+    pub stamp: TimeMs,
     /// Whether the engine takes requests.
     pub phase: Phase,
     /// Start of the engine.
@@ -87,21 +96,72 @@
     pub waiting: u32,
     /// Requests that run at the engine.
     pub running: u32,
-    /// Outstanding prompt tokens of all routers.
-    pub outstanding_tokens: Tokens,
-    /// Part of them that belongs to the receiver, as the sidecar knows it.
-    pub own_tokens: Tokens,
-    /// What all routers have measured of the engine's speed.
-    pub speeds: MeasuredSpeeds,
-    /// Routers that the sidecar hears.
+}
+
+/// Parts of prompts that an engine has cached.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CachedState {
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// When it was told, by the clock of the sidecar; later ones replace earlier ones.
+    pub stamp: TimeMs,
+    /// The parts.
+    pub parts: CachedParts,
+}
+
+/// What the routers of one data centre do, as a relay there adds it up.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RouterLoads {
+    /// Routers that the relay hears.
     pub routers: u32,
-    /// Parts of prompts that the engine has cached; absent if they were told a moment ago, and in
-    /// a datagram to a sidecar.
-    pub cached: Option<CachedParts>,
-    /// Weights that the sidecar has heard of.
+    /// Engines with the outstanding prompt tokens of these routers.
+    pub outstanding: Vec<(SocketAddr, Tokens)>,
+    /// What these routers have measured of the speed of some engines.
+    pub speeds: Vec<(SocketAddr, MeasuredSpeeds)>,
+    /// Stamps of the last states that are in the sums, by the hash of the router's name; told
+    /// within the data centre only.
+    pub heard: Vec<(u32, TimeMs)>,
+}
+
+/// State of a data centre, as one of its relays tells it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DataCentreState {
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// When it was told, by the clock of the relay.
+    pub stamp: TimeMs,
+    /// Engines whose state has changed, or all.
+    pub engines: Vec<EngineState>,
+    /// What routers do; absent if only engines have changed.
+    pub loads: Option<RouterLoads>,
+    /// Named weights that the relay has heard of.
     pub weights: Vec<WeightsNews>,
 }
 
+/// One registered model engine.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RosterEntry {
+    /// Address.
+    pub engine: SocketAddr,
+    /// Data centre, as a position in [`Roster::data_centres`].
+    pub data_centre: u8,
+    /// Service, as a position in [`Roster::services`].
+    pub service: u8,
+}
+
+/// All registered model engines.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Roster {
+    /// Position of the registrations in the history of the platform's table; it only grows.
+    pub version: u64,
+    /// Data centres with engines.
+    pub data_centres: Vec<DataCentreId>,
+    /// Services with engines.
+    pub services: Vec<ServiceId>,
+    /// Engines in the order of their addresses.
+    pub engines: Vec<RosterEntry>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -109,4 +169,10 @@
     Router(RouterState),
     /// From a sidecar.
     Engine(EngineState),
+    /// From a sidecar or a relay.
+    Cached(Vec<CachedState>),
+    /// From a relay.
+    DataCentre(DataCentreState),
+    /// From a router or a relay.
+    Roster(Roster),
 }
