fleet, follow, gateway, sidecar: few routers read the tables, relays read the KV stores

Change: the two routers of a data centre that come first in an order read all changes, the others read once a relay tells that the configuration, or a registration that concerns all routers, lies ahead of what they know. Hints end with silence, and when the tables have answered nobody for as long as a call may wait; then each router reads for itself as before. Sidecars leave the table to the routers in the same way. The relay that routers listen to reads the KV stores and tells spans of changes, each twice; a router that misses one asks the store itself.

Tests: contents.rs of dw_cache takes keys in place of salts, since the adapter computes them now; its checks are the same.

--- a/crates/base/src/prompt.rs
+++ b/crates/base/src/prompt.rs
@@ -1,5 +1,7 @@
 //! Prompts that are described by their parts.
 
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::number::Tokens;
@@ -14,7 +16,7 @@
 }
 
 /// Identifies a part of a prompt under one salt in few bytes; rarely, two parts share a key.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PartKey(pub u32);
 
 impl PartKey {
--- a/crates/cache/src/contents.rs
+++ b/crates/cache/src/contents.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 
+use dw_base::DurationMs;
 use dw_base::PartKey;
 use dw_base::PromptPart;
 use dw_base::TimeMs;
@@ -17,13 +18,14 @@
 /// removal may have been lost.
 const MAX_PARTS: usize = 8_192;
 
+/// Time after a word of another process in which the holder is not asked; two words fit in.
+const TOLD_MS: DurationMs = DurationMs(2_000);
+
 /// A part came or went.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KvChange {
-    /// Salt of the part.
-    pub salt: String,
-    /// Hash of the part's id.
-    pub part: u64,
+    /// Key of the part under its salt.
+    pub key: PartKey,
     /// Tokens that are kept now.
     pub tokens: Tokens,
 }
@@ -31,6 +33,8 @@
 /// Changes since a position.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct KvPage {
+    /// Position from which was asked.
+    pub since: u64,
     /// Life of the holder; another one means that it was restarted and is empty.
     pub epoch: u64,
     /// Position for the next call.
@@ -56,6 +60,8 @@
     epoch: u64,
     next: u64,
     is_up: bool,
+    /// When another process last told all changes up to then.
+    told: Option<TimeMs>,
     inflow: Inflow,
 }
 
@@ -112,19 +118,42 @@
         for change in page.changes {
             self.inflow.came(change.tokens, now);
             self.changes += 1;
-            let key = PartKey::new(&change.salt, change.part);
             let held = Held {
                 tokens: change.tokens,
                 change: self.changes,
             };
             match change.tokens {
-                Tokens(0) => drop(self.held.remove(&key)),
-                _ => drop(self.held.insert(key, held)),
+                Tokens(0) => drop(self.held.remove(&change.key)),
+                _ => drop(self.held.insert(change.key, held)),
             }
         }
         self.forget_oldest();
     }
 
+    /// Takes over changes that another process has read.
+    ///
+    /// Changes that do not follow on what is known are of no use; then the holder has to be asked.
+    pub fn hear(&mut self, page: KvPage, now: TimeMs) {
+        if !self.is_up || page.epoch != self.epoch || page.since > self.next {
+            self.told = None;
+            return;
+        }
+        if page.next > self.next {
+            self.apply(page, now);
+        }
+        self.told = Some(now);
+    }
+
+    /// Learns that another process gets no answer from the holder, so it is asked at once.
+    pub fn doubt(&mut self) {
+        self.told = None;
+    }
+
+    /// Returns whether another process has told all changes until lately.
+    pub fn is_told(&self, now: TimeMs) -> bool {
+        self.told.is_some_and(|told| now.since(told) < TOLD_MS)
+    }
+
     fn forget_oldest(&mut self) {
         if self.held.len() <= MAX_PARTS {
             return;
--- a/crates/cache/tests/contents.rs
+++ b/crates/cache/tests/contents.rs
@@ -12,14 +12,14 @@
 
 fn change(part: u64, tokens: u64) -> KvChange {
     KvChange {
-        salt: "m@1".to_owned(),
-        part,
+        key: key(part),
         tokens: Tokens(tokens),
     }
 }
 
 fn page(epoch: u64, changes: Vec<KvChange>) -> KvPage {
     KvPage {
+        since: 0,
         epoch,
         next: 7,
         lost: false,
@@ -64,6 +64,7 @@
     contents.apply(page(2, vec![change(3, 100)]), NOW);
     assert_eq!(contents.newest(10), [key(3)]);
     let gap = KvPage {
+        since: 7,
         lost: true,
         ..page(2, vec![change(4, 100)])
     };
@@ -87,3 +88,39 @@
     expected.sort_unstable();
     assert_eq!(newest, expected);
 }
+
+/// Guards against gaps in what another process tells of a holder: then the holder itself is asked.
+/// A repeated span changes nothing.
+#[test]
+fn changes_that_another_process_has_read_follow_without_a_gap() {
+    let told = |since, next, changes| KvPage {
+        since,
+        epoch: 1,
+        next,
+        lost: false,
+        changes,
+    };
+    let mut contents = Contents::default();
+    contents.hear(told(0, 3, vec![change(9, 100)]), NOW);
+    assert!(!contents.is_told(NOW), "nothing is known of the holder yet");
+    contents.apply(page(1, vec![change(1, 100)]), NOW);
+    contents.hear(told(7, 9, vec![change(2, 100)]), NOW);
+    contents.hear(told(7, 9, vec![change(2, 0)]), NOW);
+    let (keys, parts) = prompt(&[1, 2]);
+    assert_eq!(contents.leading(&keys, &parts), Tokens(200));
+    assert!(contents.is_told(NOW));
+    assert!(!contents.is_told(TimeMs(NOW.0 + 3_000)), "silence ends it");
+    contents.hear(told(11, 12, vec![change(3, 100)]), NOW);
+    assert!(!contents.is_told(NOW), "a span is missing");
+    assert_eq!(contents.next(), 9);
+    contents.hear(told(9, 12, vec![change(3, 100)]), NOW);
+    assert!(contents.is_told(NOW));
+    contents.doubt();
+    assert!(!contents.is_told(NOW));
+    let restarted = KvPage {
+        epoch: 2,
+        ..told(12, 14, Vec::new())
+    };
+    contents.hear(restarted, NOW);
+    assert!(!contents.is_told(NOW), "another life of the holder");
+}
--- a/crates/fleet/src/aggregate.rs
+++ b/crates/fleet/src/aggregate.rs
@@ -15,6 +15,9 @@
 use dw_wire::EngineState;
 use dw_wire::RouterLoads;
 use dw_wire::RouterState;
+use dw_wire::TableNews;
+
+use crate::table_hints::latest;
 
 /// Age from which a router counts as gone.
 const ROUTER_MS: DurationMs = DurationMs(3_000);
@@ -32,6 +35,7 @@
     stamp: TimeMs,
     listens: bool,
     outstanding: Vec<(SocketAddr, Tokens)>,
+    tables: Option<TableNews>,
     speeds: HashMap<SocketAddr, MeasuredSpeeds>,
 }
 
@@ -85,6 +89,7 @@
             stamp: state.stamp,
             listens: state.listens,
             outstanding: state.outstanding,
+            tables: state.tables,
             speeds,
         };
         self.routers.insert(state.router, router);
@@ -179,6 +184,17 @@
         .collect()
     }
 
+    /// Returns what the routers have read of the platform's tables, the latest of all.
+    pub fn tables(&self, now: TimeMs) -> Option<TableNews> {
+        let routers = self.routers.values();
+        let all = routers.filter_map(|router| {
+            let tables = router.tables?;
+            let age_ms = tables.age_ms + now.since(router.at);
+            Some(TableNews { age_ms, ..tables })
+        });
+        all.reduce(latest)
+    }
+
     /// Adds up what routers do.
     pub fn loads(&mut self) -> RouterLoads {
         let mut outstanding: BTreeMap<SocketAddr, u64> = BTreeMap::new();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`Aggregate`] | relays | what a data centre tells: changed engines at once, sums of loads at a pace |
 //! | [`PassOn`] | relays | which states of other data centres are passed on, and to whom |
 //! | [`View`] | all | what is known of engines and loads, and for how long it is used |
+//! | [`TableHints`] | routers, sidecars | when the platform's tables need not be asked |
 //! | [`ToldLoads`] | routers | which part of a sum is the router's own |
 //! | [`Pace`] | relays | pauses from the length and the receivers of a datagram |
 
@@ -19,6 +20,7 @@
 mod pace;
 mod pass_on;
 mod relays;
+mod table_hints;
 mod told_loads;
 mod view;
 
@@ -29,6 +31,8 @@
 pub use pass_on::PassOn;
 pub use pass_on::Receivers;
 pub use relays::Relays;
+pub use table_hints::is_reader;
+pub use table_hints::TableHints;
 pub use told_loads::ToldLoads;
 pub use view::Change;
 pub use view::View;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -63,6 +63,7 @@
         outstanding: outstanding.collect(),
         speeds: Vec::new(),
         weights: Vec::new(),
+        tables: None,
     };
     (from, state)
 }
--- a/crates/fleet/tests/states.rs
+++ b/crates/fleet/tests/states.rs
@@ -152,6 +152,7 @@
         engines: vec![state(engine(1, 1), 1, Phase::Open, 1)],
         loads,
         weights: Vec::new(),
+        tables: None,
     };
     let (first, second) = (engine(1, 1), engine(1, 2));
     let all = Receivers {
--- /dev/null
+++ b/crates/fleet/tests/tables.rs
@@ -0,0 +1,71 @@
+//! Which routers read the platform's tables, and when the others need not.
+
+#[allow(dead_code)]
+mod common;
+
+use common::router;
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_fleet::is_reader;
+use dw_fleet::Aggregate;
+use dw_fleet::TableHints;
+use dw_wire::TableNews;
+
+const MOST_AGE_MS: DurationMs = DurationMs(7_000);
+
+fn news(declarations: u64, registrations: u64, age_ms: u64) -> TableNews {
+    TableNews {
+        declarations,
+        registrations,
+        age_ms: DurationMs(age_ms),
+    }
+}
+
+/// Guards against calls of the table that grow with the routers, and against a data centre in which
+/// nobody reads it: with any number of routers, one or two do, and one that is not heard does.
+#[test]
+fn few_routers_of_a_data_centre_read_the_tables() {
+    for count in 1..40 {
+        let mut aggregate = Aggregate::default();
+        for number in 0..count {
+            let (from, state) = router(number, 1, &[]);
+            aggregate.hear_router(from, state, TimeMs(1));
+        }
+        let loads = aggregate.loads();
+        let routers = (0..count).map(|number| router(number, 1, &[]).1.router);
+        let readers = routers.filter(|router| is_reader(router, &loads)).count();
+        assert_eq!(readers, usize::from(count.min(2)));
+        let other = router(200, 1, &[]).1.router;
+        assert!(is_reader(&other, &loads), "a router that is not heard");
+    }
+}
+
+/// Guards against a position that goes back when the word of a router that has read less comes
+/// later.
+#[test]
+fn positions_only_grow() {
+    let mut hints = TableHints::default();
+    assert!(hints.hear(news(5, 9, 100), TimeMs(0)));
+    assert!(!hints.hear(news(4, 7, 50), TimeMs(100)));
+    assert!(hints.hear(news(6, 7, 2_000), TimeMs(200)));
+    let fresh = hints.fresh(MOST_AGE_MS, TimeMs(300));
+    let fresh = fresh.expect("somebody has read the tables lately");
+    assert_eq!((fresh.declarations, fresh.registrations), (6, 9));
+}
+
+/// Guards against a router that waits for others while nobody is heard, or while the tables answer
+/// none of them.
+#[test]
+fn hints_end_with_silence_and_with_old_answers() {
+    let mut hints = TableHints::default();
+    assert_eq!(hints.fresh(MOST_AGE_MS, TimeMs(0)), None);
+    hints.hear(news(5, 9, 0), TimeMs(0));
+    assert!(hints.fresh(MOST_AGE_MS, TimeMs(1_000)).is_some());
+    assert_eq!(hints.fresh(MOST_AGE_MS, TimeMs(2_000)), None, "silence");
+    // Words go on to come, but the tables have answered nobody since.
+    for now in (0..10_000).step_by(200) {
+        hints.hear(news(5, 9, now), TimeMs(now));
+        let fresh = hints.fresh(MOST_AGE_MS, TimeMs(now)).is_some();
+        assert_eq!(fresh, now < MOST_AGE_MS.0, "after {now} ms");
+    }
+}
--- a/crates/follow/src/contents.rs
+++ b/crates/follow/src/contents.rs
@@ -26,7 +26,8 @@
     pub pause_ms: DurationMs,
 }
 
-/// Keeps `contents` up to date until the task is aborted.
+/// Keeps `contents` up to date until the task is aborted. The holder is not asked while another
+/// process tells its changes.
 pub async fn follow_contents(
     holder: SocketAddr,
     mut index: Box<dyn KvIndex>,
@@ -35,6 +36,10 @@
     clock: Arc<dyn Clock>,
 ) {
     loop {
+        if contents.borrow().is_told(clock.now()) {
+            tokio::time::sleep(pace.pause_ms.into()).await;
+            continue;
+        }
         let since = contents.borrow().next();
         let timeout_ms = pace.wait_ms + ANSWER_MS;
         let result = index.changes(since, pace.wait_ms, timeout_ms).await;
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -56,6 +56,31 @@
     pub pause_ms: DurationMs,
 }
 
+/// What follows an answer of the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// A call that waits for changes for so long.
+    Call(DurationMs),
+    /// Another look after a pause.
+    Later(DurationMs),
+}
+
+/// Decides when a feed is asked again.
+pub trait Pacer {
+    /// Returns what follows, with the position up to which the feed was read and the time since the
+    /// last answer.
+    fn turn(&self, position: TableVersion, answered_ms: DurationMs) -> Turn;
+}
+
+/// Asks again at once.
+struct Steady(DurationMs);
+
+impl Pacer for Steady {
+    fn turn(&self, _position: TableVersion, _answered_ms: DurationMs) -> Turn {
+        Turn::Call(self.0)
+    }
+}
+
 /// Part of a bound that a pause may take; the rest is for a slow table and for what follows.
 const PAUSE_PART: f64 = 0.4;
 
@@ -74,22 +99,41 @@
 /// A call that is under way while the table is silent is never answered, also not after its return.
 /// After a failure the calls therefore do not wait until one is answered.
 pub async fn follow<T>(
+    feed: Box<dyn Feed<T>>,
+    follower: impl Follower<T>,
+    pace: Pace,
+    clock: Arc<dyn Clock>,
+) {
+    let pacer = Box::new(Steady(pace.longest_wait_ms));
+    follow_at(feed, follower, (pace, pacer), clock).await;
+}
+
+/// Follows a feed whose calls a pacer decides on, until the task is aborted.
+pub async fn follow_at<T>(
     mut feed: Box<dyn Feed<T>>,
     mut follower: impl Follower<T>,
-    pace: Pace,
+    (pace, pacer): (Pace, Box<dyn Pacer>),
     clock: Arc<dyn Clock>,
 ) {
     let mut position = None;
     let mut lost_since = None;
     let mut pause_ms = RETRY_MS.0;
+    let mut answered = clock.now();
     loop {
         let called = clock.now();
         let result = match position {
             None => feed.snapshot(ANSWER_MS).await,
             Some(after) => {
-                let wait_ms = match lost_since {
-                    None => pace.longest_wait_ms,
-                    Some(_) => DurationMs::ZERO,
+                let turn = match lost_since {
+                    None => pacer.turn(after, clock.now().since(answered)),
+                    Some(_) => Turn::Call(DurationMs::ZERO),
+                };
+                let wait_ms = match turn {
+                    Turn::Call(wait_ms) => wait_ms,
+                    Turn::Later(pause_ms) => {
+                        tokio::time::sleep(pause_ms.into()).await;
+                        continue;
+                    }
                 };
                 feed.changes(after, wait_ms, wait_ms + ANSWER_MS).await
             }
@@ -107,6 +151,7 @@
                     Some(_) => follower.changes(items),
                 }
                 position = Some(version);
+                answered = clock.now();
                 follower.read_up_to(version);
                 pause_ms = RETRY_MS.0;
                 if is_change {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -197,6 +197,7 @@
         listed: Cell::new(false),
         place: RefCell::new(Direct::new(DirectSettings::builder().build())),
         view: RefCell::new(View::default()),
+        tables: RefCell::default(),
         listed_version: Cell::new(0),
         weights: RefCell::new(Weights::new(boot.bounds.weights_ms)),
         budgets: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,9 @@
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
+use dw_cache::KvChange;
+use dw_cache::KvPage;
+use dw_fleet::is_reader;
 use dw_fleet::router_mark;
 use dw_fleet::Members;
 use dw_fleet::Relays;
@@ -22,6 +25,7 @@
 use dw_wire::DataCentreState;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
+use dw_wire::KvNews;
 use dw_wire::Phase;
 use dw_wire::Roster;
 use dw_wire::RosterEntry;
@@ -53,6 +57,8 @@
     relays: Vec<SocketAddr>,
     outstanding: Vec<(SocketAddr, Tokens)>,
     named: Vec<(ModelId, WeightsVersion)>,
+    /// Positions in the platform's tables.
+    tables: Option<(u64, u64)>,
 }
 
 /// Telling and hearing of one router.
@@ -115,10 +121,12 @@
         let news = self.shared.weights.borrow().namings.news(now);
         let mut named: Vec<_> = news.into_iter().map(|n| (n.model, n.weights)).collect();
         named.sort();
+        let tables = self.shared.tables.borrow().news(now);
         Told {
             relays: self.relays.borrow_mut().choose(&order, now),
             outstanding: outstanding(&self.shared),
             named,
+            tables: tables.map(|tables| (tables.declarations, tables.registrations)),
         }
     }
 
@@ -142,6 +150,7 @@
             outstanding: told.outstanding.clone(),
             speeds: next_speeds(&self.shared, speeds_after),
             weights: self.shared.weights.borrow().namings.news(now),
+            tables: self.shared.tables.borrow().news(now),
         };
         self.loads.borrow_mut().told(now, told.outstanding.clone());
         for relay in &told.relays {
@@ -175,6 +184,10 @@
                         view.hear_cached(&state, now);
                     }
                 }
+                Datagram::Kv(news) => {
+                    self.shared.measures.heard("kv", bytes.len());
+                    hear_kv(&self.shared, news, now);
+                }
                 Datagram::Router(_) | Datagram::Engine(_) | Datagram::Roster(_) => {}
             }
         })
@@ -188,6 +201,9 @@
         for engine in state.engines {
             hear_engine(&self.shared, engine, now);
         }
+        if let Some(tables) = state.tables {
+            self.shared.tables.borrow_mut().hints.hear(tables, now);
+        }
         let Some(loads) = state.loads else {
             return;
         };
@@ -195,6 +211,8 @@
         let own = loads.heard.iter().find(|(mark, _)| *mark == own_mark);
         if let Some((_, stamp)) = own {
             self.heard.set(Some(*stamp));
+            let is_reader = is_reader(&self.shared.boot().node, &loads);
+            self.shared.tables.borrow_mut().is_reader = is_reader;
         }
         let mut view = self.shared.view.borrow_mut();
         view.hear_loads(&state.data_centre, &loads, now);
@@ -286,6 +304,31 @@
     u8::try_from(at).unwrap_or(u8::MAX)
 }
 
+/// Takes over what a relay has read of a store of kept KV cache.
+fn hear_kv(shared: &Shared, news: KvNews, now: TimeMs) {
+    let kv = shared.kv.borrow();
+    let Some(contents) = kv.get(&news.store) else {
+        return;
+    };
+    let mut contents = contents.borrow_mut();
+    if news.spans.is_empty() {
+        contents.doubt();
+    }
+    for span in news.spans {
+        let changes = span.changes.into_iter();
+        let page = KvPage {
+            since: span.since,
+            epoch: news.epoch,
+            next: span.next,
+            lost: false,
+            changes: changes
+                .map(|(key, tokens)| KvChange { key, tokens })
+                .collect(),
+        };
+        contents.hear(page, now);
+    }
+}
+
 fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
     let engine = state.engine;
     let phase = state.phase;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod request;
 mod routes;
 mod shared;
+mod tables;
 mod weights;
 
 pub use drain::Drain;
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,17 +2,26 @@
 
 use std::rc::Rc;
 
-use dw_follow::follow;
+use dw_follow::follow_at;
 use dw_follow::Follower;
 use dw_follow::Pace;
+use dw_member::Listed;
 use dw_port::Feed;
 use dw_port::Registration;
 use dw_port::TableVersion;
 
+use crate::gossip::tell_all;
 use crate::routes::longest_wait_ms;
 use crate::shared::Shared;
+use crate::tables::Followed;
+use crate::tables::TablePacer;
 
-struct Upstreams(Rc<Shared>);
+/// Takes in registrations.
+struct Upstreams {
+    shared: Rc<Shared>,
+    /// Whether what was read since the last position concerns all routers.
+    concerns_all: bool,
+}
 
 impl Follower<Registration> for Upstreams {
     fn name(&self) -> &'static str {
@@ -31,21 +40,22 @@
                 ),
             }
         }
-        let now = self.0.now();
+        let now = self.shared.now();
         log::info!(upstreams = all.len(); "registrations are read");
-        self.0.directory.borrow_mut().replace(all, now);
-        self.0.listed.set(true);
+        self.shared.directory.borrow_mut().replace(all, now);
+        self.shared.listed.set(true);
         self.forget();
     }
 
     fn changes(&mut self, items: Vec<Registration>) {
-        let now = self.0.now();
+        let now = self.shared.now();
         for item in items {
             match item {
                 Registration::Put(listed) => self.put(listed),
                 Registration::Removed(upstream) => {
                     log::info!(upstream:%; "registration is removed");
-                    self.0.directory.borrow_mut().remove(&upstream, now);
+                    self.concerns_all = true;
+                    self.shared.directory.borrow_mut().remove(&upstream, now);
                 }
                 Registration::Unreadable(row) => log::debug!(
                     key = row.key.as_str(), detail = row.detail.as_str();
@@ -57,23 +67,31 @@
     }
 
     fn read_up_to(&mut self, version: TableVersion) {
-        self.0.listed_version.set(version.0);
+        let now = self.shared.now();
+        self.shared.listed_version.set(version.0);
+        let mut tables = self.shared.tables.borrow_mut();
+        tables.answered(Followed::Registrations, now);
+        if std::mem::take(&mut self.concerns_all) {
+            tables.changed(Followed::Registrations, version);
+            tell_all(&self.shared);
+        }
     }
 
     fn lost(&mut self) {
-        let now = self.0.now();
-        self.0.directory.borrow_mut().table_lost(now);
+        let now = self.shared.now();
+        self.shared.directory.borrow_mut().table_lost(now);
     }
 
     fn answered(&mut self) {
-        let now = self.0.now();
-        self.0.directory.borrow_mut().table_answered(now);
+        let now = self.shared.now();
+        self.shared.directory.borrow_mut().table_answered(now);
     }
 }
 
 impl Upstreams {
-    fn put(&self, listed: dw_member::Listed) {
-        let mut directory = self.0.directory.borrow_mut();
+    fn put(&mut self, listed: Listed) {
+        self.concerns_all |= self.concerns_all(&listed);
+        let mut directory = self.shared.directory.borrow_mut();
         let known = directory.get(&listed.upstream).map(|entry| &entry.listed);
         let restarted = known.is_some_and(|known| known.born_ms != listed.born_ms);
         if known.is_none_or(|known| known.leaving != listed.leaving || restarted) {
@@ -84,18 +102,35 @@
             );
         }
         if restarted {
-            self.0.place.borrow_mut().cache_lost(&listed.upstream);
+            self.shared.place.borrow_mut().cache_lost(&listed.upstream);
         }
         directory.put(listed);
     }
 
+    /// Returns whether all routers should read a registration: its weights are told by its sidecar.
+    fn concerns_all(&self, listed: &Listed) -> bool {
+        let directory = self.shared.directory.borrow();
+        let Some(known) = directory.get(&listed.upstream) else {
+            return true;
+        };
+        let known = &known.listed;
+        let same = known.leaving == listed.leaving
+            && known.born_ms == listed.born_ms
+            && known.addr == listed.addr
+            && known.service == listed.service
+            && known.slots == listed.slots;
+        let view = self.shared.view.borrow();
+        let is_told = view.engine(listed.addr, self.shared.now()).is_some();
+        !same || (known.models != listed.models && !is_told)
+    }
+
     /// Drops what is kept for upstreams that are gone.
     fn forget(&self) {
-        let directory = self.0.directory.borrow();
+        let directory = self.shared.directory.borrow();
         let is_known = |id: &dw_base::UpstreamId| directory.get(id).is_some();
-        self.0.place.borrow_mut().retain(is_known);
-        self.0.weights.borrow_mut().retain(is_known);
-        let mut view = self.0.view.borrow_mut();
+        self.shared.place.borrow_mut().retain(is_known);
+        self.shared.weights.borrow_mut().retain(is_known);
+        let mut view = self.shared.view.borrow_mut();
         view.retain(|addr| directory.at(addr).is_some());
     }
 }
@@ -107,5 +142,14 @@
         longest_wait_ms: longest_wait_ms(&shared),
         pause_ms: Pace::pause_within(shared.boot().bounds.leaving_ms),
     };
-    follow(feed, Upstreams(shared), pace, clock).await;
+    let pacer = TablePacer {
+        shared: shared.clone(),
+        table: Followed::Registrations,
+        longest_wait_ms: pace.longest_wait_ms,
+    };
+    let upstreams = Upstreams {
+        shared,
+        concerns_all: true,
+    };
+    follow_at(feed, upstreams, (pace, Box::new(pacer)), clock).await;
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -3,19 +3,22 @@
 use std::rc::Rc;
 
 use dw_base::DurationMs;
-use dw_follow::follow;
+use dw_follow::follow_at;
 use dw_follow::Follower;
 use dw_follow::Pace;
 use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
 use dw_port::NamedWeights;
+use dw_port::TableVersion;
 use dw_route::RouteTable;
 use dw_route::RouteTableParts;
 
 use crate::ages::Ages;
 use crate::gossip::tell_all;
 use crate::shared::Shared;
+use crate::tables::Followed;
+use crate::tables::TablePacer;
 
 /// Pause after a changed declaration.
 const PAUSE_MS: DurationMs = DurationMs(100);
@@ -32,7 +35,13 @@
     DurationMs((config_ms * WAIT_FACTOR) as u64)
 }
 
-struct Routes(Rc<Shared>, Ages);
+/// Takes in declarations.
+struct Routes {
+    shared: Rc<Shared>,
+    ages: Ages,
+    /// Whether a configuration was read since the last position.
+    has_new_routes: bool,
+}
 
 impl Follower<Declaration> for Routes {
     fn name(&self) -> &'static str {
@@ -46,11 +55,21 @@
     fn changes(&mut self, items: Vec<Declaration>) {
         self.take(items, true);
     }
+
+    fn read_up_to(&mut self, version: TableVersion) {
+        let now = self.shared.now();
+        let mut tables = self.shared.tables.borrow_mut();
+        tables.answered(Followed::Declarations, now);
+        if std::mem::take(&mut self.has_new_routes) {
+            tables.changed(Followed::Declarations, version);
+            tell_all(&self.shared);
+        }
+    }
 }
 
 impl Routes {
     /// Takes in declarations; `is_news` if they were made just now.
-    fn take(&self, items: Vec<Declaration>, is_news: bool) {
+    fn take(&mut self, items: Vec<Declaration>, is_news: bool) {
         for item in items {
             match item {
                 Declaration::Routes(parts) => self.routes(*parts),
@@ -66,12 +85,12 @@
     /// Takes over named weights. The time of the naming is kept in the table, so that a process
     /// that starts later knows how old they are.
     fn weights(&self, named: &NamedWeights, is_news: bool) {
-        let now = self.0.now();
+        let now = self.shared.now();
         let newest = Newest {
             weights: named.weights,
             fence: named.fence,
         };
-        let mut weights = self.0.weights.borrow_mut();
+        let mut weights = self.shared.weights.borrow_mut();
         if !weights.namings.name(&named.model, newest, now) {
             return;
         }
@@ -79,25 +98,26 @@
             model:% = named.model, weights:% = named.weights, fence:% = named.fence, is_news;
             "weights are named"
         );
-        tell_all(&self.0);
+        tell_all(&self.shared);
         match is_news {
-            true => self.1.record(named),
-            false => self.1.recall(),
+            true => self.ages.record(named),
+            false => self.ages.recall(),
         }
     }
 
     /// Puts a configuration in force unless a newer one is; a version never goes back.
-    fn routes(&self, parts: RouteTableParts) {
-        let current = self.0.routes().map(|routes| routes.version());
+    fn routes(&mut self, parts: RouteTableParts) {
+        let current = self.shared.routes().map(|routes| routes.version());
         if current.is_some_and(|current| current >= parts.version) {
             return;
         }
+        self.has_new_routes = true;
         let routes = RouteTable::new(parts);
         log::info!(
             config_version:% = routes.version(), routes = routes.route_count();
             "configuration is in force"
         );
-        *self.0.routes.borrow_mut() = Some(Rc::new(routes));
+        *self.shared.routes.borrow_mut() = Some(Rc::new(routes));
     }
 }
 
@@ -112,5 +132,15 @@
         longest_wait_ms: longest_wait_ms(&shared),
         pause_ms: PAUSE_MS,
     };
-    follow(feed, Routes(shared, ages), pace, clock).await;
+    let pacer = TablePacer {
+        shared: shared.clone(),
+        table: Followed::Declarations,
+        longest_wait_ms: pace.longest_wait_ms,
+    };
+    let routes = Routes {
+        shared,
+        ages,
+        has_new_routes: false,
+    };
+    follow_at(feed, routes, (pace, Box::new(pacer)), clock).await;
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::connections::Connections;
 use crate::measures::Measures;
 use crate::pool::Pool;
+use crate::tables::Tables;
 use crate::weights::Weights;
 
 /// State that all tasks of a gateway share.
@@ -39,6 +40,7 @@
     pub(crate) place: RefCell<Direct>,
     /// What relays tell of engines.
     pub(crate) view: RefCell<View>,
+    pub(crate) tables: RefCell<Tables>,
     /// Position of the registrations in the history of the platform's table.
     pub(crate) listed_version: Cell<u64>,
     pub(crate) weights: RefCell<Weights>,
--- /dev/null
+++ b/crates/gateway/src/tables.rs
@@ -0,0 +1,120 @@
+//! How far this router has read the platform's tables, and when it reads on.
+
+use std::rc::Rc;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_fleet::TableHints;
+use dw_follow::Pacer;
+use dw_follow::Turn;
+use dw_port::TableVersion;
+use dw_wire::TableNews;
+
+use crate::shared::Shared;
+
+/// Pause between looks at what others tell.
+const LOOK_MS: DurationMs = DurationMs(150);
+
+/// Time after which a table is read though others tell of no change.
+const UNASKED_MS: DurationMs = DurationMs(30_000);
+
+/// Time beyond the longest wait of a call in which its answer arrives.
+const ANSWER_MS: DurationMs = DurationMs(1_000);
+
+/// A table that is followed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Followed {
+    /// What operators declare.
+    Declarations,
+    /// Which upstreams are registered.
+    Registrations,
+}
+
+/// How far this router has read the platform's tables, and what others have told.
+#[derive(Clone, Debug)]
+pub(crate) struct Tables {
+    /// Whether this router reads all changes, as some in each data centre do.
+    pub(crate) is_reader: bool,
+    pub(crate) hints: TableHints,
+    declarations: u64,
+    registrations: u64,
+    answered: [Option<TimeMs>; 2],
+}
+
+impl Default for Tables {
+    fn default() -> Self {
+        Tables {
+            is_reader: true,
+            hints: TableHints::default(),
+            declarations: 0,
+            registrations: 0,
+            answered: [None; 2],
+        }
+    }
+}
+
+impl Tables {
+    /// Records an answer of a table.
+    pub(crate) fn answered(&mut self, table: Followed, now: TimeMs) {
+        self.answered[table as usize] = Some(now);
+    }
+
+    /// Records that a change up to a position concerns all routers.
+    pub(crate) fn changed(&mut self, table: Followed, version: TableVersion) {
+        let position = match table {
+            Followed::Declarations => &mut self.declarations,
+            Followed::Registrations => &mut self.registrations,
+        };
+        *position = version.0.max(*position);
+    }
+
+    /// Returns what to tell the others, if this router reads all changes and both tables have
+    /// answered.
+    pub(crate) fn news(&self, now: TimeMs) -> Option<TableNews> {
+        let [declarations, registrations] = self.answered;
+        let answered = declarations?.min(registrations?);
+        self.is_reader.then(|| TableNews {
+            declarations: self.declarations,
+            registrations: self.registrations,
+            age_ms: now.since(answered),
+        })
+    }
+
+    fn turn(
+        &self,
+        table: Followed,
+        longest_wait_ms: DurationMs,
+        position: TableVersion,
+        now: TimeMs,
+    ) -> Turn {
+        let fresh = self.hints.fresh(longest_wait_ms + ANSWER_MS, now);
+        let Some(news) = fresh.filter(|_| !self.is_reader) else {
+            return Turn::Call(longest_wait_ms);
+        };
+        let changed = match table {
+            Followed::Declarations => news.declarations,
+            Followed::Registrations => news.registrations,
+        };
+        let answered = self.answered[table as usize].unwrap_or_default();
+        let is_due = changed > position.0 || now.since(answered) >= UNASKED_MS;
+        match is_due {
+            true => Turn::Call(DurationMs::ZERO),
+            false => Turn::Later(LOOK_MS),
+        }
+    }
+}
+
+/// Reads a table on once this or another router has to.
+pub(crate) struct TablePacer {
+    pub(crate) shared: Rc<Shared>,
+    pub(crate) table: Followed,
+    pub(crate) longest_wait_ms: DurationMs,
+}
+
+impl Pacer for TablePacer {
+    fn turn(&self, position: TableVersion, _answered_ms: DurationMs) -> Turn {
+        let tables = self.shared.tables.borrow();
+        let now = self.shared.now();
+        tables.turn(self.table, self.longest_wait_ms, position, now)
+    }
+}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -14,6 +14,7 @@
 use dw_wire::WeightsNews;
 
 use crate::own_state::OwnState;
+use crate::relay::Relay;
 use crate::relay::RelayTeller;
 use crate::sidecar::Shared;
 
@@ -43,9 +44,14 @@
         match datagram {
             Datagram::Router(state) => {
                 take_news(&shared, &state.weights, now, "router");
+                if let Some(tables) = state.tables {
+                    shared.hints.borrow_mut().hear(tables, now);
+                }
                 let mut relay = shared.relay.borrow_mut();
                 relay.used(now);
-                if relay.aggregate.hear_router(from, state, now) {
+                let before = positions(&relay, now);
+                let is_first = relay.aggregate.hear_router(from, state, now);
+                if is_first || positions(&relay, now) != before {
                     shared.changed.notify_one();
                 }
             }
@@ -65,11 +71,18 @@
                 hear_data_centre(&shared, from, state, bytes);
             }
             Datagram::Roster(roster) => hear_roster(&shared, roster),
+            Datagram::Kv(_) => {}
         }
     })
     .await;
 }
 
+/// Returns the positions up to which the platform's tables have changed.
+fn positions(relay: &Relay, now: TimeMs) -> Option<(u64, u64)> {
+    let tables = relay.aggregate.tables(now)?;
+    Some((tables.declarations, tables.registrations))
+}
+
 fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
     let mut relay = shared.relay.borrow_mut();
     relay.used(now);
@@ -94,6 +107,9 @@
 fn hear_data_centre(shared: &Shared, from: SocketAddr, told: DataCentreState, bytes: &[u8]) {
     let now = shared.clock.now();
     take_news(shared, &told.weights, now, "relay");
+    if let Some(tables) = told.tables {
+        shared.hints.borrow_mut().hear(tables, now);
+    }
     let is_relayed = is_own_data_centre(shared, from);
     if !is_relayed && told.data_centre != shared.data_centre {
         let mut relay = shared.relay.borrow_mut();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod sidecar;
 mod state;
+mod stores;
 mod weights;
 
 pub use sidecar::Sidecar;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -37,6 +37,7 @@
         engine: Box::new(EngineCalls::new(engine)),
         cache: Box::new(KvEvents::new(engine)),
         declarations: Box::new(Declarations::new(table)),
+        stores: Box::new(|store| Box::new(KvEvents::new(store))),
     })
     .await?;
     // The sidecar takes its settings at its start; a changed file must not end it.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -72,7 +72,8 @@
         self.used = Some(now);
     }
 
-    fn is_used(&self, now: TimeMs) -> bool {
+    /// Returns whether a process has used this sidecar as a relay lately.
+    pub(crate) fn is_used(&self, now: TimeMs) -> bool {
         self.used.is_some_and(|used| now.since(used) < RELAY_MS)
     }
 }
@@ -94,6 +95,7 @@
     roster_at: TimeMs,
     roster_engines: usize,
     named: Vec<(ModelId, WeightsVersion)>,
+    tables: Option<(u64, u64)>,
 }
 
 impl RelayTeller {
@@ -139,10 +141,13 @@
         let engines = shared.relay.borrow_mut().aggregate.take_news();
         let news = shared.state.borrow().namings.news(now);
         let named: Vec<_> = news.into_iter().map(|n| (n.model, n.weights)).collect();
-        if engines.is_empty() && named == self.named {
+        let tables = shared.relay.borrow().aggregate.tables(now);
+        let tables = tables.map(|tables| (tables.declarations, tables.registrations));
+        if engines.is_empty() && named == self.named && tables == self.tables {
             return;
         }
         self.named = named;
+        self.tables = tables;
         let mut receivers = shared.relay.borrow().aggregate.routers();
         receivers.extend(shared.near_sidecars());
         receivers.extend(others);
@@ -231,6 +236,7 @@
         engines,
         loads,
         weights: shared.state.borrow().namings.news(now),
+        tables: shared.relay.borrow().aggregate.tables(now),
     })
 }
 
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -10,6 +10,7 @@
 use dw_base::NodeId;
 use dw_base::TimeMs;
 use dw_fleet::Relays;
+use dw_fleet::TableHints;
 use dw_net::datagrams;
 use dw_net::start_text;
 use dw_net::BindError;
@@ -30,6 +31,7 @@
 use crate::orders;
 use crate::relay::Relay;
 use crate::state::State;
+use crate::stores::follow_stores;
 use crate::weights::follow_weights;
 
 /// A sidecar cannot start.
@@ -57,6 +59,8 @@
     pub cache: Box<dyn KvIndex>,
     /// What operators declare.
     pub declarations: Box<dyn Feed<Declaration>>,
+    /// Connects to a store of kept KV cache.
+    pub stores: Box<dyn Fn(SocketAddr) -> Box<dyn KvIndex>>,
 }
 
 /// State that all tasks of a sidecar share, on its only thread.
@@ -69,12 +73,21 @@
     pub(crate) state: RefCell<State>,
     pub(crate) socket: UdpSocket,
     pub(crate) relays: RefCell<Relays>,
+    /// What routers have read of the platform's tables.
+    pub(crate) hints: RefCell<TableHints>,
+    /// Stores of kept KV cache.
+    pub(crate) stores: RefCell<Vec<SocketAddr>>,
     pub(crate) relay: RefCell<Relay>,
     pub(crate) measures: Measures,
     pub(crate) changed: Notify,
 }
 
 impl Shared {
+    /// Returns whether other processes use this sidecar as a relay.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.relay.borrow().is_used(self.clock.now())
+    }
+
     /// Returns the relays of the own data centre.
     pub(crate) fn own_relays(&self, now: TimeMs) -> Vec<SocketAddr> {
         let order = self.state.borrow().members.relay_order(&self.data_centre);
@@ -143,6 +156,8 @@
             clock: parts.clock,
             socket,
             relays: RefCell::default(),
+            hints: RefCell::default(),
+            stores: RefCell::default(),
             relay: RefCell::default(),
             state: RefCell::new(State::new(engine, boot.bounds.weights_ms)),
             changed: Notify::new(),
@@ -157,6 +172,7 @@
             metrics_addr = Some(bound);
         }
         spawn_local(follow_weights(shared.clone(), parts.declarations));
+        spawn_local(follow_stores(shared.clone(), parts.stores));
         spawn_local(follow_cache(shared.clone(), parts.cache));
         spawn_local(gossip::tell_others(shared.clone()));
         spawn_local(gossip::hear_others(shared.clone()));
--- a/crates/sidecar/src/weights.rs
+++ b/crates/sidecar/src/weights.rs
@@ -3,21 +3,48 @@
 use std::rc::Rc;
 
 use dw_base::DurationMs;
-use dw_follow::follow;
+use dw_follow::follow_at;
 use dw_follow::Follower;
 use dw_follow::Pace;
+use dw_follow::Pacer;
+use dw_follow::Turn;
 use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
+use dw_port::TableVersion;
 
 use crate::sidecar::Shared;
 
-/// Calls are rare, since routers tell of named weights, too.
+/// Pauses while no router tells that it reads the table.
 const PACE: Pace = Pace {
     longest_wait_ms: DurationMs(10_000),
     pause_ms: DurationMs(100),
 };
 
+/// Age of what routers have read from which the table is asked.
+const READ_MS: DurationMs = DurationMs(10_000);
+
+/// Time after which the table is asked though routers read it.
+const UNASKED_MS: DurationMs = DurationMs(30_000);
+
+/// Pause between looks at what routers tell.
+const LOOK_MS: DurationMs = DurationMs(500);
+
+/// Leaves the table to the routers while they read it: they tell of named weights at once.
+struct Rarely(Rc<Shared>);
+
+impl Pacer for Rarely {
+    fn turn(&self, _position: TableVersion, answered_ms: DurationMs) -> Turn {
+        let now = self.0.clock.now();
+        let is_read = self.0.hints.borrow().fresh(READ_MS, now).is_some();
+        match (is_read, answered_ms >= UNASKED_MS) {
+            (false, _) => Turn::Call(PACE.longest_wait_ms),
+            (true, true) => Turn::Call(DurationMs::ZERO),
+            (true, false) => Turn::Later(LOOK_MS),
+        }
+    }
+}
+
 struct Names(Rc<Shared>);
 
 impl Follower<Declaration> for Names {
@@ -32,7 +59,10 @@
     fn changes(&mut self, items: Vec<Declaration>) {
         for item in items {
             match item {
-                Declaration::Routes(_) => {}
+                Declaration::Routes(parts) => {
+                    let stores = parts.kv_stores.iter().map(|store| store.addr);
+                    *self.0.stores.borrow_mut() = stores.collect();
+                }
                 Declaration::Weights(news) => {
                     let now = self.0.clock.now();
                     let newest = Newest {
@@ -60,5 +90,6 @@
 /// Follows named weights until the task is aborted.
 pub(crate) async fn follow_weights(shared: Rc<Shared>, feed: Box<dyn Feed<Declaration>>) {
     let clock = shared.clock.clone();
-    follow(feed, Names(shared), PACE, clock).await;
+    let pacer = Box::new(Rarely(shared.clone()));
+    follow_at(feed, Names(shared), (PACE, pacer), clock).await;
 }
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -208,6 +208,7 @@
             engine: Box::new(FakeEngine(life.clone())),
             cache: Box::new(SilentCache),
             declarations: Box::new(Names(0)),
+            stores: Box::new(|_| Box::new(SilentCache)),
         });
         let sidecar = sidecar.await.expect("sidecar starts");
         tokio::time::sleep(Duration::from_secs(4)).await;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -11,6 +11,7 @@
 //! | [`CachedState`] | sidecar, relay | relays, routers |
 //! | [`DataCentreState`] | relay | routers and sidecars of its data centre, relays of the others |
 //! | [`Roster`] | router, relay | relays, sidecars |
+//! | [`KvNews`] | relay | routers of its data centre |
 
 use std::net::SocketAddr;
 
@@ -20,6 +21,7 @@
 use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
 use dw_base::NodeId;
+use dw_base::PartKey;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
@@ -62,6 +64,17 @@
     pub earlier: Vec<(WeightsVersion, DurationMs)>,
 }
 
+/// How far routers have read the platform's tables.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableNews {
+    /// Position of the last change of the configuration.
+    pub declarations: u64,
+    /// Position of the last change of registrations that concerns all routers.
+    pub registrations: u64,
+    /// Time since the tables last answered.
+    pub age_ms: DurationMs,
+}
+
 /// State of a router.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouterState {
@@ -77,6 +90,8 @@
     pub speeds: Vec<(SocketAddr, MeasuredSpeeds)>,
     /// Named weights.
     pub weights: Vec<WeightsNews>,
+    /// What it has read; absent if it reads only what others tell it to read.
+    pub tables: Option<TableNews>,
 }
 
 /// State of an engine, as its sidecar tells it.
@@ -136,6 +151,31 @@
     pub loads: Option<RouterLoads>,
     /// Named weights that the relay has heard of.
     pub weights: Vec<WeightsNews>,
+    /// What the routers of the data centre have read.
+    pub tables: Option<TableNews>,
+}
+
+/// Changes of what a store of kept KV cache holds, between two positions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KvSpan {
+    /// Position before the changes.
+    pub since: u64,
+    /// Position after them.
+    pub next: u64,
+    /// Parts with the tokens that are kept now.
+    pub changes: Vec<(PartKey, Tokens)>,
+}
+
+/// What a relay has read of a store of kept KV cache.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KvNews {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Life of the store.
+    pub epoch: u64,
+    /// Spans that follow one another; the first ones are repeated, as a datagram may be lost. None if
+    /// the store does not answer.
+    pub spans: Vec<KvSpan>,
 }
 
 /// One registered model engine.
@@ -175,4 +215,6 @@
     DataCentre(DataCentreState),
     /// From a router or a relay.
     Roster(Roster),
+    /// From a relay.
+    Kv(KvNews),
 }
