sidecar: only processes of its data centre make a sidecar a relay

Cause: a relay takes one of another data centre for silent if that one uses others.

Change: a word of a relay of another data centre makes a sidecar no relay; a relay also tells those that tell it something.

--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -113,7 +113,7 @@
     let is_relayed = is_own_data_centre(shared, from);
     if !is_relayed && told.data_centre != shared.data_centre {
         let mut relay = shared.relay.borrow_mut();
-        relay.used(now);
+        relay.called(from, now);
         let receivers = relay.pass_on.decide(from, &told, now);
         if receivers.routers {
             pass_on(&shared.socket, &relay.aggregate.listeners(), bytes);
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -1,5 +1,6 @@
 //! What a sidecar tells as a relay of its data centre.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use dw_base::DurationMs;
@@ -64,14 +65,34 @@
     pub(crate) aggregate: Aggregate,
     pub(crate) pass_on: PassOn,
     used: Option<TimeMs>,
+    /// Relays of other data centres that have told this one something lately.
+    callers: BTreeMap<SocketAddr, TimeMs>,
 }
 
 impl Relay {
-    /// Records that a process uses this sidecar as a relay.
+    /// Records that a process of the data centre uses this sidecar as a relay.
     pub(crate) fn used(&mut self, now: TimeMs) {
         self.used = Some(now);
     }
 
+    /// Records that a relay of another data centre uses this sidecar.
+    ///
+    /// That alone makes it no relay: two sidecars that are not used by their own data centres would
+    /// keep one another at it.
+    pub(crate) fn called(&mut self, from: SocketAddr, now: TimeMs) {
+        self.callers.insert(from, now);
+    }
+
+    /// Adds the relays that use this one, so that they do not take it for silent.
+    fn add_callers(&mut self, relays: &mut Vec<SocketAddr>, now: TimeMs) {
+        self.callers.retain(|_, at| now.since(*at) < RELAY_MS);
+        for caller in self.callers.keys() {
+            if !relays.contains(caller) {
+                relays.push(*caller);
+            }
+        }
+    }
+
     /// Returns whether a process has used this sidecar as a relay lately.
     pub(crate) fn is_used(&self, now: TimeMs) -> bool {
         self.used.is_some_and(|used| now.since(used) < RELAY_MS)
@@ -107,7 +128,8 @@
             shared.relay.borrow_mut().aggregate.take_news();
             return now + RELAY_MS;
         }
-        let others = shared.other_relays(now);
+        let mut others = shared.other_relays(now);
+        shared.relay.borrow_mut().add_callers(&mut others, now);
         self.tell_roster(shared, &others, now).await;
         self.tell_news(shared, &others, now).await;
         if now >= self.near.due {
