--- /dev/null
+++ b/crates/sidecar/tests/relays.rs
@@ -0,0 +1,281 @@
+//! Sidecars of two data centres on loopback addresses, with routers that tell them.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dw_base::Bytes;
+use dw_base::Clock;
+use dw_base::DurationMs;
+use dw_base::SystemClock;
+use dw_base::Tokens;
+use dw_base::WeightsVersion;
+use dw_cache::KvPage;
+use dw_fleet::Members;
+use dw_platform::boot::Bounds;
+use dw_platform::Boot;
+use dw_port::Declaration;
+use dw_port::Engine;
+use dw_port::EngineError;
+use dw_port::Feed;
+use dw_port::FeedError;
+use dw_port::KvError;
+use dw_port::KvIndex;
+use dw_port::Order;
+use dw_port::OrderAnswer;
+use dw_port::Page;
+use dw_port::Report;
+use dw_port::TableVersion;
+use dw_sidecar::Sidecar;
+use dw_sidecar::SidecarParts;
+use dw_wire::decode;
+use dw_wire::tell;
+use dw_wire::Datagram;
+use dw_wire::Roster;
+use dw_wire::RosterEntry;
+use dw_wire::RouterState;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::task::LocalSet;
+
+const DATA_CENTRES: u8 = 2;
+const ENGINES: u8 = 5;
+
+struct Quiet;
+
+#[async_trait]
+impl Engine for Quiet {
+    async fn report(&mut self, _: DurationMs) -> Result<Report, EngineError> {
+        Ok(Report {
+            models: vec![("m".parse().expect("name is valid"), WeightsVersion(1))],
+            born_ms: 7,
+            ..Report::default()
+        })
+    }
+
+    async fn order(&mut self, _: &Order, _: DurationMs) -> Result<OrderAnswer, EngineError> {
+        Ok(OrderAnswer::Holds)
+    }
+}
+
+#[async_trait]
+impl KvIndex for Quiet {
+    async fn changes(&mut self, _: u64, _: DurationMs, _: DurationMs) -> Result<KvPage, KvError> {
+        std::future::pending().await
+    }
+}
+
+#[async_trait]
+impl Feed<Declaration> for Quiet {
+    async fn snapshot(&mut self, _: DurationMs) -> Result<Page<Declaration>, FeedError> {
+        std::future::pending().await
+    }
+
+    async fn changes(
+        &mut self,
+        _: TableVersion,
+        _: DurationMs,
+        _: DurationMs,
+    ) -> Result<Page<Declaration>, FeedError> {
+        std::future::pending().await
+    }
+}
+
+fn ip(data_centre: u8, number: u8) -> IpAddr {
+    IpAddr::from([127, 0, data_centre + 1, number + 1])
+}
+
+fn engine(data_centre: u8, number: u8) -> SocketAddr {
+    SocketAddr::new(ip(data_centre, number), 1)
+}
+
+fn boot(data_centre: u8, number: u8, port: u16) -> Boot {
+    Boot {
+        node: format!("side-{data_centre}-{number}")
+            .parse()
+            .expect("name"),
+        ip: ip(data_centre, number),
+        data_centre: format!("dc-{data_centre}").parse().expect("name"),
+        data_centres: Vec::new(),
+        callers: None,
+        ready: None,
+        inner_ports: (port, port),
+        memory: Bytes(192_000_000),
+        engine: Some(engine(data_centre, number)),
+        table: "127.0.0.1:1".parse().expect("address is valid"),
+        heartbeat_ms: DurationMs(1_200),
+        bounds: Bounds {
+            grace_ms: DurationMs(8_000),
+            leaving_ms: DurationMs(2_000),
+            config_ms: DurationMs(2_000),
+            retry_ratio: 0.2,
+            retry_slack: 56.0,
+            retry_window_ms: DurationMs(10_000),
+            weights_ms: DurationMs(6_000),
+        },
+    }
+}
+
+fn roster() -> Roster {
+    let all = (0..DATA_CENTRES).flat_map(|data_centre| {
+        (0..ENGINES).map(move |number| RosterEntry {
+            engine: engine(data_centre, number),
+            data_centre,
+            service: 0,
+        })
+    });
+    let names = (0..DATA_CENTRES).map(|number| format!("dc-{number}"));
+    Roster {
+        version: 5,
+        data_centres: names.map(|name| name.parse().expect("name")).collect(),
+        services: vec!["s".parse().expect("name is valid")],
+        engines: all.collect(),
+    }
+}
+
+async fn start(data_centre: u8, number: u8, port: u16) -> Option<Sidecar> {
+    let sidecar = Sidecar::start(SidecarParts {
+        boot: boot(data_centre, number, port),
+        metrics_port: Some(0),
+        clock: Arc::new(SystemClock::new()),
+        engine: Box::new(Quiet),
+        cache: Box::new(Quiet),
+        declarations: Box::new(Quiet),
+        stores: Box::new(|_| Box::new(Quiet)),
+    });
+    sidecar.await.ok()
+}
+
+/// Starts all sidecars on one port that is free on all addresses.
+async fn start_all() -> (u16, Vec<Sidecar>) {
+    loop {
+        let probe = UdpSocket::bind("127.0.0.1:0").await.expect("port is free");
+        let port = probe.local_addr().expect("socket has an address").port();
+        let mut started = Vec::new();
+        for data_centre in 0..DATA_CENTRES {
+            for number in 0..ENGINES {
+                started.extend(start(data_centre, number, port).await);
+            }
+        }
+        if started.len() == usize::from(DATA_CENTRES * ENGINES) {
+            return (port, started);
+        }
+    }
+}
+
+/// Returns how many states a sidecar has told its data centre.
+async fn told(sidecar: &Sidecar) -> u64 {
+    let addr = sidecar.metrics_addr().expect("metrics are served");
+    let mut stream = TcpStream::connect(addr).await.expect("metrics accept");
+    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("request is sent");
+    let mut text = String::new();
+    let read = stream.read_to_string(&mut text).await;
+    read.expect("metrics answer");
+    let line = text
+        .lines()
+        .find(|line| line.contains("told_total{kind=\"near\"}"));
+    let count = line.and_then(|line| line.rsplit(' ').next());
+    count.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
+/// A router of one data centre.
+struct Router {
+    socket: UdpSocket,
+    data_centre: u8,
+    port: u16,
+}
+
+impl Router {
+    async fn start(data_centre: u8, port: u16) -> Self {
+        let socket = UdpSocket::bind(SocketAddr::new(ip(data_centre, 100), 0)).await;
+        Router {
+            socket: socket.expect("port is free"),
+            data_centre,
+            port,
+        }
+    }
+
+    /// Tells these engines' sidecars what a router tells relays.
+    async fn tell(&self, engines: &[SocketAddr]) {
+        let state = RouterState {
+            router: format!("router-{}", self.data_centre)
+                .parse()
+                .expect("name"),
+            stamp: SystemClock::new().now(),
+            listens: true,
+            outstanding: vec![(engine(1, 1), Tokens(100))],
+            speeds: Vec::new(),
+            weights: Vec::new(),
+            tables: None,
+        };
+        for addr in engines {
+            let to = SocketAddr::new(addr.ip(), self.port);
+            tell(&self.socket, to, &Datagram::Roster(roster())).await;
+            tell(&self.socket, to, &Datagram::Router(state.clone())).await;
+        }
+    }
+
+    /// Returns the engines that this router has been told of since the last call.
+    fn engines(&self) -> Vec<SocketAddr> {
+        let mut buffer = vec![0; 65_536];
+        let mut engines = Vec::new();
+        while let Ok(length) = self.socket.try_recv(&mut buffer) {
+            if let Ok(Datagram::DataCentre(state)) = decode(&buffer[..length]) {
+                engines.extend(state.engines.iter().map(|state| state.engine));
+            }
+        }
+        engines.sort_unstable();
+        engines.dedup();
+        engines
+    }
+}
+
+/// Guards against sidecars that keep one another at being relays: on quiet-1 of a site with 144
+/// sidecars, 59 were. Routers that used others for a moment, as at a start, leave two relays in each
+/// data centre, and every router hears of all engines from them.
+#[test]
+fn two_relays_a_data_centre_remain() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (port, sidecars) = start_all().await;
+        let mut members = Members::default();
+        members.hear(roster());
+        let mut routers = Vec::new();
+        for data_centre in 0..DATA_CENTRES {
+            let router = Router::start(data_centre, port).await;
+            let name = format!("dc-{data_centre}").parse().expect("name");
+            let order = members.relay_order(&name);
+            router.tell(&order).await;
+            routers.push((router, order));
+        }
+        let mut before = vec![0; sidecars.len()];
+        for _ in 0..40 {
+            for _ in 0..5 {
+                for (router, order) in &routers {
+                    router.tell(&order[..2]).await;
+                }
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            let mut at_work = 0;
+            for (sidecar, before) in sidecars.iter().zip(&mut before) {
+                let now = told(sidecar).await;
+                at_work += usize::from(now > *before);
+                *before = now;
+            }
+            let heard = routers.iter().map(|(router, _)| router.engines().len());
+            let hears_all = heard.min() == Some(usize::from(DATA_CENTRES * ENGINES));
+            if at_work == usize::from(2 * DATA_CENTRES) && hears_all {
+                return;
+            }
+        }
+        panic!("there are other relays than two in each data centre");
+    });
+}
