net, platform: answers of the store, of engines and of KV stores have a bounded length

Cause: an upstream in trouble may send bytes without end. Calls collected whole bodies until their time was over: with 2 Gbit/s a sidecar with 192 MB is full in less than a second.

Ruled out, each by a test that passed at once: answers, heads, interim answers and refusals without end from upstreams on the path of requests, and heads and bodies without end from callers.

Also: cut_off_node_is_named_and_catches_up prints the log of the frozen process when it fails; it did so in 1 of 8 runs beside other plays.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`connect`] sets the socket options that make a connection end when its peer falls silent.
 
 mod bind;
+mod body;
 mod connect;
 mod describe;
 mod error;
@@ -11,6 +12,8 @@
 pub use bind::datagrams;
 pub use bind::listen;
 pub use bind::BindError;
+pub use body::read_body;
+pub use body::BodyError;
 pub use connect::connect;
 pub use connect::Connection;
 pub use connect::Dial;
--- a/crates/proof/tests/config.rs
+++ b/crates/proof/tests/config.rs
@@ -348,9 +348,12 @@
         );
     }
     let back = || async { version_at(frozen.control).await >= version };
-    until("the node has the change", back)
-        .await
-        .expect("no hang");
+    let caught_up = until("the node has the change", back).await;
+    if let Err(e) = caught_up {
+        let seen = version_at(frozen.control).await;
+        let log = frozen.process.log().join("\n");
+        panic!("{e}; it announces {seen} and not {version}; its log:\n{log}");
+    }
 }
 
 /// Guards against a router that serves although it can reach neither the table nor a peer.
