gateway, fleet: a router whose configuration is behind says so

It answered 401 to keys that had been added meanwhile, and callers do not repeat after a 401, though every other gateway would have served them.

Ruled out: waiting for the table, which had refused all calls; a retry of the callers, which a 401 rules out.

Change: relays tell how far others have read. While that lies ahead of the own configuration, a request that this does not allow is answered 503 with a time to come back in place of 401 or 404.

--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -60,6 +60,15 @@
         Some(TableNews { age_ms, ..news })
     }
 
+    /// Returns whether others have told lately of a configuration beyond a position.
+    ///
+    /// Load pattern: the tables turn some routers away while an operator adds keys and routes. What
+    /// such a router does not know is not unknown to the others.
+    pub fn is_behind(&self, declarations: u64, now: TimeMs) -> bool {
+        let heard = self.news.filter(|(_, at)| now.since(*at) < HEARD_MS);
+        heard.is_some_and(|(news, _)| news.declarations > declarations)
+    }
+
     /// Returns the positions up to which the tables have changed, if somebody has told lately that
     /// they answered within `most_age_ms`.
     pub fn fresh(&self, most_age_ms: DurationMs, now: TimeMs) -> Option<TableNews> {
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -53,6 +53,18 @@
     assert_eq!((fresh.declarations, fresh.registrations), (6, 9));
 }
 
+/// Guards against a final refusal of a key or a route that others know: a router that has not read
+/// the last configuration says so, until it has read it or nobody tells of one any more.
+#[test]
+fn router_knows_that_its_configuration_is_behind() {
+    let mut hints = TableHints::default();
+    assert!(!hints.is_behind(3, TimeMs(0)), "nobody has told");
+    hints.hear(news(5, 9, 100), TimeMs(0));
+    assert!(hints.is_behind(3, TimeMs(100)));
+    assert!(!hints.is_behind(5, TimeMs(100)));
+    assert!(!hints.is_behind(3, TimeMs(5_000)), "silence");
+}
+
 /// Guards against a router that waits for others while nobody is heard, or while the tables answer
 /// none of them.
 #[test]
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -95,6 +95,9 @@
             let now = self.shared.now();
             let has_new_roster = self.take_roster();
             let told = self.news(now);
+            if told.relays != last.relays {
+                log::info!(relays:? = told.relays; "other relays are used");
+            }
             if has_new_roster || told.relays != last.relays || now.since(roster_at) >= ROSTER_MS {
                 roster_at = now;
                 self.tell_roster(&told.relays).await;
@@ -212,7 +215,10 @@
         if let Some((_, stamp)) = own {
             self.heard.set(Some(*stamp));
             let is_reader = is_reader(&self.shared.boot().node, &loads);
-            self.shared.tables.borrow_mut().is_reader = is_reader;
+            let mut tables = self.shared.tables.borrow_mut();
+            if std::mem::replace(&mut tables.is_reader, is_reader) != is_reader {
+                log::info!(is_reader; "part in reading the tables has changed");
+            }
         }
         let mut view = self.shared.view.borrow_mut();
         view.hear_loads(&state.data_centre, &loads, now);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -99,7 +99,8 @@
     };
     let ask = asked.map_err(|e| refused("", OwnAnswer::BadRequest(e.to_string())))?;
     let id = ask.request_id.clone();
-    let resolved = resolve(&routes, &ask, &head).map_err(|answer| refused(&id, answer))?;
+    let resolved = resolve(&routes, &ask, &head);
+    let resolved = resolved.map_err(|answer| refused(&id, unless_behind(shared, &ask, answer)))?;
     let deadline = ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let until = arrived + deadline.min(resolved.route.timeout_ms);
     let limit = routes.limits().body_bytes.0 as usize;
@@ -134,6 +135,19 @@
     })
 }
 
+/// Returns an answer to a request that the configuration does not allow: it is final unless others
+/// have read a later configuration, which may allow it.
+fn unless_behind(shared: &Shared, ask: &dw_port::Ask, answer: OwnAnswer) -> OwnAnswer {
+    if !shared.tables.borrow().is_behind(shared.now()) {
+        return answer;
+    }
+    let left_ms = ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    OwnAnswer::NotRun {
+        reason: "configuration_behind",
+        retry_after_ms: retry_after(left_ms, point(&ask.request_id)),
+    }
+}
+
 async fn read_body(body: Incoming, limit: usize, left: DurationMs) -> Result<Bytes, OwnAnswer> {
     let whole = timeout(left.into(), Limited::new(body, limit).collect()).await;
     match whole {
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -59,7 +59,7 @@
     fn read_up_to(&mut self, version: TableVersion) {
         let now = self.shared.now();
         let mut tables = self.shared.tables.borrow_mut();
-        tables.answered(Followed::Declarations, now);
+        tables.answered(Followed::Declarations, version, now);
         if std::mem::take(&mut self.has_new_routes) {
             tables.changed(Followed::Declarations, version);
             tell_all(&self.shared);
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -38,6 +38,8 @@
     pub(crate) hints: TableHints,
     declarations: u64,
     registrations: u64,
+    /// Position up to which declarations were read.
+    read_declarations: u64,
     answered: [Option<TimeMs>; 2],
 }
 
@@ -48,15 +50,24 @@
             hints: TableHints::default(),
             declarations: 0,
             registrations: 0,
+            read_declarations: 0,
             answered: [None; 2],
         }
     }
 }
 
 impl Tables {
-    /// Records an answer of a table.
-    pub(crate) fn answered(&mut self, table: Followed, now: TimeMs) {
+    /// Records an answer of a table, which was read up to a position.
+    pub(crate) fn answered(&mut self, table: Followed, version: TableVersion, now: TimeMs) {
         self.answered[table as usize] = Some(now);
+        if table == Followed::Declarations {
+            self.read_declarations = version.0;
+        }
+    }
+
+    /// Returns whether others have read a later configuration.
+    pub(crate) fn is_behind(&self, now: TimeMs) -> bool {
+        self.hints.is_behind(self.read_declarations, now)
     }
 
     /// Records that a change up to a position concerns all routers.
