--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,6 +1,7 @@
 //! Registered engines, as routers tell of them.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
@@ -46,6 +47,12 @@
         &self.roster
     }
 
+    /// Returns all engines.
+    pub fn engines(&self) -> BTreeSet<SocketAddr> {
+        let engines = self.roster.engines.iter();
+        engines.map(|entry| entry.engine).collect()
+    }
+
     /// Returns the data centres with engines.
     pub fn data_centres(&self) -> &[DataCentreId] {
         &self.roster.data_centres
--- /dev/null
+++ b/crates/gateway/src/heard.rs
@@ -0,0 +1,137 @@
+//! What relays tell this router.
+
+use std::rc::Rc;
+
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_cache::KvChange;
+use dw_cache::KvPage;
+use dw_fleet::is_reader;
+use dw_fleet::router_mark;
+use dw_wire::hear;
+use dw_wire::DataCentreState;
+use dw_wire::Datagram;
+use dw_wire::EngineState;
+use dw_wire::KvNews;
+use dw_wire::Phase;
+
+use crate::gossip::Gossip;
+use crate::shared::Shared;
+
+impl Gossip {
+    /// Hears relays until the task is aborted.
+    pub(crate) async fn hear_relays(self: Rc<Self>) {
+        hear(&self.socket, |from, datagram, bytes| {
+            self.relays.borrow_mut().heard(from.ip());
+            let now = self.shared.now();
+            match datagram {
+                Datagram::DataCentre(state) => {
+                    self.shared.measures.heard("data_centre", bytes.len());
+                    self.hear_data_centre(state, now);
+                }
+                Datagram::Cached(states) => {
+                    self.shared.measures.heard("cached", bytes.len());
+                    let mut view = self.shared.view.borrow_mut();
+                    for state in states {
+                        view.hear_cached(&state, now);
+                    }
+                }
+                Datagram::Kv(news) => {
+                    self.shared.measures.heard("kv", bytes.len());
+                    hear_kv(&self.shared, news, now);
+                }
+                Datagram::Router(_) | Datagram::Engine(_) | Datagram::Roster(_) => {}
+            }
+        })
+        .await;
+    }
+
+    fn hear_data_centre(&self, state: DataCentreState, now: TimeMs) {
+        for news in &state.weights {
+            self.shared.weights.borrow_mut().namings.hear(news, now);
+        }
+        for engine in state.engines {
+            hear_engine(&self.shared, engine, now);
+        }
+        if let Some(tables) = state.tables {
+            self.shared.tables.borrow_mut().hints.hear(tables, now);
+        }
+        let Some(loads) = state.loads else {
+            return;
+        };
+        let own_mark = router_mark(&self.shared.boot().node);
+        let own = loads.heard.iter().find(|(mark, _)| *mark == own_mark);
+        if let Some((_, stamp)) = own {
+            self.heard.set(Some(*stamp));
+            let is_reader = is_reader(&self.shared.boot().node, &loads);
+            let mut tables = self.shared.tables.borrow_mut();
+            if std::mem::replace(&mut tables.is_reader, is_reader) != is_reader {
+                log::info!(is_reader; "part in reading the tables has changed");
+            }
+        }
+        let mut view = self.shared.view.borrow_mut();
+        view.hear_loads(&state.data_centre, &loads, now);
+        drop(view);
+        self.take_loads(now);
+    }
+
+    /// Takes over the loads of all engines after a change.
+    fn take_loads(&self, now: TimeMs) {
+        let view = self.shared.view.borrow();
+        let loads = self.loads.borrow();
+        let directory = self.shared.directory.borrow();
+        let mut place = self.shared.place.borrow_mut();
+        let engines = directory.all().filter(|e| !e.listed.models.is_empty());
+        for entry in engines {
+            let addr = entry.listed.addr;
+            let all = view.outstanding(addr, now);
+            let own = loads.own(self.heard.get(), addr);
+            let load = place.load(&entry.listed.upstream);
+            load.reported(Tokens(all.0.saturating_sub(own.0)), now);
+            load.told_speeds(view.speeds(addr, now));
+        }
+        place.set_routers(view.routers(now));
+    }
+}
+
+/// Takes over what a relay has read of a store of kept KV cache.
+fn hear_kv(shared: &Shared, news: KvNews, now: TimeMs) {
+    let kv = shared.kv.borrow();
+    let Some(contents) = kv.get(&news.store) else {
+        return;
+    };
+    let mut contents = contents.borrow_mut();
+    if news.spans.is_empty() {
+        contents.doubt();
+    }
+    for span in news.spans {
+        let changes = span.changes.into_iter();
+        let page = KvPage {
+            since: span.since,
+            epoch: news.epoch,
+            next: span.next,
+            lost: false,
+            changes: changes
+                .map(|(key, tokens)| KvChange { key, tokens })
+                .collect(),
+        };
+        contents.hear(page, now);
+    }
+}
+
+fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
+    let engine = state.engine;
+    let phase = state.phase;
+    let Some(change) = shared.view.borrow_mut().hear(state, now) else {
+        return;
+    };
+    if change.before != Some(phase) && (phase != Phase::Open || change.before.is_some()) {
+        log::info!(engine:%, phase:?; "engine has changed its phase");
+    }
+    if change.restarted {
+        let directory = shared.directory.borrow();
+        if let Some(entry) = directory.at(&engine) {
+            shared.place.borrow_mut().cache_lost(&entry.listed.upstream);
+        }
+    }
+}
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use dw_follow::follow_at;
 use dw_follow::Follower;
 use dw_follow::Pace;
 use dw_member::Listed;
@@ -11,10 +10,9 @@
 use dw_port::TableVersion;
 
 use crate::gossip::tell_all;
-use crate::routes::longest_wait_ms;
 use crate::shared::Shared;
+use crate::tables::follow_table;
 use crate::tables::Followed;
-use crate::tables::TablePacer;
 
 /// Takes in registrations.
 struct Upstreams {
@@ -137,19 +135,10 @@
 
 /// Follows the registrations until the task is aborted.
 pub(crate) async fn follow_registrations(shared: Rc<Shared>, feed: Box<dyn Feed<Registration>>) {
-    let clock = shared.clock.clone();
-    let pace = Pace {
-        longest_wait_ms: longest_wait_ms(&shared),
-        pause_ms: Pace::pause_within(shared.boot().bounds.leaving_ms),
-    };
-    let pacer = TablePacer {
-        shared: shared.clone(),
-        table: Followed::Registrations,
-        longest_wait_ms: pace.longest_wait_ms,
-    };
+    let pause_ms = Pace::pause_within(shared.boot().bounds.leaving_ms);
     let upstreams = Upstreams {
-        shared,
+        shared: shared.clone(),
         concerns_all: true,
     };
-    follow_at(feed, upstreams, (pace, Box::new(pacer)), clock).await;
+    follow_table(shared, Followed::Registrations, feed, upstreams, pause_ms).await;
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 
 use dw_base::DurationMs;
-use dw_follow::follow_at;
 use dw_follow::Follower;
-use dw_follow::Pace;
 use dw_order::Newest;
 use dw_port::Declaration;
 use dw_port::Feed;
@@ -17,24 +15,12 @@
 use crate::ages::Ages;
 use crate::gossip::tell_all;
 use crate::shared::Shared;
+use crate::tables::follow_table;
 use crate::tables::Followed;
-use crate::tables::TablePacer;
 
 /// Pause after a changed declaration.
 const PAUSE_MS: DurationMs = DurationMs(100);
 
-/// Longest wait of a call, in times within which a changed configuration must be in force.
-const WAIT_FACTOR: f64 = 1.5;
-
-/// Returns the longest wait of one call for changes.
-///
-/// A call that is lost with a silent table must end well within the time that a changed
-/// configuration or a leaving upstream may take, counted from when the table is stable again.
-pub(crate) fn longest_wait_ms(shared: &Shared) -> DurationMs {
-    let config_ms = shared.boot().bounds.config_ms.0 as f64;
-    DurationMs((config_ms * WAIT_FACTOR) as u64)
-}
-
 /// Takes in declarations.
 struct Routes {
     shared: Rc<Shared>,
@@ -127,20 +113,10 @@
     feed: Box<dyn Feed<Declaration>>,
     ages: Ages,
 ) {
-    let clock = shared.clock.clone();
-    let pace = Pace {
-        longest_wait_ms: longest_wait_ms(&shared),
-        pause_ms: PAUSE_MS,
-    };
-    let pacer = TablePacer {
-        shared: shared.clone(),
-        table: Followed::Declarations,
-        longest_wait_ms: pace.longest_wait_ms,
-    };
     let routes = Routes {
-        shared,
+        shared: shared.clone(),
         ages,
         has_new_routes: false,
     };
-    follow_at(feed, routes, (pace, Box::new(pacer)), clock).await;
+    follow_table(shared, Followed::Declarations, feed, routes, PAUSE_MS).await;
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -5,13 +5,20 @@
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_fleet::TableHints;
+use dw_follow::follow_at;
+use dw_follow::Follower;
+use dw_follow::Pace;
 use dw_follow::Pacer;
 use dw_follow::Turn;
+use dw_port::Feed;
 use dw_port::TableVersion;
 use dw_wire::TableNews;
 
 use crate::shared::Shared;
 
+/// Longest wait of a call, in times within which a changed configuration must be in force.
+const WAIT_FACTOR: f64 = 1.5;
+
 /// Pause between looks at what others tell.
 const LOOK_MS: DurationMs = DurationMs(150);
 
@@ -115,11 +122,41 @@
     }
 }
 
-/// Reads a table on once this or another router has to.
-pub(crate) struct TablePacer {
-    pub(crate) shared: Rc<Shared>,
-    pub(crate) table: Followed,
-    pub(crate) longest_wait_ms: DurationMs,
+/// Follows a table, which is read on once this or another router has to, until the task is aborted.
+pub(crate) async fn follow_table<T>(
+    shared: Rc<Shared>,
+    table: Followed,
+    feed: Box<dyn Feed<T>>,
+    follower: impl Follower<T>,
+    pause_ms: DurationMs,
+) {
+    let clock = shared.clock.clone();
+    let longest_wait_ms = longest_wait_ms(&shared);
+    let pace = Pace {
+        longest_wait_ms,
+        pause_ms,
+    };
+    let pacer = TablePacer {
+        shared,
+        table,
+        longest_wait_ms,
+    };
+    follow_at(feed, follower, (pace, Box::new(pacer)), clock).await;
+}
+
+/// Returns the longest wait of one call for changes.
+///
+/// A call that is lost with a silent table must end well within the time that a changed
+/// configuration or a leaving upstream may take, counted from when the table is stable again.
+fn longest_wait_ms(shared: &Shared) -> DurationMs {
+    let config_ms = shared.boot().bounds.config_ms.0 as f64;
+    DurationMs((config_ms * WAIT_FACTOR) as u64)
+}
+
+struct TablePacer {
+    shared: Rc<Shared>,
+    table: Followed,
+    longest_wait_ms: DurationMs,
 }
 
 impl Pacer for TablePacer {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -15,7 +15,7 @@
 
 use crate::own_state::OwnState;
 use crate::relay::Relay;
-use crate::relay::RelayTeller;
+use crate::relay_teller::RelayTeller;
 use crate::sidecar::Shared;
 
 /// Shortest time between two rounds, in which changes are collected.
@@ -98,7 +98,8 @@
     let engines = roster.engines.len();
     if state.members.hear(roster) {
         log::info!(version, engines; "engines of the fleet are told");
-        state.view.retain(|_| true);
+        let known = state.members.engines();
+        state.view.retain(|engine| known.contains(engine));
         shared.changed.notify_one();
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod own_state;
 mod relay;
+mod relay_teller;
 mod sidecar;
 mod state;
 mod stores;
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -1,18 +1,19 @@
 //! Orders of a sidecar to its engine.
 
+mod common;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use dw_base::Bytes;
+use common::boot;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::SystemClock;
 use dw_base::WeightsVersion;
 use dw_cache::KvPage;
-use dw_platform::boot::Bounds;
-use dw_platform::Boot;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::EngineError;
@@ -36,29 +37,8 @@
 /// Time within which the plan by rank has a lone sidecar load.
 const WEIGHTS_MS: DurationMs = DurationMs(100);
 
-fn boot() -> Boot {
-    Boot {
-        node: "side-1".parse().expect("name is valid"),
-        ip: "127.0.0.1".parse().expect("address is valid"),
-        data_centre: "a".parse().expect("name is valid"),
-        data_centres: Vec::new(),
-        callers: None,
-        ready: None,
-        inner_ports: (0, 0),
-        memory: Bytes(192_000_000),
-        engine: Some("127.0.0.1:1".parse().expect("address is valid")),
-        table: "127.0.0.1:1".parse().expect("address is valid"),
-        heartbeat_ms: DurationMs(1_200),
-        bounds: Bounds {
-            grace_ms: DurationMs(8_000),
-            leaving_ms: DurationMs(2_000),
-            config_ms: DurationMs(2_000),
-            retry_ratio: 0.2,
-            retry_slack: 56.0,
-            retry_window_ms: DurationMs(10_000),
-            weights_ms: WEIGHTS_MS,
-        },
-    }
+fn engine() -> SocketAddr {
+    "127.0.0.1:1".parse().expect("address is valid")
 }
 
 /// What the engine does with one order.
@@ -202,7 +182,7 @@
         .expect("runtime starts");
     let metrics = LocalSet::new().block_on(&runtime, async {
         let sidecar = Sidecar::start(SidecarParts {
-            boot: boot(),
+            boot: boot("a", engine(), 0, WEIGHTS_MS),
             metrics_port: Some(0),
             clock: Arc::new(SystemClock::new()),
             engine: Box::new(FakeEngine(life.clone())),
@@ -233,7 +213,9 @@
         orders.iter().map(sent).collect::<Vec<_>>(),
         [(2, 41, 0), (3, 50, 1)]
     );
-    assert!(orders.iter().all(|order| order.holder == "side-1"));
+    assert!(orders
+        .iter()
+        .all(|order| order.holder == "side-127.0.0.1:1"));
 }
 
 /// Guards against an order that is sent again although it was carried out, and against one that is
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -1,12 +1,14 @@
 //! Sidecars of two data centres on loopback addresses, with routers that tell them.
 
+mod common;
+
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use dw_base::Bytes;
+use common::boot;
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_base::SystemClock;
@@ -14,8 +16,6 @@
 use dw_base::WeightsVersion;
 use dw_cache::KvPage;
 use dw_fleet::Members;
-use dw_platform::boot::Bounds;
-use dw_platform::Boot;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::EngineError;
@@ -93,33 +93,6 @@
     SocketAddr::new(ip(data_centre, number), 1)
 }
 
-fn boot(data_centre: u8, number: u8, port: u16) -> Boot {
-    Boot {
-        node: format!("side-{data_centre}-{number}")
-            .parse()
-            .expect("name"),
-        ip: ip(data_centre, number),
-        data_centre: format!("dc-{data_centre}").parse().expect("name"),
-        data_centres: Vec::new(),
-        callers: None,
-        ready: None,
-        inner_ports: (port, port),
-        memory: Bytes(192_000_000),
-        engine: Some(engine(data_centre, number)),
-        table: "127.0.0.1:1".parse().expect("address is valid"),
-        heartbeat_ms: DurationMs(1_200),
-        bounds: Bounds {
-            grace_ms: DurationMs(8_000),
-            leaving_ms: DurationMs(2_000),
-            config_ms: DurationMs(2_000),
-            retry_ratio: 0.2,
-            retry_slack: 56.0,
-            retry_window_ms: DurationMs(10_000),
-            weights_ms: DurationMs(6_000),
-        },
-    }
-}
-
 fn roster() -> Roster {
     let all = (0..DATA_CENTRES).flat_map(|data_centre| {
         (0..ENGINES).map(move |number| RosterEntry {
@@ -139,7 +112,12 @@
 
 async fn start(data_centre: u8, number: u8, port: u16) -> Option<Sidecar> {
     let sidecar = Sidecar::start(SidecarParts {
-        boot: boot(data_centre, number, port),
+        boot: boot(
+            &format!("dc-{data_centre}"),
+            engine(data_centre, number),
+            port,
+            DurationMs(6_000),
+        ),
         metrics_port: Some(0),
         clock: Arc::new(SystemClock::new()),
         engine: Box::new(Quiet),
