fleet, wire, gateway: readers tell the version of the configuration, not a position

Cause, found by reading the diff: a reader told the position of the page in which it had read a configuration. Another one may have read the same configuration with an earlier page, and would have taken itself for behind and answered 503 in place of 401 or 404 until its next page, up to six seconds later.

Change: the version of the configuration is told and compared with the one in force.

--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -5,6 +5,7 @@
 //! the tables have changed; the others read once that lies ahead of what they know. They read for
 //! themselves as soon as nobody tells that the tables answer.
 
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::NodeId;
 use dw_base::TimeMs;
@@ -22,7 +23,7 @@
 /// Returns the later positions and the shorter age.
 pub(crate) fn latest(a: TableNews, b: TableNews) -> TableNews {
     TableNews {
-        declarations: a.declarations.max(b.declarations),
+        config_version: a.config_version.max(b.config_version),
         registrations: a.registrations.max(b.registrations),
         age_ms: a.age_ms.min(b.age_ms),
     }
@@ -50,7 +51,7 @@
         let news = known.map_or(told, |known| latest(known, told));
         self.news = Some((news, now));
         known.is_none_or(|known| {
-            news.declarations > known.declarations || news.registrations > known.registrations
+            news.config_version > known.config_version || news.registrations > known.registrations
         })
     }
 
@@ -60,13 +61,13 @@
         Some(TableNews { age_ms, ..news })
     }
 
-    /// Returns whether others have told lately of a configuration beyond a position.
+    /// Returns whether others have told lately of a newer configuration than this one.
     ///
     /// Load pattern: the tables turn some routers away while an operator adds keys and routes. What
     /// such a router does not know is not unknown to the others.
-    pub fn is_behind(&self, declarations: u64, now: TimeMs) -> bool {
+    pub fn is_behind(&self, config_version: ConfigVersion, now: TimeMs) -> bool {
         let heard = self.news.filter(|(_, at)| now.since(*at) < HEARD_MS);
-        heard.is_some_and(|(news, _)| news.declarations > declarations)
+        heard.is_some_and(|(news, _)| news.config_version > config_version)
     }
 
     /// Returns the positions up to which the tables have changed, if somebody has told lately that
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::router;
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_fleet::is_reader;
@@ -13,9 +14,9 @@
 
 const MOST_AGE_MS: DurationMs = DurationMs(7_000);
 
-fn news(declarations: u64, registrations: u64, age_ms: u64) -> TableNews {
+fn news(config: u64, registrations: u64, age_ms: u64) -> TableNews {
     TableNews {
-        declarations,
+        config_version: ConfigVersion(config),
         registrations,
         age_ms: DurationMs(age_ms),
     }
@@ -50,7 +51,10 @@
     assert!(hints.hear(news(6, 7, 2_000), TimeMs(200)));
     let fresh = hints.fresh(MOST_AGE_MS, TimeMs(300));
     let fresh = fresh.expect("somebody has read the tables lately");
-    assert_eq!((fresh.declarations, fresh.registrations), (6, 9));
+    assert_eq!(
+        (fresh.config_version, fresh.registrations),
+        (ConfigVersion(6), 9)
+    );
 }
 
 /// Guards against a final refusal of a key or a route that others know: a router that has not read
@@ -58,11 +62,14 @@
 #[test]
 fn router_knows_that_its_configuration_is_behind() {
     let mut hints = TableHints::default();
-    assert!(!hints.is_behind(3, TimeMs(0)), "nobody has told");
+    assert!(
+        !hints.is_behind(ConfigVersion(3), TimeMs(0)),
+        "nobody has told"
+    );
     hints.hear(news(5, 9, 100), TimeMs(0));
-    assert!(hints.is_behind(3, TimeMs(100)));
-    assert!(!hints.is_behind(5, TimeMs(100)));
-    assert!(!hints.is_behind(3, TimeMs(5_000)), "silence");
+    assert!(hints.is_behind(ConfigVersion(3), TimeMs(100)));
+    assert!(!hints.is_behind(ConfigVersion(5), TimeMs(100)));
+    assert!(!hints.is_behind(ConfigVersion(3), TimeMs(5_000)), "silence");
 }
 
 /// Guards against a router that waits for others while nobody is heard, or while the tables answer
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
@@ -46,8 +47,8 @@
     relays: Vec<SocketAddr>,
     outstanding: Vec<(SocketAddr, Tokens)>,
     named: Vec<(ModelId, WeightsVersion)>,
-    /// Positions in the platform's tables.
-    tables: Option<(u64, u64)>,
+    /// Configuration in force and position of the registrations, if this router reads all changes.
+    tables: Option<(ConfigVersion, u64)>,
 }
 
 /// Telling and hearing of one router.
@@ -118,7 +119,7 @@
             relays: self.relays.borrow_mut().choose(&order, now),
             outstanding: outstanding(&self.shared),
             named,
-            tables: tables.map(|tables| (tables.declarations, tables.registrations)),
+            tables: tables.map(|tables| (tables.config_version, tables.registrations)),
         }
     }
 
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -68,9 +68,9 @@
         let now = self.shared.now();
         self.shared.listed_version.set(version.0);
         let mut tables = self.shared.tables.borrow_mut();
-        tables.answered(Followed::Registrations, version, now);
+        tables.answered(Followed::Registrations, now);
         if std::mem::take(&mut self.concerns_all) {
-            tables.changed(Followed::Registrations, version);
+            tables.registered(version);
             tell_all(&self.shared);
         }
     }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -25,8 +25,6 @@
 struct Routes {
     shared: Rc<Shared>,
     ages: Ages,
-    /// Whether a configuration was read since the last position.
-    has_new_routes: bool,
 }
 
 impl Follower<Declaration> for Routes {
@@ -42,14 +40,10 @@
         self.take(items, true);
     }
 
-    fn read_up_to(&mut self, version: TableVersion) {
+    fn read_up_to(&mut self, _version: TableVersion) {
         let now = self.shared.now();
         let mut tables = self.shared.tables.borrow_mut();
-        tables.answered(Followed::Declarations, version, now);
-        if std::mem::take(&mut self.has_new_routes) {
-            tables.changed(Followed::Declarations, version);
-            tell_all(&self.shared);
-        }
+        tables.answered(Followed::Declarations, now);
     }
 }
 
@@ -97,12 +91,13 @@
         if current.is_some_and(|current| current >= parts.version) {
             return;
         }
-        self.has_new_routes = true;
         let routes = RouteTable::new(parts);
         log::info!(
             config_version:% = routes.version(), routes = routes.route_count();
             "configuration is in force"
         );
+        self.shared.tables.borrow_mut().configured(routes.version());
+        tell_all(&self.shared);
         *self.shared.routes.borrow_mut() = Some(Rc::new(routes));
     }
 }
@@ -116,7 +111,6 @@
     let routes = Routes {
         shared: shared.clone(),
         ages,
-        has_new_routes: false,
     };
     follow_table(shared, Followed::Declarations, feed, routes, PAUSE_MS).await;
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_fleet::TableHints;
@@ -46,10 +47,8 @@
     /// Whether this router reads all changes, as some in each data centre do.
     pub(crate) is_reader: bool,
     pub(crate) hints: TableHints,
-    declarations: u64,
+    config_version: ConfigVersion,
     registrations: u64,
-    /// Position up to which declarations were read.
-    read_declarations: u64,
     answered: [Option<TimeMs>; 2],
 }
 
@@ -58,35 +57,32 @@
         Tables {
             is_reader: true,
             hints: TableHints::default(),
-            declarations: 0,
+            config_version: ConfigVersion(0),
             registrations: 0,
-            read_declarations: 0,
             answered: [None; 2],
         }
     }
 }
 
 impl Tables {
-    /// Records an answer of a table, which was read up to a position.
-    pub(crate) fn answered(&mut self, table: Followed, version: TableVersion, now: TimeMs) {
+    /// Records an answer of a table.
+    pub(crate) fn answered(&mut self, table: Followed, now: TimeMs) {
         self.answered[table as usize] = Some(now);
-        if table == Followed::Declarations {
-            self.read_declarations = version.0;
-        }
     }
 
     /// Returns whether others have read a later configuration.
     pub(crate) fn is_behind(&self, now: TimeMs) -> bool {
-        self.hints.is_behind(self.read_declarations, now)
+        self.hints.is_behind(self.config_version, now)
     }
 
-    /// Records that a change up to a position concerns all routers.
-    pub(crate) fn changed(&mut self, table: Followed, version: TableVersion) {
-        let position = match table {
-            Followed::Declarations => &mut self.declarations,
-            Followed::Registrations => &mut self.registrations,
-        };
-        *position = version.0.max(*position);
+    /// Records that a configuration is in force.
+    pub(crate) fn configured(&mut self, version: ConfigVersion) {
+        self.config_version = version.max(self.config_version);
+    }
+
+    /// Records that a change of registrations up to a position concerns all routers.
+    pub(crate) fn registered(&mut self, version: TableVersion) {
+        self.registrations = version.0.max(self.registrations);
     }
 
     /// Returns what to tell the others, if this router reads all changes and both tables have
@@ -95,7 +91,7 @@
         let [declarations, registrations] = self.answered;
         let answered = declarations?.min(registrations?);
         self.is_reader.then(|| TableNews {
-            declarations: self.declarations,
+            config_version: self.config_version,
             registrations: self.registrations,
             age_ms: now.since(answered),
         })
@@ -112,12 +108,12 @@
         let Some(news) = fresh.filter(|_| !self.is_reader) else {
             return Turn::Call(longest_wait_ms);
         };
-        let changed = match table {
-            Followed::Declarations => news.declarations,
-            Followed::Registrations => news.registrations,
+        let has_changed = match table {
+            Followed::Declarations => news.config_version > self.config_version,
+            Followed::Registrations => news.registrations > position.0,
         };
         let answered = self.answered[table as usize].unwrap_or_default();
-        let is_due = changed > position.0 || now.since(answered) >= UNASKED_MS;
+        let is_due = has_changed || now.since(answered) >= UNASKED_MS;
         match is_due {
             true => Turn::Call(DurationMs::ZERO),
             false => Turn::Later(LOOK_MS),
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_wire::hear;
@@ -78,9 +79,9 @@
 }
 
 /// Returns the positions up to which the platform's tables have changed.
-fn positions(relay: &Relay, now: TimeMs) -> Option<(u64, u64)> {
+fn positions(relay: &Relay, now: TimeMs) -> Option<(ConfigVersion, u64)> {
     let tables = relay.aggregate.tables(now)?;
-    Some((tables.declarations, tables.registrations))
+    Some((tables.config_version, tables.registrations))
 }
 
 fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
--- a/crates/sidecar/src/relay_teller.rs
+++ b/crates/sidecar/src/relay_teller.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::ModelId;
 use dw_base::TimeMs;
@@ -71,7 +72,7 @@
     roster_at: TimeMs,
     roster_engines: usize,
     named: Vec<(ModelId, WeightsVersion)>,
-    tables: Option<(u64, u64)>,
+    tables: Option<(ConfigVersion, u64)>,
 }
 
 impl RelayTeller {
@@ -119,7 +120,7 @@
         let news = shared.state.borrow().namings.news(now);
         let named: Vec<_> = news.into_iter().map(|n| (n.model, n.weights)).collect();
         let tables = shared.relay.borrow().aggregate.tables(now);
-        let tables = tables.map(|tables| (tables.declarations, tables.registrations));
+        let tables = tables.map(|tables| (tables.config_version, tables.registrations));
         if engines.is_empty() && named == self.named && tables == self.tables {
             return;
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -15,6 +15,7 @@
 
 use std::net::SocketAddr;
 
+use dw_base::ConfigVersion;
 use dw_base::DataCentreId;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
@@ -67,8 +68,8 @@
 /// How far routers have read the platform's tables.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableNews {
-    /// Position of the last change of the configuration.
-    pub declarations: u64,
+    /// Newest configuration.
+    pub config_version: ConfigVersion,
     /// Position of the last change of registrations that concerns all routers.
     pub registrations: u64,
     /// Time since the tables last answered.
