fleet, sidecar: each kind of receivers has its own turn of measured speeds

Cause, found by reading the diff: a relay tells the speeds of twelve engines at a time, in turn, to its data centre and to the others. Both moved the same turn on, also when nothing was sent.

Ruled out: a lost datagram, since the test plays none.

Change: the turn belongs to the receivers and moves on with a sent state. A relay also tells a roster at once when an engine was replaced by another one, not only when their number differs, and the pause of unchanged states is that of their own pace.

--- a/crates/fleet/src/aggregate.rs
+++ b/crates/fleet/src/aggregate.rs
@@ -59,8 +59,6 @@
     routers: BTreeMap<NodeId, Router>,
     engines: BTreeMap<SocketAddr, Engine>,
     cached: BTreeMap<SocketAddr, Cached>,
-    /// Engine whose speeds were told last.
-    speeds_after: Option<SocketAddr>,
 }
 
 /// Returns the hash of a router's name by which it finds its own part of the sums.
@@ -195,13 +193,13 @@
         all.reduce(latest)
     }
 
-    /// Adds up what routers do.
-    pub fn loads(&mut self) -> RouterLoads {
+    /// Adds up what routers do. `speeds_after` is the engine whose speeds the receivers were told of
+    /// last.
+    pub fn loads(&self, speeds_after: &mut Option<SocketAddr>) -> RouterLoads {
         let mut outstanding: BTreeMap<SocketAddr, u64> = BTreeMap::new();
         for (engine, tokens) in self.routers.values().flat_map(|router| &router.outstanding) {
             *outstanding.entry(*engine).or_default() += tokens.0;
         }
-        let speeds = self.next_speeds();
         let heard = self.routers.iter();
         RouterLoads {
             routers: u32::try_from(self.routers.len()).unwrap_or(u32::MAX),
@@ -209,7 +207,7 @@
                 .into_iter()
                 .map(|(engine, tokens)| (engine, Tokens(tokens)))
                 .collect(),
-            speeds,
+            speeds: self.next_speeds(speeds_after),
             heard: heard
                 .map(|(name, router)| (router_mark(name), router.stamp))
                 .collect(),
@@ -217,16 +215,19 @@
     }
 
     /// Returns the measured speeds of the engines that are next in turn.
-    fn next_speeds(&mut self) -> Vec<(SocketAddr, MeasuredSpeeds)> {
+    fn next_speeds(
+        &self,
+        speeds_after: &mut Option<SocketAddr>,
+    ) -> Vec<(SocketAddr, MeasuredSpeeds)> {
         let mut all: BTreeMap<SocketAddr, Vec<MeasuredSpeeds>> = BTreeMap::new();
         for (engine, speeds) in self.routers.values().flat_map(|router| &router.speeds) {
             all.entry(*engine).or_default().push(*speeds);
         }
-        let after = self.speeds_after;
+        let after = *speeds_after;
         let is_next = |engine: &SocketAddr| after.is_none_or(|after| *engine > after);
         let mut next: Vec<SocketAddr> = all.keys().copied().filter(is_next).collect();
         next.truncate(SPEEDS_AT_ONCE);
-        self.speeds_after = match next.len() == SPEEDS_AT_ONCE {
+        *speeds_after = match next.len() == SPEEDS_AT_ONCE {
             true => next.last().copied(),
             false => None,
         };
--- a/crates/fleet/tests/states.rs
+++ b/crates/fleet/tests/states.rs
@@ -55,7 +55,7 @@
     aggregate.hear_router(from, first, TimeMs(100));
     let (from, second) = router(2, 90, &[(near, 1_000)]);
     aggregate.hear_router(from, second, TimeMs(100));
-    let loads = aggregate.loads();
+    let loads = aggregate.loads(&mut None);
     assert_eq!(loads.routers, 2);
     assert_eq!(
         loads.outstanding,
@@ -70,7 +70,7 @@
     assert_eq!(told.own(stamp, near), Tokens(500));
     assert_eq!(told.own(None, near), Tokens(0));
     aggregate.forget(TimeMs(4_000));
-    assert!(aggregate.loads().outstanding.is_empty());
+    assert!(aggregate.loads(&mut None).outstanding.is_empty());
 }
 
 /// Guards against loads of other data centres that are lost or stay for ever, and against a budget
@@ -117,21 +117,15 @@
 #[test]
 fn speeds_of_all_engines_are_told_in_turn() {
     let mut aggregate = Aggregate::default();
-    let measured = MeasuredSpeeds {
-        computing: MeasuredWork {
-            tokens: Tokens(100),
-            took_ms: DurationMs(2),
-        },
-        ..MeasuredSpeeds::default()
-    };
     for number in 1..=2 {
         let (from, mut router) = router(number, 1, &[]);
-        router.speeds = (0..50).map(|at| (engine(0, at), measured)).collect();
+        router.speeds = (0..50).map(|at| (engine(0, at), measured())).collect();
         aggregate.hear_router(from, router, TimeMs(1));
     }
     let mut view = View::default();
+    let mut after = None;
     for _ in 0..6 {
-        let loads = aggregate.loads();
+        let loads = aggregate.loads(&mut after);
         assert!(loads.speeds.len() <= 12);
         view.hear_loads(&data_centre(0), &loads, TimeMs(2));
     }
@@ -171,3 +165,33 @@
     assert_eq!(pass_on.decide(second, &full, TimeMs(900)), all);
     assert!(pass_on.is_preferred(second, &data_centre(1)));
 }
+
+/// Guards against receivers that are never told of some speeds, as each telling to one kind of
+/// receivers moved the turn of the others on, too.
+#[test]
+fn each_kind_of_receivers_is_told_of_all_speeds() {
+    let mut aggregate = Aggregate::default();
+    let (from, mut router) = router(1, 1, &[]);
+    router.speeds = (0..40).map(|at| (engine(0, at), measured())).collect();
+    aggregate.hear_router(from, router, TimeMs(1));
+    let mut receivers = [(View::default(), None), (View::default(), None)];
+    for _ in 0..8 {
+        for (view, after) in &mut receivers {
+            view.hear_loads(&data_centre(0), &aggregate.loads(after), TimeMs(2));
+        }
+    }
+    for (view, _) in receivers {
+        let known = |at: &u8| view.speeds(engine(0, *at), TimeMs(3)) == measured();
+        assert_eq!((0..40).filter(known).count(), 40);
+    }
+}
+
+fn measured() -> MeasuredSpeeds {
+    MeasuredSpeeds {
+        computing: MeasuredWork {
+            tokens: Tokens(100),
+            took_ms: DurationMs(2),
+        },
+        ..MeasuredSpeeds::default()
+    }
+}
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -32,7 +32,7 @@
             let (from, state) = router(number, 1, &[]);
             aggregate.hear_router(from, state, TimeMs(1));
         }
-        let loads = aggregate.loads();
+        let loads = aggregate.loads(&mut None);
         let routers = (0..count).map(|number| router(number, 1, &[]).1.router);
         let readers = routers.filter(|router| is_reader(router, &loads)).count();
         assert_eq!(readers, usize::from(count.min(2)));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,6 +19,7 @@
 use dw_wire::tell;
 use dw_wire::Datagram;
 use dw_wire::RouterState;
+use dw_wire::TableNews;
 use tokio::net::UdpSocket;
 
 use crate::roster::roster;
@@ -119,7 +120,7 @@
             relays: self.relays.borrow_mut().choose(&order, now),
             outstanding: outstanding(&self.shared),
             named,
-            tables: tables.map(|tables| (tables.config_version, tables.registrations)),
+            tables: tables.as_ref().map(TableNews::positions),
         }
     }
 
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -12,6 +12,7 @@
 use dw_wire::Datagram;
 use dw_wire::EngineState;
 use dw_wire::Roster;
+use dw_wire::TableNews;
 use dw_wire::WeightsNews;
 
 use crate::own_state::OwnState;
@@ -80,8 +81,11 @@
 
 /// Returns the positions up to which the platform's tables have changed.
 fn positions(relay: &Relay, now: TimeMs) -> Option<(ConfigVersion, u64)> {
-    let tables = relay.aggregate.tables(now)?;
-    Some((tables.config_version, tables.registrations))
+    relay
+        .aggregate
+        .tables(now)
+        .as_ref()
+        .map(TableNews::positions)
 }
 
 fn hear_engine(shared: &Shared, state: EngineState, now: TimeMs) {
--- a/crates/sidecar/src/relay_teller.rs
+++ b/crates/sidecar/src/relay_teller.rs
@@ -13,7 +13,9 @@
 use dw_wire::DataCentreState;
 use dw_wire::Datagram;
 use dw_wire::EngineState;
+use dw_wire::RosterEntry;
 use dw_wire::RouterLoads;
+use dw_wire::TableNews;
 
 use crate::relay::RELAY_MS;
 use crate::sidecar::Shared;
@@ -24,57 +26,68 @@
 /// Time between two rosters to sidecars of the data centre and to other relays.
 const ROSTER_MS: DurationMs = DurationMs(1_500);
 
-/// States within the data centre.
-const NEAR: Pace = Pace {
-    shortest_ms: DurationMs(60),
-    longest_ms: DurationMs(500),
-    bytes_per_s: 300_000,
-};
-
-/// States to other data centres, whose bytes cost more.
-const FAR: Pace = Pace {
-    shortest_ms: DurationMs(60),
-    longest_ms: DurationMs(500),
-    bytes_per_s: 40_000,
-};
-
-/// Cached parts to other data centres.
-const FAR_CACHED: Pace = Pace {
-    shortest_ms: DurationMs(300),
-    longest_ms: DurationMs(1_300),
-    bytes_per_s: 40_000,
-};
-
-/// Cached parts within the data centre.
-const NEAR_CACHED: Pace = Pace {
-    shortest_ms: DurationMs(300),
-    longest_ms: DurationMs(1_300),
-    bytes_per_s: 300_000,
-};
+/// Bytes that a relay sends within its data centre in a second, of states and of cached parts each.
+const NEAR_BYTES_PER_S: u64 = 300_000;
+
+/// The same to other data centres, where bytes cost more.
+const FAR_BYTES_PER_S: u64 = 40_000;
+
+/// Returns the pace of states.
+fn states(bytes_per_s: u64) -> Pace {
+    Pace {
+        shortest_ms: DurationMs(60),
+        longest_ms: DurationMs(500),
+        bytes_per_s,
+    }
+}
+
+/// Returns the pace of cached parts.
+fn cached_parts(bytes_per_s: u64) -> Pace {
+    Pace {
+        shortest_ms: DurationMs(300),
+        longest_ms: DurationMs(1_300),
+        bytes_per_s,
+    }
+}
 
 /// Cached parts in one datagram, in bytes.
 const CACHED_BYTES: usize = 8_000;
 
-/// Datagrams to one kind of receivers.
-#[derive(Default)]
+/// States for one kind of receivers.
 struct Ticks {
+    pace: Pace,
     due: TimeMs,
     engines_at: TimeMs,
+    /// Engine whose speeds were told last.
+    speeds_after: Option<SocketAddr>,
     loads: Option<RouterLoads>,
 }
 
 /// When a relay tells what.
-#[derive(Default)]
 pub(crate) struct RelayTeller {
     near: Ticks,
     far: Ticks,
     cached_due: TimeMs,
     roster_at: TimeMs,
-    roster_engines: usize,
+    roster_engines: Vec<RosterEntry>,
     named: Vec<(ModelId, WeightsVersion)>,
     tables: Option<(ConfigVersion, u64)>,
 }
 
+impl Default for RelayTeller {
+    fn default() -> Self {
+        RelayTeller {
+            near: Ticks::new(states(NEAR_BYTES_PER_S)),
+            far: Ticks::new(states(FAR_BYTES_PER_S)),
+            cached_due: TimeMs::default(),
+            roster_at: TimeMs::default(),
+            roster_engines: Vec::new(),
+            named: Vec::new(),
+            tables: None,
+        }
+    }
+}
+
 impl RelayTeller {
     /// Tells what is due, and returns when something is due next.
     pub(crate) async fn tell(&mut self, shared: &Shared, now: TimeMs) -> TimeMs {
@@ -102,12 +115,12 @@
 
     async fn tell_roster(&mut self, shared: &Shared, others: &[SocketAddr], now: TimeMs) {
         let roster = shared.state.borrow().members.roster().clone();
-        let is_news = roster.engines.len() != self.roster_engines;
+        let is_news = roster.engines != self.roster_engines;
         if roster.engines.is_empty() || (!is_news && now.since(self.roster_at) < ROSTER_MS) {
             return;
         }
         self.roster_at = now;
-        self.roster_engines = roster.engines.len();
+        self.roster_engines.clone_from(&roster.engines);
         let mut receivers = shared.near_sidecars();
         receivers.extend(others);
         let bytes = tell_all(&shared.socket, &receivers, &Datagram::Roster(roster)).await;
@@ -120,7 +133,7 @@
         let news = shared.state.borrow().namings.news(now);
         let named: Vec<_> = news.into_iter().map(|n| (n.model, n.weights)).collect();
         let tables = shared.relay.borrow().aggregate.tables(now);
-        let tables = tables.map(|tables| (tables.config_version, tables.registrations));
+        let tables = tables.as_ref().map(TableNews::positions);
         if engines.is_empty() && named == self.named && tables == self.tables {
             return;
         }
@@ -135,29 +148,30 @@
     }
 
     async fn near_tick(&mut self, shared: &Shared, now: TimeMs) {
-        let routers = shared.relay.borrow().aggregate.routers();
-        let loads = shared.relay.borrow_mut().aggregate.loads();
-        let Some(datagram) = self.near.datagram(shared, loads, now) else {
+        let mut receivers = shared.relay.borrow().aggregate.routers();
+        let Some(loads) = self.near.loads(shared, now) else {
             return;
         };
-        let mut receivers = routers;
-        if self.near.engines_at == now {
+        let engines = self.near.engines(shared, now);
+        if !engines.is_empty() {
             receivers.extend(shared.near_sidecars());
         }
+        let datagram = state(shared, engines, Some(loads), now);
         let bytes = tell_all(&shared.socket, &receivers, &datagram).await;
         shared.measures.told("near", bytes, receivers.len());
-        self.near.due = now + NEAR.pause_ms(bytes, receivers.len());
+        self.near.sent(bytes, receivers.len(), now);
     }
 
     async fn far_tick(&mut self, shared: &Shared, others: &[SocketAddr], now: TimeMs) {
-        let mut loads = shared.relay.borrow_mut().aggregate.loads();
-        loads.heard.clear();
-        let Some(datagram) = self.far.datagram(shared, loads, now) else {
+        let Some(mut loads) = self.far.loads(shared, now) else {
             return;
         };
+        loads.heard.clear();
+        let engines = self.far.engines(shared, now);
+        let datagram = state(shared, engines, Some(loads), now);
         let bytes = tell_all(&shared.socket, others, &datagram).await;
         shared.measures.told("far", bytes, others.len());
-        self.far.due = now + FAR.pause_ms(bytes, others.len());
+        self.far.sent(bytes, others.len(), now);
     }
 
     async fn cached(&mut self, shared: &Shared, others: &[SocketAddr], now: TimeMs) {
@@ -174,31 +188,55 @@
             shared.measures.told("cached_far", bytes, others.len());
             sent += bytes;
         }
-        let near_ms = NEAR_CACHED.pause_ms(sent, listeners.len());
-        self.cached_due = now + near_ms.max(FAR_CACHED.pause_ms(sent, others.len()));
+        let near_ms = cached_parts(NEAR_BYTES_PER_S).pause_ms(sent, listeners.len());
+        let far_ms = cached_parts(FAR_BYTES_PER_S).pause_ms(sent, others.len());
+        self.cached_due = now + near_ms.max(far_ms);
     }
 }
 
 impl Ticks {
-    /// Returns the state to tell, unless nothing has changed since the last one.
-    fn datagram(&mut self, shared: &Shared, loads: RouterLoads, now: TimeMs) -> Option<Datagram> {
-        let has_engines = now.since(self.engines_at) >= ENGINES_MS;
+    fn new(pace: Pace) -> Self {
+        Ticks {
+            pace,
+            due: TimeMs::default(),
+            engines_at: TimeMs::default(),
+            speeds_after: None,
+            loads: None,
+        }
+    }
+
+    fn has_engines(&self, now: TimeMs) -> bool {
+        now.since(self.engines_at) >= ENGINES_MS
+    }
+
+    /// Returns the loads to tell, unless nothing has changed since the last ones and no engines are
+    /// due.
+    fn loads(&mut self, shared: &Shared, now: TimeMs) -> Option<RouterLoads> {
+        let mut speeds_after = self.speeds_after;
+        let loads = shared.relay.borrow().aggregate.loads(&mut speeds_after);
         let same = |told: &RouterLoads| {
             told.outstanding == loads.outstanding && told.routers == loads.routers
         };
-        if !has_engines && self.loads.as_ref().is_some_and(same) {
-            self.due = now + NEAR.shortest_ms;
+        if !self.has_engines(now) && self.loads.as_ref().is_some_and(same) {
+            self.due = now + self.pace.shortest_ms;
             return None;
         }
+        self.speeds_after = speeds_after;
         self.loads = Some(loads.clone());
-        let engines = match has_engines {
-            true => {
-                self.engines_at = now;
-                shared.relay.borrow().aggregate.engines()
-            }
-            false => Vec::new(),
-        };
-        Some(state(shared, engines, Some(loads), now))
+        Some(loads)
+    }
+
+    /// Returns all engines if they are due.
+    fn engines(&mut self, shared: &Shared, now: TimeMs) -> Vec<EngineState> {
+        if !self.has_engines(now) {
+            return Vec::new();
+        }
+        self.engines_at = now;
+        shared.relay.borrow().aggregate.engines()
+    }
+
+    fn sent(&mut self, bytes: usize, receivers: usize, now: TimeMs) {
+        self.due = now + self.pace.pause_ms(bytes, receivers);
     }
 }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -76,6 +76,13 @@
     pub age_ms: DurationMs,
 }
 
+impl TableNews {
+    /// Returns the configuration and the position of the registrations.
+    pub fn positions(&self) -> (ConfigVersion, u64) {
+        (self.config_version, self.registrations)
+    }
+}
+
 /// State of a router.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouterState {
