member, gateway, fleet, sidecar: mend what a second look at the diff shows

The mark of a router was made from bits of a score in place of a hash. Some comments said "word" for a datagram or a state, one named a price, one a figure of a play; a field and a function had the same name.

Ruled out: a change of behaviour. No bound, check or assertion is changed; marks of routers have other values, and only processes of one release compare them.

Not moved together: the shapes of pass_on and lease, and of two states in the wire messages, which are alike by chance.

--- a/crates/cache/src/contents.rs
+++ b/crates/cache/src/contents.rs
@@ -18,7 +18,8 @@
 /// removal may have been lost.
 const MAX_PARTS: usize = 8_192;
 
-/// Time after a word of another process in which the holder is not asked; two words fit in.
+/// Time after another process has told changes in which the holder is not asked; it tells twice in
+/// that time.
 const TOLD_MS: DurationMs = DurationMs(2_000);
 
 /// A part came or went.
--- a/crates/fleet/src/aggregate.rs
+++ b/crates/fleet/src/aggregate.rs
@@ -4,10 +4,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use dw_base::rendezvous_score;
 use dw_base::DurationMs;
 use dw_base::MeasuredSpeeds;
 use dw_base::NodeId;
+use dw_base::PrefixKey;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_wire::CachedParts;
@@ -63,7 +63,7 @@
 
 /// Returns the hash of a router's name by which it finds its own part of the sums.
 pub fn router_mark(router: &NodeId) -> u32 {
-    (rendezvous_score(0, router.as_str(), 1.0).to_bits() >> 16) as u32
+    PrefixKey::root(router.as_str()).0 as u32
 }
 
 impl Aggregate {
--- a/crates/fleet/src/relays.rs
+++ b/crates/fleet/src/relays.rs
@@ -13,7 +13,7 @@
 /// Relays of a data centre that are used at once, so that the loss of one is not noticed.
 const RELAYS: usize = 2;
 
-/// Time without a word from a relay that is told something, after which the next one is used. An
+/// Time without a datagram from a relay that is told something, after which the next one is used. An
 /// idle relay tells twice in it.
 const SILENT_MS: DurationMs = DurationMs(1_200);
 
@@ -23,7 +23,7 @@
 /// Which relays answer.
 #[derive(Clone, Debug, Default)]
 pub struct Relays {
-    /// First time that a relay was told something since its last word.
+    /// First time that a relay was told something since its last datagram.
     told_since: HashMap<IpAddr, TimeMs>,
 }
 
@@ -33,7 +33,7 @@
         self.told_since.entry(relay.ip()).or_insert(now);
     }
 
-    /// Records a word of a process, which may be a relay.
+    /// Records a datagram from a process, which may be a relay.
     pub fn heard(&mut self, from: IpAddr) {
         self.told_since.remove(&from);
     }
--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -17,7 +17,7 @@
 /// Routers of a data centre that read all changes.
 const READERS: usize = 2;
 
-/// Age from which a word is not used any more.
+/// Age from which what was told is not used any more.
 const HEARD_MS: DurationMs = DurationMs(1_500);
 
 /// Returns the later positions and the shorter age.
@@ -45,7 +45,7 @@
 }
 
 impl TableHints {
-    /// Takes over the word of a data centre; returns whether a position is news.
+    /// Takes over what a data centre tells; returns whether a position is news.
     pub fn hear(&mut self, told: TableNews, now: TimeMs) -> bool {
         let known = self.known(now);
         let news = known.map_or(told, |known| latest(known, told));
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -44,7 +44,7 @@
     speeds: HashMap<SocketAddr, MeasuredSpeeds>,
 }
 
-/// What changed with a word of an engine.
+/// What changed with a state of an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Change {
     /// Phase before, if the engine was known.
@@ -91,7 +91,7 @@
         Some(change)
     }
 
-    /// Takes over which parts an engine has cached, unless a later word is known.
+    /// Takes over which parts an engine has cached, unless a later state is known.
     pub fn hear_cached(&mut self, state: &CachedState, now: TimeMs) {
         let Some(heard) = self.heard.get_mut(&state.engine) else {
             return;
--- a/crates/fleet/tests/states.rs
+++ b/crates/fleet/tests/states.rs
@@ -22,7 +22,7 @@
 use dw_wire::Phase;
 use dw_wire::RouterLoads;
 
-/// Guards against a changed phase that is told late, twice or never, and against an older word that
+/// Guards against a changed phase that is told late, twice or never, and against an older state that
 /// comes over a second way.
 #[test]
 fn changed_engines_are_news_once() {
@@ -92,7 +92,7 @@
     assert_eq!(view.routers(TimeMs(60_000)), 0);
 }
 
-/// Guards against an engine that stays closed after its sidecar is lost, against an older word, and
+/// Guards against an engine that stays closed after its sidecar is lost, against an older state, and
 /// against a clock that was set back before a restart.
 #[test]
 fn view_uses_the_latest_word_while_it_is_fresh() {
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -41,8 +41,7 @@
     }
 }
 
-/// Guards against a position that goes back when the word of a router that has read less comes
-/// later.
+/// Guards against a position that goes back when a router that has read less is heard later.
 #[test]
 fn positions_only_grow() {
     let mut hints = TableHints::default();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -201,7 +201,7 @@
     let upstream = &plan.choice.upstream;
     let other = head.upstream.as_deref();
     if other.is_some_and(|id| id != upstream.as_str()) {
-        // The word of another upstream that has the address by now.
+        // Another upstream has the address by now.
         return;
     }
     let now = shared.now();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -166,8 +166,7 @@
 fn outstanding(shared: &Shared) -> Vec<(SocketAddr, Tokens)> {
     let directory = shared.directory.borrow();
     let mut place = shared.place.borrow_mut();
-    let engines = directory.all().filter(|e| !e.listed.models.is_empty());
-    let tokens = engines.map(|entry| {
+    let tokens = directory.engines().map(|entry| {
         let tokens = place.load(&entry.listed.upstream).own_tokens();
         (entry.listed.addr, tokens)
     });
@@ -181,8 +180,7 @@
 ) -> Vec<(SocketAddr, MeasuredSpeeds)> {
     let directory = shared.directory.borrow();
     let mut place = shared.place.borrow_mut();
-    let engines = directory.all().filter(|e| !e.listed.models.is_empty());
-    let measured = engines.filter_map(|entry| {
+    let measured = directory.engines().filter_map(|entry| {
         let speeds = place.load(&entry.listed.upstream).measured_speeds();
         (speeds != MeasuredSpeeds::default()).then_some((entry.listed.addr, speeds))
     });
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -81,8 +81,7 @@
         let loads = self.loads.borrow();
         let directory = self.shared.directory.borrow();
         let mut place = self.shared.place.borrow_mut();
-        let engines = directory.all().filter(|e| !e.listed.models.is_empty());
-        for entry in engines {
+        for entry in directory.engines() {
             let addr = entry.listed.addr;
             let all = view.outstanding(addr, now);
             let own = loads.own(self.heard.get(), addr);
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -88,7 +88,7 @@
 
 impl Upstreams {
     fn put(&mut self, listed: Listed) {
-        self.concerns_all |= self.concerns_all(&listed);
+        self.concerns_all |= self.is_news_for_all(&listed);
         let mut directory = self.shared.directory.borrow_mut();
         let known = directory.get(&listed.upstream).map(|entry| &entry.listed);
         let restarted = known.is_some_and(|known| known.born_ms != listed.born_ms);
@@ -106,7 +106,7 @@
     }
 
     /// Returns whether all routers should read a registration: its weights are told by its sidecar.
-    fn concerns_all(&self, listed: &Listed) -> bool {
+    fn is_news_for_all(&self, listed: &Listed) -> bool {
         let directory = self.shared.directory.borrow();
         let Some(known) = directory.get(&listed.upstream) else {
             return true;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,7 +10,7 @@
 /// Returns the registered model engines; routers with the same registrations return the same.
 pub(crate) fn roster(shared: &Shared) -> Roster {
     let directory = shared.directory.borrow();
-    let engines = || directory.all().filter(|e| !e.listed.models.is_empty());
+    let engines = || directory.engines();
     let data_centres = names(engines().map(|entry| &entry.listed.data_centre));
     let services = names(engines().map(|entry| &entry.listed.service));
     let entries = engines().map(|entry| RosterEntry {
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -33,7 +33,7 @@
 }
 
 impl Entry {
-    /// Returns whether it takes no new work, by its registration or by its own word.
+    /// Returns whether it takes no new work, by its registration or because it has said so.
     pub fn is_leaving(&self) -> bool {
         self.listed.leaving || self.notice.leaving
     }
@@ -236,6 +236,11 @@
         self.entries.values().filter(|entry| !entry.displaced)
     }
 
+    /// Returns the model engines among them.
+    pub fn engines(&self) -> impl Iterator<Item = &Entry> {
+        self.all().filter(|entry| !entry.listed.models.is_empty())
+    }
+
     /// Returns the upstream at an address.
     pub fn at(&self, addr: &SocketAddr) -> Option<&Entry> {
         self.all().find(|entry| entry.listed.addr == *addr)
--- a/crates/sidecar/src/cache.rs
+++ b/crates/sidecar/src/cache.rs
@@ -9,7 +9,7 @@
 
 use crate::sidecar::Shared;
 
-/// Calls that wait shorter than 200 ms are priced like probes.
+/// Calls that wait shorter than 200 ms count as probes.
 const PACE: ContentsPace = ContentsPace {
     wait_ms: DurationMs(250),
     pause_ms: DurationMs(100),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -8,7 +8,7 @@
 use dw_fleet::Aggregate;
 use dw_fleet::PassOn;
 
-/// Time after the last word of a process that uses this sidecar as a relay in which it is one.
+/// Time in which this sidecar is a relay after a datagram from a process that uses it as one.
 pub(crate) const RELAY_MS: DurationMs = DurationMs(3_000);
 
 /// What a relay knows and passes on.
--- a/crates/sidecar/src/stores.rs
+++ b/crates/sidecar/src/stores.rs
@@ -19,7 +19,7 @@
 
 use crate::sidecar::Shared;
 
-/// Longest wait of a call; shorter ones are priced like probes.
+/// Longest wait of a call; with shorter ones there would be as many calls as with probes.
 const WAIT_MS: DurationMs = DurationMs(250);
 
 /// Time beyond the wait after which a store counts as down.
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -1,11 +1,19 @@
-//! Settings of sidecars in tests.
+//! Settings of sidecars, their metrics, and a cache that tells nothing.
 
 use std::net::SocketAddr;
 
+use async_trait::async_trait;
 use dw_base::Bytes;
 use dw_base::DurationMs;
+use dw_cache::KvPage;
 use dw_platform::boot::Bounds;
 use dw_platform::Boot;
+use dw_port::KvError;
+use dw_port::KvIndex;
+use dw_sidecar::Sidecar;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Returns the settings of a sidecar beside an engine, with a port for datagrams.
 pub(crate) fn boot(
@@ -37,3 +45,25 @@
         },
     }
 }
+
+/// An engine that tells nothing of its cache.
+pub(crate) struct SilentCache;
+
+#[async_trait]
+impl KvIndex for SilentCache {
+    async fn changes(&mut self, _: u64, _: DurationMs, _: DurationMs) -> Result<KvPage, KvError> {
+        std::future::pending().await
+    }
+}
+
+/// Returns the answer of the metrics address.
+pub(crate) async fn metrics(sidecar: &Sidecar) -> String {
+    let addr = sidecar.metrics_addr().expect("metrics are served");
+    let mut stream = TcpStream::connect(addr).await.expect("metrics accept");
+    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("request is sent");
+    let mut text = String::new();
+    let read = stream.read_to_string(&mut text).await;
+    read.expect("metrics answer");
+    text
+}
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -9,18 +9,17 @@
 
 use async_trait::async_trait;
 use common::boot;
+use common::metrics;
+use common::SilentCache;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::SystemClock;
 use dw_base::WeightsVersion;
-use dw_cache::KvPage;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::EngineError;
 use dw_port::Feed;
 use dw_port::FeedError;
-use dw_port::KvError;
-use dw_port::KvIndex;
 use dw_port::NamedWeights;
 use dw_port::Order;
 use dw_port::OrderAnswer;
@@ -29,9 +28,6 @@
 use dw_port::TableVersion;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 /// Time within which the plan by rank has a lone sidecar load.
@@ -140,16 +136,6 @@
     }
 }
 
-/// An engine that tells nothing of its cache.
-struct SilentCache;
-
-#[async_trait]
-impl KvIndex for SilentCache {
-    async fn changes(&mut self, _: u64, _: DurationMs, _: DurationMs) -> Result<KvPage, KvError> {
-        std::future::pending().await
-    }
-}
-
 /// What four seconds of play have led to.
 struct Played {
     held: u64,
@@ -157,18 +143,6 @@
     metrics: String,
 }
 
-/// Returns the answer of the metrics address.
-async fn metrics(sidecar: &Sidecar) -> String {
-    let addr = sidecar.metrics_addr().expect("metrics are served");
-    let mut stream = TcpStream::connect(addr).await.expect("metrics accept");
-    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).await.expect("request is sent");
-    let mut text = String::new();
-    let read = stream.read_to_string(&mut text).await;
-    read.expect("metrics answer");
-    text
-}
-
 /// Plays four seconds.
 fn play(acts: &[Act]) -> Played {
     let life = Arc::new(Mutex::new(Life {
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -9,20 +9,19 @@
 
 use async_trait::async_trait;
 use common::boot;
+use common::metrics;
+use common::SilentCache;
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_base::SystemClock;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
-use dw_cache::KvPage;
 use dw_fleet::Members;
 use dw_port::Declaration;
 use dw_port::Engine;
 use dw_port::EngineError;
 use dw_port::Feed;
 use dw_port::FeedError;
-use dw_port::KvError;
-use dw_port::KvIndex;
 use dw_port::Order;
 use dw_port::OrderAnswer;
 use dw_port::Page;
@@ -36,9 +35,6 @@
 use dw_wire::Roster;
 use dw_wire::RosterEntry;
 use dw_wire::RouterState;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
@@ -62,13 +58,6 @@
     }
 }
 
-#[async_trait]
-impl KvIndex for Quiet {
-    async fn changes(&mut self, _: u64, _: DurationMs, _: DurationMs) -> Result<KvPage, KvError> {
-        std::future::pending().await
-    }
-}
-
 #[async_trait]
 impl Feed<Declaration> for Quiet {
     async fn snapshot(&mut self, _: DurationMs) -> Result<Page<Declaration>, FeedError> {
@@ -121,9 +110,9 @@
         metrics_port: Some(0),
         clock: Arc::new(SystemClock::new()),
         engine: Box::new(Quiet),
-        cache: Box::new(Quiet),
+        cache: Box::new(SilentCache),
         declarations: Box::new(Quiet),
-        stores: Box::new(|_| Box::new(Quiet)),
+        stores: Box::new(|_| Box::new(SilentCache)),
     });
     sidecar.await.ok()
 }
@@ -147,13 +136,7 @@
 
 /// Returns how many states a sidecar has told its data centre.
 async fn told(sidecar: &Sidecar) -> u64 {
-    let addr = sidecar.metrics_addr().expect("metrics are served");
-    let mut stream = TcpStream::connect(addr).await.expect("metrics accept");
-    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).await.expect("request is sent");
-    let mut text = String::new();
-    let read = stream.read_to_string(&mut text).await;
-    read.expect("metrics answer");
+    let text = metrics(sidecar).await;
     let line = text
         .lines()
         .find(|line| line.contains("told_total{kind=\"near\"}"));
@@ -213,9 +196,9 @@
     }
 }
 
-/// Guards against sidecars that keep one another at being relays: on quiet-1 of a site with 144
-/// sidecars, 59 were. Routers that used others for a moment, as at a start, leave two relays in each
-/// data centre, and every router hears of all engines from them.
+/// Guards against sidecars that keep one another at being relays. Routers that used others for a
+/// moment, as at a start, leave two relays in each data centre, and every router hears of all engines
+/// from them.
 #[test]
 fn two_relays_a_data_centre_remain() {
     let runtime = tokio::runtime::Builder::new_current_thread()
