gateway: log the prompt parts of requests that an upstream held when it ended

A request whose connection breaks now leads to a new connection: if the VM answers that nothing listens, the upstream has ended, and a line names the request, whether its answer had begun, and the parts of its prompt. Two counters tell how many upstreams ended and how many requests they held.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -49,6 +49,7 @@
 pub use number::Worth;
 pub use priority::ParsePriorityError;
 pub use priority::Priority;
+pub use prompt::ModelPart;
 pub use prompt::PartKey;
 pub use prompt::PrefixKey;
 pub use prompt::PromptPart;
--- a/crates/base/src/prompt.rs
+++ b/crates/base/src/prompt.rs
@@ -1,5 +1,9 @@
 //! Prompts that are described by their parts.
 
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -26,6 +30,31 @@
     }
 }
 
+/// Identifies a part of a prompt for one model, whatever parts stand before it and whoever sends it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ModelPart(pub u64);
+
+impl ModelPart {
+    /// Returns the key of a part for the model with this name.
+    pub fn new(model: &str, part: &PromptPart) -> Self {
+        ModelPart(PrefixKey::root(model).with_part(part).0)
+    }
+}
+
+impl fmt::Display for ModelPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ModelPart {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(ModelPart)
+    }
+}
+
 /// Identifies a prefix of a prompt under one salt.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PrefixKey(pub u64);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,6 +6,7 @@
 
 use dw_base::Bytes;
 use dw_base::DurationMs;
+use dw_base::ModelPart;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
@@ -19,6 +20,9 @@
 /// Estimated size of the heads of a request and its answer, and of a short answer body.
 const OVERHEAD_BYTES: u64 = 1_200;
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// State of one request while it is handled.
 pub(crate) struct RequestContext {
     pub(crate) request_head: RequestHead,
@@ -61,6 +65,25 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    pub(crate) fn shared_parts(&self) -> Vec<ModelPart> {
+        let model = self.request_head.model.as_ref();
+        let model = model.map_or("", |model| model.as_str());
+        let shared = self.request_head.prompt.split_last();
+        let shared = shared.map_or(&[][..], |(_, shared)| shared);
+        shared
+            .iter()
+            .map(|part| ModelPart::new(model, part))
+            .collect()
+    }
+
+    /// Returns the first shared parts as text for logs.
+    pub(crate) fn logged_parts(&self) -> String {
+        let parts = self.shared_parts().into_iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<String> = parts.map(|part| part.to_string()).collect();
+        parts.join(",")
+    }
+
     /// Returns the priority of the request at the engine.
     pub(crate) fn priority(&self) -> u8 {
         let organisation_priority = self.organisation.as_ref().and_then(|org| org.priority);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -26,12 +26,14 @@
 use crate::request::request_hash;
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
+use crate::upstream_end;
+use crate::upstream_end::LostRequest;
 
 /// Timeout for connecting to an upstream; a reachable one accepts within a few milliseconds.
-const CONNECT_TIMEOUT_MS: DurationMs = DurationMs(250);
+pub(crate) const CONNECT_TIMEOUT_MS: DurationMs = DurationMs(250);
 
 /// Time without a TCP acknowledgement from an upstream after which its connection is closed.
-const ACK_TIMEOUT_MS: DurationMs = DurationMs(1_000);
+pub(crate) const ACK_TIMEOUT_MS: DurationMs = DurationMs(1_000);
 
 /// Maximum idle time of a connection that is reused for a request which must not be repeated.
 ///
@@ -164,6 +166,12 @@
                 return AttemptResult::NoAnswer(AttemptOutcome::Unsent);
             }
             record_failure(shared, context, plan, &describe(&e.into_error()));
+            upstream_end::report(
+                shared,
+                context,
+                (&plan.choice.upstream, plan.addr),
+                LostRequest::Waiting,
+            );
             return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
         }
         Ok(Ok(response)) => response,
@@ -275,6 +283,12 @@
         }
         Ok(Some(Err(e))) => {
             record_failure(shared, context, plan, &describe(&e));
+            upstream_end::report(
+                shared,
+                context,
+                (&plan.choice.upstream, plan.addr),
+                LostRequest::Waiting,
+            );
             AttemptResult::NoAnswer(AttemptOutcome::Unknown)
         }
         Ok(Some(Ok(frame))) => {
@@ -374,7 +388,7 @@
     log::warn!(
         request_id = context.request_head.request_id.as_str(), upstream:% = upstream,
         addr:% = plan.addr, reason = cause, first_token_expected_ms = plan.choice.first_token_ms.0,
-        age_ms = now.since(context.arrived).0;
+        age_ms = now.since(context.arrived).0, parts = context.logged_parts();
         "upstream failed a request"
     );
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::probe;
 use crate::registrations::follow_registrations;
 use crate::shared::Shared;
+use crate::upstream_end::EndedUpstreams;
 use crate::weights::Weights;
 
 /// Number of heartbeat intervals that an outage of the registration table must last for
@@ -217,6 +218,7 @@
         pool: ConnectionPool::default(),
         connections: Connections::default(),
         metrics: GatewayMetrics::new(),
+        ended: EndedUpstreams::default(),
         draining: Cell::new(false),
         announcement_due: Notify::new(),
     })
@@ -229,6 +231,7 @@
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
         let directory = shared.directory.borrow();
+        shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
         if let Some(routes) = shared.routes() {
             let idle_ms = routes.limits().idle_ms.0 as f64 * IDLE_TIMEOUT_FACTOR;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod selection;
 mod shared;
 mod tables;
+mod upstream_end;
 mod weights;
 
 pub use drain::DrainTimes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 use crate::answer::GatewayAnswer;
+use crate::upstream_end::LostRequest;
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3.0, 10.0];
@@ -44,6 +45,8 @@
     gateway_answers: Family<KindLabel, Counter>,
     failed_attempts: Family<KindLabel, Counter>,
     retries: Family<KindLabel, Counter>,
+    upstream_ends: Counter,
+    lost_requests: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
     received_bytes: Family<KindLabel, Counter>,
     first_token: Latency,
@@ -80,6 +83,16 @@
                 "Retries by decision of the budget",
                 Family::default(),
             ),
+            upstream_ends: metrics.add(
+                "upstream_ends",
+                "Upstreams that ended while they held requests of this gateway",
+                Counter::default(),
+            ),
+            lost_requests: metrics.add(
+                "requests_lost_to_ends",
+                "Requests that an upstream held when it ended, by whether its answer had begun",
+                Family::default(),
+            ),
             sent_bytes: metrics.add("told_bytes", "Bytes of sent datagrams", Family::default()),
             received_bytes: metrics.add(
                 "heard_bytes",
@@ -143,6 +156,17 @@
             .inc();
     }
 
+    /// Counts an upstream that ended while it held requests.
+    pub(crate) fn record_upstream_end(&self) {
+        self.upstream_ends.inc();
+    }
+
+    /// Counts a request that an upstream held when it ended.
+    pub(crate) fn record_lost_request(&self, lost: LostRequest) {
+        let label = KindLabel { kind: lost.label() };
+        self.lost_requests.get_or_create(&label).inc();
+    }
+
     /// Counts a retry that the budget allowed or denied.
     pub(crate) fn record_retry(&self, allowed: bool) {
         let kind = if allowed { "allowed" } else { "denied" };
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -94,6 +94,9 @@
             .get(&registration.upstream)
             .map(|entry| &entry.registration);
         let restarted = known.is_some_and(|known| known.started_ms != registration.started_ms);
+        if restarted {
+            self.shared.ended.remove(&registration.upstream);
+        }
         if known.is_none_or(|known| known.leaving != registration.leaving || restarted) {
             log::info!(
                 upstream:% = registration.upstream, service:% = registration.service,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,6 +28,8 @@
 use crate::forward::is_healthy_status;
 use crate::in_flight::InFlight;
 use crate::shared::Shared;
+use crate::upstream_end;
+use crate::upstream_end::LostRequest;
 
 /// Error of an answer that ends before it is complete; the caller's connection is closed.
 #[derive(Debug, Error)]
@@ -137,6 +139,9 @@
                 }
                 Poll::Ready(Some(Err(e))) => {
                     self.fail(&describe(&e));
+                    let upstream = (&self.choice.upstream, self.addr);
+                    let lost = LostRequest::Answering;
+                    upstream_end::report(&self.shared, &self.context, upstream, lost);
                     return Poll::Ready(Some(Err(e.into())));
                 }
                 Poll::Ready(Some(Ok(frame))) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::tables::TableState;
+use crate::upstream_end::EndedUpstreams;
 use crate::weights::Weights;
 
 /// State that all tasks of a gateway share.
@@ -50,6 +51,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) connections: Connections,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
     /// Wakes the task that sends announcements to the relays.
     pub(crate) announcement_due: Notify,
--- /dev/null
+++ b/crates/gateway/src/upstream_end.rs
@@ -0,0 +1,114 @@
+//! Detection of upstreams that end while they hold requests.
+//!
+//! A broken connection alone does not tell whether the upstream has ended or the path to it failed.
+//! After one, the gateway connects again: if the VM answers that nothing listens, the upstream has
+//! ended.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dw_base::UpstreamId;
+use dw_net::connect;
+use dw_net::Dial;
+
+use crate::context::SharedContext;
+use crate::forward::ACK_TIMEOUT_MS;
+use crate::forward::CONNECT_TIMEOUT_MS;
+use crate::shared::Shared;
+
+/// How far a request was whose connection to its upstream broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LostRequest {
+    /// Nothing of its answer had arrived.
+    Waiting,
+    /// A part of its answer had arrived.
+    Answering,
+}
+
+impl LostRequest {
+    /// Returns the name in logs and metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            LostRequest::Waiting => "waiting",
+            LostRequest::Answering => "answering",
+        }
+    }
+}
+
+/// Upstreams that are known to have ended; each start of an upstream has an id of its own or is
+/// removed from here when it registers again.
+#[derive(Debug, Default)]
+pub(crate) struct EndedUpstreams(RefCell<HashSet<UpstreamId>>);
+
+impl EndedUpstreams {
+    /// Records an end; returns whether it was not known.
+    fn record(&self, upstream: &UpstreamId) -> bool {
+        self.0.borrow_mut().insert(upstream.clone())
+    }
+
+    fn contains(&self, upstream: &UpstreamId) -> bool {
+        self.0.borrow().contains(upstream)
+    }
+
+    /// Removes an upstream that has registered again.
+    pub(crate) fn remove(&self, upstream: &UpstreamId) {
+        self.0.borrow_mut().remove(upstream);
+    }
+
+    /// Removes upstreams for which `keep` returns false.
+    pub(crate) fn retain(&self, keep: impl Fn(&UpstreamId) -> bool) {
+        self.0.borrow_mut().retain(keep);
+    }
+}
+
+/// Returns whether an upstream whose connection broke has ended, and logs the request that it held.
+pub(crate) async fn has_ended(
+    shared: &Shared,
+    context: &SharedContext,
+    (upstream, addr): (&UpstreamId, SocketAddr),
+    lost: LostRequest,
+) -> bool {
+    let ended = shared.ended.contains(upstream) || has_no_listener(shared, addr).await;
+    if ended {
+        shared.metrics.record_lost_request(lost);
+        if shared.ended.record(upstream) {
+            shared.metrics.record_upstream_end();
+        }
+        log::warn!(
+            request_id = context.request_head.request_id.as_str(), upstream:%,
+            request = lost.label(), parts = context.logged_parts();
+            "upstream ended while it held a request"
+        );
+    }
+    ended
+}
+
+/// Runs [`has_ended`] without waiting for it.
+pub(crate) fn report(
+    shared: &Rc<Shared>,
+    context: &SharedContext,
+    (upstream, addr): (&UpstreamId, SocketAddr),
+    lost: LostRequest,
+) {
+    let (shared, context, upstream) = (shared.clone(), context.clone(), upstream.clone());
+    tokio::task::spawn_local(async move {
+        has_ended(&shared, &context, (&upstream, addr), lost).await;
+    });
+}
+
+async fn has_no_listener(shared: &Shared, addr: SocketAddr) -> bool {
+    let dial = Dial {
+        addr,
+        connect_ms: CONNECT_TIMEOUT_MS,
+        silence_ms: ACK_TIMEOUT_MS,
+    };
+    match connect(dial).await {
+        Ok(connection) => {
+            shared.pool.put(addr, connection, None, shared.now());
+            false
+        }
+        Err(e) => e.has_no_listener(),
+    }
+}
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -34,3 +34,15 @@
         source: hyper::Error,
     },
 }
+
+impl ConnectError {
+    /// Returns whether the peer's VM answered that nothing listens at the address.
+    pub fn has_no_listener(&self) -> bool {
+        match self {
+            ConnectError::Refused { source, .. } => {
+                source.kind() == io::ErrorKind::ConnectionRefused
+            }
+            ConnectError::Timeout { .. } | ConnectError::Handshake { .. } => false,
+        }
+    }
+}
