quarantine: stop prompt parts under which upstreams end

Callers saw 502 and broken streams, since requests with one part of a prompt crashed each engine that began an answer on them, with all other requests that it held.

Cause: a router took each crash as the engine's fault alone. The engine was ejected and the next request with the part, or a retry, went to a sound one. Nothing linked the ends of engines to what they held, and one router saw less than one of five ends. The class of fault is a query of death.

Now an upstream that has ended under a request without a first token is evidence against the shared parts of its prompt, and an answer that begins on a part discards it. Routers add up the evidence through the relays. From three ends on, a part is quarantined: requests are rejected at once as not run, and one probe at a time is sent, granted by a conditional write to the table, in which the quarantine outlasts restarts. From two ends on a request that lost its engine gets no second one.

Ruled out: chance and the kind of request (three parts in 13 of 13 ends). Broken connections, cuts and frozen engines accuse nobody, as something still listens or nothing answers.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -38,6 +38,8 @@
     pub(crate) deadline: TimeMs,
     /// Number of attempts so far.
     pub(crate) attempts: Cell<u32>,
+    /// Whether it is sent as the probe of a quarantined prompt part.
+    pub(crate) is_probe: Cell<bool>,
 }
 
 impl RequestContext {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,16 +21,16 @@
 
 use crate::context::SharedContext;
 use crate::in_flight::InFlight;
+use crate::quarantine;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
 use crate::request::request_hash;
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
-use crate::upstream_end;
-use crate::upstream_end::LostRequest;
+use crate::upstream_end::handle_break;
 
 /// Timeout for connecting to an upstream; a reachable one accepts within a few milliseconds.
-pub(crate) const CONNECT_TIMEOUT_MS: DurationMs = DurationMs(250);
+const CONNECT_TIMEOUT_MS: DurationMs = DurationMs(250);
 
 /// Time without a TCP acknowledgement from an upstream after which its connection is closed.
 pub(crate) const ACK_TIMEOUT_MS: DurationMs = DurationMs(1_000);
@@ -166,12 +166,7 @@
                 return AttemptResult::NoAnswer(AttemptOutcome::Unsent);
             }
             record_failure(shared, context, plan, &describe(&e.into_error()));
-            upstream_end::report(
-                shared,
-                context,
-                (&plan.choice.upstream, plan.addr),
-                LostRequest::Waiting,
-            );
+            handle_break(shared, context, (&plan.choice.upstream, plan.addr)).await;
             return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
         }
         Ok(Ok(response)) => response,
@@ -283,12 +278,7 @@
         }
         Ok(Some(Err(e))) => {
             record_failure(shared, context, plan, &describe(&e));
-            upstream_end::report(
-                shared,
-                context,
-                (&plan.choice.upstream, plan.addr),
-                LostRequest::Waiting,
-            );
+            handle_break(shared, context, (&plan.choice.upstream, plan.addr)).await;
             AttemptResult::NoAnswer(AttemptOutcome::Unknown)
         }
         Ok(Some(Ok(frame))) => {
@@ -364,6 +354,7 @@
 ) -> Relay {
     let mut in_flight = received.in_flight;
     in_flight.record_first_token();
+    quarantine::record_answer(shared, context);
     Relay::new(RelayParts {
         shared: shared.clone(),
         context: context.clone(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use dw_port::Declaration;
 use dw_port::DeclarationTimes;
 use dw_port::Feed;
+use dw_port::QuarantineTable;
 use dw_port::Registration;
 use dw_telem::Metrics;
 use thiserror::Error;
@@ -41,6 +42,8 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::probe;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
 use crate::registrations::follow_registrations;
 use crate::shared::Shared;
 use crate::upstream_end::EndedUpstreams;
@@ -90,6 +93,8 @@
     pub registrations: Box<dyn Feed<Registration>>,
     /// Store of the times at which weights were published.
     pub naming_times: Box<dyn DeclarationTimes>,
+    /// Table with the quarantined prompt parts.
+    pub quarantine: Box<dyn QuarantineTable>,
 }
 
 /// A running gateway.
@@ -117,7 +122,8 @@
         let (ready, ready_addr) = listen("readiness", ready).await?;
         let inner = SocketAddr::new(boot.ip, boot.inner_ports.0);
         let socket = Rc::new(datagrams("inner", inner).await?);
-        let shared = shared_state(&boot, parts.clock, parts.codec);
+        let quarantine = Quarantine::new(parts.quarantine);
+        let shared = shared_state(&boot, parts.clock, parts.codec, quarantine);
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
             data_centre:% = boot.data_centre;
@@ -130,6 +136,7 @@
             declaration_times,
         ));
         spawn(follow_registrations(shared.clone(), parts.registrations));
+        spawn(quarantine::restore(shared.clone()));
         spawn(kv::follow_all(shared.clone()));
         let gossip = Rc::new(Gossip::new(shared.clone(), socket));
         spawn(gossip.clone().announce_to_relays());
@@ -198,7 +205,12 @@
     tokio::task::spawn_local(task)
 }
 
-fn shared_state(boot: &Rc<Boot>, clock: Arc<dyn Clock>, codec: Arc<dyn Codec>) -> Rc<Shared> {
+fn shared_state(
+    boot: &Rc<Boot>,
+    clock: Arc<dyn Clock>,
+    codec: Arc<dyn Codec>,
+    quarantine: Quarantine,
+) -> Rc<Shared> {
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
         boot: RefCell::new(boot.clone()),
@@ -218,6 +230,7 @@
         pool: ConnectionPool::default(),
         connections: Connections::default(),
         metrics: GatewayMetrics::new(),
+        quarantine,
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
         announcement_due: Notify::new(),
@@ -230,6 +243,8 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
+        let quarantined = shared.quarantine.expire(now);
+        shared.metrics.set_quarantined(quarantined);
         let directory = shared.directory.borrow();
         shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -102,6 +102,7 @@
                 self.send_state(&announcement, &mut speeds_after, now).await;
                 last = announcement;
             }
+            self.send_suspects(&last.relays, now).await;
             tokio::time::sleep(MIN_PAUSE).await;
             let changed = self.shared.announcement_due.notified();
             // Without a change, the next announcement is due after the maximum pause.
@@ -171,6 +172,19 @@
         }
     }
 
+    /// Sends evidence about prompt parts, if some is due.
+    async fn send_suspects(&self, relays: &[SocketAddr], now: TimeMs) {
+        let reports = self.shared.quarantine.take_due(now);
+        if reports.is_empty() {
+            return;
+        }
+        let datagram = Datagram::Suspects(reports);
+        for relay in relays {
+            let bytes = send_datagram(&self.socket, self.sidecar(*relay), &datagram).await;
+            self.shared.metrics.record_sent("suspects", bytes);
+        }
+    }
+
     fn sidecar(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.shared.boot().inner_ports.0)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod part_keys;
 mod pool;
 mod probe;
+mod quarantine;
 mod registrations;
 mod relay;
 mod relay_updates;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -11,6 +11,7 @@
 use dw_platform::NamingRows;
 use dw_platform::Options;
 use dw_platform::PlatformCodec;
+use dw_platform::QuarantineRows;
 use dw_platform::Registrations;
 use dw_process::run_local;
 use dw_process::Signals;
@@ -38,6 +39,7 @@
         declarations: Box::new(Declarations::new(table)),
         registrations: Box::new(Registrations::new(table)),
         naming_times: Box::new(NamingRows::new(table)),
+        quarantine: Box::new(QuarantineRows::new(table)),
     })
     .await?;
     signals.wait_for_sigterm(|| gateway.reload()).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
 use crate::answer::GatewayAnswer;
@@ -46,6 +47,8 @@
     failed_attempts: Family<KindLabel, Counter>,
     retries: Family<KindLabel, Counter>,
     upstream_ends: Counter,
+    probes: Counter,
+    quarantined: Gauge,
     lost_requests: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
     received_bytes: Family<KindLabel, Counter>,
@@ -88,6 +91,16 @@
                 "Upstreams that ended while they held requests of this gateway",
                 Counter::default(),
             ),
+            probes: metrics.add(
+                "quarantine_probes",
+                "Requests sent as probes of quarantined prompt parts",
+                Counter::default(),
+            ),
+            quarantined: metrics.add(
+                "quarantined_parts",
+                "Prompt parts in quarantine",
+                Gauge::default(),
+            ),
             lost_requests: metrics.add(
                 "requests_lost_to_ends",
                 "Requests that an upstream held when it ended, by whether its answer had begun",
@@ -161,6 +174,17 @@
         self.upstream_ends.inc();
     }
 
+    /// Counts a request that is sent as a probe of a quarantined prompt part.
+    pub(crate) fn record_probe(&self) {
+        self.probes.inc();
+    }
+
+    /// Records the number of prompt parts in quarantine.
+    pub(crate) fn set_quarantined(&self, parts: usize) {
+        self.quarantined
+            .set(i64::try_from(parts).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request that an upstream held when it ended.
     pub(crate) fn record_lost_request(&self, lost: LostRequest) {
         let label = KindLabel { kind: lost.label() };
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -42,6 +42,10 @@
                     self.shared.metrics.record_received("kv", bytes.len());
                     update_kv(&self.shared, update, now);
                 }
+                Datagram::Suspects(reports) => {
+                    self.shared.metrics.record_received("suspects", bytes.len());
+                    self.shared.quarantine.merge(reports, now);
+                }
                 Datagram::Router(_) | Datagram::Engine(_) | Datagram::Roster(_) => {}
             }
         })
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,6 +10,7 @@
 use dw_admit::Offer;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
+use dw_quarantine::Verdict;
 use dw_retry::AttemptOutcome;
 use dw_retry::NextAction;
 use dw_retry::RetryState;
@@ -33,6 +34,8 @@
 use crate::context::SharedContext;
 use crate::forward::forward;
 use crate::forward::AttemptResult;
+use crate::quarantine;
+use crate::quarantine::Admission;
 use crate::selection::select_upstream;
 use crate::selection::AttemptPlan;
 use crate::selection::NoUpstream;
@@ -128,6 +131,7 @@
         arrived,
         deadline,
         attempts: Cell::new(0),
+        is_probe: Cell::new(false),
     })
 }
 
@@ -211,6 +215,9 @@
                 return Err(answer);
             }
         }
+        if let Some(answer) = reject_if_quarantined(shared, context, &retry_state).await {
+            return Err(answer);
+        }
         exclusions.add(&plan.choice.upstream);
         let result = forward(shared, context, &plan).await;
         context.attempts.set(context.attempts.get() + 1);
@@ -240,6 +247,37 @@
     }
 }
 
+/// Returns the answer to a request that must not be sent, or not be sent again, because of a part of its
+/// prompt under which upstreams ended.
+async fn reject_if_quarantined(
+    shared: &Shared,
+    context: &RequestContext,
+    retry_state: &RetryState,
+) -> Option<GatewayAnswer> {
+    if retry_state.may_have_run() {
+        let may_end_another = quarantine::verdict(shared, context) != Verdict::Clear;
+        return may_end_another.then_some(GatewayAnswer::Unknown);
+    }
+    if context.is_probe.get() {
+        return None;
+    }
+    match quarantine::admit(shared, context).await {
+        Admission::Open => None,
+        Admission::Probe => {
+            context.is_probe.set(true);
+            None
+        }
+        Admission::Rejected(pause_ms) => Some(GatewayAnswer::NotRun {
+            reason: "quarantined_part",
+            retry_after_ms: retry_after_pause(
+                context.remaining(shared.now()),
+                request_hash(&context.request_head.request_id),
+                pause_ms,
+            ),
+        }),
+    }
+}
+
 /// Returns the answer to a prompt that is rejected because the service's first tokens are late.
 fn reject_if_overloaded(
     shared: &Shared,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::connections::Connections;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
+use crate::quarantine::Quarantine;
 use crate::tables::TableState;
 use crate::upstream_end::EndedUpstreams;
 use crate::weights::Weights;
@@ -51,6 +52,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) connections: Connections,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) quarantine: Quarantine,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
     /// Wakes the task that sends announcements to the relays.
--- a/crates/gateway/src/upstream_end.rs
+++ b/crates/gateway/src/upstream_end.rs
@@ -9,15 +9,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use dw_base::DurationMs;
 use dw_base::UpstreamId;
 use dw_net::connect;
 use dw_net::Dial;
 
 use crate::context::SharedContext;
 use crate::forward::ACK_TIMEOUT_MS;
-use crate::forward::CONNECT_TIMEOUT_MS;
+use crate::quarantine;
 use crate::shared::Shared;
 
+/// Timeout for connecting again. A VM answers within a few milliseconds, and a retry waits for it.
+const CHECK_TIMEOUT_MS: DurationMs = DurationMs(100);
+
 /// How far a request was whose connection to its upstream broke.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LostRequest {
@@ -98,10 +102,23 @@
     });
 }
 
+/// Handles a connection that broke before an answer began: if the upstream has ended, the parts of the
+/// prompt are suspects.
+pub(crate) async fn handle_break(
+    shared: &Rc<Shared>,
+    context: &SharedContext,
+    (upstream, addr): (&UpstreamId, SocketAddr),
+) {
+    if has_ended(shared, context, (upstream, addr), LostRequest::Waiting).await {
+        shared.pool.close(addr);
+        quarantine::record_end(shared, context, upstream);
+    }
+}
+
 async fn has_no_listener(shared: &Shared, addr: SocketAddr) -> bool {
     let dial = Dial {
         addr,
-        connect_ms: CONNECT_TIMEOUT_MS,
+        connect_ms: CHECK_TIMEOUT_MS,
         silence_ms: ACK_TIMEOUT_MS,
     };
     match connect(dial).await {
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod feed;
 mod kv;
+mod quarantine;
 mod request_head;
 
 pub use codec::Codec;
@@ -30,5 +31,7 @@
 pub use feed::TableVersion;
 pub use kv::KvError;
 pub use kv::KvIndex;
+pub use quarantine::QuarantineRecords;
+pub use quarantine::QuarantineTable;
 pub use request_head::RequestHead;
 pub use request_head::RequestHeadError;
--- /dev/null
+++ b/crates/quarantine/src/probe.rs
@@ -0,0 +1,117 @@
+//! When one request with a quarantined part may be sent as a probe.
+
+use dw_base::DurationMs;
+use dw_base::ModelPart;
+
+/// Pauses before the first probes, counted from the quarantine or from the probe before. The first ones
+/// are short, as a sound part may be in quarantine by chance; each further one costs an upstream.
+const FIRST_PAUSES_MS: [DurationMs; 3] = [DurationMs(500), DurationMs(2_000), DurationMs(30_000)];
+
+/// Longest pause between two probes.
+const MAX_PAUSE_MS: DurationMs = DurationMs(600_000);
+
+/// Stored record of a quarantined part, which all routers share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineRecord {
+    /// Part.
+    pub part: ModelPart,
+    /// Number of probes sent with this part.
+    pub probes: u32,
+    /// Number of probes sent of which no other part was in quarantine.
+    pub solo_probes: u32,
+    /// When the record was written, by the clock of the table that keeps it.
+    pub written_ms: u64,
+    /// Version of the stored record; 0 if it is not stored yet.
+    pub version: u64,
+}
+
+impl QuarantineRecord {
+    /// Creates the record of a part that enters quarantine now.
+    fn new(part: ModelPart, table_now_ms: u64) -> Self {
+        QuarantineRecord {
+            part,
+            probes: 0,
+            solo_probes: 0,
+            written_ms: table_now_ms,
+            version: 0,
+        }
+    }
+}
+
+/// Whether a request with quarantined parts may be sent as a probe.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ProbeDecision {
+    /// It may, once these records are stored; only one router can store them.
+    Send(Vec<QuarantineRecord>),
+    /// It may not for a while.
+    Wait {
+        /// Time until the next probe may be sent.
+        pause_ms: DurationMs,
+        /// Records of parts that had none.
+        missing: Vec<QuarantineRecord>,
+    },
+}
+
+fn pause_ms(probes: u32) -> DurationMs {
+    let at = probes as usize;
+    let last = FIRST_PAUSES_MS.len() - 1;
+    match FIRST_PAUSES_MS.get(at) {
+        Some(pause_ms) => *pause_ms,
+        None => {
+            let doublings = u32::try_from(at - last).unwrap_or(u32::MAX).min(16);
+            DurationMs(FIRST_PAUSES_MS[last].0 << doublings).min(MAX_PAUSE_MS)
+        }
+    }
+}
+
+/// Returns new records for the parts that have none.
+pub fn missing_records(
+    parts: &[ModelPart],
+    stored: &[QuarantineRecord],
+    table_now_ms: u64,
+) -> Vec<QuarantineRecord> {
+    let is_missing = |part: &&ModelPart| !stored.iter().any(|record| record.part == **part);
+    let missing = parts.iter().filter(is_missing);
+    missing
+        .map(|part| QuarantineRecord::new(*part, table_now_ms))
+        .collect()
+}
+
+/// Decides whether a request with these quarantined parts may be sent, from the stored records of the
+/// parts and the time of the table that keeps them.
+///
+/// A request with several quarantined parts does not tell which of them ends upstreams, so a sound part
+/// is not kept waiting by the probes that it shared with another one.
+pub fn decide_probe(
+    parts: &[ModelPart],
+    stored: &[QuarantineRecord],
+    table_now_ms: u64,
+) -> ProbeDecision {
+    let is_solo = parts.len() == 1;
+    let known = || stored.iter().filter(|record| parts.contains(&record.part));
+    let missing = missing_records(parts, stored, table_now_ms);
+    let remaining_ms = |record: &QuarantineRecord| {
+        // The first short pause is left to requests that test one part only.
+        let sent = match is_solo {
+            true => record.solo_probes,
+            false => record.probes.saturating_add(1),
+        };
+        let waited_ms = DurationMs(table_now_ms.saturating_sub(record.written_ms));
+        pause_ms(sent).saturating_sub(waited_ms)
+    };
+    let all = known().chain(&missing);
+    let remaining_ms = all.map(remaining_ms).max().unwrap_or_default();
+    if remaining_ms > DurationMs::ZERO {
+        return ProbeDecision::Wait {
+            pause_ms: remaining_ms,
+            missing,
+        };
+    }
+    let next = known().map(|record| QuarantineRecord {
+        probes: record.probes.saturating_add(1),
+        solo_probes: record.solo_probes.saturating_add(u32::from(is_solo)),
+        written_ms: table_now_ms,
+        ..*record
+    });
+    ProbeDecision::Send(next.collect())
+}
--- /dev/null
+++ b/crates/quarantine/tests/probe.rs
@@ -0,0 +1,102 @@
+//! When requests with quarantined parts are sent as probes.
+
+use dw_base::ModelPart;
+use dw_quarantine::decide_probe;
+use dw_quarantine::missing_records;
+use dw_quarantine::ProbeDecision;
+use dw_quarantine::QuarantineRecord;
+use proptest::prelude::*;
+
+const QUERY_OF_DEATH: ModelPart = ModelPart(1);
+const SOUND: ModelPart = ModelPart(2);
+
+/// Table with the records, which each write changes.
+#[derive(Default)]
+struct Table(Vec<QuarantineRecord>);
+
+impl Table {
+    fn write(&mut self, records: Vec<QuarantineRecord>) {
+        for record in records {
+            self.0.retain(|known| known.part != record.part);
+            self.0.push(QuarantineRecord {
+                version: record.version + 1,
+                ..record
+            });
+        }
+    }
+
+    /// Requests a probe; returns whether it may be sent.
+    fn request(&mut self, parts: &[ModelPart], now_ms: u64) -> bool {
+        match decide_probe(parts, &self.0, now_ms) {
+            ProbeDecision::Send(records) => {
+                self.write(records);
+                true
+            }
+            ProbeDecision::Wait { missing, .. } => {
+                self.write(missing);
+                false
+            }
+        }
+    }
+
+    /// Requests probes again and again until a time; returns how many were sent.
+    fn request_until(&mut self, parts: &[ModelPart], from_ms: u64, until_ms: u64) -> usize {
+        let times = (from_ms..until_ms).step_by(50);
+        times.filter(|now_ms| self.request(parts, *now_ms)).count()
+    }
+}
+
+/// Guards against probes that end more upstreams than operators accept: two in the first seconds,
+/// which may be chance, one more in the first minute, then ever fewer.
+#[test]
+fn probes_become_rare() {
+    let mut table = Table::default();
+    assert_eq!(table.request_until(&[QUERY_OF_DEATH], 0, 5_000), 2);
+    assert_eq!(table.request_until(&[QUERY_OF_DEATH], 5_000, 60_000), 1);
+    assert!(table.request_until(&[QUERY_OF_DEATH], 60_000, 3_600_000) <= 9);
+}
+
+/// Guards against a sound part that waits for the probes of the query of death beside it.
+#[test]
+fn sound_part_does_not_wait_for_the_query_of_death() {
+    let mut table = Table::default();
+    let both = [QUERY_OF_DEATH, SOUND];
+    assert!(table.request_until(&both, 0, 10_000) > 0);
+    let sent = table.request_until(&[SOUND], 10_000, 11_000);
+    assert!(
+        sent > 0,
+        "the sound part is tried on its own within a second"
+    );
+}
+
+/// Guards against a first request that waits although the record was stored with the quarantine.
+#[test]
+fn stored_record_makes_the_next_request_a_probe() {
+    let mut table = Table::default();
+    table.write(missing_records(&[SOUND], &[], 1_000));
+    assert!(!table.request(&[SOUND], 1_400));
+    assert!(table.request(&[SOUND], 1_500));
+}
+
+proptest! {
+    /// Guards against two probes at one time, whichever requests come with the part.
+    #[test]
+    fn probes_of_a_part_keep_their_pause(
+        requests in proptest::collection::vec((0_u64..5_000, any::<bool>()), 1..200)
+    ) {
+        let mut table = Table::default();
+        let mut now_ms = 0;
+        let mut last_ms = None;
+        for (pause_ms, is_solo) in requests {
+            now_ms += pause_ms;
+            let parts: &[ModelPart] = match is_solo {
+                true => &[QUERY_OF_DEATH],
+                false => &[QUERY_OF_DEATH, SOUND],
+            };
+            if table.request(parts, now_ms) {
+                prop_assert!(last_ms.is_none_or(|last_ms| now_ms - last_ms >= 500));
+                last_ms = Some(now_ms);
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -74,6 +74,12 @@
                 handle_data_centre(&shared, from, state, bytes);
             }
             Datagram::Roster(roster) => handle_roster(&shared, roster),
+            Datagram::Suspects(reports) => {
+                let mut relay = shared.relay.borrow_mut();
+                if relay.suspects.merge(reports, now) {
+                    shared.changed.notify_one();
+                }
+            }
             Datagram::Kv(_) => {}
         }
     })
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -7,15 +7,17 @@
 use dw_base::TimeMs;
 use dw_fleet::Aggregate;
 use dw_fleet::ForwardingPolicy;
+use dw_quarantine::Suspects;
 
 /// Time after the last datagram from a process of the data centre for which this sidecar stays a
 /// relay.
 pub(crate) const RELAY_TIMEOUT_MS: DurationMs = DurationMs(3_000);
 
 /// State of a sidecar as a relay, which collects and forwards the announcements of its data centre.
-#[derive(Default)]
 pub(crate) struct Relay {
     pub(crate) aggregate: Aggregate,
+    /// Prompt parts under which upstreams ended, in all data centres.
+    pub(crate) suspects: Suspects,
     pub(crate) forwarding: ForwardingPolicy,
     last_used: Option<TimeMs>,
     /// Relays of other data centres that have sent announcements lately, with the time of the last
@@ -23,6 +25,18 @@
     remote_senders: BTreeMap<SocketAddr, TimeMs>,
 }
 
+impl Default for Relay {
+    fn default() -> Self {
+        Relay {
+            aggregate: Aggregate::default(),
+            suspects: Suspects::relay(),
+            forwarding: ForwardingPolicy::default(),
+            last_used: None,
+            remote_senders: BTreeMap::new(),
+        }
+    }
+}
+
 impl Relay {
     /// Records that a process of the data centre uses this sidecar as a relay.
     pub(crate) fn record_use(&mut self, now: TimeMs) {
--- a/crates/sidecar/src/relay_announcer.rs
+++ b/crates/sidecar/src/relay_announcer.rs
@@ -108,6 +108,7 @@
             .add_remote_senders(&mut remote_relays, now);
         self.send_roster(shared, &remote_relays, now).await;
         self.send_changes(shared, &remote_relays, now).await;
+        send_suspects(shared, &remote_relays, now).await;
         if now >= self.local.due_at {
             self.send_local_state(shared, now).await;
         }
@@ -268,6 +269,25 @@
     }
 }
 
+/// Sends evidence about prompt parts to all routers of the data centre and to remote relays, if some is
+/// due.
+async fn send_suspects(shared: &Shared, remote_relays: &[SocketAddr], now: TimeMs) {
+    let (reports, mut receivers) = {
+        let mut relay = shared.relay.borrow_mut();
+        relay.suspects.expire(now);
+        (relay.suspects.take_due(now), relay.aggregate.routers())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    receivers.extend(remote_relays);
+    let datagram = Datagram::Suspects(reports);
+    let bytes = send_to_all(&shared.socket, &receivers, &datagram).await;
+    shared
+        .metrics
+        .record_sent("suspects", bytes, receivers.len());
+}
+
 fn data_centre_state(
     shared: &Shared,
     engines: Vec<EngineState>,
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -13,6 +13,7 @@
 use common::SilentCache;
 use dw_base::Clock;
 use dw_base::DurationMs;
+use dw_base::ModelPart;
 use dw_base::SystemClock;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
@@ -27,6 +28,8 @@
 use dw_port::Page;
 use dw_port::Report;
 use dw_port::TableVersion;
+use dw_quarantine::upstream_start;
+use dw_quarantine::Suspects;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
 use dw_wire::decode;
@@ -182,6 +185,18 @@
         }
     }
 
+    /// Returns the prompt parts about which this router has received evidence since the last call.
+    fn received_suspects(&self) -> Vec<ModelPart> {
+        let mut buffer = vec![0; 65_536];
+        let mut parts = Vec::new();
+        while let Ok(length) = self.socket.try_recv(&mut buffer) {
+            if let Ok(Datagram::Suspects(reports)) = decode(&buffer[..length]) {
+                parts.extend(reports.iter().map(|report| report.part));
+            }
+        }
+        parts
+    }
+
     /// Returns the engines whose states this router has received since the last call.
     fn received_engines(&self) -> Vec<SocketAddr> {
         let mut buffer = vec![0; 65_536];
@@ -197,6 +212,44 @@
     }
 }
 
+/// Guards against evidence about prompt parts that stays in one data centre: crashes under one part are
+/// counted over all routers.
+#[test]
+fn ends_reach_routers_of_other_data_centres() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (port, _sidecars) = start_all().await;
+        let mut members = Members::default();
+        members.update(roster());
+        let name = |number: u8| format!("dc-{number}").parse().expect("name is valid");
+        let near = Router::start(0, port).await;
+        let far = Router::start(1, port).await;
+        let mut suspects = Suspects::default();
+        let start = upstream_start(&"u".parse().expect("name is valid"), 1);
+        for _ in 0..50 {
+            let now = SystemClock::new().now();
+            suspects.record_end(&[ModelPart(7)], start, now);
+            far.announce(&members.relay_order(&name(1))[..2]).await;
+            for relay in &members.relay_order(&name(0))[..2] {
+                let reports = Datagram::Suspects(suspects.take_due(now));
+                let to = SocketAddr::new(relay.ip(), port);
+                near.announce(&[*relay]).await;
+                send_datagram(&near.socket, to, &reports).await;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            if far.received_suspects().contains(&ModelPart(7)) {
+                return;
+            }
+            // Announced once only; a lost datagram is announced again with new evidence.
+            suspects = Suspects::default();
+        }
+        panic!("the router of the other data centre received no evidence");
+    });
+}
+
 /// Guards against sidecars that keep each other relays. Routers use more sidecars as relays for a
 /// moment, as at a start; afterwards two relays must remain in each data centre, and every router
 /// must receive the states of all engines from them.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -13,6 +13,7 @@
 //! | [`DataCentreState`] | relay | routers and sidecars of its data centre, relays of the others |
 //! | [`Roster`] | router, relay | relays, sidecars |
 //! | [`KvUpdate`] | relay | routers of its data centre |
+//! | [`SuspectReport`] | router, relay | relays, routers |
 
 use std::net::SocketAddr;
 
@@ -22,6 +23,7 @@
 use dw_base::FenceNumber;
 use dw_base::MeasuredSpeeds;
 use dw_base::ModelId;
+use dw_base::ModelPart;
 use dw_base::NodeId;
 use dw_base::PartKey;
 use dw_base::ServiceId;
@@ -211,6 +213,21 @@
     pub engines: Vec<RosterEntry>,
 }
 
+/// Key of one start of an upstream: an upstream that starts again has another one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct UpstreamStart(pub u64);
+
+/// Evidence about a prompt part under which upstreams ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectReport {
+    /// Part.
+    pub part: ModelPart,
+    /// Upstreams that ended since the last answer on the part, with the time since then.
+    pub ends: Vec<(UpstreamStart, DurationMs)>,
+    /// Time since the last answer that began on the part, if there was one lately.
+    pub answered_age_ms: Option<DurationMs>,
+}
+
 /// A datagram between routers, sidecars and relays.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -226,4 +243,6 @@
     Roster(Roster),
     /// Changes in a KV store, sent by a relay.
     Kv(KvUpdate),
+    /// Prompt parts under which upstreams ended, sent by a router or a relay.
+    Suspects(Vec<SuspectReport>),
 }
