gateway: pass on a stream that ends inside an event as broken

Callers got such a stream with a final chunk, so it looked complete, and a stream that ended before its first event looked like a whole, empty one.

Cause: the gateway took the end of the body for the end of the answer. Without a length or chunks, a crash that closes the connection in order ends the body too. The bytes of event streams are followed now: an end inside an event breaks the caller's answer, one before the first whole event is an attempt without an answer, which may be repeated where the route allows. A connection whose end ends an answer is never kept. The first whole event, not the first byte, is what discards evidence against prompt parts.

Left open: a caller of HTTP/1.0 cannot tell a broken answer from a whole one.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use dw_base::DurationMs;
 use dw_net::connect;
 use dw_net::describe;
@@ -11,6 +12,7 @@
 use dw_port::Envelope;
 use dw_port::ResponseHead;
 use dw_retry::AttemptOutcome;
+use dw_stream::EventBoundary;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -20,6 +22,8 @@
 use tokio::time::timeout;
 
 use crate::context::SharedContext;
+use crate::framing::ends_with_connection;
+use crate::framing::has_events;
 use crate::in_flight::InFlight;
 use crate::quarantine;
 use crate::relay::Relay;
@@ -41,6 +45,9 @@
 /// request is unknown.
 const NON_REPEATABLE_MAX_IDLE_MS: DurationMs = DurationMs(1_000);
 
+/// Length of the start of a stream from which it is passed on without a whole event.
+const MAX_FIRST_EVENT_BYTES: usize = 65_536;
+
 /// Time over which requests are spread at the end of a pause that an upstream has requested.
 const PAUSE_SPREAD_MS: DurationMs = DurationMs(150);
 
@@ -171,14 +178,19 @@
         }
         Ok(Ok(response)) => response,
     };
-    let head = shared
+    let mut head = shared
         .codec
         .decode_response(response.status(), response.headers());
+    head.closes |= ends_with_connection(response.headers());
+    let is_event_stream = context.route.kind.is_stream()
+        && response.status().is_success()
+        && has_events(response.headers());
     let received = ReceivedResponse {
         response,
         head,
         connection,
         in_flight,
+        events: is_event_stream.then(EventBoundary::default),
     };
     classify_response(shared, context, plan, received).await
 }
@@ -189,6 +201,8 @@
     head: ResponseHead,
     connection: Connection,
     in_flight: InFlight,
+    /// Boundaries of the events, if the body is an event stream.
+    events: Option<EventBoundary>,
 }
 
 async fn classify_response(
@@ -223,6 +237,9 @@
         )));
     }
     if !context.route.kind.is_stream() || !status.is_success() {
+        if status.is_success() {
+            quarantine::record_answer(shared, context);
+        }
         return AttemptResult::Answer(Box::new(start_relay(shared, context, plan, received, None)));
     }
     wait_for_first_event(shared, context, plan, received).await
@@ -261,8 +278,8 @@
     }
 }
 
-/// Waits for the first bytes of a stream, so that the request can still be retried if the upstream
-/// fails before it sends them.
+/// Waits for the start of a stream, so that the request can still be retried if the upstream fails
+/// before: for the first whole event, or for the first bytes of a body without events.
 async fn wait_for_first_event(
     shared: &Rc<Shared>,
     context: &SharedContext,
@@ -270,25 +287,66 @@
     mut received: ReceivedResponse,
 ) -> AttemptResult {
     let remaining = context.remaining(shared.now());
-    let frame = timeout(remaining.into(), received.response.body_mut().frame()).await;
-    match frame {
+    let body = received.response.body_mut();
+    let first = timeout(
+        remaining.into(),
+        read_first_event(body, &mut received.events),
+    )
+    .await;
+    match first {
         Err(_) => {
             record_failure(shared, context, plan, "no event in time");
             AttemptResult::TimedOut
         }
-        Ok(Some(Err(e))) => {
-            record_failure(shared, context, plan, &describe(&e));
+        Ok(Err(cause)) => {
+            record_failure(shared, context, plan, &cause);
             handle_break(shared, context, (&plan.choice.upstream, plan.addr)).await;
             AttemptResult::NoAnswer(AttemptOutcome::Unknown)
         }
-        Ok(Some(Ok(frame))) => {
-            let first_data = frame.into_data().ok();
+        Ok(Ok(first_data)) => {
+            if !first_data.is_empty() {
+                received.in_flight.record_first_token();
+                quarantine::record_answer(shared, context);
+            }
+            let first_data = Some(first_data).filter(|data| !data.is_empty());
             AttemptResult::Answer(Box::new(start_relay(
                 shared, context, plan, received, first_data,
             )))
         }
-        Ok(None) => {
-            AttemptResult::Answer(Box::new(start_relay(shared, context, plan, received, None)))
+    }
+}
+
+/// Reads the start of a stream; returns nothing if a stream without events ends before, and the cause if
+/// it fails.
+async fn read_first_event(
+    body: &mut Incoming,
+    events: &mut Option<EventBoundary>,
+) -> Result<Bytes, String> {
+    let mut first = BytesMut::new();
+    loop {
+        let Some(frame) = body.frame().await else {
+            return match events {
+                Some(_) => Err("stream ended without a whole event".to_owned()),
+                None => Ok(first.freeze()),
+            };
+        };
+        let frame = frame.map_err(|e| describe(&e))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let has_event = match events {
+            Some(events) => {
+                events.push(&data);
+                events.events() > 0
+            }
+            None => true,
+        };
+        if first.is_empty() && has_event {
+            return Ok(data);
+        }
+        first.extend_from_slice(&data);
+        if has_event || first.len() > MAX_FIRST_EVENT_BYTES {
+            return Ok(first.freeze());
         }
     }
 }
@@ -354,7 +412,6 @@
 ) -> Relay {
     let mut in_flight = received.in_flight;
     in_flight.record_first_token();
-    quarantine::record_answer(shared, context);
     Relay::new(RelayParts {
         shared: shared.clone(),
         context: context.clone(),
@@ -366,6 +423,7 @@
         connection: received.connection,
         in_flight,
         first_data,
+        events: received.events,
     })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod declarations;
 mod drain;
 mod forward;
+mod framing;
 mod gateway;
 mod gossip;
 mod in_flight;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use dw_net::Connection;
 use dw_place::Choice;
 use dw_port::ResponseHead;
+use dw_stream::EventBoundary;
 use http::Response;
 use http::StatusCode;
 use hyper::body::Body;
@@ -37,6 +38,9 @@
     /// The upstream's connection failed.
     #[error("the upstream's answer ended early: {0}")]
     Broken(#[from] hyper::Error),
+    /// The upstream ended an event stream inside an event.
+    #[error("the upstream's answer ended inside an event")]
+    InsideEvent,
     /// The request's deadline passed.
     #[error("the answer was not complete in time")]
     Timeout,
@@ -56,6 +60,8 @@
     pub(crate) in_flight: InFlight,
     /// Bytes of the body that were already read.
     pub(crate) first_data: Option<Bytes>,
+    /// Boundaries of the events so far, if the body is an event stream.
+    pub(crate) events: Option<EventBoundary>,
 }
 
 /// Relays an upstream's answer to the caller.
@@ -70,6 +76,7 @@
     parts: Option<http::response::Parts>,
     body: Incoming,
     first_data: Option<Bytes>,
+    events: Option<EventBoundary>,
     connection: Option<Connection>,
     _in_flight: InFlight,
     guard: Option<RequestGuard>,
@@ -90,6 +97,7 @@
             parts: Some(head),
             body,
             first_data: parts.first_data,
+            events: parts.events,
             connection: Some(parts.connection),
             _in_flight: parts.in_flight,
             guard: None,
@@ -133,21 +141,27 @@
         }
         loop {
             match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(None) if self.is_inside_event() => {
+                    self.fail("stream ended inside an event");
+                    self.report_end();
+                    return Poll::Ready(Some(Err(RelayError::InsideEvent)));
+                }
                 Poll::Ready(None) => {
                     self.complete();
                     return Poll::Ready(None);
                 }
                 Poll::Ready(Some(Err(e))) => {
                     self.fail(&describe(&e));
-                    let upstream = (&self.choice.upstream, self.addr);
-                    let lost = LostRequest::Answering;
-                    upstream_end::report(&self.shared, &self.context, upstream, lost);
+                    self.report_end();
                     return Poll::Ready(Some(Err(e.into())));
                 }
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers apply only to the connection to the upstream and are not relayed.
                     if let Ok(data) = frame.into_data() {
                         self.bytes += data.len() as u64;
+                        if let Some(events) = &mut self.events {
+                            events.push(&data);
+                        }
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
@@ -163,7 +177,23 @@
 
     /// Returns whether the body has ended.
     pub(crate) fn is_end_stream(&self) -> bool {
-        self.ended || (self.first_data.is_none() && self.body.is_end_stream())
+        self.ended || self.is_at_end()
+    }
+
+    /// Returns whether all of the body has been passed on and none of it is missing.
+    fn is_at_end(&self) -> bool {
+        self.first_data.is_none() && self.body.is_end_stream() && !self.is_inside_event()
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.events.is_some_and(|events| events.is_inside())
+    }
+
+    /// Logs whether the upstream has ended.
+    fn report_end(&self) {
+        let upstream = (&self.choice.upstream, self.addr);
+        let lost = LostRequest::Answering;
+        upstream_end::report(&self.shared, &self.context, upstream, lost);
     }
 
     fn complete(&mut self) {
@@ -235,7 +265,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         if !self.ended {
-            if self.first_data.is_none() && self.body.is_end_stream() {
+            if self.is_at_end() {
                 self.complete();
             } else if self.parts.is_none() {
                 self.ended = true;
