proof: show that the router sends a query of death to engine after engine

The stand-in engine can crash when it begins an answer to a prompt with a given text (fault crash_on). Bound of the tests: five crashes until the piece must be known, three after it.

--- /dev/null
+++ b/crates/proof/tests/query_of_death.rs
@@ -0,0 +1,81 @@
+//! Prompts that crash each engine which begins an answer on them.
+
+use dw_base::BLOCK_BYTES;
+use dw_proof::ask;
+use dw_proof::until;
+use dw_proof::RequestHead;
+use dw_proof::Site;
+use dw_proof::SiteSettings;
+use dw_standin::EngineFaults;
+use dw_standin::EngineSettings;
+
+/// Crashes until the prompt must be known, and after it is known.
+const MOST_CRASHES: u64 = 5 + 3;
+
+/// Requests with the prompt.
+const REQUESTS: usize = 24;
+
+/// Text that crashes an engine.
+const DEADLY: &str = "zzzz";
+
+fn crashes(site: &Site) -> u64 {
+    let engines = site.fleet.engines.values();
+    engines.map(|engine| engine.state.incarnation() - 1).sum()
+}
+
+/// A prompt of a first piece that all share, one piece of its own, and a question.
+fn prompt(piece: &str, question: usize) -> String {
+    let first = "c".repeat(BLOCK_BYTES);
+    let second = piece.repeat(BLOCK_BYTES / piece.len());
+    format!("{first}{second}question {question}")
+}
+
+async fn serve_beside_a_query_of_death(routers: usize) {
+    let engine = EngineSettings::builder()
+        .prefill_tokens_per_s(200_000.0)
+        .decode_ms_per_token(4.0)
+        .max_batch(32)
+        .build();
+    let settings = SiteSettings::builder()
+        .engines(vec![engine; 4])
+        .routers(routers)
+        .build();
+    let site = Site::start(settings).await.expect("started");
+    for engine in site.fleet.engines.values() {
+        engine.state.set_faults(EngineFaults {
+            crash_on: Some(DEADLY.to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    let mut last = String::new();
+    for number in 0..REQUESTS {
+        let caller = site.callers(number);
+        let request = RequestHead::stream("acme", "write", &prompt(DEADLY, number), 4);
+        let reply = ask(caller, &request).await;
+        assert!(!reply.done(), "an engine crashes before it answers");
+        last = reply.kind();
+        let crashes = crashes(&site);
+        assert!(
+            crashes <= MOST_CRASHES,
+            "one piece of the prompts crashed {crashes} engines, request {number}"
+        );
+        let request = RequestHead::stream("acme", "write", &prompt("abcd", number), 4);
+        let served = || async { ask(caller, &request).await.done() };
+        until("a sound prompt with the same first piece is served", served)
+            .await
+            .expect("served");
+    }
+    assert_eq!(last, "quarantined_prompt", "it is refused for its prompt");
+}
+
+/// Guards against a prompt that is sent to one engine after the other by one router.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_prompt_crashes_engine_after_engine() {
+    serve_beside_a_query_of_death(1).await;
+}
+
+/// Guards against routers that each count for themselves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn prompt_that_crashes_engines_is_known_to_all_routers() {
+    serve_beside_a_query_of_death(4).await;
+}
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -180,15 +180,32 @@
             .any(|generation| !matches!(generation.phase, Phase::Ended { .. }))
     }
 
-    /// Advances the batch by one decode step.
-    pub(crate) fn step(&mut self, now_ms: f64) {
+    /// Advances the batch by one decode step; returns whether the engine crashed.
+    pub(crate) fn step(&mut self, now_ms: f64) -> bool {
         self.purge_expired(now_ms);
         if self.faults.paused {
-            return;
+            return false;
         }
         self.admit(now_ms);
+        if self.begins_crashing_answer() {
+            self.crash(now_ms);
+            return true;
+        }
         self.decode(now_ms);
         self.prefill(now_ms);
+        false
+    }
+
+    /// Returns whether the next decode step begins an answer on which the engine crashes.
+    fn begins_crashing_answer(&self) -> bool {
+        let Some(text) = &self.faults.crash_on else {
+            return false;
+        };
+        self.generations.values().any(|generation| {
+            generation.phase == Phase::Decode
+                && generation.tokens() == 0
+                && generation.request.prompt.contains(text)
+        })
     }
 
     /// Evicts idle blocks and drops generations that ended more than `retain_ms` ago.
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -109,15 +109,20 @@
             core.faults = faults;
         }
         if disconnect {
-            let mut current = self
-                .disconnect
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            std::mem::take(&mut *current).cancel();
+            self.close_connections();
         }
         self.wake.notify_one();
     }
 
+    /// Closes the connections with unfinished responses.
+    fn close_connections(&self) {
+        let mut current = self
+            .disconnect
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *current).cancel();
+    }
+
     /// Returns the token that is cancelled when the connections are closed by a fault.
     pub(crate) fn disconnect_token(&self) -> CancellationToken {
         self.disconnect
@@ -191,7 +196,10 @@
                 next = Instant::now();
             }
             sleep_until(next).await;
-            self.core().step(self.now_ms());
+            let crashed = self.core().step(self.now_ms());
+            if crashed {
+                self.close_connections();
+            }
             self.record_load_sample();
         }
     }
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -129,6 +129,8 @@
     /// One-time: the engine restarts with an empty cache, its initial weights and the next
     /// incarnation.
     pub crash: bool,
+    /// The engine crashes, as by `crash`, when it begins an answer to a prompt that contains this text.
+    pub crash_on: Option<String>,
     /// One-time: connections with unfinished responses are closed; generations continue.
     pub cut: bool,
     /// One-time: all cached blocks are evicted.
@@ -145,6 +147,7 @@
             event_delay_ms: None,
             load_lag_ms: None,
             crash: false,
+            crash_on: None,
             cut: false,
             evict_all: false,
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,6 +23,7 @@
 //! | | `event_loss` | probability that a cache event gets a sequence number but is never published |
 //! | | `event_delay_ms`, `load_lag_ms` | override the settings of the same names |
 //! | | `crash` (one-time) | restart with an empty cache, the initial weights, fencing token 0 and the next incarnation; connections with unfinished responses are closed |
+//! | | `crash_on` | as `crash`, each time the engine begins an answer to a prompt that contains this text |
 //! | | `cut` (one-time) | connections with unfinished responses are closed; generations continue and can be resumed |
 //! | | `evict_all` (one-time) | all blocks are evicted from the prefix cache |
 //! | plain service | `slow_factor` | factor by which executions are slowed down |
