gateway: count one end of an upstream once, and log quarantines of others

- The key of an upstream's start was read when its end was seen.
A slow gateway that saw the end after the registration had lapsed used another key, so one end could count twice.
The key now comes from the selection of the attempt.
- Evidence was dropped if it was due while no relay was known.
- The table had 250 ms to grant a probe; a slow store takes about as long, and a write without an answer uses a probe up.
It has 600 ms now.
- Requests without shared parts waited for the check whether the upstream has ended before their retry; they do not any more.
- An answer without a body was taken for one that ends with its connection, so the connection was not kept.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns whether the prompt has parts that other requests may share.
+    pub(crate) fn has_shared_parts(&self) -> bool {
+        self.request_head.prompt.len() > 1
+    }
+
     /// Returns the parts of the prompt that other requests may share: all but the last one.
     pub(crate) fn shared_parts(&self) -> Vec<ModelPart> {
         let model = self.request_head.model.as_ref();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -173,7 +174,7 @@
                 return AttemptResult::NoAnswer(AttemptOutcome::Unsent);
             }
             record_failure(shared, context, plan, &describe(&e.into_error()));
-            handle_break(shared, context, (&plan.choice.upstream, plan.addr)).await;
+            handle_break(shared, context, plan).await;
             return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
         }
         Ok(Ok(response)) => response,
@@ -181,7 +182,9 @@
     let mut head = shared
         .codec
         .decode_response(response.status(), response.headers());
-    head.closes |= ends_with_connection(response.headers());
+    // The body of an answer that has none is at its end already.
+    let has_body = !response.body().is_end_stream();
+    head.closes |= has_body && ends_with_connection(response.headers());
     let is_event_stream = context.route.kind.is_stream()
         && response.status().is_success()
         && has_events(response.headers());
@@ -300,7 +303,7 @@
         }
         Ok(Err(cause)) => {
             record_failure(shared, context, plan, &cause);
-            handle_break(shared, context, (&plan.choice.upstream, plan.addr)).await;
+            handle_break(shared, context, plan).await;
             AttemptResult::NoAnswer(AttemptOutcome::Unknown)
         }
         Ok(Ok(first_data)) => {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -174,6 +174,9 @@
 
     /// Sends evidence about prompt parts, if some is due.
     async fn send_suspects(&self, relays: &[SocketAddr], now: TimeMs) {
+        if relays.is_empty() {
+            return;
+        }
         let reports = self.shared.quarantine.take_due(now);
         if reports.is_empty() {
             return;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,6 @@
 use dw_base::DurationMs;
 use dw_base::ModelPart;
 use dw_base::TimeMs;
-use dw_base::UpstreamId;
 use dw_port::FeedError;
 use dw_port::QuarantineTable;
 use dw_quarantine::decide_probe;
@@ -21,10 +20,14 @@
 
 use crate::context::RequestContext;
 use crate::gossip::request_announcement;
+use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
 /// Timeout of one call to the table while a request waits for it.
-const PROBE_TIMEOUT_MS: DurationMs = DurationMs(250);
+const PROBE_TIMEOUT_MS: DurationMs = DurationMs(600);
+
+/// Pause after another request has asked for the same probe, or has got it.
+const CONTENDED_PAUSE_MS: DurationMs = DurationMs(250);
 
 /// Timeout of one call to the table that no request waits for.
 const ANSWER_TIMEOUT_MS: DurationMs = DurationMs(1_000);
@@ -66,7 +69,13 @@
 
     /// Merges what a relay has announced.
     pub(crate) fn merge(&self, reports: Vec<SuspectReport>, now: TimeMs) {
-        self.suspects.borrow_mut().merge(reports, now);
+        let merged = self.suspects.borrow_mut().merge(reports, now);
+        if !merged.quarantined.is_empty() {
+            log::warn!(parts = join(&merged.quarantined); "prompt parts quarantined by other routers");
+        }
+        if !merged.released.is_empty() {
+            log::info!(parts = join(&merged.released); "prompt parts left quarantine at other routers");
+        }
     }
 
     /// Returns the evidence to announce now.
@@ -132,7 +141,7 @@
 async fn request_probe(shared: &Shared, parts: &[ModelPart]) -> Admission {
     let quarantine = &shared.quarantine;
     let Ok(mut table) = quarantine.table.try_lock() else {
-        return Admission::Rejected(PROBE_TIMEOUT_MS);
+        return Admission::Rejected(CONTENDED_PAUSE_MS);
     };
     match store_probe(table.as_mut(), parts).await {
         Ok(DurationMs::ZERO) => {
@@ -164,13 +173,11 @@
     match decide_probe(parts, &stored.records, stored.now_ms) {
         ProbeDecision::Send(records) => {
             let is_stored = table.write(&records, PROBE_TIMEOUT_MS).await?;
-            // Another router was faster.
-            let pause_ms = if is_stored {
-                DurationMs::ZERO
-            } else {
-                PROBE_TIMEOUT_MS
-            };
-            Ok(pause_ms)
+            Ok(match is_stored {
+                true => DurationMs::ZERO,
+                // Another router was faster.
+                false => CONTENDED_PAUSE_MS,
+            })
         }
         ProbeDecision::Wait { pause_ms, missing } => {
             if !missing.is_empty() {
@@ -182,14 +189,10 @@
 }
 
 /// Records that an upstream ended while it held a request and had not begun to answer.
-pub(crate) fn record_end(shared: &Rc<Shared>, context: &RequestContext, upstream: &UpstreamId) {
+pub(crate) fn record_end(shared: &Rc<Shared>, context: &RequestContext, plan: &AttemptPlan) {
     let now = shared.now();
-    let started_ms = {
-        let directory = shared.directory.borrow();
-        let entry = directory.get(upstream);
-        entry.map_or(0, |entry| entry.registration.started_ms)
-    };
-    let start = upstream_start(upstream, started_ms);
+    let upstream = &plan.choice.upstream;
+    let start = upstream_start(upstream, plan.started_ms);
     let mut suspects = shared.quarantine.suspects.borrow_mut();
     let quarantined = suspects.record_end(&context.shared_parts(), start, now);
     for part in &quarantined {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,9 +6,11 @@
 use dw_base::PromptPart;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
 use dw_cache::is_worth_saving;
 use dw_member::Entry;
+use dw_member::RegisteredUpstream;
 use dw_place::Choice;
 use dw_place::DirectRequest;
 use dw_place::DirectTarget;
@@ -25,6 +27,8 @@
 pub(crate) struct AttemptPlan {
     pub(crate) choice: Choice,
     pub(crate) addr: SocketAddr,
+    /// Start time of the upstream that was selected.
+    pub(crate) started_ms: u64,
     pub(crate) scope: String,
     pub(crate) salt: Option<String>,
     pub(crate) fetch_from: Option<SocketAddr>,
@@ -58,9 +62,9 @@
         .filter_map(|entry| placement_target(shared, context, entry, &cache.keys, kv_capacity))
         .collect();
     let choice = place_request(shared, context, &cache, &targets);
-    let address = |choice: &Choice| address(&candidates, &choice.upstream);
-    let chosen = choice.and_then(|choice| Some((address(&choice)?, choice)));
-    let Some((addr, choice)) = chosen else {
+    let registered = |choice: &Choice| registration(&candidates, &choice.upstream);
+    let chosen = choice.and_then(|choice| Some((registered(&choice)?, choice)));
+    let Some((registered, choice)) = chosen else {
         let reason = match candidates.is_empty() {
             true => "no_upstream_open",
             false => "no_upstream_current",
@@ -68,7 +72,8 @@
         return Err(NoUpstream { reason });
     };
     let holder = choice.holder.as_ref();
-    let holder = holder.and_then(|holder| self::address(&candidates, holder));
+    let holder = holder.and_then(|holder| registration(&candidates, holder));
+    let holder = holder.map(|holder| holder.addr);
     let salt = choice.weights.map(|weights| salt(&scope, weights));
     let is_shared = salt.is_some() && !cache.shared_parts.is_empty();
     let fetch_from = holder.or(cache.store).filter(|_| is_shared);
@@ -76,7 +81,8 @@
         .weights
         .and_then(|weights| cache.save_to(weights, shared.now()));
     Ok(AttemptPlan {
-        addr,
+        addr: registered.addr,
+        started_ms: registered.started_ms,
         choice,
         scope,
         salt,
@@ -85,10 +91,12 @@
     })
 }
 
-fn address(candidates: &[&Entry], upstream: &dw_base::UpstreamId) -> Option<SocketAddr> {
-    let mut entries = candidates.iter();
-    let entry = entries.find(|entry| entry.registration.upstream == *upstream)?;
-    Some(entry.registration.addr)
+fn registration<'a>(
+    candidates: &[&'a Entry],
+    upstream: &UpstreamId,
+) -> Option<&'a RegisteredUpstream> {
+    let mut registrations = candidates.iter().map(|entry| &entry.registration);
+    registrations.find(|registration| registration.upstream == *upstream)
 }
 
 fn place_request(
--- a/crates/gateway/src/upstream_end.rs
+++ b/crates/gateway/src/upstream_end.rs
@@ -17,6 +17,7 @@
 use crate::context::SharedContext;
 use crate::forward::ACK_TIMEOUT_MS;
 use crate::quarantine;
+use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
 /// Timeout for connecting again. A VM answers within a few milliseconds, and a retry waits for it.
@@ -104,14 +105,15 @@
 
 /// Handles a connection that broke before an answer began: if the upstream has ended, the parts of the
 /// prompt are suspects.
-pub(crate) async fn handle_break(
-    shared: &Rc<Shared>,
-    context: &SharedContext,
-    (upstream, addr): (&UpstreamId, SocketAddr),
-) {
-    if has_ended(shared, context, (upstream, addr), LostRequest::Waiting).await {
-        shared.pool.close(addr);
-        quarantine::record_end(shared, context, upstream);
+pub(crate) async fn handle_break(shared: &Rc<Shared>, context: &SharedContext, plan: &AttemptPlan) {
+    let upstream = (&plan.choice.upstream, plan.addr);
+    if !context.has_shared_parts() {
+        report(shared, context, upstream, LostRequest::Waiting);
+        return;
+    }
+    if has_ended(shared, context, upstream, LostRequest::Waiting).await {
+        shared.pool.close(plan.addr);
+        quarantine::record_end(shared, context, plan);
     }
 }
 
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -33,6 +33,17 @@
     Quarantined(Vec<ModelPart>),
 }
 
+/// What a merge has changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Merged {
+    /// Whether something was not known.
+    pub has_news: bool,
+    /// Parts that are in quarantine now.
+    pub quarantined: Vec<ModelPart>,
+    /// Parts that have left quarantine.
+    pub released: Vec<ModelPart>,
+}
+
 /// Merges a report; returns whether its sender does not know of an answer that discards an end.
 fn merge_report(evidence: &mut Evidence, report: &SuspectReport, now: TimeMs) -> bool {
     if let Some(age_ms) = report.answered_age_ms {
@@ -129,10 +140,10 @@
         }
     }
 
-    /// Adds what another process has announced; returns whether some of it was not known.
-    pub fn merge(&mut self, reports: Vec<SuspectReport>, now: TimeMs) -> bool {
+    /// Adds what another process has announced.
+    pub fn merge(&mut self, reports: Vec<SuspectReport>, now: TimeMs) -> Merged {
         let forwards = self.forwards;
-        let mut has_news = false;
+        let mut merged = Merged::default();
         for report in reports {
             if report.ends.is_empty() && !self.parts.contains_key(&report.part) {
                 continue;
@@ -140,13 +151,19 @@
             let Some(evidence) = self.evidence(report.part) else {
                 continue;
             };
+            let was_quarantined = evidence.is_quarantined();
             let had_news = std::mem::take(&mut evidence.has_news);
             let sender_lacks_answer = merge_report(evidence, &report, now);
-            has_news |= evidence.has_news;
+            merged.has_news |= evidence.has_news;
+            match (was_quarantined, evidence.is_quarantined()) {
+                (false, true) => merged.quarantined.push(report.part),
+                (true, false) => merged.released.push(report.part),
+                _ => {}
+            }
             let is_due = sender_lacks_answer || (forwards && evidence.has_news);
             evidence.has_news = had_news || is_due;
         }
-        has_news
+        merged
     }
 
     /// Returns the evidence about a part, or nothing if there is no room for one more.
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -121,7 +121,13 @@
 
     /// Merges what another router has announced.
     pub(crate) fn merge(&self, reports: Vec<SuspectReport>, now: TimeMs) {
-        self.lock().suspects.merge(reports, now);
+        let merged = self.lock().suspects.merge(reports, now);
+        if !merged.quarantined.is_empty() {
+            log::warn!(blocks:? = merged.quarantined; "prompt blocks quarantined by other routers");
+        }
+        if !merged.released.is_empty() {
+            log::info!(blocks:? = merged.released; "prompt blocks left quarantine at other routers");
+        }
     }
 
     /// Grants a probe of quarantined blocks, or returns the time until the next one.
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -76,7 +76,7 @@
             Datagram::Roster(roster) => handle_roster(&shared, roster),
             Datagram::Suspects(reports) => {
                 let mut relay = shared.relay.borrow_mut();
-                if relay.suspects.merge(reports, now) {
+                if relay.suspects.merge(reports, now).has_news {
                     shared.changed.notify_one();
                 }
             }
