--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,7 +92,7 @@
     /// Feed of the registrations of upstreams.
     pub registrations: Box<dyn Feed<Registration>>,
     /// Store of the times at which weights were published.
-    pub naming_times: Box<dyn DeclarationTimes>,
+    pub declaration_times: Box<dyn DeclarationTimes>,
     /// Table with the quarantined prompt parts.
     pub quarantine: Box<dyn QuarantineTable>,
 }
@@ -129,7 +129,8 @@
             data_centre:% = boot.data_centre;
             "starting gateway"
         );
-        let declaration_times = DeclarationTimeQueue::start(shared.clone(), parts.naming_times);
+        let declaration_times =
+            DeclarationTimeQueue::start(shared.clone(), parts.declaration_times);
         spawn(follow_declarations(
             shared.clone(),
             parts.declarations,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -38,7 +38,7 @@
         codec: Arc::new(PlatformCodec),
         declarations: Box::new(Declarations::new(table)),
         registrations: Box::new(Registrations::new(table)),
-        naming_times: Box::new(NamingRows::new(table)),
+        declaration_times: Box::new(NamingRows::new(table)),
         quarantine: Box::new(QuarantineRows::new(table)),
     })
     .await?;
