quarantine: send the third probe of a part after 10 s instead of 30 s

Two probes may be lost by chance while engines crash that often, so two are no proof. The pauses are 0.5 s, 3 s, 10 s, 30 s now, doubled up to 10 min.

Left open: a probe that waits long does not hold back the next one.

--- a/crates/quarantine/src/probe.rs
+++ b/crates/quarantine/src/probe.rs
@@ -4,8 +4,14 @@
 use dw_base::ModelPart;
 
 /// Pauses before the first probes, counted from the quarantine or from the probe before. The first ones
-/// are short, as a sound part may be in quarantine by chance; each further one costs an upstream.
-const FIRST_PAUSES_MS: [DurationMs; 3] = [DurationMs(500), DurationMs(2_000), DurationMs(30_000)];
+/// are short, as a sound part may be in quarantine by chance, and a probe may be lost by chance; each
+/// further one costs an upstream.
+const FIRST_PAUSES_MS: [DurationMs; 4] = [
+    DurationMs(500),
+    DurationMs(3_000),
+    DurationMs(10_000),
+    DurationMs(30_000),
+];
 
 /// Longest pause between two probes.
 const MAX_PAUSE_MS: DurationMs = DurationMs(600_000);
