quarantine: keep room for evidence against a second query of death

Now the weakest evidence goes first, quarantined or not. A verdict names at most 32 parts, as one transaction of the table takes the records of so many; with more, neither records nor probes could have been stored.

Tests for a cut between data centres and for two queries of death at once are added; both held before.

--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -19,6 +19,10 @@
 /// Maximum number of parts in one announcement; those with the most ends come first.
 const MAX_REPORTS: usize = 96;
 
+/// Maximum number of quarantined parts that a verdict names; one transaction of the table takes the records
+/// of this many.
+const MAX_NAMED_PARTS: usize = 32;
+
 /// Time after which suspects are announced again, as announcements may be lost and processes restart.
 const REPEAT_MS: DurationMs = DurationMs(1_000);
 
@@ -29,7 +33,7 @@
     Clear,
     /// Some upstreams ended under one of its parts: it may be sent, but not again after another end.
     Suspect,
-    /// These parts are in quarantine: the request may be sent as a probe only.
+    /// Some or all of the parts in quarantine: the request may be sent as a probe only.
     Quarantined(Vec<ModelPart>),
 }
 
@@ -99,7 +103,7 @@
     }
 
     /// Records that an upstream ended while it held a request with these parts and had not begun to
-    /// answer; returns the parts that are in quarantine because of it.
+    /// answer; returns some or all of the parts that are in quarantine because of it.
     pub fn record_end(
         &mut self,
         parts: &[ModelPart],
@@ -112,15 +116,14 @@
             .iter()
             .partition(|part| self.parts.contains_key(*part));
         for part in known.iter().chain(&new) {
-            let Some(evidence) = self.evidence(*part) else {
-                continue;
-            };
+            let evidence = self.evidence(*part);
             let before = evidence.is_quarantined();
             evidence.add_end(start, now);
             if !before && evidence.is_quarantined() {
                 quarantined.push(*part);
             }
         }
+        quarantined.truncate(MAX_NAMED_PARTS);
         quarantined
     }
 
@@ -135,9 +138,7 @@
 
     /// Puts a part into quarantine that a stored record names.
     pub fn restore(&mut self, part: ModelPart, now: TimeMs) {
-        if let Some(evidence) = self.evidence(part) {
-            evidence.restore(now);
-        }
+        self.evidence(part).restore(now);
     }
 
     /// Adds what another process has announced.
@@ -148,9 +149,7 @@
             if report.ends.is_empty() && !self.parts.contains_key(&report.part) {
                 continue;
             }
-            let Some(evidence) = self.evidence(report.part) else {
-                continue;
-            };
+            let evidence = self.evidence(report.part);
             let was_quarantined = evidence.is_quarantined();
             let had_news = std::mem::take(&mut evidence.has_news);
             let sender_lacks_answer = merge_report(evidence, &report, now);
@@ -166,25 +165,22 @@
         merged
     }
 
-    /// Returns the evidence about a part, or nothing if there is no room for one more.
-    fn evidence(&mut self, part: ModelPart) -> Option<&mut Evidence> {
+    /// Returns the evidence about a part.
+    fn evidence(&mut self, part: ModelPart) -> &mut Evidence {
         if !self.parts.contains_key(&part) && self.parts.len() >= MAX_PARTS {
             self.drop_weakest();
         }
-        let has_room = self.parts.contains_key(&part) || self.parts.len() < MAX_PARTS;
-        has_room.then(|| self.parts.entry(part).or_default())
+        self.parts.entry(part).or_default()
     }
 
-    /// Drops some of the parts with the fewest and earliest ends, but no quarantined ones.
+    /// Drops the parts with the weakest evidence: quarantined ones last, then those with the most and
+    /// latest ends.
     fn drop_weakest(&mut self) {
         let parts = self.parts.iter();
         let mut weakest: Vec<_> = parts.map(|(part, known)| (known.weight(), *part)).collect();
         weakest.sort_unstable();
-        weakest.truncate(MAX_PARTS / 4);
-        for ((is_quarantined, _, _), part) in weakest {
-            if !is_quarantined {
-                self.parts.remove(&part);
-            }
+        for (_, part) in weakest.into_iter().take(MAX_PARTS / 4) {
+            self.parts.remove(&part);
         }
     }
 
@@ -197,6 +193,7 @@
         if !quarantined.is_empty() {
             quarantined.sort_unstable();
             quarantined.dedup();
+            quarantined.truncate(MAX_NAMED_PARTS);
             return Verdict::Quarantined(quarantined);
         }
         let is_suspect = |part: &ModelPart| known(&part).is_some_and(Evidence::is_suspect);
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -210,6 +210,55 @@
     }
 }
 
+/// Exchanges what is due between the relays of two data centres.
+fn exchange(a: &mut Suspects, b: &mut Suspects, now: TimeMs) {
+    let (from_a, from_b) = (a.take_due(now), b.take_due(now));
+    a.merge(from_b, now);
+    b.merge(from_a, now);
+}
+
+/// Guards against evidence that is lost with the path between two data centres.
+#[test]
+fn evidence_is_added_up_after_a_cut() {
+    let mut near = Suspects::relay();
+    let mut far = Suspects::relay();
+    let mut now = TimeMs(1_000_000);
+    near.record_end(&[QUERY_OF_DEATH], start(1), now);
+    near.record_end(&[QUERY_OF_DEATH], start(2), now);
+    far.record_end(&[QUERY_OF_DEATH], start(3), now);
+    // The path is cut: what both announce is lost.
+    near.take_due(now);
+    far.take_due(now);
+    assert!(!is_quarantined(&near, QUERY_OF_DEATH) && !is_quarantined(&far, QUERY_OF_DEATH));
+    for _ in 0..5 {
+        now = now + DurationMs(1_000);
+        exchange(&mut near, &mut far, now);
+    }
+    assert!(is_quarantined(&near, QUERY_OF_DEATH) && is_quarantined(&far, QUERY_OF_DEATH));
+}
+
+/// Guards against two queries of death of which one hides the other.
+#[test]
+fn two_queries_of_death_are_both_quarantined() {
+    let other = ModelPart(98);
+    let mut fleet = Fleet::new();
+    for number in 0..6 {
+        let part = if number % 2 == 0 {
+            QUERY_OF_DEATH
+        } else {
+            other
+        };
+        let router = number % ROUTERS;
+        fleet.end(&[(router, vec![ModelPart(1), part])]);
+        fleet.answer(router, &[ModelPart(1)]);
+        fleet.announce(|_| false);
+    }
+    for router in &fleet.routers {
+        assert!(is_quarantined(router, QUERY_OF_DEATH) && is_quarantined(router, other));
+        assert_eq!(router.verdict(&[ModelPart(1)]), Verdict::Clear);
+    }
+}
+
 /// Guards against state that grows with the parts that a caller invents, and against losing the
 /// evidence among them.
 #[test]
@@ -238,6 +287,29 @@
     assert!(announced.len() <= 8_192);
 }
 
+/// Guards against invented parts that enter quarantine together with one query of death and leave no room
+/// for the evidence against another one.
+#[test]
+fn invented_parts_do_not_hide_a_second_query_of_death() {
+    let mut suspects = Suspects::default();
+    let now = TimeMs(1_000_000);
+    for caller in 0..4 {
+        let invented = (0..4_000).map(|number| ModelPart(1_000 + caller * 4_000 + number));
+        let mut parts: Vec<ModelPart> = invented.collect();
+        parts.push(QUERY_OF_DEATH);
+        for round in 0..3 {
+            let named = suspects.record_end(&parts, start(caller * 3 + round), now);
+            assert!(named.len() <= 32, "one transaction stores the records");
+        }
+    }
+    let second = ModelPart(98);
+    for number in 20..23 {
+        suspects.record_end(&[second], start(number), now);
+    }
+    assert!(is_quarantined(&suspects, second));
+    assert!(is_quarantined(&suspects, QUERY_OF_DEATH));
+}
+
 /// Guards against evidence that is kept for ever.
 #[test]
 fn old_evidence_expires() {
