--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A request is resolved to a route, its body is read, an upstream is selected, and the request is
 //! forwarded and its answer relayed. Declarations of operators, registrations of upstreams and the
-//! platform's formats come through the traits of `dw_port`. `dw_place`, `dw_member` and `dw_retry`
-//! decide where a request goes and whether it is retried.
+//! platform's formats come through the traits of `dw_port`. `dw_place`, `dw_member`, `dw_retry`
+//! and `dw_quarantine` decide where a request goes, whether it is retried, and whether it is sent at all.
 
 mod answer;
 mod body;
