quarantine: count probes that a part shared with a released one

Cause: requests with two quarantined parts were counted apart from those with one, so that a sound part does not wait for the probes that it shared with a query of death. The query of death profited too: two shared probes ended engines at 9.8 s and 19.8 s, the sound part was released at 23.0 s, and the other one began with the short pauses anew (23.1 s, 26.3 s).

Now a record names the partner of its last shared probe. Only while that one is still in quarantine, and only once, a part is probed alone after the first pause; else all its probes count. Ruled out: lost announcements (all gateways knew of the quarantine within 30 ms) and two routers with one probe.

probes_shared_with_a_released_part_count failed before.

--- a/crates/quarantine/src/probe.rs
+++ b/crates/quarantine/src/probe.rs
@@ -25,6 +25,8 @@
     pub probes: u32,
     /// Number of probes sent of which no other part was in quarantine.
     pub solo_probes: u32,
+    /// Another quarantined part of the last probe that had several.
+    pub partner: Option<ModelPart>,
     /// When the record was written, by the clock of the table that keeps it.
     pub written_ms: u64,
     /// Version of the stored record; 0 if it is not stored yet.
@@ -38,6 +40,7 @@
             part,
             probes: 0,
             solo_probes: 0,
+            partner: None,
             written_ms: table_now_ms,
             version: 0,
         }
@@ -86,8 +89,8 @@
 /// Decides whether a request with these quarantined parts may be sent, from the stored records of the
 /// parts and the time of the table that keeps them.
 ///
-/// A request with several quarantined parts does not tell which of them ends upstreams, so a sound part
-/// is not kept waiting by the probes that it shared with another one.
+/// A request with several quarantined parts does not tell which of them ends upstreams. While another one
+/// may have been the cause, a part that was never probed alone is probed after the first pause.
 pub fn decide_probe(
     parts: &[ModelPart],
     stored: &[QuarantineRecord],
@@ -96,10 +99,13 @@
     let is_solo = parts.len() == 1;
     let known = || stored.iter().filter(|record| parts.contains(&record.part));
     let missing = missing_records(parts, stored, table_now_ms);
+    let is_stored = |part: ModelPart| stored.iter().any(|record| record.part == part);
     let remaining_ms = |record: &QuarantineRecord| {
-        // The first short pause is left to requests that test one part only.
+        let may_be_sound = record.solo_probes == 0 && record.partner.is_some_and(is_stored);
         let sent = match is_solo {
-            true => record.solo_probes,
+            true if may_be_sound => 0,
+            true => record.probes,
+            // The first short pause is left to requests that test one part only.
             false => record.probes.saturating_add(1),
         };
         let waited_ms = DurationMs(table_now_ms.saturating_sub(record.written_ms));
@@ -116,6 +122,7 @@
     let next = known().map(|record| QuarantineRecord {
         probes: record.probes.saturating_add(1),
         solo_probes: record.solo_probes.saturating_add(u32::from(is_solo)),
+        partner: parts.iter().copied().find(|part| *part != record.part),
         written_ms: table_now_ms,
         ..*record
     });
--- a/crates/quarantine/tests/probe.rs
+++ b/crates/quarantine/tests/probe.rs
@@ -71,6 +71,24 @@
     }
 }
 
+/// Guards against a query of death that is probed anew, as if nothing were known, once the sound part
+/// beside it has left quarantine. Found by a hunt on tikar-lestari, seed 613718121820.
+#[test]
+fn probes_shared_with_a_released_part_count() {
+    let mut table = Table::default();
+    let both = [QUERY_OF_DEATH, SOUND];
+    assert_eq!(table.request_until(&both, 0, 14_000), 2);
+    assert_eq!(table.request_until(&[SOUND], 14_000, 14_100), 1);
+    table.0.retain(|record| record.part != SOUND);
+    let sent = table.request_until(&[QUERY_OF_DEATH], 14_100, 22_000);
+    assert_eq!(sent, 0, "no probe within seconds");
+    let sent = table.request_until(&[QUERY_OF_DEATH], 22_000, 50_000);
+    assert_eq!(
+        sent, 1,
+        "the next one after the pause that follows two probes"
+    );
+}
+
 /// Guards against a sound part that stays refused for long since its probes met crashes by chance.
 #[test]
 fn third_probe_comes_within_seconds() {
