gateway: log the request limits that upstreams name, and count requests to them

An engine in need names in its answers the requests a second that it takes from all VMs together. The gateways passed the header on and decoded nothing, so no log line told whether they know a limit, and no metric counted what they send to such an engine. Both are needed to tell the hypotheses of the incident apart. No decision changes.

An answer counts as of the time at which its request was sent, as answers carry no time and overtake each other. A value that is not a rate is logged once for each start of an upstream and ignored; 0 is a limit.

UpstreamStart::new moves from the crate quarantine to wire, as both crates need it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::framing::ends_with_connection;
 use crate::framing::has_events;
 use crate::in_flight::InFlight;
+use crate::limits;
 use crate::quarantine;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
@@ -82,6 +83,7 @@
             return AttemptResult::NoAnswer(outcome);
         }
     };
+    limits::record_sent(shared, context, plan);
     let in_flight = InFlight::start(shared, context, plan);
     exchange(shared, context, plan, (connection, in_flight)).await
 }
@@ -229,7 +231,7 @@
         record_failure(shared, context, plan, "answer of another request");
         return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
     }
-    apply_upstream_state(shared, context, plan, &received.head);
+    apply_upstream_state(shared, context, plan, &received);
     if received.head.not_run {
         return handle_not_run(shared, context, plan, received).await;
     }
@@ -248,19 +250,22 @@
     wait_for_first_event(shared, context, plan, received).await
 }
 
-/// Records that the answer announces that the upstream is leaving or asks for a pause.
+/// Records that the answer announces that the upstream is leaving, asks for a pause or names a limit.
 fn apply_upstream_state(
     shared: &Shared,
     context: &SharedContext,
     plan: &AttemptPlan,
-    head: &ResponseHead,
+    received: &ReceivedResponse,
 ) {
+    let head = &received.head;
     let upstream = &plan.choice.upstream;
     let answering_id = head.upstream.as_deref();
     if answering_id.is_some_and(|id| id != upstream.as_str()) {
         // Another upstream now uses the address.
         return;
     }
+    let sent_at = received.in_flight.sent_at();
+    limits::record_answer(shared, context, plan, (head.limit, sent_at));
     let now = shared.now();
     let mut directory = shared.directory.borrow_mut();
     if head.leaving && directory.mark_leaving(upstream, now) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,6 +39,7 @@
 use crate::drain::DrainTimes;
 use crate::gossip::Gossip;
 use crate::kv;
+use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::probe;
@@ -232,6 +233,7 @@
         connections: Connections::default(),
         metrics: GatewayMetrics::new(),
         quarantine,
+        limits: RequestLimits::default(),
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
         announcement_due: Notify::new(),
@@ -244,6 +246,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
+        shared.limits.expire(now);
         let quarantined = shared.quarantine.expire(now);
         shared.metrics.set_quarantined(quarantined);
         let directory = shared.directory.borrow();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns when the request was sent.
+    pub(crate) fn sent_at(&self) -> TimeMs {
+        self.sent.at
+    }
+
     /// Records the first token, or the head of an answer that is not a stream.
     pub(crate) fn record_first_token(&mut self) {
         if std::mem::replace(&mut self.awaits_first_token, false) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod gossip;
 mod in_flight;
 mod kv;
+mod limits;
 mod metrics;
 mod part_keys;
 mod pool;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     probes: Counter,
     quarantined: Gauge,
     lost_requests: Family<KindLabel, Counter>,
+    sent_to_limited: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
     received_bytes: Family<KindLabel, Counter>,
     first_token: Latency,
@@ -106,6 +107,11 @@
                 "Requests that an upstream held when it ended, by whether its answer had begun",
                 Family::default(),
             ),
+            sent_to_limited: metrics.add(
+                "requests_to_limited_upstreams",
+                "Requests sent to upstreams that have named a limit, by whether they are retries",
+                Family::default(),
+            ),
             sent_bytes: metrics.add("told_bytes", "Bytes of sent datagrams", Family::default()),
             received_bytes: metrics.add(
                 "heard_bytes",
@@ -191,6 +197,14 @@
         self.lost_requests.get_or_create(&label).inc();
     }
 
+    /// Counts a request sent to an upstream that has named a limit.
+    pub(crate) fn record_sent_to_limited(&self, is_retry: bool) {
+        let kind = if is_retry { "retry" } else { "first" };
+        self.sent_to_limited
+            .get_or_create(&KindLabel { kind })
+            .inc();
+    }
+
     /// Counts a retry that the budget allowed or denied.
     pub(crate) fn record_retry(&self, allowed: bool) {
         let kind = if allowed { "allowed" } else { "denied" };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,7 +11,6 @@
 use dw_port::QuarantineTable;
 use dw_quarantine::decide_probe;
 use dw_quarantine::missing_records;
-use dw_quarantine::upstream_start;
 use dw_quarantine::ProbeDecision;
 use dw_quarantine::Suspects;
 use dw_quarantine::Verdict;
@@ -192,9 +191,8 @@
 pub(crate) fn record_end(shared: &Rc<Shared>, context: &RequestContext, plan: &AttemptPlan) {
     let now = shared.now();
     let upstream = &plan.choice.upstream;
-    let start = upstream_start(upstream, plan.started_ms);
     let mut suspects = shared.quarantine.suspects.borrow_mut();
-    let quarantined = suspects.record_end(&context.shared_parts(), start, now);
+    let quarantined = suspects.record_end(&context.shared_parts(), plan.start(), now);
     for part in &quarantined {
         log::warn!(
             request_id = context.request_head.request_id.as_str(), upstream:%, part:%,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -14,6 +14,7 @@
 use dw_place::Choice;
 use dw_place::DirectRequest;
 use dw_place::DirectTarget;
+use dw_wire::UpstreamStart;
 
 use crate::candidates::open_upstreams;
 use crate::candidates::placement_target;
@@ -35,6 +36,13 @@
     pub(crate) save_to: Option<SocketAddr>,
 }
 
+impl AttemptPlan {
+    /// Returns the key of the start of the selected upstream.
+    pub(crate) fn start(&self) -> UpstreamStart {
+        UpstreamStart::new(&self.choice.upstream, self.started_ms)
+    }
+}
+
 /// No upstream can take the request.
 pub(crate) struct NoUpstream {
     pub(crate) reason: &'static str,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 
 use crate::connections::Connections;
+use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::quarantine::Quarantine;
@@ -53,6 +54,7 @@
     pub(crate) connections: Connections,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) quarantine: Quarantine,
+    pub(crate) limits: RequestLimits,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
     /// Wakes the task that sends announcements to the relays.
--- a/crates/port/src/codec.rs
+++ b/crates/port/src/codec.rs
@@ -4,6 +4,7 @@
 
 use dw_base::DurationMs;
 use dw_base::OrgId;
+use dw_base::RequestsPerS;
 use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
 use http::request;
@@ -36,8 +37,20 @@
     pub resume_after: Option<String>,
 }
 
+/// What an answer says about the requests that its upstream takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// Requests that the upstream takes from all VMs together.
+    Limit(RequestsPerS),
+    /// It names something that is not a rate.
+    Unreadable,
+}
+
 /// Decoded head of an upstream's answer.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that is answered.
     pub request_id: Option<String>,
@@ -57,6 +70,8 @@
     pub leaving: bool,
     /// Time for which the upstream, which turns the request away, wants no others.
     pub pause_ms: Option<DurationMs>,
+    /// Limit of the requests that the upstream takes.
+    pub limit: NamedLimit,
 }
 
 /// Names and formats of headers.
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use codec::Codec;
 pub use codec::Envelope;
+pub use codec::NamedLimit;
 pub use codec::ResponseHead;
 pub use declaration_time::DeclarationTime;
 pub use declaration_time::DeclarationTimes;
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -21,7 +21,6 @@
 pub use probe::missing_records;
 pub use probe::ProbeDecision;
 pub use probe::QuarantineRecord;
-pub use suspects::upstream_start;
 pub use suspects::Merged;
 pub use suspects::Suspects;
 pub use suspects::Verdict;
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -4,9 +4,7 @@
 
 use dw_base::DurationMs;
 use dw_base::ModelPart;
-use dw_base::PrefixKey;
 use dw_base::TimeMs;
-use dw_base::UpstreamId;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
 
@@ -61,11 +59,6 @@
     sender_lacks_answer
 }
 
-/// Returns the key of one start of an upstream.
-pub fn upstream_start(upstream: &UpstreamId, started_ms: u64) -> UpstreamStart {
-    UpstreamStart(PrefixKey::root(upstream.as_str()).0 ^ started_ms)
-}
-
 /// Prompt parts with evidence against them, as one process knows them.
 ///
 /// Reports of other processes can be merged in any order and more than once.
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -5,7 +5,6 @@
 use dw_base::DurationMs;
 use dw_base::ModelPart;
 use dw_base::TimeMs;
-use dw_quarantine::upstream_start;
 use dw_quarantine::Suspects;
 use dw_quarantine::Verdict;
 use dw_wire::UpstreamStart;
@@ -19,7 +18,7 @@
 const ENDS_UNTIL_KNOWN: usize = 5;
 
 fn start(number: u64) -> UpstreamStart {
-    upstream_start(&format!("u{number}").parse().expect("name is valid"), 1)
+    UpstreamStart::new(&format!("u{number}").parse().expect("name is valid"), 1)
 }
 
 fn is_quarantined(suspects: &Suspects, part: ModelPart) -> bool {
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -17,13 +17,13 @@
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_quarantine::decide_probe;
-use dw_quarantine::upstream_start;
 use dw_quarantine::ProbeDecision;
 use dw_quarantine::QuarantineRecord;
 use dw_quarantine::Suspects;
 use dw_quarantine::Verdict;
 use dw_wire::Status;
 use dw_wire::SuspectReport;
+use dw_wire::UpstreamStart;
 use dw_wire::Work;
 use dw_wire::NO_PROBE_PAUSE_MS;
 use futures::StreamExt;
@@ -88,7 +88,7 @@
     /// Records that an upstream ended under a job before its first token.
     pub(crate) fn record_end(&self, job: &Job, status: &Status, now: TimeMs) {
         let blocks = blocks(job);
-        let start = upstream_start(&status.upstream, status.upstream_incarnation.0);
+        let start = UpstreamStart::new(&status.upstream, status.upstream_incarnation.0);
         let quarantined = self.lock().suspects.record_end(&blocks, start, now);
         for block in quarantined {
             log::warn!(
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -28,7 +28,6 @@
 use dw_port::Page;
 use dw_port::Report;
 use dw_port::TableVersion;
-use dw_quarantine::upstream_start;
 use dw_quarantine::Suspects;
 use dw_sidecar::Sidecar;
 use dw_sidecar::SidecarParts;
@@ -38,6 +37,7 @@
 use dw_wire::Roster;
 use dw_wire::RosterEntry;
 use dw_wire::RouterState;
+use dw_wire::UpstreamStart;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
@@ -228,7 +228,7 @@
         let near = Router::start(0, port).await;
         let far = Router::start(1, port).await;
         let mut suspects = Suspects::default();
-        let start = upstream_start(&"u".parse().expect("name is valid"), 1);
+        let start = UpstreamStart::new(&"u".parse().expect("name is valid"), 1);
         for _ in 0..50 {
             let now = SystemClock::new().now();
             suspects.record_end(&[ModelPart(7)], start, now);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -26,9 +26,11 @@
 use dw_base::ModelPart;
 use dw_base::NodeId;
 use dw_base::PartKey;
+use dw_base::PrefixKey;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
 use serde::Deserialize;
 use serde::Serialize;
@@ -217,6 +219,13 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct UpstreamStart(pub u64);
 
+impl UpstreamStart {
+    /// Returns the key of the start of an upstream at a time.
+    pub fn new(upstream: &UpstreamId, started_ms: u64) -> Self {
+        UpstreamStart(PrefixKey::root(upstream.as_str()).0 ^ started_ms)
+    }
+}
+
 /// Evidence about a prompt part under which upstreams ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectReport {
