limit: take turns at a small share of an organisation's limit

A share below one request in 100 ms is now used in turns: each router has one in a cycle as long as all routers need, at a place by the hash of its name, and an unused turn lapses.

--- a/crates/limit/src/borrower.rs
+++ b/crates/limit/src/borrower.rs
@@ -4,6 +4,7 @@
 use dw_base::TimeMs;
 
 use crate::bucket::Bucket;
+use crate::turns::Turns;
 
 /// Duration of recent demand that one loan covers.
 const LOAN_COVERAGE_MS: f64 = 100.0;
@@ -14,6 +15,67 @@
 /// Time constant of the exponential decay of the recent demand.
 const DEMAND_DECAY_MS: f64 = 1_000.0;
 
+/// A router's share of a limit whose owner it cannot reach.
+#[derive(Clone, Copy, Debug)]
+pub struct Share {
+    /// Number of routers.
+    pub routers: u32,
+    /// Hash of the router's name, uniformly distributed.
+    pub place: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Fallback {
+    /// A share that is worth a request or more at a time.
+    Bucket(Bucket),
+    /// A smaller share.
+    Turns {
+        turns: Turns,
+        rate_per_s: f64,
+        place: u32,
+    },
+}
+
+impl Fallback {
+    fn new(rate_per_s: f64, place: u32, now: TimeMs) -> Self {
+        let burst = rate_per_s * LOAN_COVERAGE_MS / 1_000.0;
+        if burst >= 1.0 {
+            return Fallback::Bucket(Bucket::new(rate_per_s, burst, now));
+        }
+        Fallback::Turns {
+            turns: Turns::default(),
+            rate_per_s,
+            place,
+        }
+    }
+
+    /// Changes the share.
+    fn set_rate(&mut self, rate_per_s: f64, place: u32, now: TimeMs) {
+        let burst = rate_per_s * LOAN_COVERAGE_MS / 1_000.0;
+        match self {
+            Fallback::Bucket(bucket) if burst >= 1.0 => bucket.set_rate(rate_per_s, burst, now),
+            Fallback::Turns {
+                rate_per_s: rate, ..
+            } if burst < 1.0 => *rate = rate_per_s,
+            _ => *self = Fallback::new(rate_per_s, place, now),
+        }
+    }
+
+    fn take(&mut self, amount: f64, now: TimeMs) -> bool {
+        match self {
+            Fallback::Bucket(bucket) => bucket.take(amount, now),
+            Fallback::Turns {
+                turns,
+                rate_per_s,
+                place,
+            } => {
+                let cycle_ms = DurationMs((amount * 1_000.0 / *rate_per_s) as u64);
+                turns.take(cycle_ms, *place, now).is_ok()
+            }
+        }
+    }
+}
+
 /// Allowance of one router for one limit.
 #[derive(Clone, Debug)]
 pub struct Borrower {
@@ -23,7 +85,7 @@
     demand: f64,
     demand_at: TimeMs,
     loan_pending: bool,
-    fallback: Option<Bucket>,
+    fallback: Option<Fallback>,
 }
 
 impl Borrower {
@@ -54,7 +116,7 @@
             return true;
         }
         let fallback = self.fallback.as_mut();
-        fallback.is_some_and(|bucket| bucket.take(amount, now))
+        fallback.is_some_and(|share| share.take(amount, now))
     }
 
     /// Returns the amount to request from the owner, if a loan is needed and none is pending.
@@ -80,13 +142,12 @@
 
     /// Records that the owner is unreachable. Until the next loan, the router uses an equal share
     /// of the limit, `limit / routers`.
-    pub fn owner_unreachable(&mut self, routers: u32, now: TimeMs) {
+    pub fn owner_unreachable(&mut self, share: Share, now: TimeMs) {
         self.loan_pending = false;
-        let rate = self.limit_per_s / f64::from(routers.max(1));
-        let burst = (rate * LOAN_COVERAGE_MS / 1_000.0).max(1.0);
+        let rate_per_s = self.limit_per_s / f64::from(share.routers.max(1));
         match &mut self.fallback {
-            Some(bucket) => bucket.set_rate(rate, burst, now),
-            None => self.fallback = Some(Bucket::new(rate, burst, now)),
+            Some(fallback) => fallback.set_rate(rate_per_s, share.place, now),
+            None => self.fallback = Some(Fallback::new(rate_per_s, share.place, now)),
         }
     }
 
--- a/crates/limit/tests/limit.rs
+++ b/crates/limit/tests/limit.rs
@@ -3,11 +3,20 @@
 use dw_base::TimeMs;
 use dw_limit::Borrower;
 use dw_limit::Bucket;
+use dw_limit::Share;
 
 const LIMIT_PER_S: f64 = 120.0;
 const DURATION_MS: u64 = 20_000;
 const LOAN_DELAY_MS: u64 = 3;
 
+/// Returns the share of one of several routers.
+fn share(routers: u64, router: usize) -> Share {
+    Share {
+        routers: routers as u32,
+        place: (router as u32).wrapping_mul(2_654_435_761),
+    }
+}
+
 /// Returns the ratio of allowed requests to the limit, at a demand of twice the limit.
 fn allowed_ratio(routers: u64, isolate_one: bool) -> f64 {
     let start = TimeMs(0);
@@ -22,7 +31,7 @@
             match loan {
                 _ if due_ms > step => loans.push((due_ms, router, loan)),
                 Some(amount) => borrowers[router].add_loan(amount, now),
-                None => borrowers[router].owner_unreachable(routers as u32, now),
+                None => borrowers[router].owner_unreachable(share(routers, router), now),
             }
         }
         for (router, borrower) in borrowers.iter_mut().enumerate() {
@@ -57,6 +66,49 @@
     }
 }
 
+/// Guards against routers without an owner that each save up one request, which hundreds of them then send at
+/// the same time.
+#[test]
+fn shares_of_many_routers_add_up_to_more_than_the_limit() {
+    for (routers, limit_per_s) in [(5, 4.7), (61, 1.9), (103, 4.7), (340, 4.7), (340, 20.0)] {
+        let mut borrowers = vec![Borrower::new(limit_per_s, TimeMs(0)); routers];
+        let mut allowed_at = Vec::new();
+        for step in 0..60_000_u64 {
+            let now = TimeMs(step);
+            if step % 1_000 == 0 {
+                for (router, borrower) in borrowers.iter_mut().enumerate() {
+                    borrower.owner_unreachable(share(routers as u64, router), now);
+                }
+            }
+            // Quiet for 20 s, and then five times the limit.
+            let interval_ms = (200.0 / limit_per_s) as u64;
+            if step >= 20_000 && step % interval_ms == 0 {
+                let router = (step / interval_ms * 7) as usize % routers;
+                if borrowers[router].take(1.0, now) {
+                    allowed_at.push(step);
+                }
+            }
+        }
+        let in_4_s = |from: &u64| {
+            let later = allowed_at
+                .iter()
+                .filter(|at| (*from..*from + 4_000).contains(*at));
+            later.count()
+        };
+        let most = allowed_at.iter().map(in_4_s).max().unwrap_or(0);
+        // The owner's bucket holds one second of allowance.
+        let bound = (5.0 * limit_per_s).ceil() as usize;
+        assert!(
+            most <= bound,
+            "{routers} routers, limit {limit_per_s}: {most} in 4 s, bound {bound}"
+        );
+        assert!(
+            !allowed_at.is_empty(),
+            "{routers} routers use nothing of the limit"
+        );
+    }
+}
+
 /// Guards against loans that accumulate at routers without traffic.
 #[test]
 fn unused_loan_expires() {
--- a/crates/permit/src/requester.rs
+++ b/crates/permit/src/requester.rs
@@ -5,6 +5,7 @@
 use dw_base::DurationMs;
 use dw_base::RequestsPerS;
 use dw_base::TimeMs;
+use dw_limit::Turns;
 use dw_wire::PermitResult;
 use dw_wire::UpstreamStart;
 
@@ -17,9 +18,6 @@
 /// Lowest rate of all routers together that hear no other process, so that a changed limit shows.
 const ISOLATED_PROBES_PER_S: f64 = 0.1;
 
-/// Time in each cycle in which a router that hears no other process may use its permit.
-const SLOT_MS: DurationMs = DurationMs(2_000);
-
 /// A router's use of an upstream without an issuer.
 #[derive(Clone, Copy, Debug)]
 pub struct Isolated {
@@ -34,8 +32,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Asked {
     denied_until: TimeMs,
-    /// Cycle in which the last permit was used without an issuer.
-    used_cycle: Option<u64>,
+    /// Turns at the limit without an issuer.
+    turns: Turns,
 }
 
 /// When a router may ask again for permits of upstreams.
@@ -70,9 +68,8 @@
     /// Decides without an issuer, for a router that hears no other process; returns whether the
     /// request may be sent.
     ///
-    /// Each router has one slot in a cycle, at a place of its own, and an unused one lapses. A bucket
-    /// would save one permit in each router, and with hundreds of routers these are more than a small
-    /// limit allows.
+    /// Each router has one turn in a cycle: permits saved by hundreds of routers would be more than a
+    /// small limit allows.
     pub fn take_isolated(
         &mut self,
         upstream: UpstreamStart,
@@ -86,17 +83,16 @@
         }
         let rate_per_s = (share.limit.get() * ISOLATED_FRACTION).max(ISOLATED_PROBES_PER_S);
         let cycle_ms = (f64::from(share.routers) * 1_000.0 / rate_per_s).ceil() as u64;
-        let cycle_ms = cycle_ms.max(1);
-        let place_ms = ((u128::from(share.router_hash) * u128::from(cycle_ms)) >> 32) as u64;
-        let shifted_ms = now.0 + place_ms;
-        let (cycle, in_cycle_ms) = (shifted_ms / cycle_ms, shifted_ms % cycle_ms);
-        if in_cycle_ms < SLOT_MS.0 && asked.used_cycle != Some(cycle) {
-            asked.used_cycle = Some(cycle);
-            return true;
+        match asked
+            .turns
+            .take(DurationMs(cycle_ms), share.router_hash, now)
+        {
+            Ok(()) => true,
+            Err(next_ms) => {
+                asked.denied_until = now + next_ms.min(RETRY_MS);
+                false
+            }
         }
-        let next_ms = DurationMs(cycle_ms - in_cycle_ms);
-        asked.denied_until = now + next_ms.min(RETRY_MS);
-        false
     }
 
     /// Removes the state of upstreams for which `keep` returns false.
--- a/crates/router/src/loans.rs
+++ b/crates/router/src/loans.rs
@@ -10,6 +10,7 @@
 use dw_base::DurationMs;
 use dw_base::NodeId;
 use dw_base::OrgId;
+use dw_base::PrefixKey;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
@@ -21,6 +22,7 @@
 use dw_limit::owner;
 use dw_limit::Borrower;
 use dw_limit::Bucket;
+use dw_limit::Share;
 use dw_wire::Loan;
 use dw_wire::LoanDenied;
 use dw_wire::LoanRequest;
@@ -152,9 +154,9 @@
         }
     }
 
-    fn unreachable(&mut self, routers: u32, now: TimeMs) {
+    fn unreachable(&mut self, share: Share, now: TimeMs) {
         for line in self.requests.iter_mut().chain(&mut self.tokens) {
-            line.borrower.owner_unreachable(routers, now);
+            line.borrower.owner_unreachable(share, now);
         }
         self.ask_at = now + DurationMs(LOAN_WAIT.as_millis() as u64);
     }
@@ -331,6 +333,10 @@
             requests: wanted.0,
             tokens: wanted.1,
         };
+        let share = Share {
+            routers,
+            place: (PrefixKey::root(self.node.as_str()).0 >> 32) as u32,
+        };
         let (state, handle) = (self.state.clone(), self.handle.clone());
         tokio::spawn(async move {
             let borrowing = handle.borrow_from(&owner, request);
@@ -344,9 +350,9 @@
                 Ok(Ok(Ok(loan))) => used.add_loan(wanted, &loan, now),
                 Ok(Ok(Err(denied))) => {
                     log::info!(owner:% = owner, reason:% = denied; "loan denied");
-                    used.unreachable(routers, now);
+                    used.unreachable(share, now);
                 }
-                Ok(Err(_)) | Err(_) => used.unreachable(routers, now),
+                Ok(Err(_)) | Err(_) => used.unreachable(share, now),
             }
         });
     }
