--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -26,6 +26,44 @@
 /// First and longest pause after a failed call.
 const RETRY_BACKOFF_MS: (u64, u64) = (100, 400);
 
+/// Result of one call to a table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallResult {
+    /// All items were read.
+    Snapshot,
+    /// Changes were read.
+    Changes,
+    /// Nothing had changed.
+    Nothing,
+    /// The history was not kept.
+    Expired,
+    /// The call failed.
+    Failed,
+}
+
+impl CallResult {
+    /// Returns the name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            CallResult::Snapshot => "snapshot",
+            CallResult::Changes => "changes",
+            CallResult::Nothing => "nothing",
+            CallResult::Expired => "expired",
+            CallResult::Failed => "failed",
+        }
+    }
+
+    fn new<T>(result: &Result<Page<T>, FeedError>, is_snapshot: bool) -> Self {
+        match result {
+            Ok(_) if is_snapshot => CallResult::Snapshot,
+            Ok(page) if page.items.is_empty() => CallResult::Nothing,
+            Ok(_) => CallResult::Changes,
+            Err(FeedError::Expired) => CallResult::Expired,
+            Err(_) => CallResult::Failed,
+        }
+    }
+}
+
 /// Receives the items of a feed.
 pub trait Follower<T> {
     /// Returns the name of the feed for logs.
@@ -40,6 +78,9 @@
     /// Called with the position up to which items were received.
     fn set_position(&mut self, _version: TableVersion) {}
 
+    /// Called after each call with its result.
+    fn called(&mut self, _result: CallResult) {}
+
     /// Called after each failed call, unless the history has expired.
     fn unreachable(&mut self) {}
 
@@ -145,6 +186,7 @@
                     .await
             }
         };
+        follower.called(CallResult::new(&result, position.is_none()));
         match result {
             Ok(Page { items, version }) => {
                 if let Some(since) = unreachable_since.take() {
@@ -164,6 +206,7 @@
                 responded_at = clock.now();
                 follower.set_position(version);
                 retry_pause_ms = RETRY_BACKOFF_MS.0;
+                log::debug!(feed = follower.name(), position = version.0, is_change; "read table");
                 if is_change {
                     tokio::time::sleep(schedule.pause_ms(settings.pause_ms).into()).await;
                 }
--- a/crates/gateway/src/declarations.rs
+++ b/crates/gateway/src/declarations.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use dw_base::DurationMs;
+use dw_follow::CallResult;
 use dw_follow::Follower;
 use dw_order::NewestWeights;
 use dw_port::Declaration;
@@ -40,6 +41,10 @@
         self.apply(items, true);
     }
 
+    fn called(&mut self, result: CallResult) {
+        self.shared.metrics.record_table_call(result);
+    }
+
     fn set_position(&mut self, _version: TableVersion) {
         let now = self.shared.now();
         let mut tables = self.shared.tables.borrow_mut();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use dw_base::DurationMs;
 use dw_base::TimeMs;
+use dw_follow::CallResult;
 use dw_route::Route;
 use dw_telem::Metrics;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -90,6 +91,7 @@
     first_token: Latency,
     total: Latency,
     permits: Family<PermitLabels, Counter>,
+    table_calls: Family<KindLabel, Counter>,
     success_lines: LineLimit,
     denial_lines: LineLimit,
 }
@@ -161,6 +163,11 @@
                 "Requests for permits of upstreams with a limit, by result",
                 Family::default(),
             ),
+            table_calls: metrics.add(
+                "table_calls",
+                "Calls to the followed tables by result",
+                Family::default(),
+            ),
             success_lines: LineLimit::new(MAX_SUCCESS_LINES_PER_S),
             denial_lines: LineLimit::new(MAX_DENIAL_LINES_PER_S),
             metrics,
@@ -270,6 +277,12 @@
         self.success_lines.may_log(now)
     }
 
+    /// Counts a call to a followed table.
+    pub(crate) fn record_table_call(&self, result: CallResult) {
+        let kind = result.label();
+        self.table_calls.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request for a permit.
     pub(crate) fn record_permit(&self, result: &'static str, is_granted: bool) {
         let labels = PermitLabels {
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use dw_follow::CallResult;
 use dw_follow::Follower;
 use dw_follow::PollSettings;
 use dw_member::RegisteredUpstream;
@@ -64,6 +65,10 @@
         self.remove_unregistered();
     }
 
+    fn called(&mut self, result: CallResult) {
+        self.shared.metrics.record_table_call(result);
+    }
+
     fn set_position(&mut self, version: TableVersion) {
         let now = self.shared.now();
         self.shared.registrations_version.set(version.0);
