follow: make the store's era a part of each position in a table

Cause: a position in the table's history was a bare version. After the return the store gives versions out again; once it has passed the old position nothing answers 410, and changes under the repeated versions are skipped for good. The others announce the configuration, the gateway asks, gets nothing and asks again. The class is a number of one history that is compared in another.

Evidence: the 15 gateways get their first answer of era 2 without a 410 and go on; in the test the route is not in force after 309 to 331 calls. Ruled out: a configuration that was read and rejected, as there is no such line.

TableVersion is now (era, version), compared in that order and packed into one number, so announcements, rosters and fencing numbers keep their form; the first era has the plain versions. All routers read the registrations anew after a return.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -3,6 +3,7 @@
 //! | event | effect |
 //! | --- | --- |
 //! | response | [`Follower::changes`], or [`Follower::snapshot`] after a start or expired history |
+//! | the store was restored from a copy | [`Follower::restored`], then [`Follower::snapshot`] |
 //! | failure or timeout | [`Follower::unreachable`], then another call after a growing pause |
 
 mod contents;
@@ -37,6 +38,8 @@
     Nothing,
     /// The history was not kept.
     Expired,
+    /// The store had come back from a copy.
+    Restored,
     /// The call failed.
     Failed,
 }
@@ -49,6 +52,7 @@
             CallResult::Changes => "changes",
             CallResult::Nothing => "nothing",
             CallResult::Expired => "expired",
+            CallResult::Restored => "restored",
             CallResult::Failed => "failed",
         }
     }
@@ -59,6 +63,7 @@
             Ok(page) if page.items.is_empty() => CallResult::Nothing,
             Ok(_) => CallResult::Changes,
             Err(FeedError::Expired) => CallResult::Expired,
+            Err(FeedError::Restored) => CallResult::Restored,
             Err(_) => CallResult::Failed,
         }
     }
@@ -81,9 +86,12 @@
     /// Called after each call with its result.
     fn called(&mut self, _result: CallResult) {}
 
-    /// Called after each failed call, unless the history has expired.
+    /// Called after each failed call, unless the history has expired or the store was restored.
     fn unreachable(&mut self) {}
 
+    /// Called when the store has come back from a copy, before a snapshot of it is read.
+    fn restored(&mut self) {}
+
     /// Called after each successful call, before its items are passed.
     fn reachable(&mut self) {}
 }
@@ -211,6 +219,14 @@
                     tokio::time::sleep(schedule.pause_ms(settings.pause_ms).into()).await;
                 }
             }
+            Err(FeedError::Restored) => {
+                log::warn!(
+                    feed = follower.name(), position = position.map_or(0, |position| position.0);
+                    "the position is from before the store was restored; reading a snapshot"
+                );
+                follower.restored();
+                position = None;
+            }
             Err(FeedError::Expired) => {
                 log::warn!(
                     feed = follower.name();
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// What was registered since the copy is lost, and positions that others have announced count less
+    /// than those of the new era.
+    fn restored(&mut self) {
+        self.affects_all_routers = true;
+    }
+
     fn unreachable(&mut self) {
         let now = self.shared.now();
         self.shared.directory.borrow_mut().table_unreachable(now);
--- a/crates/port/src/feed.rs
+++ b/crates/port/src/feed.rs
@@ -10,10 +10,36 @@
 use dw_route::RouteTableParts;
 use thiserror::Error;
 
-/// Position in the history of the platform's table.
+/// Bits of a [`TableVersion`] for the number within an era. With the era above them the sum stays
+/// below 2^53 for thousands of eras, and is exact wherever numbers are read as floating point.
+const VERSION_BITS: u32 = 40;
+
+/// Position in the history of the platform's table: the era, and within it the version.
+///
+/// A store that comes back from a copy begins an era and gives versions out again, so a later era is
+/// greater whatever the version. The first era is 1; its positions are the plain versions.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct TableVersion(pub u64);
 
+impl TableVersion {
+    /// Creates the position of a version in an era.
+    pub fn new(era: u64, version: u64) -> Self {
+        let restores = era.saturating_sub(1);
+        let highest = (1 << VERSION_BITS) - 1;
+        TableVersion((restores << VERSION_BITS) | version.min(highest))
+    }
+
+    /// Returns the era.
+    pub fn era(self) -> u64 {
+        (self.0 >> VERSION_BITS) + 1
+    }
+
+    /// Returns the version within the era.
+    pub fn version(self) -> u64 {
+        self.0 & ((1 << VERSION_BITS) - 1)
+    }
+}
+
 /// Weights that an operator has named.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DeclaredWeights {
@@ -71,6 +97,9 @@
     /// The history from the wanted position on is not kept any more.
     #[error("the history is not kept any more; read a snapshot")]
     Expired,
+    /// The store has come back from a copy, and the wanted position belongs to its history before that.
+    #[error("the store was restored from a copy; read a snapshot")]
+    Restored,
     /// The table refuses the call.
     #[error("the table refuses the call with status {0}")]
     Refused(u16),
