member: keep what was known of upstreams when the store returns from a copy

Routers would send 50 of 50 requests to the leaving engine, and drop live ones until they register again.

Directory::table_restored makes a known leaving final for that start of the upstream, and keeps missing upstreams for the 2 s in which live ones register again, as after a long outage. A registration that returns to ready without a restore of the store is taken as before.

Not met: an upstream that had left before the return and is in the copy gets connections until its entry lapses; they are refused, and the request goes elsewhere."

--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -84,6 +84,8 @@
     /// than those of the new era.
     fn restored(&mut self) {
         self.affects_all_routers = true;
+        let now = self.shared.now();
+        self.shared.directory.borrow_mut().table_restored(now);
     }
 
     fn unreachable(&mut self) {
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -14,7 +14,8 @@
 use crate::notices::Notices;
 use crate::registered_upstream::RegisteredUpstream;
 
-/// Time after an outage of the table in which lapsed upstreams may register again.
+/// Time after an outage of the table, or after its store came back from a copy, in which upstreams may
+/// register again.
 const REREGISTRATION_MS: DurationMs = DurationMs(2_000);
 
 /// One registered upstream.
@@ -48,7 +49,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct TableState {
     unreachable_since: Option<TimeMs>,
-    /// End of the time in which a removed registration may belong to a live upstream.
+    /// End of the time in which a removed or missing registration may belong to a live upstream.
     lapses_until: Option<TimeMs>,
 }
 
@@ -89,6 +90,21 @@
         }
     }
 
+    /// Records that the store of the table has come back from a copy.
+    ///
+    /// Upstreams that registered after the copy are missing until they register again, and one that
+    /// has announced since that it is leaving is read as not leaving.
+    pub fn table_restored(&mut self, now: TimeMs) {
+        self.table.lapses_until = Some(now + REREGISTRATION_MS);
+        for (id, entry) in &mut self.entries {
+            if entry.registration.leaving && !entry.notice.leaving {
+                entry.notice.leaving = true;
+                let started_ms = entry.registration.started_ms;
+                self.notices.set(id, started_ms, entry.notice, now);
+            }
+        }
+    }
+
     /// Replaces all registrations; missing ones are handled as by [`Directory::remove`].
     pub fn replace(&mut self, all: Vec<RegisteredUpstream>, now: TimeMs) {
         let missing: Vec<UpstreamId> = self
--- a/crates/member/tests/directory.rs
+++ b/crates/member/tests/directory.rs
@@ -47,6 +47,32 @@
     assert!(serving(&directory).is_empty());
 }
 
+/// Guards against a copy of the table some seconds old that takes away upstreams which have registered
+/// since, and brings back one that is leaving.
+#[test]
+fn restored_table_takes_away_live_upstreams() {
+    let mut directory = Directory::new(LAPSE_MS);
+    directory.put(registration("a", 1, true));
+    directory.put(other_address("b", 1));
+    directory.put(other_address("c", 2));
+    directory.table_restored(TimeMs(10_000));
+    directory.replace(vec![registration("a", 1, false)], TimeMs(10_100));
+    assert_eq!(serving(&directory), ["b", "c"]);
+    directory.put(other_address("b", 1));
+    directory.expire(TimeMs(12_100));
+    assert_eq!(serving(&directory), ["b"]);
+    // Another start is another upstream.
+    directory.put(registration("a", 7, false));
+    assert_eq!(serving(&directory), ["a", "b"]);
+}
+
+fn other_address(id: &str, host: u8) -> RegisteredUpstream {
+    RegisteredUpstream {
+        addr: ([10, 0, 1, host], 80).into(),
+        ..registration(id, 1, false)
+    }
+}
+
 /// Guards against work for an upstream that has ended while its registration has not lapsed yet and
 /// another one has started at its address. After a power loss of all VMs (inc-0dd4, seen in
 /// arch-orders-grown) such requests were refused, and the retry budget covered only a few of them.
