fleet: pause between calls for a position that calls do not satisfy

HintedCalls lets a router call at once for a position that is announced for the first time, and again after 0.5 s, doubled up to 8 s. Its test plays 60 s of one announcement: 8 to 12 calls (without the pause one for each check), and a later position is called for at once.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,11 +12,13 @@
 //! | [`ForwardingPolicy`] | relays | which states of other data centres are forwarded, and to which receivers |
 //! | [`View`] | all | which announced engine states and loads are recent enough to use |
 //! | [`TableHints`] | routers, sidecars | when the platform's tables need not be polled |
+//! | [`HintedCalls`] | routers | when the tables are called again for a position that others announce |
 //! | [`SentLoads`] | routers | the router's own share of the announced sums |
 //! | [`SendPacing`] | relays | the pause after a datagram, from its length and the number of receivers |
 
 mod aggregate;
 mod forwarding;
+mod hinted_calls;
 mod members;
 mod pace;
 mod relays;
@@ -28,6 +30,7 @@
 pub use aggregate::Aggregate;
 pub use forwarding::ForwardingPolicy;
 pub use forwarding::Receivers;
+pub use hinted_calls::HintedCalls;
 pub use members::Members;
 pub use pace::SendPacing;
 pub use relays::Relays;
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -9,6 +9,7 @@
 use dw_base::TimeMs;
 use dw_fleet::is_reader;
 use dw_fleet::Aggregate;
+use dw_fleet::HintedCalls;
 use dw_fleet::TableHints;
 use dw_wire::TableProgress;
 
@@ -95,3 +96,14 @@
         assert_eq!(fresh, now < MAX_AGE_MS.0, "after {now} ms");
     }
 }
+
+/// Guards against calls without a pause for a position that others announce and no call satisfies, and
+/// against a pause before the first call for a later one.
+#[test]
+fn unsatisfied_announcement_is_called_for_without_a_pause() {
+    let mut calls = HintedCalls::default();
+    let made = (0..60_000).filter(|ms| calls.may_call(15, TimeMs(*ms)));
+    assert!((8..=12).contains(&made.count()));
+    assert!(calls.may_call(16, TimeMs(60_000)));
+    assert!(!calls.may_call(16, TimeMs(60_100)));
+}
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -5,6 +5,7 @@
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
+use dw_fleet::HintedCalls;
 use dw_fleet::TableHints;
 use dw_follow::follow_with_schedule;
 use dw_follow::Follower;
@@ -51,6 +52,7 @@
     config_version: ConfigVersion,
     registrations: u64,
     answered_at: [Option<TimeMs>; 2],
+    hinted_calls: [HintedCalls; 2],
 }
 
 impl Default for TableState {
@@ -61,6 +63,7 @@
             config_version: ConfigVersion(0),
             registrations: 0,
             answered_at: [None; 2],
+            hinted_calls: [HintedCalls::default(); 2],
         }
     }
 }
@@ -99,7 +102,7 @@
     }
 
     fn next_poll(
-        &self,
+        &mut self,
         table: FollowedTable,
         max_wait_ms: DurationMs,
         position: TableVersion,
@@ -109,10 +112,12 @@
         let Some(hint) = fresh.filter(|_| !self.is_reader) else {
             return NextPoll::Call(max_wait_ms);
         };
-        let has_changed = match table {
-            FollowedTable::Declarations => hint.config_version > self.config_version,
-            FollowedTable::Registrations => hint.registrations > position.0,
+        let (announced, known) = match table {
+            FollowedTable::Declarations => (hint.config_version.0, self.config_version.0),
+            FollowedTable::Registrations => (hint.registrations, position.0),
         };
+        let hinted_calls = &mut self.hinted_calls[table as usize];
+        let has_changed = announced > known && hinted_calls.may_call(announced, now);
         let answered_at = self.answered_at[table as usize].unwrap_or_default();
         let is_due = has_changed || now.since(answered_at) >= MAX_POLL_INTERVAL_MS;
         match is_due {
@@ -163,7 +168,7 @@
 
 impl PollSchedule for TablePollSchedule {
     fn next_poll(&self, position: TableVersion, _answered_ms: DurationMs) -> NextPoll {
-        let tables = self.shared.tables.borrow();
+        let mut tables = self.shared.tables.borrow_mut();
         let now = self.shared.now();
         tables.next_poll(self.table, self.max_wait_ms, position, now)
     }
