gateway: write the project's rows again that a restored store has lost

Found while looking for the same cause elsewhere: the times at which weights were published and the quarantined prompt parts are written once. If the store comes back from a copy that lacks them, nobody writes them again, as all processes know the weights and the parts already. A process that starts later then takes old weights for newly published ones, and sends requests with quarantined parts until it is told.

The gateways that read all changes write both again when they notice the return: publications with the time at which they were known to be, quarantined parts as on entering quarantine, unless a record is there.

lost_times_of_publications_are_not_written_again (real calls, a stand-in store that is restored) fails without it, nothing after 62 calls, and passes now. The number of probes that a part has had is lost with its record: the next probes come after the first pauses again.

--- a/crates/gateway/src/declaration_times.rs
+++ b/crates/gateway/src/declaration_times.rs
@@ -5,6 +5,7 @@
 
 use dw_base::DurationMs;
 use dw_base::ModelId;
+use dw_base::TimeMs;
 use dw_base::WeightsVersion;
 use dw_port::DeclarationTimes;
 use dw_port::DeclaredWeights;
@@ -23,7 +24,8 @@
 const MAX_ATTEMPTS: u32 = 5;
 
 enum Task {
-    Record(ModelId, WeightsVersion),
+    /// Records that weights were published at a time.
+    Record(ModelId, WeightsVersion, TimeMs),
     Restore,
 }
 
@@ -39,11 +41,14 @@
     }
 
     /// Records that weights were published now.
-    pub(crate) fn record(&self, declared: &DeclaredWeights) {
+    pub(crate) fn record(&self, declared: &DeclaredWeights, now: TimeMs) {
+        self.record_at(&declared.model, declared.weights, now);
+    }
+
+    /// Records when weights were published.
+    pub(crate) fn record_at(&self, model: &ModelId, weights: WeightsVersion, published: TimeMs) {
         // The task ends only with the process.
-        let _ = self
-            .0
-            .send(Task::Record(declared.model.clone(), declared.weights));
+        let _ = self.0.send(Task::Record(model.clone(), weights, published));
     }
 
     /// Reads the recorded publication times.
@@ -60,8 +65,10 @@
     while let Some(task) = tasks.recv().await {
         for _ in 0..MAX_ATTEMPTS {
             let result = match &task {
-                Task::Record(model, weights) => {
-                    times.record(model, *weights, ANSWER_TIMEOUT_MS).await
+                Task::Record(model, weights, published) => {
+                    let age_ms = shared.now().since(*published);
+                    let recorded = times.record(model, *weights, age_ms, ANSWER_TIMEOUT_MS);
+                    recorded.await
                 }
                 Task::Restore => restore(&shared, times.as_mut()).await,
             };
--- a/crates/gateway/src/declarations.rs
+++ b/crates/gateway/src/declarations.rs
@@ -15,6 +15,7 @@
 
 use crate::declaration_times::DeclarationTimeQueue;
 use crate::gossip::request_announcement;
+use crate::quarantine;
 use crate::shared::Shared;
 use crate::tables::follow_table;
 use crate::tables::FollowedTable;
@@ -41,6 +42,21 @@
         self.apply(items, true);
     }
 
+    /// Writes the rows of this project again that the copy lacks: times of publications and quarantined
+    /// prompt parts, which processes read when they start.
+    fn restored(&mut self) {
+        if !self.shared.tables.borrow().is_reader {
+            return;
+        }
+        let now = self.shared.now();
+        for update in self.shared.weights.borrow().declarations.updates(now) {
+            let published = now - update.age_ms;
+            self.declaration_times
+                .record_at(&update.model, update.weights, published);
+        }
+        quarantine::store_again(&self.shared);
+    }
+
     fn called(&mut self, result: CallResult) {
         self.shared.metrics.record_table_call(result);
     }
@@ -86,7 +102,7 @@
         );
         request_announcement(&self.shared);
         match is_change {
-            true => self.declaration_times.record(declared),
+            true => self.declaration_times.record(declared, now),
             false => self.declaration_times.restore(),
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -34,6 +34,9 @@
 /// Pause after a call to the table that failed, and between two attempts to read it at the start.
 const FAILURE_PAUSE_MS: DurationMs = DurationMs(1_000);
 
+/// Maximum number of parts whose records one transaction stores.
+const MAX_PARTS_STORED: usize = 32;
+
 /// Maximum number of sets of quarantined parts whose next probe is remembered.
 const MAX_NEXT_PROBES: usize = 1_024;
 
@@ -217,6 +220,14 @@
     }
 }
 
+/// Stores the records of all parts in quarantine that the table has lost.
+pub(crate) fn store_again(shared: &Rc<Shared>) {
+    let quarantined = shared.quarantine.suspects.borrow().quarantined_parts();
+    for parts in quarantined.chunks(MAX_PARTS_STORED) {
+        tokio::task::spawn_local(store_quarantine(shared.clone(), parts.to_vec()));
+    }
+}
+
 async fn store_missing(
     table: &mut dyn QuarantineTable,
     parts: &[ModelPart],
--- a/crates/port/src/declaration_time.rs
+++ b/crates/port/src/declaration_time.rs
@@ -28,7 +28,7 @@
     /// Returns an error if there is no answer within `timeout_ms`.
     async fn read(&mut self, timeout_ms: DurationMs) -> Result<Vec<DeclarationTime>, FeedError>;
 
-    /// Records that weights were named just now, unless a time is recorded already.
+    /// Records that weights were named `age_ms` ago, unless a time is recorded already.
     ///
     /// # Errors
     ///
@@ -37,6 +37,7 @@
         &mut self,
         model: &ModelId,
         weights: WeightsVersion,
+        age_ms: DurationMs,
         timeout_ms: DurationMs,
     ) -> Result<(), FeedError>;
 }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -90,6 +90,17 @@
         parts.filter(|part| part.is_quarantined()).count()
     }
 
+    /// Returns the parts in quarantine.
+    pub fn quarantined_parts(&self) -> Vec<ModelPart> {
+        let quarantined = self
+            .parts
+            .iter()
+            .filter(|(_, known)| known.is_quarantined());
+        let mut parts: Vec<ModelPart> = quarantined.map(|(part, _)| *part).collect();
+        parts.sort_unstable();
+        parts
+    }
+
     /// Returns the number of ends since the last answer on a part.
     pub fn ends(&self, part: ModelPart) -> usize {
         self.parts.get(&part).map_or(0, Evidence::ends)
