--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -94,6 +94,7 @@
 pub use service::ServiceSettings;
 pub use table::start_table;
 pub use table::MemoryTable;
+pub use table::TableCopy;
 pub use vms::start_vms;
 pub use vms::MemoryVms;
 pub use weights::start_weights;
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -37,6 +37,10 @@
 use crate::server::Reply;
 use crate::server::ServerHandle;
 
+/// Copy of all rows of a [`MemoryTable`], as a backup holds them.
+#[derive(Clone, Debug)]
+pub struct TableCopy(Rows);
+
 /// An in-memory table with fault injection.
 #[derive(Debug)]
 pub struct MemoryTable {
@@ -44,7 +48,7 @@
     rows: Mutex<Rows>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Rows {
     version: u64,
     rows: BTreeMap<String, (u64, Value)>,
@@ -127,6 +131,16 @@
 }
 
 impl MemoryTable {
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> TableCopy {
+        TableCopy(self.rows().clone())
+    }
+
+    /// Restores the rows of a copy: later ones are lost, and their versions are given out again.
+    pub fn restore(&self, copy: TableCopy) {
+        *self.rows() = copy.0;
+    }
+
     /// Creates an empty table.
     pub fn new(limits: PlatformLimits) -> Self {
         MemoryTable {
--- a/crates/sync/tests/platform.rs
+++ b/crates/sync/tests/platform.rs
@@ -82,11 +82,15 @@
 }
 
 fn change(id: &str, weights: u64) -> Change {
-    let model = json!({"object": "model", "name": "m", "weights": weights});
+    change_of("m", id, weights)
+}
+
+fn change_of(name: &str, id: &str, weights: u64) -> Change {
+    let model = json!({"object": "model", "name": name, "weights": weights});
     Change {
         id: id.parse().expect("an id"),
         operator: "ngozi".parse().expect("a name"),
-        text: format!("load model m weights {weights}"),
+        text: format!("load model {name} weights {weights}"),
         edits: vec![Edit::Put(serde_json::from_value(model).expect("an object"))],
     }
 }
@@ -142,3 +146,39 @@
         64
     );
 }
+
+/// Guards against nodes that keep changes which a restored table has lost, and skip those that were
+/// committed under the same versions since.
+#[tokio::test]
+async fn restored_table_leaves_nodes_with_lost_changes() {
+    let memory = Arc::new(MemoryTable::default());
+    let table = start_table(ephemeral_addr(), Arc::clone(&memory))
+        .await
+        .expect("a port is free");
+    let objects = start_objects(ephemeral_addr(), Arc::default())
+        .await
+        .expect("a port is free");
+    let follower = node(table.addr(), objects.addr());
+    assert!(follower.start().await);
+    let first = node(table.addr(), objects.addr());
+    assert!(first.start().await);
+    let commit = async |node: &ConfigNode, name: &str, id: &str, base| {
+        let change = change_of(name, id, base + 1);
+        let committed = node.commit(change, ConfigVersion(base)).await;
+        committed.expect("accepted");
+    };
+    commit(&first, "kept", "c-1", 0).await;
+    let copy = memory.copy();
+    commit(&first, "lost", "c-2", 1).await;
+    commit(&first, "lost", "c-3", 2).await;
+    follower.poll().await;
+    assert_eq!(*follower.current(), *first.current());
+    memory.restore(copy);
+    let restarted = node(table.addr(), objects.addr());
+    assert!(restarted.start().await);
+    commit(&restarted, "new", "c-4", 1).await;
+    commit(&restarted, "new", "c-5", 2).await;
+    commit(&restarted, "kept", "c-6", 3).await;
+    follower.poll().await;
+    assert_eq!(*follower.current(), *restarted.current());
+}
