--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -226,6 +226,8 @@
                 );
                 follower.restored();
                 position = None;
+                // Several stores of different eras may answer at one address.
+                tokio::time::sleep(Duration::from_millis(RETRY_BACKOFF_MS.0)).await;
             }
             Err(FeedError::Expired) => {
                 log::warn!(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -125,8 +125,7 @@
         let socket = Rc::new(datagrams("inner", inner).await?);
         let quarantine = Quarantine::new(parts.quarantine);
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
-        let stores = (quarantine, limits);
-        let shared = shared_state(&boot, parts.clock, parts.codec, stores);
+        let shared = shared_state(&boot, parts.clock, parts.codec, (quarantine, limits));
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
             data_centre:% = boot.data_centre;
