gateway: name the digest of a request that an engine failed or ended under

Logs named the parts of a prompt only, so they could not tell one request that comes again from a part that many requests share, and named nothing for requests without parts.

The digest covers organisation, method, path, body and shared parts. No logic changes.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,12 +1,14 @@
 //! State of one request while it is handled.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use dw_base::Bytes;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
@@ -40,6 +42,8 @@
     pub(crate) attempts: Cell<u32>,
     /// Whether it is sent as the probe of a quarantined prompt part.
     pub(crate) is_probe: Cell<bool>,
+    /// Digest of the content, once it is needed.
+    pub(crate) digest: OnceCell<RequestDigest>,
 }
 
 impl RequestContext {
@@ -84,6 +88,27 @@
             .collect()
     }
 
+    /// Returns the digest of the request's content: the organisation, the method, the path, the body, and
+    /// the prompt parts that other requests may share.
+    ///
+    /// Headers stay out, as those that differ between two attempts of a caller do not change what runs.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let organisation = self.organisation.as_ref();
+            let organisation = organisation.map_or("", |organisation| organisation.org.as_str());
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            let parts = self.shared_parts().into_iter();
+            let parts: Vec<u8> = parts.flat_map(|part| part.0.to_be_bytes()).collect();
+            let content: [&[u8]; 4] = [
+                self.method.as_str().as_bytes(),
+                path.as_bytes(),
+                &parts,
+                &self.body,
+            ];
+            RequestDigest::new(organisation, content)
+        })
+    }
+
     /// Returns the first shared parts as text for logs.
     pub(crate) fn logged_parts(&self) -> String {
         let parts = self.shared_parts().into_iter().take(MAX_LOGGED_PARTS);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -445,7 +445,8 @@
     log::warn!(
         request_id = context.request_head.request_id.as_str(), upstream:% = upstream,
         addr:% = plan.addr, reason = cause, first_token_expected_ms = plan.choice.first_token_ms.0,
-        age_ms = now.since(context.arrived).0, parts = context.logged_parts();
+        age_ms = now.since(context.arrived).0, digest:% = context.digest(),
+        parts = context.logged_parts();
         "upstream failed a request"
     );
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Handling of a caller's request, from its head to the head of the answer.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -134,6 +135,7 @@
         deadline,
         attempts: Cell::new(0),
         is_probe: Cell::new(false),
+        digest: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/upstream_end.rs
+++ b/crates/gateway/src/upstream_end.rs
@@ -83,7 +83,7 @@
         }
         log::warn!(
             request_id = context.request_head.request_id.as_str(), upstream:%,
-            request = lost.label(), parts = context.logged_parts();
+            request = lost.label(), digest:% = context.digest(), parts = context.logged_parts();
             "upstream ended while it held a request"
         );
     }
