--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 mod request_digest;
 mod rng;
 mod speeds;
+mod suspect;
 mod work;
 
 pub use chain::BlockHash;
@@ -59,4 +60,5 @@
 pub use rng::seeded_rng;
 pub use rng::Rng;
 pub use speeds::MeasuredSpeeds;
+pub use suspect::Suspect;
 pub use work::MeasuredWork;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,6 +19,8 @@
 use http::Method;
 use http::Uri;
 
+use crate::quarantine::ProbeKind;
+
 /// Estimated size of the heads of a request and its answer, and of a short answer body.
 const OVERHEAD_BYTES: u64 = 1_200;
 
@@ -40,8 +42,8 @@
     pub(crate) deadline: TimeMs,
     /// Number of attempts so far.
     pub(crate) attempts: Cell<u32>,
-    /// Whether it is sent as the probe of a quarantined prompt part.
-    pub(crate) is_probe: Cell<bool>,
+    /// What it tests, if it is sent as a probe of what is in quarantine.
+    pub(crate) probe: Cell<Option<ProbeKind>>,
     /// Digest of the content, once it is needed.
     pub(crate) digest: OnceCell<RequestDigest>,
 }
@@ -71,11 +73,6 @@
         }
     }
 
-    /// Returns whether the prompt has parts that other requests may share.
-    pub(crate) fn has_shared_parts(&self) -> bool {
-        self.request_head.prompt.len() > 1
-    }
-
     /// Returns the parts of the prompt that other requests may share: all but the last one.
     pub(crate) fn shared_parts(&self) -> Vec<ModelPart> {
         let model = self.request_head.model.as_ref();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -34,6 +34,8 @@
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 use crate::upstream_end::handle_break;
+use crate::upstream_end::report_break;
+use crate::upstream_end::LostRequest;
 
 /// Timeout for connecting to an upstream; a reachable one accepts within a few milliseconds.
 const CONNECT_TIMEOUT_MS: DurationMs = DurationMs(250);
@@ -176,7 +178,7 @@
                 return AttemptResult::NoAnswer(AttemptOutcome::Unsent);
             }
             record_failure(shared, context, plan, &describe(&e.into_error()));
-            handle_break(shared, context, plan).await;
+            handle_waiting_break(shared, context, plan).await;
             return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
         }
         Ok(Ok(response)) => response,
@@ -243,7 +245,7 @@
     }
     if !context.route.kind.is_stream() || !status.is_success() {
         if status.is_success() {
-            quarantine::record_answer(shared, context);
+            quarantine::record_first_token(shared, context);
         }
         return AttemptResult::Answer(Box::new(start_relay(shared, context, plan, received, None)));
     }
@@ -308,13 +310,13 @@
         }
         Ok(Err(cause)) => {
             record_failure(shared, context, plan, &cause);
-            handle_break(shared, context, plan).await;
+            handle_waiting_break(shared, context, plan).await;
             AttemptResult::NoAnswer(AttemptOutcome::Unknown)
         }
         Ok(Ok(first_data)) => {
             if !first_data.is_empty() {
                 received.in_flight.record_first_token();
-                quarantine::record_answer(shared, context);
+                quarantine::record_first_token(shared, context);
             }
             let first_data = Some(first_data).filter(|data| !data.is_empty());
             AttemptResult::Answer(Box::new(start_relay(
@@ -425,7 +427,7 @@
         context: context.clone(),
         choice: plan.choice.clone(),
         saves: plan.save_to.is_some(),
-        addr: plan.addr,
+        sent_to: plan.sent_to(),
         response: received.response,
         head: received.head,
         connection: received.connection,
@@ -435,6 +437,16 @@
     })
 }
 
+/// Handles a connection that broke before an answer began. A retry waits until it is known whether the
+/// upstream has ended, as the request may end the next one too.
+async fn handle_waiting_break(shared: &Rc<Shared>, context: &SharedContext, plan: &AttemptPlan) {
+    let (sent_to, lost) = (plan.sent_to(), LostRequest::Waiting);
+    match context.route.kind.may_repeat() {
+        true => handle_break(shared, context, &sent_to, lost).await,
+        false => report_break(shared, context, sent_to, lost),
+    }
+}
+
 fn record_failure(shared: &Shared, context: &SharedContext, plan: &AttemptPlan, cause: &str) {
     let now = shared.now();
     let upstream = &plan.choice.upstream;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -94,7 +94,7 @@
     pub registrations: Box<dyn Feed<Registration>>,
     /// Store of the times at which weights were published.
     pub declaration_times: Box<dyn DeclarationTimes>,
-    /// Table with the quarantined prompt parts.
+    /// Table with the prompt parts and requests in quarantine.
     pub quarantine: Box<dyn QuarantineTable>,
 }
 
@@ -249,7 +249,7 @@
         shared.directory.borrow_mut().expire(now);
         shared.limits.expire(now);
         let quarantined = shared.quarantine.expire(now);
-        shared.metrics.set_quarantined(quarantined);
+        shared.metrics.set_quarantined(&quarantined);
         let directory = shared.directory.borrow();
         shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -170,17 +170,21 @@
         }
     }
 
-    /// Sends evidence about prompt parts, if some is due.
+    /// Sends evidence about prompt parts and requests, if some is due.
     async fn send_suspects(&self, relays: &[SocketAddr], now: TimeMs) {
         if relays.is_empty() {
             return;
         }
-        let reports = self.shared.quarantine.take_due(now);
-        if reports.is_empty() {
-            return;
+        let due = self.shared.quarantine.take_due(now);
+        if !due.requests.is_empty() {
+            let datagram = Datagram::SuspectRequests(due.requests);
+            self.send_to_relays(relays, "suspect_requests", &datagram)
+                .await;
+        }
+        if !due.parts.is_empty() {
+            self.send_to_relays(relays, "suspects", &Datagram::Suspects(due.parts))
+                .await;
         }
-        self.send_to_relays(relays, "suspects", &Datagram::Suspects(reports))
-            .await;
     }
 
     /// Sends request limits of upstreams, if some are due.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use dw_base::DurationMs;
+use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_follow::CallResult;
 use dw_route::Route;
@@ -83,7 +84,8 @@
     retries: Family<KindLabel, Counter>,
     upstream_ends: Counter,
     probes: Counter,
-    quarantined: Gauge,
+    quarantined_parts: Gauge,
+    quarantined_requests: Gauge,
     lost_requests: Family<KindLabel, Counter>,
     sent_to_limited: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
@@ -132,14 +134,19 @@
             ),
             probes: metrics.add(
                 "quarantine_probes",
-                "Requests sent as probes of quarantined prompt parts",
+                "Requests sent as probes of what is in quarantine",
                 Counter::default(),
             ),
-            quarantined: metrics.add(
+            quarantined_parts: metrics.add(
                 "quarantined_parts",
                 "Prompt parts in quarantine",
                 Gauge::default(),
             ),
+            quarantined_requests: metrics.add(
+                "quarantined_requests",
+                "Whole requests in quarantine",
+                Gauge::default(),
+            ),
             lost_requests: metrics.add(
                 "requests_lost_to_ends",
                 "Requests that an upstream held when it ended, by whether its answer had begun",
@@ -229,15 +236,19 @@
         self.upstream_ends.inc();
     }
 
-    /// Counts a request that is sent as a probe of a quarantined prompt part.
+    /// Counts a request that is sent as a probe of what is in quarantine.
     pub(crate) fn record_probe(&self) {
         self.probes.inc();
     }
 
-    /// Records the number of prompt parts in quarantine.
-    pub(crate) fn set_quarantined(&self, parts: usize) {
-        self.quarantined
-            .set(i64::try_from(parts).unwrap_or(i64::MAX));
+    /// Records the numbers of prompt parts and requests in quarantine.
+    pub(crate) fn set_quarantined(&self, suspects: &[Suspect]) {
+        let is_part = |suspect: &&Suspect| matches!(suspect, Suspect::Part(_));
+        let parts = suspects.iter().filter(is_part).count();
+        let requests = suspects.len() - parts;
+        let gauge_value = |number| i64::try_from(number).unwrap_or(i64::MAX);
+        self.quarantined_parts.set(gauge_value(parts));
+        self.quarantined_requests.set(gauge_value(requests));
     }
 
     /// Counts a request that an upstream held when it ended.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,26 +1,30 @@
-//! Quarantine of prompt parts under which upstreams end: evidence, probes and stored records.
+//! Quarantine of prompt parts and requests under which upstreams end: evidence, probes and stored records.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use dw_base::DurationMs;
-use dw_base::ModelPart;
+use dw_base::RequestDigest;
+use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_port::FeedError;
 use dw_port::QuarantineTable;
 use dw_quarantine::decide_probe;
 use dw_quarantine::missing_records;
+use dw_quarantine::DueReports;
+use dw_quarantine::EvidenceSet;
+use dw_quarantine::Merged;
 use dw_quarantine::ProbeDecision;
-use dw_quarantine::Suspects;
 use dw_quarantine::Verdict;
 use dw_wire::SuspectReport;
+use dw_wire::UpstreamStart;
 use tokio::sync::Mutex;
 
 use crate::context::RequestContext;
 use crate::gossip::request_announcement;
-use crate::selection::AttemptPlan;
 use crate::shared::Shared;
+use crate::upstream_end::LostRequest;
 
 /// Timeout of one call to the table while a request waits for it.
 const PROBE_TIMEOUT_MS: DurationMs = DurationMs(600);
@@ -34,145 +38,178 @@
 /// Pause after a call to the table that failed, and between two attempts to read it at the start.
 const FAILURE_PAUSE_MS: DurationMs = DurationMs(1_000);
 
-/// Maximum number of parts whose records one transaction stores.
-const MAX_PARTS_STORED: usize = 32;
+/// Maximum number of records that one transaction stores.
+const MAX_RECORDS_STORED: usize = 32;
 
-/// Maximum number of sets of quarantined parts whose next probe is remembered.
+/// Maximum number of sets of suspects whose next probe is remembered.
 const MAX_NEXT_PROBES: usize = 1_024;
 
-/// Whether a request may be sent, as far as the parts of its prompt decide.
+/// Whether a request may be sent, as far as the evidence against it and its parts decides.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Admission {
     /// It may be sent.
     Open,
-    /// It may be sent once, as the probe of a quarantined part.
-    Probe,
-    /// One of its parts is in quarantine; the next probe may be sent after this time.
-    Rejected(DurationMs),
+    /// It may be sent, as the probe of what is in quarantine.
+    Probe(ProbeKind),
+    /// It or one of its parts is in quarantine.
+    Rejected(Rejection),
 }
 
-/// Prompt parts under which upstreams ended, and the table with the quarantined ones.
+/// What a probe tests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProbeKind {
+    /// Parts of the prompt: an upstream that refuses the probe has not tested them, and another may.
+    Part,
+    /// The whole request, which is sent once.
+    Request,
+}
+
+/// Why a request in quarantine is rejected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Rejection {
+    /// What is in quarantine.
+    pub(crate) kind: ProbeKind,
+    /// Time until the next probe may be sent.
+    pub(crate) pause_ms: DurationMs,
+}
+
+/// Prompt parts and requests under which upstreams ended, and the table with the quarantined ones.
 pub(crate) struct Quarantine {
-    suspects: RefCell<Suspects>,
+    evidence: RefCell<EvidenceSet>,
     table: Mutex<Box<dyn QuarantineTable>>,
-    /// When the next probe with a set of quarantined parts may be requested.
-    next_probes: RefCell<HashMap<Vec<ModelPart>, TimeMs>>,
+    /// When the next probe of a set of suspects may be requested.
+    next_probes: RefCell<HashMap<Vec<Suspect>, TimeMs>>,
 }
 
 impl Quarantine {
     /// Creates the state without any evidence.
     pub(crate) fn new(table: Box<dyn QuarantineTable>) -> Self {
         Quarantine {
-            suspects: RefCell::default(),
+            evidence: RefCell::default(),
             table: Mutex::new(table),
             next_probes: RefCell::default(),
         }
     }
 
-    /// Merges what a relay has announced.
-    pub(crate) fn merge(&self, reports: Vec<SuspectReport>, now: TimeMs) {
-        let merged = self.suspects.borrow_mut().merge(reports, now);
-        if !merged.quarantined.is_empty() {
-            log::warn!(parts = join(&merged.quarantined); "prompt parts quarantined by other routers");
-        }
-        if !merged.released.is_empty() {
-            log::info!(parts = join(&merged.released); "prompt parts left quarantine at other routers");
-        }
+    /// Merges evidence against prompt parts that a relay has announced.
+    pub(crate) fn merge_parts(&self, reports: Vec<SuspectReport>, now: TimeMs) {
+        log_merged(&self.evidence.borrow_mut().merge_parts(reports, now));
+    }
+
+    /// Merges evidence against requests that a relay has announced.
+    pub(crate) fn merge_requests(&self, reports: Vec<SuspectReport<RequestDigest>>, now: TimeMs) {
+        log_merged(&self.evidence.borrow_mut().merge_requests(reports, now));
     }
 
     /// Returns the evidence to announce now.
-    pub(crate) fn take_due(&self, now: TimeMs) -> Vec<SuspectReport> {
-        self.suspects.borrow_mut().take_due(now)
+    pub(crate) fn take_due(&self, now: TimeMs) -> DueReports {
+        self.evidence.borrow_mut().take_due(now)
     }
 
-    /// Drops evidence that has expired; returns the number of quarantined parts.
-    pub(crate) fn expire(&self, now: TimeMs) -> usize {
-        let mut suspects = self.suspects.borrow_mut();
-        suspects.expire(now);
-        let quarantined = suspects.quarantined();
-        if quarantined == 0 {
+    /// Drops evidence that has expired; returns what is in quarantine.
+    pub(crate) fn expire(&self, now: TimeMs) -> Vec<Suspect> {
+        let mut evidence = self.evidence.borrow_mut();
+        evidence.expire(now);
+        let quarantined = evidence.quarantined();
+        if quarantined.is_empty() {
             self.next_probes.borrow_mut().clear();
         }
         quarantined
     }
 
-    /// Returns the time until the next probe with these parts may be requested.
-    fn pause_ms(&self, parts: &[ModelPart], now: TimeMs) -> Option<DurationMs> {
-        let next_probe = *self.next_probes.borrow().get(parts)?;
+    /// Returns the time until the next probe of these suspects may be requested.
+    fn pause_ms(&self, suspects: &[Suspect], now: TimeMs) -> Option<DurationMs> {
+        let next_probe = *self.next_probes.borrow().get(suspects)?;
         (now < next_probe).then(|| next_probe.since(now))
     }
 
-    fn set_next_probe(&self, parts: &[ModelPart], at: TimeMs) {
+    fn set_next_probe(&self, suspects: &[Suspect], at: TimeMs) {
         let mut next_probes = self.next_probes.borrow_mut();
         if next_probes.len() >= MAX_NEXT_PROBES {
             // The table is asked again for the sets that are dropped.
             next_probes.clear();
         }
-        next_probes.insert(parts.to_vec(), at);
+        next_probes.insert(suspects.to_vec(), at);
+    }
+}
+
+fn log_merged(merged: &Merged<Suspect>) {
+    if !merged.quarantined.is_empty() {
+        log::warn!(suspects = join(&merged.quarantined); "quarantined by other routers");
+    }
+    if !merged.released.is_empty() {
+        log::info!(suspects = join(&merged.released); "left quarantine at other routers");
     }
 }
 
 /// Returns what the evidence says about a request.
 pub(crate) fn verdict(shared: &Shared, context: &RequestContext) -> Verdict {
-    let suspects = shared.quarantine.suspects.borrow();
-    match suspects.is_empty() {
+    let evidence = shared.quarantine.evidence.borrow();
+    match evidence.is_empty() {
         true => Verdict::Clear,
-        false => suspects.verdict(&context.shared_parts()),
+        false => evidence.verdict(|| context.digest(), &context.shared_parts()),
     }
 }
 
 /// Decides whether a request may be sent to its first upstream.
 pub(crate) async fn admit(shared: &Shared, context: &RequestContext) -> Admission {
     let quarantine = &shared.quarantine;
-    let Verdict::Quarantined(parts) = verdict(shared, context) else {
+    let Verdict::Quarantined(suspects) = verdict(shared, context) else {
         return Admission::Open;
     };
-    let now = shared.now();
-    let admission = match quarantine.pause_ms(&parts, now) {
-        Some(pause_ms) => Admission::Rejected(pause_ms),
-        None => request_probe(shared, &parts).await,
+    let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+    let kind = match suspects.iter().any(is_request) {
+        true => ProbeKind::Request,
+        false => ProbeKind::Part,
+    };
+    let pause_ms = match quarantine.pause_ms(&suspects, shared.now()) {
+        Some(pause_ms) => pause_ms,
+        None => request_probe(shared, &suspects).await,
+    };
+    let admission = match pause_ms {
+        DurationMs::ZERO => Admission::Probe(kind),
+        pause_ms => Admission::Rejected(Rejection { kind, pause_ms }),
     };
     log::warn!(
-        request_id = context.request_head.request_id.as_str(), parts = join(&parts), admission:?;
-        "request has quarantined prompt parts"
+        request_id = context.request_head.request_id.as_str(), suspects = join(&suspects),
+        admission:?;
+        "request is in quarantine"
     );
     admission
 }
 
-/// Asks the table for a probe of quarantined parts, unless another request does just now.
-async fn request_probe(shared: &Shared, parts: &[ModelPart]) -> Admission {
+/// Asks the table for a probe of suspects in quarantine, unless another request does just now; returns
+/// zero if it may be sent, and otherwise the time until the next one may be.
+async fn request_probe(shared: &Shared, suspects: &[Suspect]) -> DurationMs {
     let quarantine = &shared.quarantine;
     let Ok(mut table) = quarantine.table.try_lock() else {
-        return Admission::Rejected(CONTENDED_PAUSE_MS);
+        return CONTENDED_PAUSE_MS;
     };
-    match store_probe(table.as_mut(), parts).await {
-        Ok(DurationMs::ZERO) => {
-            shared.metrics.record_probe();
-            Admission::Probe
-        }
-        Ok(pause_ms) => {
-            quarantine.set_next_probe(parts, shared.now() + pause_ms);
-            Admission::Rejected(pause_ms)
-        }
+    let pause_ms = match store_probe(table.as_mut(), suspects).await {
+        Ok(pause_ms) => pause_ms,
         Err(e) => {
-            log::warn!(parts = join(parts), error:% = e; "cannot request a probe of prompt parts");
-            quarantine.set_next_probe(parts, shared.now() + FAILURE_PAUSE_MS);
-            Admission::Rejected(FAILURE_PAUSE_MS)
+            log::warn!(suspects = join(suspects), error:% = e; "cannot request a probe");
+            FAILURE_PAUSE_MS
         }
+    };
+    match pause_ms {
+        DurationMs::ZERO => shared.metrics.record_probe(),
+        pause_ms => quarantine.set_next_probe(suspects, shared.now() + pause_ms),
     }
+    pause_ms
 }
 
-/// Stores that a probe of these parts is sent now; returns zero if it may be sent, and otherwise the
+/// Stores that a probe of these suspects is sent now; returns zero if it may be sent, and otherwise the
 /// time until the next one may be.
 async fn store_probe(
     table: &mut dyn QuarantineTable,
-    parts: &[ModelPart],
+    suspects: &[Suspect],
 ) -> Result<DurationMs, FeedError> {
     let stored = table.read(PROBE_TIMEOUT_MS).await?;
     for row in &stored.invalid {
         log::warn!(key = row.key.as_str(), detail = row.detail.as_str(); "ignoring quarantine record");
     }
-    match decide_probe(parts, &stored.records, stored.now_ms) {
+    match decide_probe(suspects, &stored.records, stored.now_ms) {
         ProbeDecision::Send(records) => {
             let is_stored = table.write(&records, PROBE_TIMEOUT_MS).await?;
             Ok(match is_stored {
@@ -190,50 +227,59 @@
     }
 }
 
-/// Records that an upstream ended while it held a request and had not begun to answer.
-pub(crate) fn record_end(shared: &Rc<Shared>, context: &RequestContext, plan: &AttemptPlan) {
+/// Records that an upstream ended while it held a request. Its parts are suspects only if nothing of the
+/// answer had arrived.
+pub(crate) fn record_end(
+    shared: &Rc<Shared>,
+    context: &RequestContext,
+    start: UpstreamStart,
+    lost: LostRequest,
+) {
+    let parts = match lost {
+        LostRequest::Waiting => context.shared_parts(),
+        LostRequest::Answering => Vec::new(),
+    };
     let now = shared.now();
-    let upstream = &plan.choice.upstream;
-    let mut suspects = shared.quarantine.suspects.borrow_mut();
-    let quarantined = suspects.record_end(&context.shared_parts(), plan.start(), now);
-    for part in &quarantined {
+    let mut evidence = shared.quarantine.evidence.borrow_mut();
+    let quarantined = evidence.record_end(context.digest(), &parts, start, now);
+    for suspect in &quarantined {
         log::warn!(
-            request_id = context.request_head.request_id.as_str(), upstream:%, part:%,
-            ends = suspects.ends(*part);
-            "prompt part quarantined: upstreams ended under it and none has answered"
+            request_id = context.request_head.request_id.as_str(), suspect:%,
+            ends = evidence.ends(*suspect);
+            "quarantined: upstreams ended under it and none has answered"
         );
     }
-    drop(suspects);
+    drop(evidence);
     request_announcement(shared);
     if !quarantined.is_empty() {
         tokio::task::spawn_local(store_quarantine(shared.clone(), quarantined));
     }
 }
 
-/// Stores the records of parts that have entered quarantine, from which the pause until the first probe
+/// Stores the records of suspects that have entered quarantine, from which the pause until the first probe
 /// counts.
-async fn store_quarantine(shared: Rc<Shared>, parts: Vec<ModelPart>) {
+async fn store_quarantine(shared: Rc<Shared>, suspects: Vec<Suspect>) {
     let mut table = shared.quarantine.table.lock().await;
-    if let Err(e) = store_missing(table.as_mut(), &parts).await {
-        // The next request with such a part stores its record.
-        log::warn!(parts = join(&parts), error:% = e; "cannot store quarantine records");
+    if let Err(e) = store_missing(table.as_mut(), &suspects).await {
+        // The next request in quarantine stores its record.
+        log::warn!(suspects = join(&suspects), error:% = e; "cannot store quarantine records");
     }
 }
 
-/// Stores the records of all parts in quarantine that the table has lost.
+/// Stores the records of all that is in quarantine and that the table has lost.
 pub(crate) fn store_again(shared: &Rc<Shared>) {
-    let quarantined = shared.quarantine.suspects.borrow().quarantined_parts();
-    for parts in quarantined.chunks(MAX_PARTS_STORED) {
-        tokio::task::spawn_local(store_quarantine(shared.clone(), parts.to_vec()));
+    let quarantined = shared.quarantine.evidence.borrow().quarantined();
+    for suspects in quarantined.chunks(MAX_RECORDS_STORED) {
+        tokio::task::spawn_local(store_quarantine(shared.clone(), suspects.to_vec()));
     }
 }
 
 async fn store_missing(
     table: &mut dyn QuarantineTable,
-    parts: &[ModelPart],
+    suspects: &[Suspect],
 ) -> Result<(), FeedError> {
     let stored = table.read(ANSWER_TIMEOUT_MS).await?;
-    let missing = missing_records(parts, &stored.records, stored.now_ms);
+    let missing = missing_records(suspects, &stored.records, stored.now_ms);
     if !missing.is_empty() {
         // If the write is refused, another router has stored some of them.
         table.write(&missing, ANSWER_TIMEOUT_MS).await?;
@@ -241,34 +287,54 @@
     Ok(())
 }
 
-/// Records that an answer to a request has begun, and removes the records of parts that leave
-/// quarantine because of it.
+/// Records that an answer to a request has begun.
+pub(crate) fn record_first_token(shared: &Rc<Shared>, context: &RequestContext) {
+    record(shared, context, |evidence, now| {
+        evidence.record_first_token(&context.shared_parts(), now)
+    });
+}
+
+/// Records a whole answer to a request.
 pub(crate) fn record_answer(shared: &Rc<Shared>, context: &RequestContext) {
-    let mut suspects = shared.quarantine.suspects.borrow_mut();
-    if suspects.is_empty() {
+    record(shared, context, |evidence, now| {
+        evidence.record_answer(context.digest(), now)
+    });
+}
+
+/// Records that an upstream answered, and removes the records of what leaves quarantine because of it.
+fn record(
+    shared: &Rc<Shared>,
+    context: &RequestContext,
+    record: impl FnOnce(&mut EvidenceSet, TimeMs) -> Vec<Suspect>,
+) {
+    let mut evidence = shared.quarantine.evidence.borrow_mut();
+    if evidence.is_empty() {
         return;
     }
-    let released = suspects.record_answer(&context.shared_parts(), shared.now());
-    drop(suspects);
-    request_announcement(shared);
+    let released = record(&mut evidence, shared.now());
+    let has_news = evidence.has_news();
+    drop(evidence);
+    if has_news {
+        request_announcement(shared);
+    }
     if released.is_empty() {
         return;
     }
     log::info!(
-        request_id = context.request_head.request_id.as_str(), parts = join(&released);
-        "prompt parts left quarantine: an upstream answered"
+        request_id = context.request_head.request_id.as_str(), suspects = join(&released);
+        "left quarantine: an upstream answered"
     );
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         let mut table = shared.quarantine.table.lock().await;
         if let Err(e) = table.remove(&released, ANSWER_TIMEOUT_MS).await {
             // A process that starts later reads the record and sends one more probe.
-            log::warn!(parts = join(&released), error:% = e; "cannot remove quarantine records");
+            log::warn!(suspects = join(&released), error:% = e; "cannot remove quarantine records");
         }
     });
 }
 
-/// Reads the stored records once, as this process may have started while parts were in quarantine.
+/// Reads the stored records once, as this process may have started after the quarantine began.
 pub(crate) async fn restore(shared: Rc<Shared>) {
     loop {
         let stored = shared
@@ -281,10 +347,13 @@
         match stored {
             Ok(stored) => {
                 let now = shared.now();
-                let mut suspects = shared.quarantine.suspects.borrow_mut();
+                let mut evidence = shared.quarantine.evidence.borrow_mut();
                 for record in stored.records {
-                    log::info!(part:% = record.part, probes = record.probes; "read quarantine record");
-                    suspects.restore(record.part, now);
+                    log::info!(
+                        suspect:% = record.suspect, probes = record.probes;
+                        "read quarantine record"
+                    );
+                    evidence.restore(record.suspect, now);
                 }
                 return;
             }
@@ -294,7 +363,7 @@
     }
 }
 
-fn join(parts: &[ModelPart]) -> String {
-    let parts: Vec<String> = parts.iter().map(ModelPart::to_string).collect();
-    parts.join(",")
+fn join(suspects: &[Suspect]) -> String {
+    let suspects: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
+    suspects.join(",")
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,6 @@
 //! Relaying of an upstream's answer to the caller.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -28,9 +27,11 @@
 use crate::context::SharedContext;
 use crate::forward::is_healthy_status;
 use crate::in_flight::InFlight;
+use crate::quarantine;
 use crate::shared::Shared;
-use crate::upstream_end;
+use crate::upstream_end::report_break;
 use crate::upstream_end::LostRequest;
+use crate::upstream_end::SentTo;
 
 /// Error of an answer that ends before it is complete; the caller's connection is closed.
 #[derive(Debug, Error)]
@@ -53,7 +54,7 @@
     pub(crate) choice: Choice,
     /// Whether the engine saves the shared parts of the prompt.
     pub(crate) saves: bool,
-    pub(crate) addr: SocketAddr,
+    pub(crate) sent_to: SentTo,
     pub(crate) response: Response<Incoming>,
     pub(crate) head: ResponseHead,
     pub(crate) connection: Connection,
@@ -70,7 +71,7 @@
     context: SharedContext,
     choice: Choice,
     saves: bool,
-    addr: SocketAddr,
+    sent_to: SentTo,
     status: StatusCode,
     head: ResponseHead,
     parts: Option<http::response::Parts>,
@@ -109,7 +110,7 @@
             context: parts.context,
             choice: parts.choice,
             saves: parts.saves,
-            addr: parts.addr,
+            sent_to: parts.sent_to,
             head: parts.head,
         }
     }
@@ -189,11 +190,10 @@
         self.events.is_some_and(|events| events.is_inside())
     }
 
-    /// Logs whether the upstream has ended.
+    /// Records whether the upstream has ended.
     fn report_end(&self) {
-        let upstream = (&self.choice.upstream, self.addr);
-        let lost = LostRequest::Answering;
-        upstream_end::report(&self.shared, &self.context, upstream, lost);
+        let (sent_to, lost) = (self.sent_to.clone(), LostRequest::Answering);
+        report_break(&self.shared, &self.context, sent_to, lost);
     }
 
     fn complete(&mut self) {
@@ -202,6 +202,7 @@
         }
         let now = self.shared.now();
         if is_healthy_status(self.status) {
+            quarantine::record_answer(&self.shared, &self.context);
             let mut directory = self.shared.directory.borrow_mut();
             if let Some(health) = directory.health(&self.choice.upstream) {
                 health.record_success(now);
@@ -216,7 +217,9 @@
         }
         if let Some(connection) = self.connection.take().filter(|_| !self.head.closes) {
             let idle_ms = self.head.idle_ms;
-            self.shared.pool.put(self.addr, connection, idle_ms, now);
+            self.shared
+                .pool
+                .put(self.sent_to.addr, connection, idle_ms, now);
         }
         self.log("complete", now);
     }
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -44,7 +44,12 @@
                 }
                 Datagram::Suspects(reports) => {
                     self.shared.metrics.record_received("suspects", bytes.len());
-                    self.shared.quarantine.merge(reports, now);
+                    self.shared.quarantine.merge_parts(reports, now);
+                }
+                Datagram::SuspectRequests(reports) => {
+                    let metrics = &self.shared.metrics;
+                    metrics.record_received("suspect_requests", bytes.len());
+                    self.shared.quarantine.merge_requests(reports, now);
                 }
                 Datagram::Limits(reports) => {
                     self.shared.metrics.record_received("limits", bytes.len());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -39,6 +39,7 @@
 use crate::limits::acquire_permit;
 use crate::quarantine;
 use crate::quarantine::Admission;
+use crate::quarantine::ProbeKind;
 use crate::selection::select_upstream;
 use crate::selection::AttemptPlan;
 use crate::selection::NoUpstream;
@@ -134,7 +135,7 @@
         arrived,
         deadline,
         attempts: Cell::new(0),
-        is_probe: Cell::new(false),
+        probe: Cell::new(None),
         digest: OnceCell::new(),
     })
 }
@@ -255,8 +256,8 @@
     }
 }
 
-/// Returns the answer to a request that must not be sent, or not be sent again, because of a part of its
-/// prompt under which upstreams ended.
+/// Returns the answer to a request that must not be sent, or not be sent again, because upstreams ended
+/// under it or a part of its prompt.
 async fn reject_if_quarantined(
     shared: &Shared,
     context: &RequestContext,
@@ -266,21 +267,26 @@
         let may_end_another = quarantine::verdict(shared, context) != Verdict::Clear;
         return may_end_another.then_some(GatewayAnswer::Unknown);
     }
-    if context.is_probe.get() {
-        return None;
-    }
-    match quarantine::admit(shared, context).await {
+    let admission = match context.probe.get() {
+        Some(ProbeKind::Part) => return None,
+        Some(ProbeKind::Request) if context.attempts.get() == 0 => return None,
+        Some(ProbeKind::Request) | None => quarantine::admit(shared, context).await,
+    };
+    match admission {
         Admission::Open => None,
-        Admission::Probe => {
-            context.is_probe.set(true);
+        Admission::Probe(kind) => {
+            context.probe.set(Some(kind));
             None
         }
-        Admission::Rejected(pause_ms) => Some(GatewayAnswer::NotRun {
-            reason: "quarantined_part",
+        Admission::Rejected(rejection) => Some(GatewayAnswer::NotRun {
+            reason: match rejection.kind {
+                ProbeKind::Part => "quarantined_part",
+                ProbeKind::Request => "quarantined_request",
+            },
             retry_after_ms: retry_after_pause(
                 context.remaining(shared.now()),
                 request_hash(&context.request_head.request_id),
-                pause_ms,
+                rejection.pause_ms,
             ),
         }),
     }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -24,6 +24,7 @@
 use crate::context::RequestContext;
 use crate::part_keys::PartKeys;
 use crate::shared::Shared;
+use crate::upstream_end::SentTo;
 
 /// Where an attempt is sent, and what is sent with it.
 pub(crate) struct AttemptPlan {
@@ -44,6 +45,15 @@
     pub(crate) fn start(&self) -> UpstreamStart {
         UpstreamStart::new(&self.choice.upstream, self.started_ms)
     }
+
+    /// Returns the selected upstream.
+    pub(crate) fn sent_to(&self) -> SentTo {
+        SentTo {
+            upstream: self.choice.upstream.clone(),
+            addr: self.addr,
+            start: self.start(),
+        }
+    }
 }
 
 /// No upstream can take the request.
--- a/crates/gateway/src/upstream_end.rs
+++ b/crates/gateway/src/upstream_end.rs
@@ -13,11 +13,11 @@
 use dw_base::UpstreamId;
 use dw_net::connect;
 use dw_net::Dial;
+use dw_wire::UpstreamStart;
 
 use crate::context::SharedContext;
 use crate::forward::ACK_TIMEOUT_MS;
 use crate::quarantine;
-use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
 /// Timeout for connecting again. A VM answers within a few milliseconds, and a retry waits for it.
@@ -68,55 +68,55 @@
     }
 }
 
-/// Returns whether an upstream whose connection broke has ended, and logs the request that it held.
-pub(crate) async fn has_ended(
-    shared: &Shared,
+/// An upstream, as a request was sent to it.
+#[derive(Clone, Debug)]
+pub(crate) struct SentTo {
+    /// Id.
+    pub(crate) upstream: UpstreamId,
+    /// Address.
+    pub(crate) addr: SocketAddr,
+    /// Key of its start.
+    pub(crate) start: UpstreamStart,
+}
+
+/// Handles a connection that broke before the whole answer had arrived: if the upstream has ended, this is
+/// evidence against the request and, if it waited, against the parts of its prompt.
+pub(crate) async fn handle_break(
+    shared: &Rc<Shared>,
     context: &SharedContext,
-    (upstream, addr): (&UpstreamId, SocketAddr),
+    sent_to: &SentTo,
     lost: LostRequest,
-) -> bool {
-    let ended = shared.ended.contains(upstream) || has_no_listener(shared, addr).await;
-    if ended {
-        shared.metrics.record_lost_request(lost);
-        if shared.ended.record(upstream) {
-            shared.metrics.record_upstream_end();
-        }
-        log::warn!(
-            request_id = context.request_head.request_id.as_str(), upstream:%,
-            request = lost.label(), digest:% = context.digest(), parts = context.logged_parts();
-            "upstream ended while it held a request"
-        );
+) {
+    let upstream = &sent_to.upstream;
+    if !shared.ended.contains(upstream) && !has_no_listener(shared, sent_to.addr).await {
+        return;
     }
-    ended
+    shared.metrics.record_lost_request(lost);
+    if shared.ended.record(upstream) {
+        shared.metrics.record_upstream_end();
+    }
+    log::warn!(
+        request_id = context.request_head.request_id.as_str(), upstream:%,
+        request = lost.label(), digest:% = context.digest(), parts = context.logged_parts();
+        "upstream ended while it held a request"
+    );
+    shared.pool.close(sent_to.addr);
+    quarantine::record_end(shared, context, sent_to.start, lost);
 }
 
-/// Runs [`has_ended`] without waiting for it.
-pub(crate) fn report(
+/// Runs [`handle_break`] without waiting for it.
+pub(crate) fn report_break(
     shared: &Rc<Shared>,
     context: &SharedContext,
-    (upstream, addr): (&UpstreamId, SocketAddr),
+    sent_to: SentTo,
     lost: LostRequest,
 ) {
-    let (shared, context, upstream) = (shared.clone(), context.clone(), upstream.clone());
+    let (shared, context) = (shared.clone(), context.clone());
     tokio::task::spawn_local(async move {
-        has_ended(&shared, &context, (&upstream, addr), lost).await;
+        handle_break(&shared, &context, &sent_to, lost).await;
     });
 }
 
-/// Handles a connection that broke before an answer began: if the upstream has ended, the parts of the
-/// prompt are suspects.
-pub(crate) async fn handle_break(shared: &Rc<Shared>, context: &SharedContext, plan: &AttemptPlan) {
-    let upstream = (&plan.choice.upstream, plan.addr);
-    if !context.has_shared_parts() {
-        report(shared, context, upstream, LostRequest::Waiting);
-        return;
-    }
-    if has_ended(shared, context, upstream, LostRequest::Waiting).await {
-        shared.pool.close(plan.addr);
-        quarantine::record_end(shared, context, plan);
-    }
-}
-
 async fn has_no_listener(shared: &Shared, addr: SocketAddr) -> bool {
     let dial = Dial {
         addr,
--- a/crates/port/src/quarantine.rs
+++ b/crates/port/src/quarantine.rs
@@ -1,8 +1,8 @@
-//! Stored records of quarantined prompt parts.
+//! Stored records of what is in quarantine.
 
 use async_trait::async_trait;
 use dw_base::DurationMs;
-use dw_base::ModelPart;
+use dw_base::Suspect;
 use dw_quarantine::QuarantineRecord;
 
 use crate::feed::FeedError;
@@ -19,7 +19,7 @@
     pub now_ms: u64,
 }
 
-/// The platform's table with a record for each quarantined part.
+/// The platform's table with a record for each quarantined part or request.
 #[async_trait]
 pub trait QuarantineTable: Send {
     /// Reads all records.
@@ -41,14 +41,14 @@
         timeout_ms: DurationMs,
     ) -> Result<bool, FeedError>;
 
-    /// Removes the records of these parts.
+    /// Removes the records of these suspects.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no answer within `timeout_ms`; they may be removed all the same.
     async fn remove(
         &mut self,
-        parts: &[ModelPart],
+        suspects: &[Suspect],
         timeout_ms: DurationMs,
     ) -> Result<(), FeedError>;
 }
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,33 +1,35 @@
-//! Evidence about one prompt part.
+//! Evidence about one prompt part or one request.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 
 use dw_base::DurationMs;
-use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::TimeMs;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
 
-/// Ends of upstreams that make a part a suspect.
+/// Requests that explain ends of upstreams by themselves.
+pub(crate) type Causes = HashMap<UpstreamStart, RequestDigest>;
+
+/// Ends of upstreams that make a suspect.
 const SUSPECT_ENDS: usize = 2;
 
-/// Ends of upstreams that put a part into quarantine. Two may be chance: one crash, and one more that
+/// Ends of upstreams that lead to quarantine. Two may be chance: one crash, and one more that
 /// meets the retry.
 const QUARANTINE_ENDS: usize = 3;
 
 /// Maximum number of ends kept; the earliest are dropped first.
 const MAX_ENDS: usize = 8;
 
-/// Age at which an end no longer counts.
-const END_EXPIRY_MS: DurationMs = DurationMs(600_000);
-
 /// Time for which an answer is remembered, so that reports of earlier ends have no effect.
 const ANSWER_RETENTION_MS: DurationMs = DurationMs(5_000);
 
 /// Time without new evidence after which a quarantine ends.
 const QUARANTINE_EXPIRY_MS: DurationMs = DurationMs(86_400_000);
 
-/// Why a part is in quarantine.
+/// Why something is in quarantine.
 #[derive(Clone, Copy, Debug)]
 enum Quarantine {
     /// Upstreams ended under it.
@@ -36,22 +38,26 @@
     Restored(TimeMs),
 }
 
-/// Ends of upstreams under one part, and the last answer on it.
+/// Ends of upstreams under one part or request, and the last answer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Evidence {
     /// Ends since the last answer; an upstream that held several requests counts once.
     ends: BTreeMap<UpstreamStart, TimeMs>,
+    /// Number of ends that do not have a common cause.
+    counted: usize,
     answered_at: Option<TimeMs>,
     quarantine: Option<Quarantine>,
     /// Time of the last end, answer or read record.
     changed_at: TimeMs,
     /// Whether there is something to announce.
     pub(crate) has_news: bool,
+    /// Whether others may still keep it in quarantine.
+    was_released: bool,
 }
 
 impl Evidence {
     /// Adds an end, unless it is known or an answer began after it.
-    pub(crate) fn add_end(&mut self, start: UpstreamStart, at: TimeMs) {
+    pub(crate) fn add_end(&mut self, start: UpstreamStart, at: TimeMs, causes: &Causes) {
         if self.is_outdated(at) || self.ends.contains_key(&start) {
             return;
         }
@@ -64,9 +70,41 @@
                 self.ends.remove(&start);
             }
         }
-        if self.ends.len() >= QUARANTINE_ENDS {
+        self.count(causes);
+        if self.counted >= QUARANTINE_ENDS {
+            self.quarantine.get_or_insert(Quarantine::Ends);
+        }
+    }
+
+    /// Counts the ends; those that one request explains count once.
+    fn count(&mut self, causes: &Causes) {
+        let explaining: BTreeSet<&RequestDigest> = self
+            .ends
+            .keys()
+            .filter_map(|start| causes.get(start))
+            .collect();
+        let is_unexplained = |start: &&UpstreamStart| !causes.contains_key(*start);
+        self.counted = explaining.len() + self.ends.keys().filter(is_unexplained).count();
+    }
+
+    /// Counts the ends again after the known causes have changed; returns whether a quarantine began or
+    /// ended.
+    pub(crate) fn judge(&mut self, causes: &Causes) -> bool {
+        self.count(causes);
+        let was_quarantined = self.is_quarantined();
+        if self.counted >= QUARANTINE_ENDS {
             self.quarantine.get_or_insert(Quarantine::Ends);
+        } else if self.ends.len() >= QUARANTINE_ENDS
+            && matches!(self.quarantine, Some(Quarantine::Ends))
+        {
+            self.quarantine = None;
         }
+        was_quarantined != self.is_quarantined()
+    }
+
+    /// Returns the starts of the upstreams that ended.
+    pub(crate) fn starts(&self) -> impl Iterator<Item = &UpstreamStart> {
+        self.ends.keys()
     }
 
     /// Returns whether an end is discarded by a known answer.
@@ -74,8 +112,8 @@
         self.answered_at.is_some_and(|answered| at <= answered)
     }
 
-    /// Adds an answer that began on the part; returns whether it ended a quarantine.
-    pub(crate) fn add_answer(&mut self, at: TimeMs) -> bool {
+    /// Adds an answer; returns whether it ended a quarantine.
+    pub(crate) fn add_answer(&mut self, at: TimeMs, causes: &Causes) -> bool {
         if self.answered_at.is_some_and(|answered| at <= answered) {
             return false;
         }
@@ -83,19 +121,21 @@
         self.answered_at = Some(at);
         self.changed_at = self.changed_at.max(at);
         self.ends.retain(|_, end| *end > at);
+        self.count(causes);
         let released = match self.quarantine {
-            Some(Quarantine::Ends) => self.ends.len() < QUARANTINE_ENDS,
+            Some(Quarantine::Ends) => self.counted < QUARANTINE_ENDS,
             Some(Quarantine::Restored(read_at)) => read_at <= at,
             None => false,
         };
         if released {
             self.quarantine = None;
+            self.was_released = true;
         }
         self.has_news |= released || self.ends.len() < ends_before;
         released
     }
 
-    /// Puts the part into quarantine, as a stored record says.
+    /// Begins a quarantine, as a stored record says.
     pub(crate) fn restore(&mut self, now: TimeMs) {
         self.quarantine.get_or_insert(Quarantine::Restored(now));
         self.changed_at = now;
@@ -106,7 +146,12 @@
     }
 
     pub(crate) fn is_suspect(&self) -> bool {
-        self.is_quarantined() || self.ends.len() >= SUSPECT_ENDS
+        self.is_quarantined() || self.counted >= SUSPECT_ENDS
+    }
+
+    /// Returns whether others act on what is to be announced: a suspect, or the end of a quarantine.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.was_released || self.is_suspect()
     }
 
     /// Returns how much the evidence is worth when there is no room for all.
@@ -120,8 +165,17 @@
     }
 
     /// Drops what has expired; returns whether anything is left.
-    pub(crate) fn expire(&mut self, now: TimeMs) -> bool {
-        self.ends.retain(|_, at| now.since(*at) < END_EXPIRY_MS);
+    pub(crate) fn expire(
+        &mut self,
+        now: TimeMs,
+        end_expiry_ms: DurationMs,
+        causes: &Causes,
+    ) -> bool {
+        let before = self.ends.len();
+        self.ends.retain(|_, at| now.since(*at) < end_expiry_ms);
+        if self.ends.len() < before {
+            self.count(causes);
+        }
         if now.since(self.changed_at) >= QUARANTINE_EXPIRY_MS {
             self.quarantine = None;
         }
@@ -130,11 +184,13 @@
         !self.ends.is_empty() || self.quarantine.is_some() || self.answered_at.is_some()
     }
 
-    /// Returns what to announce about the part.
-    pub(crate) fn report(&self, part: ModelPart, now: TimeMs) -> SuspectReport {
+    /// Returns what to announce, and counts it as announced.
+    pub(crate) fn take_report<K>(&mut self, key: K, now: TimeMs) -> SuspectReport<K> {
+        self.has_news = false;
+        self.was_released = false;
         let ends = self.ends.iter();
         SuspectReport {
-            part,
+            key,
             ends: ends.map(|(start, at)| (*start, now.since(*at))).collect(),
             answered_age_ms: self.answered_at.map(|at| now.since(at)),
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,4 +1,4 @@
-//! Queries of death: prompt parts that end each upstream which begins an answer on them.
+//! Queries of death: prompt parts and requests that end each upstream which runs them.
 //!
 //! Load pattern: callers ask again and again for something that crashes the process which serves it.
 //! Each request and each retry takes one more upstream, with all other requests that it holds, while
@@ -6,17 +6,26 @@
 //!
 //! | type | decides |
 //! | --- | --- |
-//! | [`Suspects`] | which parts are suspects or quarantined, from ends of upstreams and from answers |
-//! | [`decide_probe`] | when one request with a quarantined part may be sent to see whether it is sound |
+//! | [`EvidenceSet`] | which parts and requests are suspects or quarantined, and which of both explains an end |
+//! | [`Suspects`] | the same for keys of one kind, from ends of upstreams and from answers |
+//! | [`decide_probe`] | when one request in quarantine may be sent to see whether it is sound |
 //!
 //! Evidence against a part is the end of an upstream that held a request with it and had not begun to
 //! answer. Any answer that begins on the part afterwards, anywhere, discards the evidence: a part that
 //! ends each upstream never has one, and a sound part soon does.
+//!
+//! Evidence against a whole request is the end of an upstream that held it, also amid its answer. Only a
+//! whole answer to the same request discards it: its parts may be answered in sound requests all the time.
 
 mod evidence;
+mod evidence_set;
+mod key;
 mod probe;
 mod suspects;
 
+pub use evidence_set::DueReports;
+pub use evidence_set::EvidenceSet;
+pub use key::SuspectKey;
 pub use probe::decide_probe;
 pub use probe::missing_records;
 pub use probe::ProbeDecision;
--- a/crates/quarantine/src/probe.rs
+++ b/crates/quarantine/src/probe.rs
@@ -1,7 +1,7 @@
 //! When one request with a quarantined part may be sent as a probe.
 
 use dw_base::DurationMs;
-use dw_base::ModelPart;
+use dw_base::Suspect;
 
 /// Pauses before the first probes, counted from the quarantine or from the probe before. The first ones
 /// are short, as a sound part may be in quarantine by chance, and a probe may be lost by chance; each
@@ -16,17 +16,23 @@
 /// Longest pause between two probes.
 const MAX_PAUSE_MS: DurationMs = DurationMs(600_000);
 
-/// Stored record of a quarantined part, which all routers share.
+/// Pauses before the probes of a request, of which there are no more: after them it stays in quarantine.
+///
+/// Unlike a part, a request that ends upstreams does so each time, and operators accept three ends more
+/// once it is known. One is left for a request that crosses the news.
+const REQUEST_PAUSES_MS: [DurationMs; 2] = [DurationMs(1_000), DurationMs(30_000)];
+
+/// Stored record of a quarantined part or request, which all routers share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantineRecord {
-    /// Part.
-    pub part: ModelPart,
-    /// Number of probes sent with this part.
+    /// Part or request.
+    pub suspect: Suspect,
+    /// Number of probes sent with it.
     pub probes: u32,
-    /// Number of probes sent of which no other part was in quarantine.
+    /// Number of probes sent of which nothing else was in quarantine.
     pub solo_probes: u32,
-    /// Another quarantined part of the last probe that had several.
-    pub partner: Option<ModelPart>,
+    /// Another suspect in quarantine of the last probe that had several.
+    pub partner: Option<Suspect>,
     /// When the record was written, by the clock of the table that keeps it.
     pub written_ms: u64,
     /// Version of the stored record; 0 if it is not stored yet.
@@ -34,10 +40,10 @@
 }
 
 impl QuarantineRecord {
-    /// Creates the record of a part that enters quarantine now.
-    fn new(part: ModelPart, table_now_ms: u64) -> Self {
+    /// Creates the record of a suspect that enters quarantine now.
+    fn new(suspect: Suspect, table_now_ms: u64) -> Self {
         QuarantineRecord {
-            part,
+            suspect,
             probes: 0,
             solo_probes: 0,
             partner: None,
@@ -47,7 +53,7 @@
     }
 }
 
-/// Whether a request with quarantined parts may be sent as a probe.
+/// Whether a request in quarantine, or with quarantined parts, may be sent as a probe.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ProbeDecision {
     /// It may, once these records are stored; only one router can store them.
@@ -56,12 +62,20 @@
     Wait {
         /// Time until the next probe may be sent.
         pause_ms: DurationMs,
-        /// Records of parts that had none.
+        /// Records of suspects that had none.
         missing: Vec<QuarantineRecord>,
     },
 }
 
-fn pause_ms(probes: u32) -> DurationMs {
+/// Returns the pause before the next probe, or nothing if there is none.
+fn pause_ms(suspect: Suspect, probes: u32) -> Option<DurationMs> {
+    match suspect {
+        Suspect::Part(_) => Some(part_pause_ms(probes)),
+        Suspect::Request(_) => REQUEST_PAUSES_MS.get(probes as usize).copied(),
+    }
+}
+
+fn part_pause_ms(probes: u32) -> DurationMs {
     let at = probes as usize;
     let last = FIRST_PAUSES_MS.len() - 1;
     match FIRST_PAUSES_MS.get(at) {
@@ -73,43 +87,51 @@
     }
 }
 
-/// Returns new records for the parts that have none.
+/// Returns new records for the suspects that have none.
 pub fn missing_records(
-    parts: &[ModelPart],
+    suspects: &[Suspect],
     stored: &[QuarantineRecord],
     table_now_ms: u64,
 ) -> Vec<QuarantineRecord> {
-    let is_missing = |part: &&ModelPart| !stored.iter().any(|record| record.part == **part);
-    let missing = parts.iter().filter(is_missing);
+    let is_missing = |suspect: &&Suspect| !stored.iter().any(|known| known.suspect == **suspect);
+    let missing = suspects.iter().filter(is_missing);
     missing
-        .map(|part| QuarantineRecord::new(*part, table_now_ms))
+        .map(|suspect| QuarantineRecord::new(*suspect, table_now_ms))
         .collect()
 }
 
-/// Decides whether a request with these quarantined parts may be sent, from the stored records of the
-/// parts and the time of the table that keeps them.
+/// Decides whether a request with these suspects in quarantine may be sent, from their stored records and
+/// the time of the table that keeps them.
 ///
 /// A request with several quarantined parts does not tell which of them ends upstreams. While another one
 /// may have been the cause, a part that was never probed alone is probed after the first pause.
 pub fn decide_probe(
-    parts: &[ModelPart],
+    suspects: &[Suspect],
     stored: &[QuarantineRecord],
     table_now_ms: u64,
 ) -> ProbeDecision {
-    let is_solo = parts.len() == 1;
-    let known = || stored.iter().filter(|record| parts.contains(&record.part));
-    let missing = missing_records(parts, stored, table_now_ms);
-    let is_stored = |part: ModelPart| stored.iter().any(|record| record.part == part);
+    let is_solo = suspects.len() == 1;
+    let known = || {
+        stored
+            .iter()
+            .filter(|record| suspects.contains(&record.suspect))
+    };
+    let missing = missing_records(suspects, stored, table_now_ms);
+    let is_stored = |suspect: Suspect| stored.iter().any(|record| record.suspect == suspect);
     let remaining_ms = |record: &QuarantineRecord| {
         let may_be_sound = record.solo_probes == 0 && record.partner.is_some_and(is_stored);
-        let sent = match is_solo {
-            true if may_be_sound => 0,
-            true => record.probes,
+        let sent = match record.suspect {
+            Suspect::Request(_) => record.probes,
+            Suspect::Part(_) if is_solo && may_be_sound => 0,
+            Suspect::Part(_) if is_solo => record.probes,
             // The first short pause is left to requests that test one part only.
-            false => record.probes.saturating_add(1),
+            Suspect::Part(_) => record.probes.saturating_add(1),
         };
         let waited_ms = DurationMs(table_now_ms.saturating_sub(record.written_ms));
-        pause_ms(sent).saturating_sub(waited_ms)
+        match pause_ms(record.suspect, sent) {
+            Some(pause_ms) => pause_ms.saturating_sub(waited_ms),
+            None => MAX_PAUSE_MS,
+        }
     };
     let all = known().chain(&missing);
     let remaining_ms = all.map(remaining_ms).max().unwrap_or_default();
@@ -122,7 +144,10 @@
     let next = known().map(|record| QuarantineRecord {
         probes: record.probes.saturating_add(1),
         solo_probes: record.solo_probes.saturating_add(u32::from(is_solo)),
-        partner: parts.iter().copied().find(|part| *part != record.part),
+        partner: suspects
+            .iter()
+            .copied()
+            .find(|suspect| *suspect != record.suspect),
         written_ms: table_now_ms,
         ..*record
     });
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,76 +1,126 @@
-//! Prompt parts with evidence against them.
+//! Prompt parts, or requests, with evidence against them.
 
+use std::collections::hash_map::Entry;
 use std::collections::HashMap;
 
 use dw_base::DurationMs;
-use dw_base::ModelPart;
+use dw_base::RequestDigest;
+use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
 
+use crate::evidence::Causes;
 use crate::evidence::Evidence;
+use crate::key::SuspectKey;
 
-/// Maximum number of parts with evidence. A caller can add parts only by ending upstreams, but the head of
-/// one request has room for some thousand.
-const MAX_PARTS: usize = 8_192;
+/// Maximum number of keys with evidence. A caller can add them only by ending upstreams, but the head of
+/// one request has room for some thousand parts.
+const MAX_KEYS: usize = 8_192;
 
-/// Maximum number of parts in one announcement; those with the most ends come first.
+/// Maximum number of keys in one announcement; those with the most ends come first.
 const MAX_REPORTS: usize = 96;
 
-/// Maximum number of quarantined parts that a verdict names; one transaction of the table takes the records
+/// Maximum number of reports within [`REPEAT_MS`] on which nobody acts yet. An upstream that ends holds up
+/// to some hundred requests, and many may end at once.
+const MAX_MINOR_REPORTS: usize = 96;
+
+/// Maximum number of quarantined parts that a verdict names: one transaction of the table takes the records
 /// of this many.
 const MAX_NAMED_PARTS: usize = 32;
 
 /// Time after which suspects are announced again, as announcements may be lost and processes restart.
 const REPEAT_MS: DurationMs = DurationMs(1_000);
 
-/// What the evidence says about the parts of a request.
+/// What the evidence says about a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
+pub enum Verdict<K = Suspect> {
     /// Nothing stands against the request.
     Clear,
-    /// Some upstreams ended under one of its parts: it may be sent, but not again after another end.
+    /// Some upstreams ended under it or one of its parts: it may be sent, but not again after another end.
     Suspect,
-    /// Some or all of the parts in quarantine: the request may be sent as a probe only.
-    Quarantined(Vec<ModelPart>),
+    /// Some or all of what is in quarantine: the request may be sent as a probe only.
+    Quarantined(Vec<K>),
 }
 
 /// What a merge has changed.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Merged {
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Merged<K> {
     /// Whether something was not known.
     pub has_news: bool,
-    /// Parts that are in quarantine now.
-    pub quarantined: Vec<ModelPart>,
-    /// Parts that have left quarantine.
-    pub released: Vec<ModelPart>,
+    /// What is in quarantine now.
+    pub quarantined: Vec<K>,
+    /// What has left quarantine.
+    pub released: Vec<K>,
+}
+
+impl<K> Merged<K> {
+    /// Converts the keys.
+    pub(crate) fn map<T>(self, convert: impl Fn(K) -> T) -> Merged<T> {
+        Merged {
+            has_news: self.has_news,
+            quarantined: self.quarantined.into_iter().map(&convert).collect(),
+            released: self.released.into_iter().map(&convert).collect(),
+        }
+    }
+}
+
+impl<K> Default for Merged<K> {
+    fn default() -> Self {
+        Merged {
+            has_news: false,
+            quarantined: Vec::new(),
+            released: Vec::new(),
+        }
+    }
 }
 
 /// Merges a report; returns whether its sender does not know of an answer that discards an end.
-fn merge_report(evidence: &mut Evidence, report: &SuspectReport, now: TimeMs) -> bool {
+fn merge_report<K>(
+    evidence: &mut Evidence,
+    report: &SuspectReport<K>,
+    causes: &Causes,
+    now: TimeMs,
+) -> bool {
     if let Some(age_ms) = report.answered_age_ms {
-        evidence.add_answer(now - age_ms);
+        evidence.add_answer(now - age_ms, causes);
     }
     let mut sender_lacks_answer = false;
     for (start, age_ms) in &report.ends {
         sender_lacks_answer |= evidence.is_outdated(now - *age_ms);
-        evidence.add_end(*start, now - *age_ms);
+        evidence.add_end(*start, now - *age_ms, causes);
     }
     sender_lacks_answer
 }
 
-/// Prompt parts with evidence against them, as one process knows them.
+/// Prompt parts, or requests, with evidence against them, as one process knows them.
 ///
 /// Reports of other processes can be merged in any order and more than once.
-#[derive(Clone, Debug, Default)]
-pub struct Suspects {
-    parts: HashMap<ModelPart, Evidence>,
+#[derive(Clone, Debug)]
+pub struct Suspects<K> {
+    known: HashMap<K, Evidence>,
+    /// Ends that requests explain by themselves.
+    causes: Causes,
     /// Whether merged reports are news to announce.
     forwards: bool,
     announced_at: Option<TimeMs>,
+    /// Reports since then on which nobody acts yet.
+    minor_reports: usize,
 }
 
-impl Suspects {
+impl<K> Default for Suspects<K> {
+    fn default() -> Self {
+        Suspects {
+            known: HashMap::new(),
+            causes: Causes::new(),
+            forwards: false,
+            announced_at: None,
+            minor_reports: 0,
+        }
+    }
+}
+
+impl<K: SuspectKey> Suspects<K> {
     /// Creates the state of a relay, which announces what it has merged.
     pub fn relay() -> Self {
         Suspects {
@@ -79,88 +129,110 @@
         }
     }
 
-    /// Returns whether there is no evidence against any part.
+    /// Returns whether there is no evidence at all.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.known.is_empty()
     }
 
-    /// Returns the number of parts in quarantine.
-    pub fn quarantined(&self) -> usize {
-        let parts = self.parts.values();
-        parts.filter(|part| part.is_quarantined()).count()
+    /// Returns what is in quarantine.
+    pub fn quarantined(&self) -> Vec<K> {
+        let known = self.known.iter();
+        let quarantined = known.filter(|(_, evidence)| evidence.is_quarantined());
+        let mut keys: Vec<K> = quarantined.map(|(key, _)| *key).collect();
+        keys.sort_unstable();
+        keys
     }
 
-    /// Returns the parts in quarantine.
-    pub fn quarantined_parts(&self) -> Vec<ModelPart> {
-        let quarantined = self
-            .parts
-            .iter()
-            .filter(|(_, known)| known.is_quarantined());
-        let mut parts: Vec<ModelPart> = quarantined.map(|(part, _)| *part).collect();
-        parts.sort_unstable();
-        parts
+    /// Returns the number of ends since the last answer.
+    pub fn ends(&self, key: K) -> usize {
+        self.known.get(&key).map_or(0, Evidence::ends)
     }
 
-    /// Returns the number of ends since the last answer on a part.
-    pub fn ends(&self, part: ModelPart) -> usize {
-        self.parts.get(&part).map_or(0, Evidence::ends)
+    /// Replaces the ends that requests explain by themselves; returns what left quarantine because of it.
+    pub(crate) fn set_causes(&mut self, causes: Causes) -> Vec<K> {
+        if self.causes == causes {
+            return Vec::new();
+        }
+        self.causes = causes;
+        self.judge_all()
+    }
+
+    /// Adds a request that explains ends by itself; returns what left quarantine because of it.
+    pub(crate) fn add_cause(&mut self, request: RequestDigest, starts: &[UpstreamStart]) -> Vec<K> {
+        let mut is_new = false;
+        for start in starts {
+            let cause = self.causes.entry(*start);
+            is_new |= matches!(cause, Entry::Vacant(_));
+            let cause = cause.or_insert(request);
+            *cause = (*cause).min(request);
+        }
+        match is_new {
+            true => self.judge_all(),
+            false => Vec::new(),
+        }
     }
 
-    /// Records that an upstream ended while it held a request with these parts and had not begun to
-    /// answer; returns some or all of the parts that are in quarantine because of it.
-    pub fn record_end(
-        &mut self,
-        parts: &[ModelPart],
-        start: UpstreamStart,
-        now: TimeMs,
-    ) -> Vec<ModelPart> {
+    /// Counts all ends again; returns what left quarantine because of it.
+    fn judge_all(&mut self) -> Vec<K> {
+        let mut released = Vec::new();
+        for (key, evidence) in &mut self.known {
+            if evidence.judge(&self.causes) && !evidence.is_quarantined() {
+                released.push(*key);
+            }
+        }
+        released
+    }
+
+    /// Records that an upstream ended while it held a request with these keys; returns some or all of those
+    /// that are in quarantine because of it.
+    pub fn record_end(&mut self, keys: &[K], start: UpstreamStart, now: TimeMs) -> Vec<K> {
         let mut quarantined = Vec::new();
-        // Known parts first: new ones may take the room of others.
-        let (known, new): (Vec<ModelPart>, Vec<ModelPart>) = parts
-            .iter()
-            .partition(|part| self.parts.contains_key(*part));
-        for part in known.iter().chain(&new) {
-            let evidence = self.evidence(*part);
+        // Known keys first: new ones may take the room of others.
+        let (known, new): (Vec<K>, Vec<K>) =
+            keys.iter().partition(|key| self.known.contains_key(*key));
+        for key in known.iter().chain(&new) {
+            let (evidence, causes) = self.evidence(*key);
             let before = evidence.is_quarantined();
-            evidence.add_end(start, now);
+            evidence.add_end(start, now, causes);
             if !before && evidence.is_quarantined() {
-                quarantined.push(*part);
+                quarantined.push(*key);
             }
         }
         quarantined.truncate(MAX_NAMED_PARTS);
         quarantined
     }
 
-    /// Records that an answer began on these parts; returns the parts that leave quarantine.
-    pub fn record_answer(&mut self, parts: &[ModelPart], now: TimeMs) -> Vec<ModelPart> {
-        let released = parts.iter().filter(|part| {
-            let evidence = self.parts.get_mut(part);
-            evidence.is_some_and(|evidence| evidence.add_answer(now))
+    /// Records an answer under these keys; returns those that leave quarantine.
+    pub fn record_answer(&mut self, keys: &[K], now: TimeMs) -> Vec<K> {
+        let causes = &self.causes;
+        let released = keys.iter().filter(|key| {
+            let evidence = self.known.get_mut(key);
+            evidence.is_some_and(|evidence| evidence.add_answer(now, causes))
         });
         released.copied().collect()
     }
 
-    /// Puts a part into quarantine that a stored record names.
-    pub fn restore(&mut self, part: ModelPart, now: TimeMs) {
-        self.evidence(part).restore(now);
+    /// Begins a quarantine that a stored record names.
+    pub fn restore(&mut self, key: K, now: TimeMs) {
+        self.evidence(key).0.restore(now);
     }
 
     /// Adds what another process has announced.
-    pub fn merge(&mut self, reports: Vec<SuspectReport>, now: TimeMs) -> Merged {
+    pub fn merge(&mut self, reports: Vec<SuspectReport<K>>, now: TimeMs) -> Merged<K> {
         let forwards = self.forwards;
         let mut merged = Merged::default();
         for report in reports {
-            if report.ends.is_empty() && !self.parts.contains_key(&report.part) {
+            if report.ends.is_empty() && !self.known.contains_key(&report.key) {
                 continue;
             }
-            let evidence = self.evidence(report.part);
+            let (evidence, causes) = self.evidence(report.key);
             let was_quarantined = evidence.is_quarantined();
             let had_news = std::mem::take(&mut evidence.has_news);
-            let sender_lacks_answer = merge_report(evidence, &report, now);
+            let sender_lacks_answer = merge_report(evidence, &report, causes, now);
             merged.has_news |= evidence.has_news;
             match (was_quarantined, evidence.is_quarantined()) {
-                (false, true) => merged.quarantined.push(report.part),
-                (true, false) => merged.released.push(report.part),
+                (false, true) => merged.quarantined.push(report.key),
+                (true, false) => merged.released.push(report.key),
                 _ => {}
             }
             let is_due = sender_lacks_answer || (forwards && evidence.has_news);
@@ -169,39 +241,47 @@
         merged
     }
 
-    /// Returns the evidence about a part.
-    fn evidence(&mut self, part: ModelPart) -> &mut Evidence {
-        if !self.parts.contains_key(&part) && self.parts.len() >= MAX_PARTS {
+    /// Returns the evidence under a key, and the known causes.
+    fn evidence(&mut self, key: K) -> (&mut Evidence, &Causes) {
+        if !self.known.contains_key(&key) && self.known.len() >= MAX_KEYS {
             self.drop_weakest();
         }
-        self.parts.entry(part).or_default()
+        (self.known.entry(key).or_default(), &self.causes)
     }
 
-    /// Drops the parts with the weakest evidence: quarantined ones last, then those with the most and
-    /// latest ends.
+    /// Drops the weakest evidence of the owner with the most of it: what is in quarantine last, then what
+    /// has the most and latest ends.
     fn drop_weakest(&mut self) {
-        let parts = self.parts.iter();
-        let mut weakest: Vec<_> = parts.map(|(part, known)| (known.weight(), *part)).collect();
+        let mut owned: HashMap<Option<u32>, usize> = HashMap::new();
+        for key in self.known.keys() {
+            *owned.entry(key.owner()).or_default() += 1;
+        }
+        let largest = owned.iter().max_by_key(|(owner, keys)| (**keys, **owner));
+        let Some(owner) = largest.map(|(owner, _)| *owner) else {
+            return;
+        };
+        let known = self.known.iter().filter(|(key, _)| key.owner() == owner);
+        let mut weakest: Vec<_> = known.map(|(key, known)| (known.weight(), *key)).collect();
         weakest.sort_unstable();
-        for (_, part) in weakest.into_iter().take(MAX_PARTS / 4) {
-            self.parts.remove(&part);
+        let dropped = (weakest.len() / 4).max(1);
+        for (_, key) in weakest.into_iter().take(dropped) {
+            self.known.remove(&key);
         }
     }
 
-    /// Returns what the evidence says about a request with these parts.
-    pub fn verdict(&self, parts: &[ModelPart]) -> Verdict {
-        let known = |part: &&ModelPart| self.parts.get(part);
-        let is_quarantined = |part: &&ModelPart| known(part).is_some_and(Evidence::is_quarantined);
-        let mut quarantined: Vec<ModelPart> =
-            parts.iter().filter(is_quarantined).copied().collect();
+    /// Returns what the evidence says about a request with these keys.
+    pub fn verdict(&self, keys: &[K]) -> Verdict<K> {
+        let known = |key: &&K| self.known.get(*key);
+        let is_quarantined = |key: &&K| known(key).is_some_and(Evidence::is_quarantined);
+        let mut quarantined: Vec<K> = keys.iter().filter(is_quarantined).copied().collect();
         if !quarantined.is_empty() {
             quarantined.sort_unstable();
             quarantined.dedup();
             quarantined.truncate(MAX_NAMED_PARTS);
             return Verdict::Quarantined(quarantined);
         }
-        let is_suspect = |part: &ModelPart| known(&part).is_some_and(Evidence::is_suspect);
-        match parts.iter().any(is_suspect) {
+        let is_suspect = |key: &K| known(&key).is_some_and(Evidence::is_suspect);
+        match keys.iter().any(is_suspect) {
             true => Verdict::Suspect,
             false => Verdict::Clear,
         }
@@ -209,36 +289,66 @@
 
     /// Returns whether something has not been announced yet.
     pub fn has_news(&self) -> bool {
-        self.parts.values().any(|evidence| evidence.has_news)
+        self.known.values().any(|evidence| evidence.has_news)
     }
 
     /// Returns what is to be announced now: news at once, and suspects again after a while.
-    pub fn take_due(&mut self, now: TimeMs) -> Vec<SuspectReport> {
+    pub fn take_due(&mut self, now: TimeMs) -> Vec<SuspectReport<K>> {
         let is_repeat = self
             .announced_at
             .is_none_or(|at| now.since(at) >= REPEAT_MS);
+        if is_repeat {
+            self.announced_at = Some(now);
+            self.minor_reports = 0;
+        }
         let is_due =
             |evidence: &Evidence| evidence.has_news || (is_repeat && evidence.is_suspect());
-        let mut due: Vec<(&ModelPart, &mut Evidence)> = self
-            .parts
+        let mut due: Vec<(&K, &mut Evidence)> = self
+            .known
             .iter_mut()
             .filter(|(_, evidence)| is_due(evidence))
             .collect();
-        if is_repeat {
-            self.announced_at = Some(now);
-        }
-        due.sort_by_key(|(part, evidence)| (std::cmp::Reverse(evidence.ends()), **part));
-        due.truncate(MAX_REPORTS);
+        due.sort_by_key(|(key, evidence)| {
+            let urgency = (evidence.is_urgent(), evidence.ends());
+            (std::cmp::Reverse(urgency), **key)
+        });
+        let urgent = due.iter().take_while(|(_, evidence)| evidence.is_urgent());
+        let minor = MAX_MINOR_REPORTS.saturating_sub(self.minor_reports);
+        let urgent = urgent.count();
+        due.truncate((urgent + minor).min(MAX_REPORTS));
+        self.minor_reports += due.len().saturating_sub(urgent);
         due.into_iter()
-            .map(|(part, evidence)| {
-                evidence.has_news = false;
-                evidence.report(*part, now)
-            })
+            .map(|(key, evidence)| evidence.take_report(*key, now))
             .collect()
     }
 
     /// Drops evidence that has expired.
     pub fn expire(&mut self, now: TimeMs) {
-        self.parts.retain(|_, evidence| evidence.expire(now));
+        let causes = &self.causes;
+        self.known
+            .retain(|_, evidence| evidence.expire(now, K::END_EXPIRY_MS, causes));
+    }
+}
+
+impl Suspects<RequestDigest> {
+    /// Returns the ends that requests explain by themselves: those of the same request under which several
+    /// upstreams ended.
+    pub(crate) fn causes(&self) -> Causes {
+        let mut causes = Causes::new();
+        let suspects = self.known.iter();
+        for (request, evidence) in suspects.filter(|(_, evidence)| evidence.is_suspect()) {
+            for start in evidence.starts() {
+                let cause = causes.entry(*start).or_insert(*request);
+                *cause = (*cause).min(*request);
+            }
+        }
+        causes
+    }
+
+    /// Returns the upstreams whose ends a request explains by itself, if it is a suspect.
+    pub(crate) fn explained(&self, request: RequestDigest) -> Vec<UpstreamStart> {
+        let evidence = self.known.get(&request);
+        let suspect = evidence.filter(|evidence| evidence.is_suspect());
+        suspect.map_or_else(Vec::new, |suspect| suspect.starts().copied().collect())
     }
 }
--- a/crates/quarantine/tests/probe.rs
+++ b/crates/quarantine/tests/probe.rs
@@ -1,14 +1,15 @@
 //! When requests with quarantined parts are sent as probes.
 
 use dw_base::ModelPart;
+use dw_base::Suspect;
 use dw_quarantine::decide_probe;
 use dw_quarantine::missing_records;
 use dw_quarantine::ProbeDecision;
 use dw_quarantine::QuarantineRecord;
 use proptest::prelude::*;
 
-const QUERY_OF_DEATH: ModelPart = ModelPart(1);
-const SOUND: ModelPart = ModelPart(2);
+const QUERY_OF_DEATH: Suspect = Suspect::Part(ModelPart(1));
+const SOUND: Suspect = Suspect::Part(ModelPart(2));
 
 /// Table with the records, which each write changes.
 #[derive(Default)]
@@ -17,7 +18,7 @@
 impl Table {
     fn write(&mut self, records: Vec<QuarantineRecord>) {
         for record in records {
-            self.0.retain(|known| known.part != record.part);
+            self.0.retain(|known| known.suspect != record.suspect);
             self.0.push(QuarantineRecord {
                 version: record.version + 1,
                 ..record
@@ -26,7 +27,7 @@
     }
 
     /// Requests a probe; returns whether it may be sent.
-    fn request(&mut self, parts: &[ModelPart], now_ms: u64) -> bool {
+    fn request(&mut self, parts: &[Suspect], now_ms: u64) -> bool {
         match decide_probe(parts, &self.0, now_ms) {
             ProbeDecision::Send(records) => {
                 self.write(records);
@@ -40,7 +41,7 @@
     }
 
     /// Requests probes again and again until a time; returns how many were sent.
-    fn request_until(&mut self, parts: &[ModelPart], from_ms: u64, until_ms: u64) -> usize {
+    fn request_until(&mut self, parts: &[Suspect], from_ms: u64, until_ms: u64) -> usize {
         let times = (from_ms..until_ms).step_by(50);
         times.filter(|now_ms| self.request(parts, *now_ms)).count()
     }
@@ -79,7 +80,7 @@
     let both = [QUERY_OF_DEATH, SOUND];
     assert_eq!(table.request_until(&both, 0, 14_000), 2);
     assert_eq!(table.request_until(&[SOUND], 14_000, 14_100), 1);
-    table.0.retain(|record| record.part != SOUND);
+    table.0.retain(|record| record.suspect != SOUND);
     let sent = table.request_until(&[QUERY_OF_DEATH], 14_100, 22_000);
     assert_eq!(sent, 0, "no probe within seconds");
     let sent = table.request_until(&[QUERY_OF_DEATH], 22_000, 50_000);
@@ -129,7 +130,7 @@
         let mut last_ms = None;
         for (pause_ms, is_solo) in requests {
             now_ms += pause_ms;
-            let parts: &[ModelPart] = match is_solo {
+            let parts: &[Suspect] = match is_solo {
                 true => &[QUERY_OF_DEATH],
                 false => &[QUERY_OF_DEATH, SOUND],
             };
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -21,14 +21,14 @@
     UpstreamStart::new(&format!("u{number}").parse().expect("name is valid"), 1)
 }
 
-fn is_quarantined(suspects: &Suspects, part: ModelPart) -> bool {
+fn is_quarantined(suspects: &Suspects<ModelPart>, part: ModelPart) -> bool {
     matches!(suspects.verdict(&[part]), Verdict::Quarantined(_))
 }
 
 /// Routers of one data centre that announce to one another through a relay.
 struct Fleet {
-    routers: Vec<Suspects>,
-    relay: Suspects,
+    routers: Vec<Suspects<ModelPart>>,
+    relay: Suspects<ModelPart>,
     now: TimeMs,
     ended: u64,
 }
@@ -210,7 +210,7 @@
 }
 
 /// Exchanges what is due between the relays of two data centres.
-fn exchange(a: &mut Suspects, b: &mut Suspects, now: TimeMs) {
+fn exchange(a: &mut Suspects<ModelPart>, b: &mut Suspects<ModelPart>, now: TimeMs) {
     let (from_a, from_b) = (a.take_due(now), b.take_due(now));
     a.merge(from_b, now);
     b.merge(from_a, now);
@@ -279,7 +279,7 @@
             reports.len() <= 96,
             "an announcement fits into one datagram"
         );
-        announced.extend(reports.into_iter().map(|report| report.part));
+        announced.extend(reports.into_iter().map(|report| report.key));
         now = now + DurationMs(1);
     }
     assert!(announced.contains(&QUERY_OF_DEATH));
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -14,6 +14,7 @@
 use dw_base::DurationMs;
 use dw_base::ModelPart;
 use dw_base::NodeId;
+use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_quarantine::decide_probe;
@@ -44,7 +45,7 @@
 
 #[derive(Default)]
 struct State {
-    suspects: Suspects,
+    suspects: Suspects<ModelPart>,
     /// Records of the blocks whose probes this router grants.
     records: Vec<QuarantineRecord>,
 }
@@ -72,7 +73,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn verdict(&self, job: &Job) -> Verdict {
+    fn verdict(&self, job: &Job) -> Verdict<ModelPart> {
         let state = self.lock();
         match state.suspects.is_empty() {
             true => Verdict::Clear,
@@ -106,9 +107,11 @@
             return;
         }
         let released = state.suspects.record_answer(&blocks(job), now);
-        state
-            .records
-            .retain(|record| !released.contains(&record.part));
+        state.records.retain(|record| {
+            !released
+                .iter()
+                .any(|block| record.suspect == (*block).into())
+        });
         drop(state);
         for block in released {
             log::info!(
@@ -132,13 +135,14 @@
 
     /// Grants a probe of quarantined blocks, or returns the time until the next one.
     pub(crate) fn grant_probe(&self, blocks: &[ModelPart], now: TimeMs) -> DurationMs {
+        let suspects: Vec<Suspect> = blocks.iter().copied().map(Suspect::Part).collect();
         let mut state = self.lock();
-        let (pause_ms, changed) = match decide_probe(blocks, &state.records, now.0) {
+        let (pause_ms, changed) = match decide_probe(&suspects, &state.records, now.0) {
             ProbeDecision::Send(records) => (DurationMs::ZERO, records),
             ProbeDecision::Wait { pause_ms, missing } => (pause_ms, missing),
         };
-        let is_changed = |part| changed.iter().any(|record| record.part == part);
-        state.records.retain(|record| !is_changed(record.part));
+        let is_changed = |suspect| changed.iter().any(|record| record.suspect == suspect);
+        state.records.retain(|record| !is_changed(record.suspect));
         state.records.extend(changed);
         let excess = state.records.len().saturating_sub(MAX_RECORDS);
         state.records.drain(..excess);
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -85,6 +85,12 @@
                     shared.changed.notify_one();
                 }
             }
+            Datagram::SuspectRequests(reports) => {
+                let mut relay = shared.relay.borrow_mut();
+                if relay.suspect_requests.merge(reports, now).has_news {
+                    shared.changed.notify_one();
+                }
+            }
             Datagram::Limits(reports) => {
                 let mut relay = shared.relay.borrow_mut();
                 if !relay.limits.merge(&reports, now).is_empty() {
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use dw_base::DurationMs;
+use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::TimeMs;
 use dw_fleet::Aggregate;
 use dw_fleet::ForwardingPolicy;
@@ -18,7 +20,9 @@
 pub(crate) struct Relay {
     pub(crate) aggregate: Aggregate,
     /// Prompt parts under which upstreams ended, in all data centres.
-    pub(crate) suspects: Suspects,
+    pub(crate) suspects: Suspects<ModelPart>,
+    /// Requests under which upstreams ended, in all data centres.
+    pub(crate) suspect_requests: Suspects<RequestDigest>,
     /// Request limits of upstreams, in all data centres.
     pub(crate) limits: UpstreamLimits,
     pub(crate) forwarding: ForwardingPolicy,
@@ -33,6 +37,7 @@
         Relay {
             aggregate: Aggregate::default(),
             suspects: Suspects::relay(),
+            suspect_requests: Suspects::relay(),
             limits: UpstreamLimits::relay(),
             forwarding: ForwardingPolicy::default(),
             last_used: None,
--- a/crates/sidecar/src/relay_announcer.rs
+++ b/crates/sidecar/src/relay_announcer.rs
@@ -270,16 +270,24 @@
     }
 }
 
-/// Sends evidence about prompt parts to all routers of the data centre and to remote relays, if some is
-/// due.
+/// Sends evidence about prompt parts and requests to all routers of the data centre and to remote relays,
+/// if some is due.
 async fn send_suspects(shared: &Shared, remote_relays: &[SocketAddr], now: TimeMs) {
-    let reports = {
+    let (parts, requests) = {
         let mut relay = shared.relay.borrow_mut();
         relay.suspects.expire(now);
-        relay.suspects.take_due(now)
+        relay.suspect_requests.expire(now);
+        (
+            relay.suspects.take_due(now),
+            relay.suspect_requests.take_due(now),
+        )
     };
-    if !reports.is_empty() {
-        let datagram = Datagram::Suspects(reports);
+    if !requests.is_empty() {
+        let datagram = Datagram::SuspectRequests(requests);
+        send_to_routers(shared, remote_relays, "suspect_requests", &datagram).await;
+    }
+    if !parts.is_empty() {
+        let datagram = Datagram::Suspects(parts);
         send_to_routers(shared, remote_relays, "suspects", &datagram).await;
     }
 }
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -191,7 +191,7 @@
         let mut parts = Vec::new();
         while let Ok(length) = self.socket.try_recv(&mut buffer) {
             if let Ok(Datagram::Suspects(reports)) = decode(&buffer[..length]) {
-                parts.extend(reports.iter().map(|report| report.part));
+                parts.extend(reports.iter().map(|report| report.key));
             }
         }
         parts
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -30,6 +30,7 @@
 use dw_base::NodeId;
 use dw_base::PartKey;
 use dw_base::PrefixKey;
+use dw_base::RequestDigest;
 use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
@@ -232,14 +233,14 @@
     }
 }
 
-/// Evidence about a prompt part under which upstreams ended.
+/// Evidence about a part of prompts, or a whole request, under which upstreams ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SuspectReport {
-    /// Part.
-    pub part: ModelPart,
-    /// Upstreams that ended since the last answer on the part, with the time since then.
+pub struct SuspectReport<K = ModelPart> {
+    /// Part or request.
+    pub key: K,
+    /// Upstreams that ended since the last answer, with the time since then.
     pub ends: Vec<(UpstreamStart, DurationMs)>,
-    /// Time since the last answer that began on the part, if there was one lately.
+    /// Time since the last answer, if there was one lately.
     pub answered_age_ms: Option<DurationMs>,
 }
 
@@ -266,4 +267,6 @@
     PermitRequest(PermitRequest),
     /// Answer of a sidecar to a request for a permit.
     PermitAnswer(PermitAnswer),
+    /// Whole requests under which upstreams ended, sent by a router or a relay.
+    SuspectRequests(Vec<SuspectReport<RequestDigest>>),
 }
