router: count lost engines against whole generations, beside prompt blocks

The routers keep the evidence with the gateway's EvidenceSet. Two control calls are new, at the end of the interface: suspect_requests and request_suspect_probe. Calls of plain services are not judged: an agent cannot tell a service that ended from a broken connection.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -8,7 +8,9 @@
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::RequestId;
+use dw_base::Suspect;
 use dw_store::VmSource;
 use dw_wire::ConfigAck;
 use dw_wire::ConfigUpdate;
@@ -83,6 +85,12 @@
     async fn request_probe(self, _: Context, _parts: Vec<ModelPart>) -> DurationMs {
         NO_PROBE_PAUSE_MS
     }
+
+    async fn suspect_requests(self, _: Context, _: Vec<SuspectReport<RequestDigest>>) {}
+
+    async fn request_suspect_probe(self, _: Context, _: Vec<Suspect>) -> DurationMs {
+        NO_PROBE_PAUSE_MS
+    }
 }
 
 fn own_hello(shared: &Shared) -> Hello {
--- a/crates/agent/tests/process.rs
+++ b/crates/agent/tests/process.rs
@@ -21,7 +21,9 @@
 use dw_base::Incarnation;
 use dw_base::ModelPart;
 use dw_base::NodeId;
+use dw_base::RequestDigest;
 use dw_base::RequestId;
+use dw_base::Suspect;
 use dw_base::SystemClock;
 use dw_config::Change;
 use dw_config::Edit;
@@ -105,6 +107,12 @@
     async fn request_probe(self, _: Context, _: Vec<ModelPart>) -> DurationMs {
         DurationMs(1_000)
     }
+
+    async fn suspect_requests(self, _: Context, _: Vec<SuspectReport<RequestDigest>>) {}
+
+    async fn request_suspect_probe(self, _: Context, _: Vec<Suspect>) -> DurationMs {
+        DurationMs::ZERO
+    }
 }
 
 async fn router() -> (SocketAddr, mpsc::UnboundedReceiver<Hello>) {
--- a/crates/proof/tests/query_of_death.rs
+++ b/crates/proof/tests/query_of_death.rs
@@ -82,3 +82,48 @@
 async fn prompt_that_crashes_engines_is_known_to_all_routers() {
     serve_beside_a_query_of_death(4).await;
 }
+
+/// Guards against one request that crashes engine after engine though its prompt is too short for a block,
+/// or its blocks are answered in sound requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_short_prompt_crashes_engine_after_engine() {
+    let engine = EngineSettings::builder()
+        .prefill_tokens_per_s(200_000.0)
+        .decode_ms_per_token(4.0)
+        .max_batch(32)
+        .build();
+    let settings = SiteSettings::builder()
+        .engines(vec![engine; 4])
+        .routers(4)
+        .build();
+    let site = Site::start(settings).await.expect("started");
+    for engine in site.fleet.engines.values() {
+        engine.state.set_faults(EngineFaults {
+            crash_on: Some(DEADLY.to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    let block = "c".repeat(BLOCK_BYTES);
+    let mut refused = 0;
+    for number in 0..REQUESTS {
+        let caller = site.callers(number);
+        let request = RequestHead::stream("acme", "write", &format!("{block}{DEADLY}"), 4);
+        let reply = ask(caller, &request).await;
+        assert!(!reply.done(), "an engine crashes before it answers");
+        refused += u64::from(reply.kind() == "quarantined_prompt" && reply.not_run());
+        let crashes = crashes(&site);
+        assert!(
+            crashes <= MOST_CRASHES,
+            "one request crashed {crashes} engines, request {number}"
+        );
+        let sound = RequestHead::stream("acme", "write", &format!("{block}{number}"), 4);
+        let served = || async { ask(caller, &sound).await.done() };
+        until("a sound prompt with the same first piece is served", served)
+            .await
+            .expect("served");
+    }
+    assert!(
+        refused >= REQUESTS as u64 - MOST_CRASHES,
+        "requests that crash no engine are refused as not run: {refused} of {REQUESTS}"
+    );
+}
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -6,7 +6,9 @@
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::RequestId;
+use dw_base::Suspect;
 use dw_wire::ConfigAck;
 use dw_wire::ConfigUpdate;
 use dw_wire::ControlHandler;
@@ -114,6 +116,16 @@
     }
 
     async fn request_probe(&self, parts: Vec<ModelPart>) -> DurationMs {
-        self.0.quarantine.grant_probe(&parts, self.0.clock.now())
+        let suspects: Vec<Suspect> = parts.into_iter().map(Suspect::Part).collect();
+        self.0.quarantine.grant_probe(&suspects, self.0.clock.now())
+    }
+
+    async fn suspect_requests(&self, reports: Vec<SuspectReport<RequestDigest>>) {
+        let now = self.0.clock.now();
+        self.0.quarantine.merge_requests(reports, now);
+    }
+
+    async fn request_suspect_probe(&self, suspects: Vec<Suspect>) -> DurationMs {
+        self.0.quarantine.grant_probe(&suspects, self.0.clock.now())
     }
 }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -1,7 +1,7 @@
-//! Quarantine of prompt blocks under which upstreams end, shared among the routers.
+//! Quarantine of prompt blocks and requests under which upstreams end, shared among the routers.
 //!
 //! Each router announces what it has seen to all others. Of the live routers, one grants the probes of a
-//! block: the first by rendezvous hashing.
+//! block or a request: the first by rendezvous hashing.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,13 +14,16 @@
 use dw_base::DurationMs;
 use dw_base::ModelPart;
 use dw_base::NodeId;
+use dw_base::RequestDigest;
 use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_quarantine::decide_probe;
+use dw_quarantine::DueReports;
+use dw_quarantine::EvidenceSet;
+use dw_quarantine::Merged;
 use dw_quarantine::ProbeDecision;
 use dw_quarantine::QuarantineRecord;
-use dw_quarantine::Suspects;
 use dw_quarantine::Verdict;
 use dw_wire::Status;
 use dw_wire::SuspectReport;
@@ -40,17 +43,17 @@
 /// Announcements that are sent at the same time.
 const MAX_SENDS: usize = 64;
 
-/// Maximum number of records of quarantined blocks.
+/// Maximum number of records of what is in quarantine.
 const MAX_RECORDS: usize = 4_096;
 
 #[derive(Default)]
 struct State {
-    suspects: Suspects<ModelPart>,
-    /// Records of the blocks whose probes this router grants.
+    evidence: EvidenceSet,
+    /// Records of the blocks and requests whose probes this router grants.
     records: Vec<QuarantineRecord>,
 }
 
-/// Prompt blocks under which upstreams ended, as this router knows them.
+/// Prompt blocks and requests under which upstreams ended, as this router knows them.
 #[derive(Default)]
 pub(crate) struct Quarantine {
     state: Mutex<State>,
@@ -68,16 +71,28 @@
     }
 }
 
+/// Returns the digest of the job's content.
+fn digest(job: &Job) -> RequestDigest {
+    let service = job.service.name.as_str().as_bytes();
+    let content: [&[u8]; 3] = match &job.work {
+        Work::Generate { model, prompt, .. } => {
+            [service, model.as_str().as_bytes(), prompt.as_bytes()]
+        }
+        Work::Call { body, .. } => [service, &[], body],
+    };
+    RequestDigest::new(job.org.as_str(), content)
+}
+
 impl Quarantine {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn verdict(&self, job: &Job) -> Verdict<ModelPart> {
+    fn verdict(&self, job: &Job) -> Verdict {
         let state = self.lock();
-        match state.suspects.is_empty() {
+        match state.evidence.is_empty() {
             true => Verdict::Clear,
-            false => state.suspects.verdict(&blocks(job)),
+            false => state.evidence.verdict(|| digest(job), &blocks(job)),
         }
     }
 
@@ -86,58 +101,75 @@
         self.verdict(job) != Verdict::Clear
     }
 
-    /// Records that an upstream ended under a job before its first token.
-    pub(crate) fn record_end(&self, job: &Job, status: &Status, now: TimeMs) {
-        let blocks = blocks(job);
+    /// Records that an upstream ended under a job; its blocks are suspects only if the job had no token.
+    pub(crate) fn record_end(&self, job: &Job, status: &Status, has_token: bool, now: TimeMs) {
+        let blocks = match has_token {
+            true => Vec::new(),
+            false => blocks(job),
+        };
         let start = UpstreamStart::new(&status.upstream, status.upstream_incarnation.0);
-        let quarantined = self.lock().suspects.record_end(&blocks, start, now);
-        for block in quarantined {
+        let evidence = &mut self.lock().evidence;
+        for suspect in evidence.record_end(digest(job), &blocks, start, now) {
             log::warn!(
-                request_id:% = job.request_id, upstream:% = status.upstream, block:%;
-                "prompt block quarantined: upstreams ended under it and none has answered"
+                request_id:% = job.request_id, upstream:% = status.upstream, suspect:%;
+                "quarantined: upstreams ended under it and none has answered"
             );
         }
         self.news.notify_one();
     }
 
     /// Records the first token of an answer to a job.
+    pub(crate) fn record_first_token(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
+        self.record(job, upstream, |evidence| {
+            evidence.record_first_token(&blocks(job), now)
+        });
+    }
+
+    /// Records the whole answer to a job.
     pub(crate) fn record_answer(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
+        self.record(job, upstream, |evidence| {
+            evidence.record_answer(digest(job), now)
+        });
+    }
+
+    fn record(
+        &self,
+        job: &Job,
+        upstream: &UpstreamId,
+        record: impl FnOnce(&mut EvidenceSet) -> Vec<Suspect>,
+    ) {
         let mut state = self.lock();
-        if state.suspects.is_empty() {
+        if state.evidence.is_empty() {
             return;
         }
-        let released = state.suspects.record_answer(&blocks(job), now);
-        state.records.retain(|record| {
-            !released
-                .iter()
-                .any(|block| record.suspect == (*block).into())
-        });
+        let released = record(&mut state.evidence);
+        state
+            .records
+            .retain(|record| !released.contains(&record.suspect));
         drop(state);
-        for block in released {
+        for suspect in released {
             log::info!(
-                request_id:% = job.request_id, upstream:%, block:%;
-                "prompt block left quarantine: an upstream answered"
+                request_id:% = job.request_id, upstream:%, suspect:%;
+                "left quarantine: an upstream answered"
             );
         }
         self.news.notify_one();
     }
 
-    /// Merges what another router has announced.
+    /// Merges evidence against blocks that another router has announced.
     pub(crate) fn merge(&self, reports: Vec<SuspectReport>, now: TimeMs) {
-        let merged = self.lock().suspects.merge(reports, now);
-        if !merged.quarantined.is_empty() {
-            log::warn!(blocks:? = merged.quarantined; "prompt blocks quarantined by other routers");
-        }
-        if !merged.released.is_empty() {
-            log::info!(blocks:? = merged.released; "prompt blocks left quarantine at other routers");
-        }
+        log_merged(&self.lock().evidence.merge_parts(reports, now));
+    }
+
+    /// Merges evidence against requests that another router has announced.
+    pub(crate) fn merge_requests(&self, reports: Vec<SuspectReport<RequestDigest>>, now: TimeMs) {
+        log_merged(&self.lock().evidence.merge_requests(reports, now));
     }
 
-    /// Grants a probe of quarantined blocks, or returns the time until the next one.
-    pub(crate) fn grant_probe(&self, blocks: &[ModelPart], now: TimeMs) -> DurationMs {
-        let suspects: Vec<Suspect> = blocks.iter().copied().map(Suspect::Part).collect();
+    /// Grants a probe of suspects in quarantine, or returns the time until the next one.
+    pub(crate) fn grant_probe(&self, suspects: &[Suspect], now: TimeMs) -> DurationMs {
         let mut state = self.lock();
-        let (pause_ms, changed) = match decide_probe(&suspects, &state.records, now.0) {
+        let (pause_ms, changed) = match decide_probe(suspects, &state.records, now.0) {
             ProbeDecision::Send(records) => (DurationMs::ZERO, records),
             ProbeDecision::Wait { pause_ms, missing } => (pause_ms, missing),
         };
@@ -150,41 +182,53 @@
     }
 }
 
-/// Returns whether a job is sent as the probe of a quarantined block, or the error if it must not be
-/// sent.
+fn log_merged(merged: &Merged<Suspect>) {
+    if !merged.quarantined.is_empty() {
+        log::warn!(suspects:? = merged.quarantined; "quarantined by other routers");
+    }
+    if !merged.released.is_empty() {
+        log::info!(suspects:? = merged.released; "left quarantine at other routers");
+    }
+}
+
+/// Returns whether a job is sent as a probe of what is in quarantine, or the error if it must not be sent.
 pub(crate) async fn admit(shared: &Shared, job: &Job) -> Result<bool, CallerError> {
-    let Verdict::Quarantined(blocks) = shared.quarantine.verdict(job) else {
+    let Verdict::Quarantined(suspects) = shared.quarantine.verdict(job) else {
         return Ok(false);
     };
-    let pause_ms = request_probe(shared, &blocks).await;
+    let pause_ms = request_probe(shared, &suspects).await;
     log::warn!(
-        request_id:% = job.request_id, blocks:? = blocks, pause_ms = pause_ms.0;
-        "request has quarantined prompt blocks"
+        request_id:% = job.request_id, suspects:? = suspects, pause_ms = pause_ms.0;
+        "request is in quarantine"
     );
     if pause_ms == DurationMs::ZERO {
         return Ok(true);
     }
-    let message = "upstreams ended under a part of this prompt";
+    let message = "upstreams ended under this prompt or a part of it";
     Err(CallerError::unavailable("quarantined_prompt", message).retry_after(pause_ms))
 }
 
-async fn request_probe(shared: &Shared, blocks: &[ModelPart]) -> DurationMs {
-    let owner = blocks.first().and_then(|block| owner(shared, *block));
+async fn request_probe(shared: &Shared, suspects: &[Suspect]) -> DurationMs {
+    let owner = suspects.first().and_then(|first| owner(shared, *first));
     let addr = owner.and_then(|owner| shared.members.control_addr(&owner));
     let Some(addr) = addr else {
-        return shared.quarantine.grant_probe(blocks, shared.clock.now());
+        return shared.quarantine.grant_probe(suspects, shared.clock.now());
     };
-    let blocks = blocks.to_vec();
+    let suspects = suspects.to_vec();
     let answer = shared.pool.call(addr, |client, context| async move {
-        client.request_probe(context, blocks).await
+        client.request_suspect_probe(context, suspects).await
     });
     answer.await.unwrap_or(NO_PROBE_PAUSE_MS)
 }
 
-/// Returns the router that grants the probes of a block, unless it is this one.
-fn owner(shared: &Shared, block: ModelPart) -> Option<NodeId> {
+/// Returns the router that grants the probes of a suspect, unless it is this one.
+fn owner(shared: &Shared, suspect: Suspect) -> Option<NodeId> {
     let own = &shared.settings.node;
-    let score = |node: &NodeId| rendezvous_score(u128::from(block.0), node.as_str(), 1.0);
+    let key = match suspect {
+        Suspect::Part(block) => u128::from(block.0),
+        Suspect::Request(request) => u128::from(request.content),
+    };
+    let score = |node: &NodeId| rendezvous_score(key, node.as_str(), 1.0);
     let routers = shared.members.routers().into_iter();
     let best = routers.max_by(|a, b| score(a).total_cmp(&score(b)))?;
     (best != *own && score(&best) > score(own)).then_some(best)
@@ -198,12 +242,12 @@
         // Without news, suspects are announced again after the pause.
         let _ = tokio::time::timeout(MAX_PAUSE, shared.quarantine.news.notified()).await;
         let now = shared.clock.now();
-        let (has_news, reports) = {
+        let (has_news, due) = {
             let mut state = shared.quarantine.lock();
-            state.suspects.expire(now);
-            (state.suspects.has_news(), state.suspects.take_due(now))
+            state.evidence.expire(now);
+            (state.evidence.has_news(), state.evidence.take_due(now))
         };
-        if reports.is_empty() {
+        if due.parts.is_empty() && due.requests.is_empty() {
             continue;
         }
         let mut addrs = other_routers(&shared);
@@ -211,7 +255,7 @@
             turn = (turn + 1) % addrs.len();
             addrs = vec![addrs[turn]];
         }
-        send_reports(&shared, addrs, &reports).await;
+        send_reports(&shared, addrs, &due).await;
     }
 }
 
@@ -223,11 +267,12 @@
         .collect()
 }
 
-async fn send_reports(shared: &Shared, addrs: Vec<SocketAddr>, reports: &[SuspectReport]) {
+async fn send_reports(shared: &Shared, addrs: Vec<SocketAddr>, due: &DueReports) {
     let sends = addrs.into_iter().map(|addr| {
-        let reports = reports.to_vec();
+        let due = due.clone();
         let call = shared.pool.call(addr, |client, context| async move {
-            client.suspects(context, reports).await
+            client.suspect_requests(context, due.requests).await?;
+            client.suspects(context, due.parts).await
         });
         async move {
             if let Err(e) = call.await {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -177,12 +177,13 @@
         }
     }
 
-    /// Records the end of an upstream that had not sent a token.
+    /// Records the end of an engine. A plain service that fails a call may have cut the connection only.
     fn record_end(&self, failure: &Failure) {
-        if failure.kind == FailureKind::UpstreamLost && !self.has_token {
+        let is_prompt = matches!(self.job.work, Work::Generate { .. });
+        if failure.kind == FailureKind::UpstreamLost && is_prompt {
             let now = self.shared.clock.now();
             let quarantine = &self.shared.quarantine;
-            quarantine.record_end(self.job, &failure.status, now);
+            quarantine.record_end(self.job, &failure.status, self.has_token, now);
         }
     }
 
@@ -203,7 +204,7 @@
         if self.has_token {
             let now = self.shared.clock.now();
             let quarantine = &self.shared.quarantine;
-            quarantine.record_answer(self.job, live.upstream(), now);
+            quarantine.record_first_token(self.job, live.upstream(), now);
         }
         if !self.job.stream {
             return collect(&mut live, start, next).await;
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -6,8 +6,10 @@
 use dw_base::ModelPart;
 use dw_base::NodeId;
 use dw_base::OrgId;
+use dw_base::RequestDigest;
 use dw_base::RequestId;
 use dw_base::ServiceId;
+use dw_base::Suspect;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -123,4 +125,8 @@
     /// Asks the router that grants probes of these quarantined parts for one; returns zero if a request
     /// may be sent, and otherwise the time until the next one may be.
     async fn request_probe(parts: Vec<ModelPart>) -> DurationMs;
+    /// Tells a router which requests upstreams ended under.
+    async fn suspect_requests(reports: Vec<SuspectReport<RequestDigest>>);
+    /// As [`Control::request_probe`], of prompt parts and requests.
+    async fn request_suspect_probe(suspects: Vec<Suspect>) -> DurationMs;
 }
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -10,7 +10,9 @@
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::RequestId;
+use dw_base::Suspect;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
@@ -63,6 +65,12 @@
     async fn request_probe(&self, _parts: Vec<ModelPart>) -> DurationMs {
         NO_PROBE_PAUSE_MS
     }
+    /// Answers [`Control::suspect_requests`]; by default the reports are ignored.
+    async fn suspect_requests(&self, _reports: Vec<SuspectReport<RequestDigest>>) {}
+    /// Answers [`Control::request_suspect_probe`]; by default no probe is granted.
+    async fn request_suspect_probe(&self, _suspects: Vec<Suspect>) -> DurationMs {
+        NO_PROBE_PAUSE_MS
+    }
 }
 
 #[derive(Clone)]
@@ -100,6 +108,14 @@
     async fn request_probe(self, _: Context, parts: Vec<ModelPart>) -> DurationMs {
         self.0.request_probe(parts).await
     }
+
+    async fn suspect_requests(self, _: Context, reports: Vec<SuspectReport<RequestDigest>>) {
+        self.0.suspect_requests(reports).await;
+    }
+
+    async fn request_suspect_probe(self, _: Context, suspects: Vec<Suspect>) -> DurationMs {
+        self.0.request_suspect_probe(suspects).await
+    }
 }
 
 fn codec() -> LengthDelimitedCodec {
