gateway, docs: log the software version of answers and the stream taken up

The line 'request answered' named neither the version of the upstream's software nor the attempt that began a stream; the adapter read the version and dropped it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -428,6 +428,7 @@
         choice: plan.choice.clone(),
         saves: plan.save_to.is_some(),
         sent_to: plan.sent_to(),
+        software: plan.software.clone(),
         response: received.response,
         head: received.head,
         connection: received.connection,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_net::describe;
 use dw_net::Connection;
@@ -55,6 +56,8 @@
     /// Whether the engine saves the shared parts of the prompt.
     pub(crate) saves: bool,
     pub(crate) sent_to: SentTo,
+    /// Version of the upstream's software.
+    pub(crate) software: SoftwareVersion,
     pub(crate) response: Response<Incoming>,
     pub(crate) head: ResponseHead,
     pub(crate) connection: Connection,
@@ -72,6 +75,7 @@
     choice: Choice,
     saves: bool,
     sent_to: SentTo,
+    software: SoftwareVersion,
     status: StatusCode,
     head: ResponseHead,
     parts: Option<http::response::Parts>,
@@ -111,6 +115,7 @@
             choice: parts.choice,
             saves: parts.saves,
             sent_to: parts.sent_to,
+            software: parts.software,
             head: parts.head,
         }
     }
@@ -250,7 +255,9 @@
         log::info!(
             request_id = self.context.request_head.request_id.as_str(),
             route = self.context.route.name.as_str(),
-            upstream:% = self.choice.upstream, status = self.status.as_u16(), outcome,
+            upstream:% = self.choice.upstream, software:% = self.software,
+            resumes = self.context.request_head.resumes.as_deref().unwrap_or_default(),
+            status = self.status.as_u16(), outcome,
             first_ms = first_ms.0, took_ms = took_ms.0, bytes = self.bytes,
             tries = self.context.attempts.get(), home = self.choice.home,
             compared = self.choice.compared,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -5,6 +5,7 @@
 use dw_base::rendezvous_score;
 use dw_base::DataCentreId;
 use dw_base::PromptPart;
+use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::UpstreamId;
@@ -34,6 +35,8 @@
     pub(crate) data_centre: DataCentreId,
     /// Start time of the upstream that was selected.
     pub(crate) started_ms: u64,
+    /// Version of its software.
+    pub(crate) software: SoftwareVersion,
     pub(crate) scope: String,
     pub(crate) salt: Option<String>,
     pub(crate) fetch_from: Option<SocketAddr>,
@@ -105,6 +108,7 @@
         addr: registered.addr,
         data_centre: registered.data_centre.clone(),
         started_ms: registered.started_ms,
+        software: registered.software.clone(),
         choice,
         scope,
         salt,
--- a/crates/member/src/registered_upstream.rs
+++ b/crates/member/src/registered_upstream.rs
@@ -5,6 +5,7 @@
 use dw_base::DataCentreId;
 use dw_base::ModelId;
 use dw_base::ServiceId;
+use dw_base::SoftwareVersion;
 use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
 
@@ -15,6 +16,8 @@
     pub upstream: UpstreamId,
     /// Service.
     pub service: ServiceId,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address.
     pub addr: SocketAddr,
     /// Data centre.
--- a/crates/member/tests/directory.rs
+++ b/crates/member/tests/directory.rs
@@ -2,6 +2,7 @@
 
 use dw_base::DurationMs;
 use dw_base::ServiceId;
+use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_member::Directory;
@@ -14,6 +15,7 @@
     RegisteredUpstream {
         upstream: id.parse().expect("test data is valid"),
         service: "s".parse().expect("test data is valid"),
+        software: SoftwareVersion::default(),
         addr: "10.0.0.1:80".parse().expect("test data is valid"),
         data_centre: "a".parse().expect("test data is valid"),
         slots: 6,
--- a/crates/member/tests/notices.rs
+++ b/crates/member/tests/notices.rs
@@ -4,6 +4,7 @@
 
 use dw_base::DurationMs;
 use dw_base::ServiceId;
+use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
 use dw_member::Directory;
@@ -14,6 +15,7 @@
     RegisteredUpstream {
         upstream: id(number),
         service: service(),
+        software: SoftwareVersion::default(),
         addr: format!("10.0.0.{number}:80").parse().expect("test data"),
         data_centre: "a".parse().expect("test data is valid"),
         slots: 6,
