gateway: let a stream go on only at the software version that began it

Callers that took a stream up while two software versions served got 200 and text joined from both. Cause: a take-up was placed as a new stream; the registered version was read and dropped, and nobody knew which version had begun a stream. Class: state that a retry depends on is not carried over to the process that serves the retry.

The router that passes on a first event tells two sidecars, by rendezvous of the attempt's id, and keeps it itself; the router of a take-up asks four. Known: only upstreams of that service and version, for all tries. Unknown: anywhere only if this router has itself seen one version for as long as the stream may last, else 503 at once, not run, without Retry-After. Why it works: a router that has just started never takes what the table shows now for what was true of the stream, and sidecars outlast a kill of routers.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,6 +11,7 @@
 mod rng;
 mod software;
 mod speeds;
+mod stream_key;
 mod suspect;
 mod work;
 
@@ -63,5 +64,6 @@
 pub use software::ParseSoftwareVersionError;
 pub use software::SoftwareVersion;
 pub use speeds::MeasuredSpeeds;
+pub use stream_key::StreamKey;
 pub use suspect::Suspect;
 pub use work::MeasuredWork;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -30,6 +30,9 @@
         /// Time after which the caller may retry.
         retry_after_ms: DurationMs,
     },
+    /// The caller takes up a stream that cannot go on; the request was not run, and another attempt to
+    /// take the stream up would not help.
+    CannotResume(&'static str),
     /// The request was sent, and its outcome is unknown.
     Unknown,
     /// The request was sent, and no answer arrived before its deadline.
@@ -45,7 +48,9 @@
             GatewayAnswer::NoKey => StatusCode::UNAUTHORIZED,
             GatewayAnswer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             GatewayAnswer::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            GatewayAnswer::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            GatewayAnswer::NotRun { .. } | GatewayAnswer::CannotResume(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             GatewayAnswer::Unknown => StatusCode::BAD_GATEWAY,
             GatewayAnswer::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -59,7 +64,7 @@
             GatewayAnswer::NoKey => "no_key",
             GatewayAnswer::TooLarge => "too_large",
             GatewayAnswer::BodyTimeout => "body_timeout",
-            GatewayAnswer::NotRun { reason, .. } => reason,
+            GatewayAnswer::NotRun { reason, .. } | GatewayAnswer::CannotResume(reason) => reason,
             GatewayAnswer::Unknown => "unknown_outcome",
             GatewayAnswer::Timeout => "timeout",
         }
@@ -77,6 +82,9 @@
             GatewayAnswer::NotRun { reason, .. } => {
                 format!("the request was not run ({reason}); send it again after Retry-After")
             }
+            GatewayAnswer::CannotResume(reason) => {
+                format!("the stream cannot go on ({reason}), and was not run; begin a new one")
+            }
             GatewayAnswer::Unknown => {
                 "the upstream gave no answer; the request may have run".to_owned()
             }
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -41,6 +41,7 @@
     let open: Vec<&Entry> = directory
         .serving(&context.service)
         .filter(|entry| !exclusions.contains(&entry.registration.upstream))
+        .filter(|entry| context.may_run_on(&entry.registration.software))
         .filter(|entry| !entry.is_paused(now))
         .filter(|entry| shared.limits.denied_until(entry, now).is_none())
         .filter(|entry| view.is_open(entry.registration.addr, now))
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,6 +10,7 @@
 use dw_base::ModelPart;
 use dw_base::RequestDigest;
 use dw_base::ServiceId;
+use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
 use dw_port::RequestHead;
@@ -37,6 +38,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: ServiceId,
+    /// The only version of an upstream's software that may run it, for a stream that goes on.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) arrived: TimeMs,
     /// When the caller's deadline or the route's timeout is reached, whichever comes first.
     pub(crate) deadline: TimeMs,
@@ -85,6 +88,12 @@
             .collect()
     }
 
+    /// Returns whether an upstream with this version of its software may run the request.
+    pub(crate) fn may_run_on(&self, software: &SoftwareVersion) -> bool {
+        let required = self.software.as_ref();
+        required.is_none_or(|required| required == software)
+    }
+
     /// Returns the digest of the request's content: the organisation, the method, the path, the body, and
     /// the prompt parts that other requests may share.
     ///
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::framing::has_events;
 use crate::in_flight::InFlight;
 use crate::limits;
+use crate::origins;
 use crate::quarantine;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
@@ -316,6 +317,7 @@
         Ok(Ok(first_data)) => {
             if !first_data.is_empty() {
                 received.in_flight.record_first_token();
+                origins::record(shared, context, plan).await;
                 quarantine::record_first_token(shared, context);
             }
             let first_data = Some(first_data).filter(|data| !data.is_empty());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::kv;
 use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
+use crate::origins::Origins;
 use crate::pool::ConnectionPool;
 use crate::probe;
 use crate::quarantine;
@@ -125,7 +126,13 @@
         let socket = Rc::new(datagrams("inner", inner).await?);
         let quarantine = Quarantine::new(parts.quarantine);
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
-        let shared = shared_state(&boot, parts.clock, parts.codec, (quarantine, limits));
+        let origins = Origins::new(socket.clone(), boot.inner_ports.0);
+        let shared = shared_state(
+            &boot,
+            parts.clock,
+            parts.codec,
+            (quarantine, limits, origins),
+        );
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
             data_centre:% = boot.data_centre;
@@ -212,7 +219,7 @@
     boot: &Rc<Boot>,
     clock: Arc<dyn Clock>,
     codec: Arc<dyn Codec>,
-    (quarantine, limits): (Quarantine, RequestLimits),
+    (quarantine, limits, origins): (Quarantine, RequestLimits, Origins),
 ) -> Rc<Shared> {
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
@@ -235,6 +242,7 @@
         metrics: GatewayMetrics::new(),
         quarantine,
         limits,
+        origins,
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
         announcement_due: Notify::new(),
@@ -250,7 +258,9 @@
         shared.limits.expire(now);
         let quarantined = shared.quarantine.expire(now);
         shared.metrics.set_quarantined(&quarantined);
+        shared.origins.expire(now);
         let directory = shared.directory.borrow();
+        shared.origins.observe(&directory, now);
         shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
         if let Some(routes) = shared.routes() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod kv;
 mod limits;
 mod metrics;
+mod origins;
 mod part_keys;
 mod pool;
 mod probe;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,8 @@
 use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_follow::CallResult;
+use dw_origin::CannotResume;
+use dw_origin::Resume;
 use dw_route::Route;
 use dw_telem::Metrics;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -86,6 +88,7 @@
     probes: Counter,
     quarantined_parts: Gauge,
     quarantined_requests: Gauge,
+    resumes: Family<KindLabel, Counter>,
     lost_requests: Family<KindLabel, Counter>,
     sent_to_limited: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
@@ -147,6 +150,11 @@
                 "Whole requests in quarantine",
                 Gauge::default(),
             ),
+            resumes: metrics.add(
+                "streams_taken_up",
+                "Streams that callers take up, by where they may go on",
+                Family::default(),
+            ),
             lost_requests: metrics.add(
                 "requests_lost_to_ends",
                 "Requests that an upstream held when it ended, by whether its answer had begun",
@@ -251,6 +259,17 @@
         self.quarantined_requests.set(gauge_value(requests));
     }
 
+    /// Counts a stream that a caller takes up.
+    pub(crate) fn record_resume(&self, decided: &Result<Resume, CannotResume>) {
+        let kind = match decided {
+            Ok(Resume::At(..)) => "at_version",
+            Ok(Resume::Any(_)) => "any",
+            Err(CannotResume::UnknownOrigin) => "unknown_version",
+            Err(CannotResume::OtherService) => "other_service",
+        };
+        self.resumes.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request that an upstream held when it ended.
     pub(crate) fn record_lost_request(&self, lost: LostRequest) {
         let label = KindLabel { kind: lost.label() };
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -59,10 +59,16 @@
                     self.shared.metrics.record_received("permits", bytes.len());
                     self.shared.limits.record_permit(answer);
                 }
+                Datagram::OriginAnswer(answer) => {
+                    self.shared.metrics.record_received("origins", bytes.len());
+                    self.shared.origins.record_answer(answer);
+                }
                 Datagram::Router(_)
                 | Datagram::Engine(_)
                 | Datagram::Roster(_)
-                | Datagram::PermitRequest(_) => {}
+                | Datagram::PermitRequest(_)
+                | Datagram::OriginRecord(_)
+                | Datagram::OriginQuery(_) => {}
             }
         })
         .await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,6 +12,7 @@
 use dw_admit::Offer;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
+use dw_origin::Resume;
 use dw_quarantine::Verdict;
 use dw_retry::AttemptOutcome;
 use dw_retry::NextAction;
@@ -37,6 +38,7 @@
 use crate::forward::forward;
 use crate::forward::AttemptResult;
 use crate::limits::acquire_permit;
+use crate::origins;
 use crate::quarantine;
 use crate::quarantine::Admission;
 use crate::quarantine::ProbeKind;
@@ -120,8 +122,13 @@
         Ok(body) => body,
         Err(answer) => return Err(rejected(&id, answer)),
     };
-    let destination = resolved.route.destination(request_hash(&id));
-    let service = destination.cloned();
+    let resume = origins::resume(shared, &request_head, &resolved).await;
+    let resume = resume.map_err(|answer| rejected(&id, answer))?;
+    let (service, software) = match resume {
+        Some(Resume::At(service, software)) => (Some(service), Some(software)),
+        Some(Resume::Any(service)) => (Some(service), None),
+        None => (resolved.route.destination(request_hash(&id)).cloned(), None),
+    };
     let service = service.ok_or_else(|| rejected(&id, GatewayAnswer::NoRoute))?;
     Ok(RequestContext {
         request_head,
@@ -132,6 +139,7 @@
         route: resolved.route,
         organisation: resolved.organisation,
         service,
+        software,
         arrived,
         deadline,
         attempts: Cell::new(0),
@@ -344,6 +352,12 @@
     let remaining_ms = context.remaining(now);
     let request_hash = request_hash(&context.request_head.request_id);
     let directory = shared.directory.borrow();
+    let mut serving = directory.serving(&context.service);
+    if context.software.is_some()
+        && !serving.any(|entry| context.may_run_on(&entry.registration.software))
+    {
+        return GatewayAnswer::CannotResume("no_upstream_of_version");
+    }
     let has_limits = directory
         .serving(&context.service)
         .any(|entry| shared.limits.denied_until(entry, now).is_some());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::connections::Connections;
 use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
+use crate::origins::Origins;
 use crate::pool::ConnectionPool;
 use crate::quarantine::Quarantine;
 use crate::tables::TableState;
@@ -55,6 +56,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: RequestLimits,
+    pub(crate) origins: Origins,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
     /// Wakes the task that sends announcements to the relays.
--- /dev/null
+++ b/crates/origin/src/lib.rs
@@ -0,0 +1,24 @@
+//! Where streams began, so that they go on only where what is written fits together.
+//!
+//! Load pattern: upstreams of two software versions serve side by side, or those of one have just left,
+//! when many streams break at once and callers take them up at other routers, some of which have just
+//! started.
+//!
+//! | type | decides |
+//! | --- | --- |
+//! | [`OriginKeeper`] | where a stream began, as one process was told |
+//! | [`keepers`] | which processes are told, and asked |
+//! | [`SoftwareHistory`] | whether a service had one software version all the while that its streams may last |
+//! | [`decide_resume`] | where a stream may go on |
+
+mod history;
+mod keeper;
+mod keepers;
+mod resume;
+
+pub use history::SoftwareHistory;
+pub use keeper::OriginKeeper;
+pub use keepers::keepers;
+pub use resume::decide_resume;
+pub use resume::CannotResume;
+pub use resume::Resume;
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -16,6 +16,7 @@
 use dw_wire::WeightsUpdate;
 
 use crate::engine_announcer::EngineAnnouncer;
+use crate::origins;
 use crate::permits;
 use crate::relay::Relay;
 use crate::relay_announcer::RelayAnnouncer;
@@ -32,6 +33,7 @@
     loop {
         let now = shared.clock.now();
         shared.issuer.borrow_mut().tick(now);
+        shared.origins.borrow_mut().expire(now);
         let own_due = own.announce_due(&shared, now).await;
         let relay_due = relay.announce_due(&shared, now).await;
         tokio::time::sleep(MIN_ROUND_PAUSE_MS.into()).await;
@@ -98,7 +100,9 @@
                 }
             }
             Datagram::PermitRequest(request) => permits::answer(&shared, from, &request, now),
-            Datagram::Kv(_) | Datagram::PermitAnswer(_) => {}
+            Datagram::OriginRecord(record) => origins::record(&shared, record, now),
+            Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
+            Datagram::Kv(_) | Datagram::PermitAnswer(_) | Datagram::OriginAnswer(_) => {}
         }
     })
     .await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod metrics;
 mod orders;
+mod origins;
 mod permits;
 mod relay;
 mod relay_announcer;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -14,6 +14,7 @@
 use dw_net::datagrams;
 use dw_net::start_text;
 use dw_net::BindError;
+use dw_origin::OriginKeeper;
 use dw_permit::Issuer;
 use dw_platform::Boot;
 use dw_port::Declaration;
@@ -81,6 +82,8 @@
     pub(crate) relay: RefCell<Relay>,
     /// Issuer of permits of upstreams with a request limit.
     pub(crate) issuer: RefCell<Issuer>,
+    /// Origins of streams that routers have told this sidecar.
+    pub(crate) origins: RefCell<OriginKeeper>,
     pub(crate) metrics: SidecarMetrics,
     pub(crate) changed: Notify,
 }
@@ -158,6 +161,7 @@
             data_centre: boot.data_centre.clone(),
             inner_port: boot.inner_ports.0,
             issuer: RefCell::new(Issuer::new(engine, parts.clock.now())),
+            origins: RefCell::default(),
             metrics: SidecarMetrics::new(parts.clock.now()),
             clock: parts.clock,
             socket,
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -14,6 +14,7 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::StreamKey;
 use dw_base::SystemClock;
 use dw_base::Tokens;
 use dw_base::WeightsVersion;
@@ -34,9 +35,12 @@
 use dw_wire::decode;
 use dw_wire::send_datagram;
 use dw_wire::Datagram;
+use dw_wire::OriginQuery;
+use dw_wire::OriginRecord;
 use dw_wire::Roster;
 use dw_wire::RosterEntry;
 use dw_wire::RouterState;
+use dw_wire::StreamOrigin;
 use dw_wire::UpstreamStart;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
@@ -197,6 +201,21 @@
         parts
     }
 
+    /// Returns the last answer to a question for the origin of a stream since the last call.
+    fn received_origin(&self, number: u32) -> Option<Option<StreamOrigin>> {
+        let mut buffer = vec![0; 65_536];
+        let mut received = None;
+        while let Ok(length) = self.socket.try_recv(&mut buffer) {
+            match decode(&buffer[..length]) {
+                Ok(Datagram::OriginAnswer(answer)) if answer.number == number => {
+                    received = Some(answer.origin);
+                }
+                _ => {}
+            }
+        }
+        received
+    }
+
     /// Returns the engines whose states this router has received since the last call.
     fn received_engines(&self) -> Vec<SocketAddr> {
         let mut buffer = vec![0; 65_536];
@@ -250,6 +269,48 @@
     });
 }
 
+/// Guards against a router that takes a stream up and cannot learn from sidecars which software version
+/// began it.
+#[test]
+fn sidecar_tells_where_a_stream_began() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (port, _sidecars) = start_all().await;
+        let began = Router::start(0, port).await;
+        let takes_up = Router::start(1, port).await;
+        let to = SocketAddr::new(ip(0, 0), port);
+        let origin = StreamOrigin {
+            service: "s".parse().expect("name is valid"),
+            software: "v2".parse().expect("version is valid"),
+        };
+        let known = StreamKey::new("acme", "a-1");
+        let record = Datagram::OriginRecord(OriginRecord {
+            stream: known,
+            origin: origin.clone(),
+            retention_ms: DurationMs(60_000),
+        });
+        let unknown = StreamKey::new("other", "a-1");
+        for (number, stream, expected) in [(1, known, Some(origin)), (2, unknown, None)] {
+            let mut answer = None;
+            // Datagrams may be lost.
+            for _ in 0..50 {
+                send_datagram(&began.socket, to, &record).await;
+                let query = Datagram::OriginQuery(OriginQuery { number, stream });
+                send_datagram(&takes_up.socket, to, &query).await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                answer = takes_up.received_origin(number);
+                if answer.is_some() {
+                    break;
+                }
+            }
+            assert_eq!(answer, Some(expected));
+        }
+    });
+}
+
 /// Guards against sidecars that keep each other relays. Routers use more sidecars as relays for a
 /// moment, as at a start; afterwards two relays must remain in each data centre, and every router
 /// must receive the states of all engines from them.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -17,6 +17,8 @@
 //! | [`LimitReport`] | router, relay | relays, routers |
 //! | [`PermitRequest`] | router | sidecar that issues the permits of an upstream |
 //! | [`PermitAnswer`] | sidecar | router |
+//! | [`OriginRecord`], [`OriginQuery`] | router | sidecars that keep the origin of a stream |
+//! | [`OriginAnswer`] | sidecar | router |
 
 use std::net::SocketAddr;
 
@@ -40,6 +42,9 @@
 use serde::Serialize;
 
 use crate::cached_parts::CachedParts;
+use crate::origins::OriginAnswer;
+use crate::origins::OriginQuery;
+use crate::origins::OriginRecord;
 use crate::permits::LimitReport;
 use crate::permits::PermitAnswer;
 use crate::permits::PermitRequest;
@@ -269,4 +274,10 @@
     PermitAnswer(PermitAnswer),
     /// Whole requests under which upstreams ended, sent by a router or a relay.
     SuspectRequests(Vec<SuspectReport<RequestDigest>>),
+    /// Origin of a stream, sent by a router to a sidecar.
+    OriginRecord(OriginRecord),
+    /// Question of a router for the origin of a stream.
+    OriginQuery(OriginQuery),
+    /// Answer of a sidecar to a question for the origin of a stream.
+    OriginAnswer(OriginAnswer),
 }
