gateway: take a refusal without an id on a kept connection as no proof

A refusal with the id of another request was discarded already. One without an id was taken for the answer to the present request: the caller got 503, and a repeatable request went on (refusal_written_twice_is_no_proof_that_a_ request_has_not_run failed). Now it counts only on a connection that has carried nothing before; otherwise the outcome is unknown.

Ruled out: the same id twice at one engine, as an attempt never goes to an upstream that it was sent to before; and bytes that come while no request is out, which end the connection (bytes_behind_an_answer_belong_to_no_ request).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -79,8 +79,8 @@
     if let Some(health) = shared.directory.borrow_mut().health(upstream) {
         health.record_sent(now);
     }
-    let connection = match get_connection(shared, context, plan).await {
-        Ok(connection) => connection,
+    let sender = match get_connection(shared, context, plan).await {
+        Ok(sender) => sender,
         Err(outcome) => {
             shared.metrics.record_failed_attempt("unreachable");
             return AttemptResult::NoAnswer(outcome);
@@ -88,28 +88,42 @@
     };
     limits::record_sent(shared, context, plan);
     let in_flight = InFlight::start(shared, context, plan);
-    exchange(shared, context, plan, (connection, in_flight)).await
+    exchange(shared, context, plan, (sender, in_flight)).await
+}
+
+/// A connection to an upstream.
+struct Sender {
+    connection: Connection,
+    /// Whether it was open before this attempt.
+    is_reused: bool,
 }
 
 async fn get_connection(
     shared: &Rc<Shared>,
     context: &SharedContext,
     plan: &AttemptPlan,
-) -> Result<Connection, AttemptOutcome> {
+) -> Result<Sender, AttemptOutcome> {
     let now = shared.now();
     let max_idle_ms = match context.route.kind.may_repeat() {
         true => DurationMs(u64::MAX),
         false => NON_REPEATABLE_MAX_IDLE_MS,
     };
     if let Some(connection) = shared.pool.take(plan.addr, max_idle_ms, now) {
-        return Ok(connection);
+        return Ok(Sender {
+            connection,
+            is_reused: true,
+        });
     }
     let dial = Dial {
         addr: plan.addr,
         connect_ms: CONNECT_TIMEOUT_MS.min(context.remaining(now)),
         silence_ms: ACK_TIMEOUT_MS,
     };
-    connect(dial).await.map_err(|e| {
+    let connected = connect(dial).await.map(|connection| Sender {
+        connection,
+        is_reused: false,
+    });
+    connected.map_err(|e| {
         let now = shared.now();
         let upstream = &plan.choice.upstream;
         if let Some(health) = shared.directory.borrow_mut().health(upstream) {
@@ -161,11 +175,15 @@
     shared: &Rc<Shared>,
     context: &SharedContext,
     plan: &AttemptPlan,
-    (mut connection, in_flight): (Connection, InFlight),
+    (sender, in_flight): (Sender, InFlight),
 ) -> AttemptResult {
     let Some(request) = build_request(shared, context, plan) else {
         return AttemptResult::NoAnswer(AttemptOutcome::Unsent);
     };
+    let Sender {
+        mut connection,
+        is_reused,
+    } = sender;
     let remaining = context.remaining(shared.now());
     let result = timeout(remaining.into(), connection.try_send_request(request)).await;
     let response = match result {
@@ -197,6 +215,7 @@
         response,
         head,
         connection,
+        is_reused,
         in_flight,
         events: is_event_stream.then(EventBoundary::default),
     };
@@ -208,6 +227,8 @@
     response: Response<Incoming>,
     head: ResponseHead,
     connection: Connection,
+    /// Whether the connection was open before this attempt.
+    is_reused: bool,
     in_flight: InFlight,
     /// Boundaries of the events, if the body is an event stream.
     events: Option<EventBoundary>,
@@ -229,8 +250,10 @@
     }
     let is_other = |id: &String| *id != context.request_head.request_id;
     let id = received.head.request_id.as_ref();
-    let is_mismatched = id.is_some_and(is_other) || (id.is_none() && status.is_success());
-    if is_mismatched {
+    // On a connection that was used before, a refusal without an id may be an earlier one, written once
+    // more: it is no proof that this request has not run.
+    let needs_id = status.is_success() || (received.head.not_run && received.is_reused);
+    if id.is_some_and(is_other) || (id.is_none() && needs_id) {
         record_failure(shared, context, plan, "answer of another request");
         return AttemptResult::NoAnswer(AttemptOutcome::Unknown);
     }
