--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -14,6 +14,7 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_base::ModelPart;
+use dw_base::RequestDigest;
 use dw_base::StreamKey;
 use dw_base::SystemClock;
 use dw_base::Tokens;
@@ -41,6 +42,7 @@
 use dw_wire::RosterEntry;
 use dw_wire::RouterState;
 use dw_wire::StreamOrigin;
+use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
@@ -201,6 +203,18 @@
         parts
     }
 
+    /// Returns the requests about which this router has received evidence since the last call.
+    fn received_suspect_requests(&self) -> Vec<RequestDigest> {
+        let mut buffer = vec![0; 65_536];
+        let mut requests = Vec::new();
+        while let Ok(length) = self.socket.try_recv(&mut buffer) {
+            if let Ok(Datagram::SuspectRequests(reports)) = decode(&buffer[..length]) {
+                requests.extend(reports.iter().map(|report| report.key));
+            }
+        }
+        requests
+    }
+
     /// Returns the last answer to a question for the origin of a stream since the last call.
     fn received_origin(&self, number: u32) -> Option<Option<StreamOrigin>> {
         let mut buffer = vec![0; 65_536];
@@ -269,6 +283,48 @@
     });
 }
 
+/// Guards against evidence about whole requests that stays in one data centre, or that a relay mixes up with
+/// evidence about prompt parts.
+#[test]
+fn ends_under_one_request_reach_routers_of_other_data_centres() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (port, _sidecars) = start_all().await;
+        let mut members = Members::default();
+        members.update(roster());
+        let name = |number: u8| format!("dc-{number}").parse().expect("name is valid");
+        let near = Router::start(0, port).await;
+        let far = Router::start(1, port).await;
+        let request = RequestDigest::new("acme", [b"body".as_slice()]);
+        let upstream = "u".parse().expect("name is valid");
+        let report = SuspectReport {
+            key: request,
+            ends: vec![(UpstreamStart::new(&upstream, 1), DurationMs(0))],
+            answered_age_ms: None,
+        };
+        // Datagrams may be lost; each one brings another end.
+        for number in 2..50 {
+            far.announce(&members.relay_order(&name(1))[..2]).await;
+            for relay in &members.relay_order(&name(0))[..2] {
+                let mut report = report.clone();
+                report.ends[0].0 = UpstreamStart::new(&upstream, number);
+                let to = SocketAddr::new(relay.ip(), port);
+                near.announce(&[*relay]).await;
+                let reports = Datagram::SuspectRequests(vec![report]);
+                send_datagram(&near.socket, to, &reports).await;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            if far.received_suspect_requests().contains(&request) {
+                return;
+            }
+        }
+        panic!("the router of the other data centre received no evidence");
+    });
+}
+
 /// Guards against a router that takes a stream up and cannot learn from sidecars which software version
 /// began it.
 #[test]
