Read the role of a gateway from its log as it is written

Cause: the log is in key=value form, so a gateway that became a reader again was not told apart. The stand-in for engines checks fencing tokens now.

--- a/review/standins/src/bin/readers.rs
+++ b/review/standins/src/bin/readers.rs
@@ -59,7 +59,7 @@
         .lines()
         .rev()
         .find(|line| line.contains("role as table reader changed"));
-    last.is_none_or(|line| line.contains("\"is_reader\":true"))
+    last.is_none_or(|line| line.contains("is_reader=true"))
 }
 
 fn run() -> std::io::Result<u8> {
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -91,6 +91,8 @@
     weights: BTreeMap<String, u64>,
     busy: bool,
     orders: u64,
+    /// Greatest fencing token of an order since the start.
+    fence: u64,
     running: usize,
     waiting: VecDeque<u64>,
     next_ticket: u64,
@@ -153,6 +155,7 @@
                 .collect(),
             busy: false,
             orders: 0,
+            fence: 0,
             running: 0,
             waiting: VecDeque::new(),
             next_ticket: 0,
@@ -186,6 +189,7 @@
             state.is_up = true;
             state.busy = false;
             state.orders = 0;
+            state.fence = 0;
             state.running = 0;
             state.waiting.clear();
             state.connections.clear();
@@ -213,6 +217,12 @@
         self.state.lock().unwrap().software.clone()
     }
 
+    /// Returns the version of a model's weights that the engine holds.
+    pub fn version(&self, model: &str) -> u64 {
+        let state = self.state.lock().unwrap();
+        state.weights.get(model).copied().unwrap_or_default()
+    }
+
     /// Stops the engine as a crash does, and starts it again with another version of its software.
     pub fn upgrade(self: &Arc<Self>, down_ms: u64, software: &str) {
         self.state.lock().unwrap().software = software.to_owned();
@@ -385,16 +395,21 @@
             .and_then(|body| body.get("model"))
             .map_or("", |model| model.text())
             .to_owned();
+        let fence = number("fence").unwrap_or_default();
         let status = {
             let mut state = self.state.lock().unwrap();
             let held = state.weights.get(&model).copied().unwrap_or(0);
+            let is_fenced = fence < state.fence;
+            state.fence = state.fence.max(fence);
             match (
+                is_fenced,
                 version <= held,
                 state.busy || number("expected") != Some(state.orders),
             ) {
-                (true, _) => "200 OK",
-                (false, true) => "409 Conflict",
-                (false, false) => {
+                (true, _, _) => "412 Precondition Failed",
+                (false, true, _) => "200 OK",
+                (false, false, true) => "409 Conflict",
+                (false, false, false) => {
                     state.busy = true;
                     state.orders += 1;
                     "202 Accepted"
@@ -402,7 +417,7 @@
             }
         };
         self.record.line(format!(
-            "order to {}: {model} version {version}: {status}",
+            "order to {}: {model} version {version} with fence {fence}: {status}",
             self.settings.name
         ));
         if status.starts_with("202") {
