Show review case 2 on streams that are taken up

Cause: refusals alone are not accepted work that is lost. Done: streams of the second model break and are taken up; the stand-in for engines loads the weights of one model without affecting the other.

--- a/review/standins/src/bin/models.rs
+++ b/review/standins/src/bin/models.rs
@@ -1,13 +1,15 @@
 //! Case: new weights are named for one of the two models that the engines hold.
 //!
 //! One zone with two gateways and four model engines, each with the models m0 and m1. The first configuration
-//! has a route for m0, a later one adds a route for m1. Then new weights of m0 are named.
+//! has a route for m0, a later one adds a route for m1. Then new weights of m0 are named. Clients with long
+//! streams of m1 lose their connections, one after the other, and take their streams up at the other gateway.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -25,18 +27,32 @@
 use review_standins::store::Store;
 
 /// Pause between two requests on the route for m0 and on the one for m1.
-const PAUSES_MS: [u64; 2] = [12, 150];
+const PAUSES_MS: [u64; 2] = [8, 150];
+
+/// Long streams of m1, their events, and the events after which the first of their clients loses its connection.
+const STREAMS: u64 = 20;
+const STREAM_EVENTS: u64 = 300;
+const FIRST_BREAK: u64 = 100;
+
+/// Pause between two events.
+const GAP_MS: u64 = 100;
+
+/// Streams that the rule asks for.
+const FEWEST_TAKEN_UP: usize = 12;
 
 /// Time after which all engines have had the new weights for long.
 const SETTLED: Duration = Duration::from_secs(12);
 const STEADY: Duration = Duration::from_secs(20);
 
+/// Output tokens of the short streams.
+const SHORT_EVENTS: u64 = 4;
+
 fn config(version: u64, models: usize) -> String {
     let route = |model: usize| {
         format!(
             "{{\"name\":\"r-m{model}\",\"host\":\"writers.example\",\"prefix\":\"/m{model}/\",\"kind\":\"streaming\",\
-             \"timeout-ms\":5000,\"slo-ms\":600,\"priority\":1,\"service\":\"writers\",\"max-attempts\":2,\
-             \"anonymous\":false,\"sticky\":true,\"can-resume\":false,\"gap-target-ms\":400}}"
+             \"timeout-ms\":40000,\"slo-ms\":600,\"priority\":1,\"service\":\"writers\",\"max-attempts\":2,\
+             \"anonymous\":false,\"sticky\":true,\"can-resume\":true,\"gap-target-ms\":400}}"
         )
     };
     let routes: Vec<String> = (0..models).map(route).collect();
@@ -50,7 +66,7 @@
     )
 }
 
-fn call(model: usize, number: u64) -> Call {
+fn call(model: usize, number: u64, events: u64) -> Call {
     let prompt = format!(
         "a{model}{:02x}:800,b{model}{:02x}:400,c{model}{number:05x}:50",
         number % 3,
@@ -58,7 +74,7 @@
     );
     let headers = [
         ("Model", format!("m{model}")),
-        ("Token-Usage", "1250,4".to_owned()),
+        ("Token-Usage", format!("1250,{events}")),
         ("Prompt-Prefix", prompt),
     ];
     Call {
@@ -67,7 +83,7 @@
         path: format!("/m{model}/1"),
         attempt: format!("m{model}-{number:05}"),
         key: "key-1".to_owned(),
-        deadline_ms: 5_000,
+        deadline_ms: 10 * GAP_MS * events.max(10),
         headers: headers
             .iter()
             .map(|(name, value)| (name.to_string(), value.clone()))
@@ -95,6 +111,41 @@
     end == Next::End
 }
 
+/// Reads a long stream of m1 until the client loses its connection, and takes it up at the other gateway;
+/// returns whether it went on, or nothing if it was not taken up.
+fn take_up(record: &Record, number: u64, addrs: &[SocketAddr]) -> Option<bool> {
+    let mut call = call(1, 90_000 + number, STREAM_EVENTS);
+    let began = call.attempt.clone();
+    let mut stream = call.open(addrs[number as usize % 2])?;
+    let mut last = 0;
+    while last < FIRST_BREAK + 2 * number {
+        match stream.next_event() {
+            Next::Event(id, _) => last = id,
+            _ => return None,
+        }
+    }
+    drop(stream);
+    record.line(format!("{began} lost its connection after event {last}"));
+    call.headers
+        .push(("Last-Event-Id".to_owned(), last.to_string()));
+    call.headers.push(("Resumes".to_owned(), began.clone()));
+    for again in 0..2 {
+        call.attempt = format!("{began}-again{again}");
+        let stream = call.open(addrs[(number as usize + 1 + again) % 2]);
+        let status = stream.as_ref().map_or(0, |stream| stream.status);
+        let next = match stream.filter(|stream| stream.status == 200) {
+            Some(mut stream) => stream.next_event(),
+            None => Next::Broken,
+        };
+        record.line(format!("{began} taken up: {status} {next:?}"));
+        if let Next::Event(id, _) = next {
+            return Some(id == last + 1);
+        }
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    Some(false)
+}
+
 fn run() -> std::io::Result<u8> {
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
     let is_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -125,8 +176,8 @@
             queue: 96,
             work: Work::Stream {
                 first_ms: 20,
-                events: 4,
-                gap_ms: 10,
+                events: STREAM_EVENTS,
+                gap_ms: GAP_MS,
                 poison: None,
                 down_ms: 0,
             },
@@ -177,7 +228,7 @@
                 let addr = addrs[number as usize % addrs.len()];
                 thread::spawn(move || {
                     let sent_ms = record.now_ms();
-                    let is_served = ask(&record, &call(model, number), addr);
+                    let is_served = ask(&record, &call(model, number, SHORT_EVENTS), addr);
                     served.lock().unwrap().push((model, sent_ms, is_served));
                 });
                 number += 1;
@@ -185,7 +236,15 @@
             }
         }));
     }
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(Duration::from_secs(4));
+    let (sender, taken_up) = mpsc::channel();
+    for number in 0..STREAMS {
+        let (record, addrs, sender) = (record.clone(), addrs.clone(), sender.clone());
+        thread::spawn(move || sender.send(take_up(&record, number, &addrs)));
+        thread::sleep(Duration::from_millis(30));
+    }
+    drop(sender);
+    thread::sleep(Duration::from_secs(2));
     let before_ms = record.now_ms();
     if is_trouble {
         store.put("op", "version/m0", "{\"model\":\"m0\",\"version\":2}");
@@ -230,8 +289,26 @@
         record.say("a process has ended");
         return Ok(2);
     }
+    let taken_up: Vec<bool> = taken_up.iter().flatten().collect();
+    let went_on = taken_up.iter().filter(|went_on| **went_on).count();
+    let begun = (first.0 + later.0, first.1 + later.1);
+    record.say(format!(
+        "{went_on} of {} streams of m1 that were taken up went on; {} of {} new streams of both models began",
+        taken_up.len(),
+        begun.0,
+        begun.1
+    ));
+    if taken_up.len() < FEWEST_TAKEN_UP {
+        record.say("too few streams were taken up");
+        return Ok(2);
+    }
     let rate = |(served, asked): (usize, usize)| served as f64 / asked.max(1) as f64;
-    Ok(u8::from(later.1 >= 20 && rate(later) < rate(first) / 4.0))
+    let is_lost_broken = rate((went_on, taken_up.len())) < rate(begun) / 2.0;
+    let is_config_broken = later.1 >= 20 && rate(later) < rate(first) / 4.0;
+    record.say(format!(
+        "LOST broken: {is_lost_broken}, CONFIG broken: {is_config_broken}"
+    ));
+    Ok(u8::from(is_lost_broken))
 }
 
 fn main() -> ExitCode {
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -36,7 +36,7 @@
 pub enum Work {
     /// Works for this long and answers with a short body.
     Plain { work_ms: u64 },
-    /// Answers with a stream of events. It ends with all that it holds once it begins to write an answer on
+    /// Answers with a stream of at most this many events, or as many as `Token-Usage` allows. It ends with all that it holds once it begins to write an answer on
     /// a prompt with the poison: it has written the head and the first event then.
     Stream {
         first_ms: u64,
@@ -89,11 +89,13 @@
     software: String,
     born_ms: u64,
     weights: BTreeMap<String, u64>,
-    busy: bool,
+    /// Model whose weights are being loaded.
+    loading: Option<String>,
     orders: u64,
     /// Greatest fencing token of an order since the start.
     fence: u64,
     running: usize,
+    running_by_model: BTreeMap<String, usize>,
     waiting: VecDeque<u64>,
     next_ticket: u64,
     connections: Vec<TcpStream>,
@@ -113,6 +115,18 @@
 }
 
 impl State {
+    /// Returns whether a request waits for weights that are being loaded; other models are not affected.
+    fn is_loading(&self, request: &Request) -> bool {
+        self.loading.as_deref() == Some(request.header("model"))
+    }
+
+    fn runs_of(&self, model: &str) -> usize {
+        self.running_by_model
+            .get(model)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Returns the version of the weights of the model that a request names.
     fn weights_of(&self, request: &Request) -> u64 {
         self.weights
@@ -153,10 +167,11 @@
                 .iter()
                 .map(|model| (model.clone(), 1))
                 .collect(),
-            busy: false,
+            loading: None,
             orders: 0,
             fence: 0,
             running: 0,
+            running_by_model: BTreeMap::new(),
             waiting: VecDeque::new(),
             next_ticket: 0,
             connections: Vec::new(),
@@ -187,10 +202,11 @@
             state.id = id.clone();
             state.born_ms = epoch_ms();
             state.is_up = true;
-            state.busy = false;
+            state.loading = None;
             state.orders = 0;
             state.fence = 0;
             state.running = 0;
+            state.running_by_model.clear();
             state.waiting.clear();
             state.connections.clear();
             state.beat_at = Instant::now();
@@ -373,7 +389,7 @@
             "{{\"stage\":\"unified\",\"models\":[{}],\"busy\":{},\
              \"call-seq\":{},\"waiting\":{},\"running\":{},\"kv-used\":0,\"kv-total\":200000,\"handles\":0,\"born\":{}}}",
             model_list(&state.weights),
-            state.busy,
+            state.loading.is_some(),
             state.orders,
             state.waiting.len(),
             state.running,
@@ -404,13 +420,13 @@
             match (
                 is_fenced,
                 version <= held,
-                state.busy || number("expected") != Some(state.orders),
+                state.loading.is_some() || number("expected") != Some(state.orders),
             ) {
                 (true, _, _) => "412 Precondition Failed",
                 (false, true, _) => "200 OK",
                 (false, false, true) => "409 Conflict",
                 (false, false, false) => {
-                    state.busy = true;
+                    state.loading = Some(model.clone());
                     state.orders += 1;
                     "202 Accepted"
                 }
@@ -429,14 +445,14 @@
     }
 
     fn load(&self, model: String, version: u64) {
-        while self.state.lock().unwrap().running > 0 {
+        while self.state.lock().unwrap().runs_of(&model) > 0 {
             thread::sleep(Duration::from_millis(5));
         }
         thread::sleep(Duration::from_millis(self.settings.load_ms));
         {
             let mut state = self.state.lock().unwrap();
             state.weights.insert(model.clone(), version);
-            state.busy = false;
+            state.loading = None;
         }
         self.record.line(format!(
             "engine {} has {model} version {version}",
@@ -507,7 +523,7 @@
                 result
             }
         };
-        self.free_slot(start);
+        self.free_slot(request, start);
         result
     }
 
@@ -525,6 +541,11 @@
         );
         stream.write_all(head.as_bytes())?;
         let software = self.software();
+        let usage = request.header("token-usage").split(',').nth(1);
+        let allowed = usage
+            .and_then(|tokens| tokens.parse().ok())
+            .unwrap_or(events);
+        let events = events.min(allowed);
         let first: u64 = request.header("last-event-id").parse().unwrap_or(0) + 1;
         for event in first..=events {
             if self.is_over(start) {
@@ -565,7 +586,7 @@
     /// Waits for a slot; returns the version of the weights, or none if the queue is full or a load is due.
     fn take_slot(&self, request: &Request, start: u64) -> Option<u64> {
         let mut state = self.state.lock().unwrap();
-        if state.busy
+        if state.is_loading(request)
             || state.waiting.len()
                 >= self.settings.queue + self.settings.slots.saturating_sub(state.running)
         {
@@ -576,13 +597,15 @@
         state.waiting.push_back(ticket);
         loop {
             let is_gone = !state.is_up || self.starts.load(Ordering::Relaxed) != start + 1;
-            if is_gone || state.busy {
+            if is_gone || state.is_loading(request) {
                 state.waiting.retain(|waiting| *waiting != ticket);
                 return None;
             }
             if state.running < self.settings.slots && state.waiting.front() == Some(&ticket) {
                 state.waiting.pop_front();
                 state.running += 1;
+                let model = request.header("model").to_owned();
+                *state.running_by_model.entry(model).or_default() += 1;
                 self.freed.notify_all();
                 return Some(state.weights_of(request));
             }
@@ -594,10 +617,13 @@
         }
     }
 
-    fn free_slot(&self, start: u64) {
+    fn free_slot(&self, request: &Request, start: u64) {
         let mut state = self.state.lock().unwrap();
         if state.is_up && self.starts.load(Ordering::Relaxed) == start + 1 {
             state.running = state.running.saturating_sub(1);
+            if let Some(runs) = state.running_by_model.get_mut(request.header("model")) {
+                *runs = runs.saturating_sub(1);
+            }
         }
         drop(state);
         self.freed.notify_all();
