quarantine: take an answer for proof once it is whole, not once it begins

Cause: the first event discarded all evidence against the parts, and an end after it was no evidence against them, so such a part cleared itself each time. Likewise an answer without length or chunks that broke off between two events looked whole, and the router of our own interface did not count ends amid a stream.

An answer that ends with its connection is whole only if something still listens at the address. The router records evidence where it reads frames.

Ruled out: lost announcements and released probes; the part was never in quarantine.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,7 +28,6 @@
 use crate::in_flight::InFlight;
 use crate::limits;
 use crate::origins;
-use crate::quarantine;
 use crate::relay::Relay;
 use crate::relay::RelayParts;
 use crate::request::request_hash;
@@ -268,9 +267,6 @@
         )));
     }
     if !context.route.kind.is_stream() || !status.is_success() {
-        if status.is_success() {
-            quarantine::record_first_token(shared, context);
-        }
         return AttemptResult::Answer(Box::new(start_relay(shared, context, plan, received, None)));
     }
     wait_for_first_event(shared, context, plan, received).await
@@ -341,7 +337,6 @@
             if !first_data.is_empty() {
                 received.in_flight.record_first_token();
                 origins::record(shared, context, plan).await;
-                quarantine::record_first_token(shared, context);
             }
             let first_data = Some(first_data).filter(|data| !data.is_empty());
             AttemptResult::Answer(Box::new(start_relay(
@@ -468,7 +463,9 @@
 async fn handle_waiting_break(shared: &Rc<Shared>, context: &SharedContext, plan: &AttemptPlan) {
     let (sent_to, lost) = (plan.sent_to(), LostRequest::Waiting);
     match context.route.kind.may_repeat() {
-        true => handle_break(shared, context, &sent_to, lost).await,
+        true => {
+            handle_break(shared, context, &sent_to, lost).await;
+        }
         false => report_break(shared, context, sent_to, lost),
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,6 +10,7 @@
 use dw_base::TimeMs;
 use dw_port::FeedError;
 use dw_port::QuarantineTable;
+use dw_quarantine::accuses_parts;
 use dw_quarantine::decide_probe;
 use dw_quarantine::missing_records;
 use dw_quarantine::DueReports;
@@ -19,6 +20,7 @@
 use dw_quarantine::Verdict;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
+use http::StatusCode;
 use tokio::sync::Mutex;
 
 use crate::context::RequestContext;
@@ -227,17 +229,16 @@
     }
 }
 
-/// Records that an upstream ended while it held a request. Its parts are suspects only if nothing of the
-/// answer had arrived.
+/// Records that an upstream ended while it held a request.
 pub(crate) fn record_end(
     shared: &Rc<Shared>,
     context: &RequestContext,
     start: UpstreamStart,
     lost: LostRequest,
 ) {
-    let parts = match lost {
-        LostRequest::Waiting => context.shared_parts(),
-        LostRequest::Answering => Vec::new(),
+    let parts = match accuses_parts(lost.answering_ms()) {
+        true => context.shared_parts(),
+        false => Vec::new(),
     };
     let now = shared.now();
     let mut evidence = shared.quarantine.evidence.borrow_mut();
@@ -287,17 +288,21 @@
     Ok(())
 }
 
-/// Records that an answer to a request has begun.
-pub(crate) fn record_first_token(shared: &Rc<Shared>, context: &RequestContext) {
+/// Records that an answer to a request has gone on for [`dw_quarantine::PROOF_MS`].
+pub(crate) fn record_progress(shared: &Rc<Shared>, context: &RequestContext) {
     record(shared, context, |evidence, now| {
-        evidence.record_first_token(&context.shared_parts(), now)
+        evidence.record_progress(&context.shared_parts(), now)
     });
 }
 
-/// Records a whole answer to a request.
-pub(crate) fn record_answer(shared: &Rc<Shared>, context: &RequestContext) {
+/// Records a whole answer to a request; one that is no success shows nothing of the parts of its prompt.
+pub(crate) fn record_answer(shared: &Rc<Shared>, context: &RequestContext, status: StatusCode) {
     record(shared, context, |evidence, now| {
-        evidence.record_answer(context.digest(), now)
+        let parts = match status.is_success() {
+            true => context.shared_parts(),
+            false => Vec::new(),
+        };
+        evidence.record_answer(context.digest(), &parts, now)
     });
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,12 +7,14 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use dw_base::DurationMs;
 use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 use dw_net::describe;
 use dw_net::Connection;
 use dw_place::Choice;
 use dw_port::ResponseHead;
+use dw_quarantine::PROOF_MS;
 use dw_stream::EventBoundary;
 use http::Response;
 use http::StatusCode;
@@ -27,9 +29,11 @@
 use crate::connections::RequestGuard;
 use crate::context::SharedContext;
 use crate::forward::is_healthy_status;
+use crate::framing::ends_with_connection;
 use crate::in_flight::InFlight;
 use crate::quarantine;
 use crate::shared::Shared;
+use crate::upstream_end::confirm_answer;
 use crate::upstream_end::report_break;
 use crate::upstream_end::LostRequest;
 use crate::upstream_end::SentTo;
@@ -82,11 +86,15 @@
     body: Incoming,
     first_data: Option<Bytes>,
     events: Option<EventBoundary>,
+    /// Whether only the end of the connection ends the body.
+    ends_with_connection: bool,
     connection: Option<Connection>,
     _in_flight: InFlight,
     guard: Option<RequestGuard>,
     deadline: Pin<Box<Sleep>>,
     started: TimeMs,
+    /// When the answer will next have gone on long enough to show that its parts are sound.
+    next_proof: TimeMs,
     bytes: u64,
     ended: bool,
 }
@@ -99,6 +107,7 @@
         let remaining = parts.context.remaining(now);
         Relay {
             status: head.status,
+            ends_with_connection: !body.is_end_stream() && ends_with_connection(&head.headers),
             parts: Some(head),
             body,
             first_data: parts.first_data,
@@ -108,6 +117,7 @@
             guard: None,
             deadline: Box::pin(sleep(remaining.into())),
             started: now,
+            next_proof: now + PROOF_MS,
             bytes: 0,
             ended: false,
             shared: parts.shared,
@@ -168,6 +178,7 @@
                         if let Some(events) = &mut self.events {
                             events.push(&data);
                         }
+                        self.record_progress();
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
@@ -197,8 +208,33 @@
 
     /// Records whether the upstream has ended.
     fn report_end(&self) {
-        let (sent_to, lost) = (self.sent_to.clone(), LostRequest::Answering);
-        report_break(&self.shared, &self.context, sent_to, lost);
+        let lost = LostRequest::Answering(self.answering_ms());
+        report_break(&self.shared, &self.context, self.sent_to.clone(), lost);
+    }
+
+    /// Returns the time since the answer began.
+    fn answering_ms(&self) -> DurationMs {
+        self.shared.now().since(self.started)
+    }
+
+    /// Records each time that the answer has gone on for the time that proves its parts sound.
+    fn record_progress(&mut self) {
+        let now = self.shared.now();
+        if now >= self.next_proof && self.status.is_success() {
+            self.next_proof = now + PROOF_MS;
+            quarantine::record_progress(&self.shared, &self.context);
+        }
+    }
+
+    /// Records that the whole answer has arrived.
+    fn record_answer(&self) {
+        match self.ends_with_connection {
+            true => {
+                let answer = (self.status, self.answering_ms());
+                confirm_answer(&self.shared, &self.context, self.sent_to.clone(), answer);
+            }
+            false => quarantine::record_answer(&self.shared, &self.context, self.status),
+        }
     }
 
     fn complete(&mut self) {
@@ -207,7 +243,7 @@
         }
         let now = self.shared.now();
         if is_healthy_status(self.status) {
-            quarantine::record_answer(&self.shared, &self.context);
+            self.record_answer();
             let mut directory = self.shared.directory.borrow_mut();
             if let Some(health) = directory.health(&self.choice.upstream) {
                 health.record_success(now);
--- a/crates/gateway/src/upstream_end.rs
+++ b/crates/gateway/src/upstream_end.rs
@@ -14,6 +14,7 @@
 use dw_net::connect;
 use dw_net::Dial;
 use dw_wire::UpstreamStart;
+use http::StatusCode;
 
 use crate::context::SharedContext;
 use crate::forward::ACK_TIMEOUT_MS;
@@ -28,8 +29,8 @@
 pub(crate) enum LostRequest {
     /// Nothing of its answer had arrived.
     Waiting,
-    /// A part of its answer had arrived.
-    Answering,
+    /// A part of its answer had arrived, the first of it this long before.
+    Answering(DurationMs),
 }
 
 impl LostRequest {
@@ -37,7 +38,15 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             LostRequest::Waiting => "waiting",
-            LostRequest::Answering => "answering",
+            LostRequest::Answering(_) => "answering",
+        }
+    }
+
+    /// Returns for how long the answer had gone on, if it had begun.
+    pub(crate) fn answering_ms(self) -> Option<DurationMs> {
+        match self {
+            LostRequest::Waiting => None,
+            LostRequest::Answering(answering_ms) => Some(answering_ms),
         }
     }
 }
@@ -79,17 +88,18 @@
     pub(crate) start: UpstreamStart,
 }
 
-/// Handles a connection that broke before the whole answer had arrived: if the upstream has ended, this is
-/// evidence against the request and, if it waited, against the parts of its prompt.
+/// Handles a connection that ended before the whole answer had arrived, or that could end it only by its own
+/// end: if the upstream has ended, this is evidence against the request and the parts of its prompt. Returns
+/// whether the upstream has ended.
 pub(crate) async fn handle_break(
     shared: &Rc<Shared>,
     context: &SharedContext,
     sent_to: &SentTo,
     lost: LostRequest,
-) {
+) -> bool {
     let upstream = &sent_to.upstream;
     if !shared.ended.contains(upstream) && !has_no_listener(shared, sent_to.addr).await {
-        return;
+        return false;
     }
     shared.metrics.record_lost_request(lost);
     if shared.ended.record(upstream) {
@@ -102,6 +112,24 @@
     );
     shared.pool.close(sent_to.addr);
     quarantine::record_end(shared, context, sent_to.start, lost);
+    true
+}
+
+/// Records a whole answer that ended with its connection, unless the upstream has ended too: then nothing
+/// shows that the answer was whole.
+pub(crate) fn confirm_answer(
+    shared: &Rc<Shared>,
+    context: &SharedContext,
+    sent_to: SentTo,
+    (status, answering_ms): (StatusCode, DurationMs),
+) {
+    let (shared, context) = (shared.clone(), context.clone());
+    let lost = LostRequest::Answering(answering_ms);
+    tokio::task::spawn_local(async move {
+        if !handle_break(&shared, &context, &sent_to, lost).await {
+            quarantine::record_answer(&shared, &context, status);
+        }
+    });
 }
 
 /// Runs [`handle_break`] without waiting for it.
--- a/crates/proof/tests/query_of_death.rs
+++ b/crates/proof/tests/query_of_death.rs
@@ -1,4 +1,4 @@
-//! Prompts that crash each engine which begins an answer on them.
+//! Prompts that crash each engine which begins an answer on them, at once or after some tokens.
 
 use dw_base::BLOCK_BYTES;
 use dw_proof::ask;
@@ -32,7 +32,7 @@
 
 /// Sends deadly and sound prompts in turn, and checks how many engines crash.
 async fn serve_beside_a_query_of_death(
-    routers: usize,
+    (routers, crash_after_tokens): (usize, u64),
     deadly: impl Fn(usize) -> String,
     sound: impl Fn(usize) -> String,
 ) {
@@ -49,6 +49,7 @@
     for engine in site.fleet.engines.values() {
         engine.state.set_faults(EngineFaults {
             crash_on: Some(DEADLY.to_owned()),
+            crash_after_tokens,
             ..EngineFaults::default()
         });
     }
@@ -57,7 +58,10 @@
         let caller = site.callers(number);
         let request = RequestHead::stream("acme", "write", &deadly(number), 4);
         let reply = ask(caller, &request).await;
-        assert!(!reply.done(), "an engine crashes before it answers");
+        assert!(
+            !reply.done(),
+            "an engine crashes before the answer is whole"
+        );
         refused += u64::from(reply.kind() == "quarantined_prompt" && reply.not_run());
         let crashes = crashes(&site);
         assert!(
@@ -81,7 +85,7 @@
 async fn one_prompt_crashes_engine_after_engine() {
     let deadly = |number| prompt(DEADLY, number);
     let sound = |number| prompt("abcd", number);
-    serve_beside_a_query_of_death(1, deadly, sound).await;
+    serve_beside_a_query_of_death((1, 0), deadly, sound).await;
 }
 
 /// Guards against routers that each count for themselves.
@@ -89,7 +93,7 @@
 async fn prompt_that_crashes_engines_is_known_to_all_routers() {
     let deadly = |number| prompt(DEADLY, number);
     let sound = |number| prompt("abcd", number);
-    serve_beside_a_query_of_death(4, deadly, sound).await;
+    serve_beside_a_query_of_death((4, 0), deadly, sound).await;
 }
 
 /// Guards against one request that crashes engine after engine though its only whole block is answered in
@@ -99,5 +103,14 @@
     let block = "c".repeat(BLOCK_BYTES);
     let deadly = |_| format!("{block}{DEADLY}");
     let sound = |number| format!("{block}{number}");
-    serve_beside_a_query_of_death(4, deadly, sound).await;
+    serve_beside_a_query_of_death((4, 0), deadly, sound).await;
+}
+
+/// Guards against the first token of an answer that is taken for proof that its prompt is sound, and against
+/// ends of engines amid streams that nobody counts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn prompt_that_crashes_engines_after_the_first_token_is_stopped() {
+    let deadly = |number| prompt(DEADLY, number);
+    let sound = |number| prompt("abcd", number);
+    serve_beside_a_query_of_death((4, 2), deadly, sound).await;
 }
--- a/crates/quarantine/src/evidence_set.rs
+++ b/crates/quarantine/src/evidence_set.rs
@@ -50,8 +50,8 @@
         }
     }
 
-    /// Records that an upstream ended while it held a request; the parts are those of a request that had no
-    /// first token. Returns some or all of what is in quarantine because of it.
+    /// Records that an upstream ended while it held a request; the parts are those that its end accuses
+    /// ([`accuses_parts`](crate::accuses_parts)). Returns some or all of what is in quarantine because of it.
     pub fn record_end(
         &mut self,
         request: RequestDigest,
@@ -66,20 +66,26 @@
         to_suspects(requests, parts)
     }
 
-    /// Records that an answer began on these parts; returns those that leave quarantine.
-    pub fn record_first_token(&mut self, parts: &[ModelPart], now: TimeMs) -> Vec<Suspect> {
+    /// Records that an answer on these parts has gone on for [`PROOF_MS`](crate::PROOF_MS); returns those
+    /// that leave quarantine.
+    pub fn record_progress(&mut self, parts: &[ModelPart], now: TimeMs) -> Vec<Suspect> {
         to_suspects(Vec::new(), self.parts.record_answer(parts, now))
     }
 
-    /// Records a whole answer to a request; returns what leaves quarantine.
-    pub fn record_answer(&mut self, request: RequestDigest, now: TimeMs) -> Vec<Suspect> {
+    /// Records a whole answer to a request with these parts; returns what leaves quarantine.
+    pub fn record_answer(
+        &mut self,
+        request: RequestDigest,
+        parts: &[ModelPart],
+        now: TimeMs,
+    ) -> Vec<Suspect> {
         let was_cause = !self.requests.explained(request).is_empty();
         let requests = self.requests.record_answer(&[request], now);
-        let parts = match was_cause {
-            true => self.update_causes(),
-            false => Vec::new(),
-        };
-        to_suspects(requests, parts)
+        let mut released = self.parts.record_answer(parts, now);
+        if was_cause {
+            released.extend(self.update_causes());
+        }
+        to_suspects(requests, released)
     }
 
     /// Begins a quarantine that a stored record names.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,9 +10,10 @@
 //! | [`Suspects`] | the same for keys of one kind, from ends of upstreams and from answers |
 //! | [`decide_probe`] | when one request in quarantine may be sent to see whether it is sound |
 //!
-//! Evidence against a part is the end of an upstream that held a request with it and had not begun to
-//! answer. Any answer that begins on the part afterwards, anywhere, discards the evidence: a part that
-//! ends each upstream never has one, and a sound part soon does.
+//! Evidence against a part is the end of an upstream that held a request with it, before its answer had
+//! gone on for [`PROOF_MS`]. Any answer on the part that is whole, or goes on for that long, anywhere,
+//! discards the evidence: a part that ends each upstream never has one, and a sound part soon does. The
+//! first event alone shows nothing, as the upstream may end right after it.
 //!
 //! Evidence against a whole request is the end of an upstream that held it, also amid its answer. Only a
 //! whole answer to the same request discards it: its parts may be answered in sound requests all the time.
@@ -21,6 +22,7 @@
 mod evidence_set;
 mod key;
 mod probe;
+mod proof;
 mod suspects;
 
 pub use evidence_set::DueReports;
@@ -30,6 +32,8 @@
 pub use probe::missing_records;
 pub use probe::ProbeDecision;
 pub use probe::QuarantineRecord;
+pub use proof::accuses_parts;
+pub use proof::PROOF_MS;
 pub use suspects::Merged;
 pub use suspects::Suspects;
 pub use suspects::Verdict;
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -197,8 +197,7 @@
                     let now = fleet.now;
                     let sound = digest("a", 1_000 + number as u64);
                     let router = &mut fleet.routers[at(router)];
-                    router.record_first_token(&[PART], now);
-                    router.record_answer(sound, now);
+                    router.record_answer(sound, &[PART], now);
                 }
                 Event::Crash(routers) => {
                     let sound = |router: &u16| (at(*router), digest("b", u64::from(*router)));
@@ -244,8 +243,7 @@
             prop_assert!(fleet.now.since(since) <= MOST_SOUND_PAUSE_MS + STEP_MS);
         }
         let now = fleet.now;
-        fleet.routers[at(asks)].record_answer(sound, now);
-        fleet.routers[at(asks)].record_first_token(&[PART], now);
+        fleet.routers[at(asks)].record_answer(sound, &[PART], now);
         for _ in 0..3 {
             fleet.announce(|_| false);
         }
@@ -296,7 +294,7 @@
     }
 }
 
-/// Guards against the first event of an answer, or an answer to another request, that clears a request.
+/// Guards against an answer that goes on, or an answer to another request, that clears a request.
 #[test]
 fn only_a_whole_answer_clears_a_request() {
     let mut evidence = EvidenceSet::default();
@@ -304,11 +302,11 @@
     for number in 0..3 {
         evidence.record_end(deadly, &[PART], start(number), TimeMs(1_000));
     }
-    evidence.record_first_token(&[PART], TimeMs(2_000));
-    evidence.record_answer(digest("a", 2), TimeMs(2_000));
+    evidence.record_progress(&[PART], TimeMs(2_000));
+    evidence.record_answer(digest("a", 2), &[PART], TimeMs(2_000));
     let verdict = evidence.verdict(|| deadly, &[PART]);
     assert_eq!(verdict, Verdict::Quarantined(vec![deadly.into()]));
-    evidence.record_answer(deadly, TimeMs(3_000));
+    evidence.record_answer(deadly, &[PART], TimeMs(3_000));
     assert_eq!(evidence.verdict(|| deadly, &[PART]), Verdict::Clear);
 }
 
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use dw_base::RequestId;
 use dw_base::Tokens;
-use dw_base::UpstreamId;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
@@ -77,13 +76,6 @@
         self.shared.measures.answered(service, &priority, after);
     }
 
-    /// Records that an upstream has given a whole answer.
-    fn record_whole_answer(&self, upstream: &UpstreamId) {
-        let now = self.shared.clock.now();
-        let quarantine = &self.shared.quarantine;
-        quarantine.record_answer(&self.job, upstream, now);
-    }
-
     /// Measures the answer and gives back the allowance for tokens that were not generated.
     fn done(&self, generated: Tokens) {
         self.answered();
@@ -254,7 +246,6 @@
         }
         (Begun::Whole(text), Some(shape)) => {
             log_done(&job, text.upstream.as_str());
-            held.record_whole_answer(&text.upstream);
             held.done(Tokens(text.end.tokens));
             let body = whole(&job, shape.format, &shape.model, text);
             Ok(response(StatusCode::OK, "application/json", full(body)))
@@ -274,7 +265,6 @@
                 match relay.run(*live, first).await {
                     Ok(generated) => {
                         log_done(&job, upstream.as_str());
-                        held.record_whole_answer(&upstream);
                         held.done(generated);
                     }
                     Err(e) => {
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -8,10 +8,12 @@
 use dw_base::UpstreamId;
 use dw_place::Decision;
 use dw_place::Observation;
+use dw_quarantine::PROOF_MS;
 use dw_spans::TraceParent;
 use dw_stream::Sequence;
 use dw_stream::Verdict;
 use dw_wire::Alternative;
+use dw_wire::FailureKind;
 use dw_wire::Frame;
 use dw_wire::ResumeRequest;
 use dw_wire::RunRequest;
@@ -69,6 +71,10 @@
     opened: bool,
     resumes: u32,
     sent_at: TimeMs,
+    /// When the first token came.
+    token_at: Option<TimeMs>,
+    /// When the answer will next have gone on long enough to show that its blocks are sound.
+    next_proof: TimeMs,
     /// Ends with the attempt.
     _span: Span,
 }
@@ -129,6 +135,8 @@
         opened: false,
         resumes: 0,
         sent_at,
+        token_at: None,
+        next_proof: sent_at,
         _span: span,
     };
     if let Some(e) = lost {
@@ -193,7 +201,10 @@
             };
             match received {
                 Ok(frame) => match self.check(frame) {
-                    Ok(Some(frame)) => return Ok(frame),
+                    Ok(Some(frame)) => {
+                        self.record_evidence(&frame);
+                        return Ok(frame);
+                    }
                     Ok(None) => {}
                     Err(fault) => self.resume(&fault).await?,
                 },
@@ -259,6 +270,31 @@
         Ok(Some(frame))
     }
 
+    /// Records what a frame says about the prompt: that it is answered, or that the engine ended under it.
+    /// A plain service that fails a call may have cut the connection only.
+    fn record_evidence(&mut self, frame: &Frame) {
+        if !matches!(self.work, Work::Generate { .. }) {
+            return;
+        }
+        let (now, quarantine) = (self.shared.clock.now(), &self.shared.quarantine);
+        match frame {
+            Frame::Chunk { .. } if self.token_at.is_none() => {
+                self.token_at = Some(now);
+                self.next_proof = now + PROOF_MS;
+            }
+            Frame::Chunk { .. } if now >= self.next_proof => {
+                self.next_proof = now + PROOF_MS;
+                quarantine.record_progress(&self.job, &self.upstream, now);
+            }
+            Frame::End(_) => quarantine.record_answer(&self.job, &self.upstream, now),
+            Frame::Failed(failure) if failure.kind == FailureKind::UpstreamLost => {
+                let answering_ms = self.token_at.map(|token_at| now.since(token_at));
+                quarantine.record_end(&self.job, &failure.status, answering_ms, now);
+            }
+            _ => {}
+        }
+    }
+
     fn report(&self, status: &dw_wire::Status) {
         let chain = chain_of(&self.work);
         self.shared.report(&self.upstream, status, chain);
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -18,6 +18,7 @@
 use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_base::UpstreamId;
+use dw_quarantine::accuses_parts;
 use dw_quarantine::decide_probe;
 use dw_quarantine::DueReports;
 use dw_quarantine::EvidenceSet;
@@ -101,11 +102,17 @@
         self.verdict(job) != Verdict::Clear
     }
 
-    /// Records that an upstream ended under a job; its blocks are suspects only if the job had no token.
-    pub(crate) fn record_end(&self, job: &Job, status: &Status, has_token: bool, now: TimeMs) {
-        let blocks = match has_token {
-            true => Vec::new(),
-            false => blocks(job),
+    /// Records that an upstream ended under a job, whose answer had gone on for this long if it had begun.
+    pub(crate) fn record_end(
+        &self,
+        job: &Job,
+        status: &Status,
+        answering_ms: Option<DurationMs>,
+        now: TimeMs,
+    ) {
+        let blocks = match accuses_parts(answering_ms) {
+            true => blocks(job),
+            false => Vec::new(),
         };
         let start = UpstreamStart::new(&status.upstream, status.upstream_incarnation.0);
         let evidence = &mut self.lock().evidence;
@@ -118,17 +125,17 @@
         self.news.notify_one();
     }
 
-    /// Records the first token of an answer to a job.
-    pub(crate) fn record_first_token(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
+    /// Records that an answer to a job has gone on for [`dw_quarantine::PROOF_MS`].
+    pub(crate) fn record_progress(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
         self.record(job, upstream, |evidence| {
-            evidence.record_first_token(&blocks(job), now)
+            evidence.record_progress(&blocks(job), now)
         });
     }
 
     /// Records the whole answer to a job.
     pub(crate) fn record_answer(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
         self.record(job, upstream, |evidence| {
-            evidence.record_answer(digest(job), now)
+            evidence.record_answer(digest(job), &blocks(job), now)
         });
     }
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -105,8 +105,6 @@
     tried: Tried,
     retries: u32,
     may_have_run: bool,
-    /// Whether the present attempt has brought a token.
-    has_token: bool,
     /// Whether the request is the probe of a quarantined block.
     is_probe: bool,
 }
@@ -119,7 +117,6 @@
         tried: Tried::default(),
         retries: 0,
         may_have_run: false,
-        has_token: false,
         is_probe: false,
     };
     let result = attempts.run().await;
@@ -161,7 +158,6 @@
                 }
                 Ok(Ended::Failed(failure)) => {
                     self.tried.excluded.push(upstream);
-                    self.record_end(&failure);
                     self.failed(&failure)?
                 }
                 Err(lost) => {
@@ -177,22 +173,11 @@
         }
     }
 
-    /// Records the end of an engine. A plain service that fails a call may have cut the connection only.
-    fn record_end(&self, failure: &Failure) {
-        let is_prompt = matches!(self.job.work, Work::Generate { .. });
-        if failure.kind == FailureKind::UpstreamLost && is_prompt {
-            let now = self.shared.clock.now();
-            let quarantine = &self.shared.quarantine;
-            quarantine.record_end(self.job, &failure.status, self.has_token, now);
-        }
-    }
-
     /// Makes one attempt up to the first frame that can be passed to the caller.
     async fn attempt(
         &mut self,
         placed: (dw_place::Decision, crate::members::Agent),
     ) -> Result<Ended, Lost> {
-        self.has_token = false;
         let mut live = forward(self.shared, self.job, &self.tried, placed).await?;
         let first = live.next().await?;
         let start = match first {
@@ -200,12 +185,6 @@
             other => return ended(&live, other),
         };
         let next = live.next().await?;
-        self.has_token = matches!(next, Frame::Chunk { .. } | Frame::End(_));
-        if self.has_token {
-            let now = self.shared.clock.now();
-            let quarantine = &self.shared.quarantine;
-            quarantine.record_first_token(self.job, live.upstream(), now);
-        }
         if !self.job.stream {
             return collect(&mut live, start, next).await;
         }
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -187,7 +187,7 @@
             return false;
         }
         self.admit(now_ms);
-        if self.begins_crashing_answer() {
+        if self.reaches_crashing_token() {
             self.crash(now_ms);
             return true;
         }
@@ -196,14 +196,14 @@
         false
     }
 
-    /// Returns whether the next decode step begins an answer on which the engine crashes.
-    fn begins_crashing_answer(&self) -> bool {
+    /// Returns whether an answer on which the engine crashes is to get its next token.
+    fn reaches_crashing_token(&self) -> bool {
         let Some(text) = &self.faults.crash_on else {
             return false;
         };
         self.generations.values().any(|generation| {
             generation.phase == Phase::Decode
-                && generation.tokens() == 0
+                && generation.tokens() >= self.faults.crash_after_tokens
                 && generation.request.prompt.contains(text)
         })
     }
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -129,8 +129,10 @@
     /// One-time: the engine restarts with an empty cache, its initial weights and the next
     /// incarnation.
     pub crash: bool,
-    /// The engine crashes, as by `crash`, when it begins an answer to a prompt that contains this text.
+    /// The engine crashes, as by `crash`, amid an answer to a prompt that contains this text.
     pub crash_on: Option<String>,
+    /// Tokens of that answer before the crash.
+    pub crash_after_tokens: u64,
     /// One-time: connections with unfinished responses are closed; generations continue.
     pub cut: bool,
     /// One-time: all cached blocks are evicted.
@@ -148,6 +150,7 @@
             load_lag_ms: None,
             crash: false,
             crash_on: None,
+            crash_after_tokens: 0,
             cut: false,
             evict_all: false,
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -24,6 +24,7 @@
 //! | | `event_delay_ms`, `load_lag_ms` | override the settings of the same names |
 //! | | `crash` (one-time) | restart with an empty cache, the initial weights, fencing token 0 and the next incarnation; connections with unfinished responses are closed |
 //! | | `crash_on` | as `crash`, each time the engine begins an answer to a prompt that contains this text |
+//! | | `crash_after_tokens` | number of tokens of that answer before the crash; 0 by default |
 //! | | `cut` (one-time) | connections with unfinished responses are closed; generations continue and can be resumed |
 //! | | `evict_all` (one-time) | all blocks are evicted from the prefix cache |
 //! | plain service | `slow_factor` | factor by which executions are slowed down |
