quarantine: blame a part that was never answered before parts that were

Cause: requests that share their first part have the same home. Each crash takes all of them, three crashes come before any sound answer, and the first and middle parts of the sound requests enter quarantine with the deadly one. Each probe of the first part is then won by a deadly request, after which the next one waits longer.

A part that shared its only probe with another quarantined part is probed once without that part after the second pause.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -302,7 +302,7 @@
             true => context.shared_parts(),
             false => Vec::new(),
         };
-        evidence.record_answer(context.digest(), &parts, now)
+        evidence.record_answer(|| context.digest(), &parts, now)
     });
 }
 
@@ -313,9 +313,6 @@
     record: impl FnOnce(&mut EvidenceSet, TimeMs) -> Vec<Suspect>,
 ) {
     let mut evidence = shared.quarantine.evidence.borrow_mut();
-    if evidence.is_empty() {
-        return;
-    }
     let released = record(&mut evidence, shared.now());
     let has_news = evidence.has_news();
     drop(evidence);
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -5,13 +5,13 @@
 use std::collections::HashMap;
 
 use dw_base::DurationMs;
-use dw_base::RequestDigest;
+use dw_base::Suspect;
 use dw_base::TimeMs;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
 
-/// Requests that explain ends of upstreams by themselves.
-pub(crate) type Causes = HashMap<UpstreamStart, RequestDigest>;
+/// What explains ends of upstreams by itself.
+pub(crate) type Causes = HashMap<UpstreamStart, Suspect>;
 
 /// Ends of upstreams that make a suspect.
 const SUSPECT_ENDS: usize = 2;
@@ -46,6 +46,8 @@
     /// Number of ends that do not have a common cause.
     counted: usize,
     answered_at: Option<TimeMs>,
+    /// Whether it was answered, then or not long before its ends.
+    pub(crate) is_proven: bool,
     quarantine: Option<Quarantine>,
     /// Time of the last end, answer or read record.
     changed_at: TimeMs,
@@ -76,9 +78,9 @@
         }
     }
 
-    /// Counts the ends; those that one request explains count once.
+    /// Counts the ends; those that one cause explains count once.
     fn count(&mut self, causes: &Causes) {
-        let explaining: BTreeSet<&RequestDigest> = self
+        let explaining: BTreeSet<&Suspect> = self
             .ends
             .keys()
             .filter_map(|start| causes.get(start))
@@ -119,6 +121,7 @@
         }
         let ends_before = self.ends.len();
         self.answered_at = Some(at);
+        self.is_proven = true;
         self.changed_at = self.changed_at.max(at);
         self.ends.retain(|_, end| *end > at);
         self.count(causes);
@@ -149,6 +152,10 @@
         self.is_quarantined() || self.counted >= SUSPECT_ENDS
     }
 
+    pub(crate) fn has_several_ends(&self) -> bool {
+        self.ends.len() >= SUSPECT_ENDS
+    }
+
     /// Returns whether others act on what is to be announced: a suspect, or the end of a quarantine.
     pub(crate) fn is_urgent(&self) -> bool {
         self.was_released || self.is_suspect()
--- a/crates/quarantine/src/evidence_set.rs
+++ b/crates/quarantine/src/evidence_set.rs
@@ -14,7 +14,8 @@
 /// Evidence against prompt parts and against whole requests, as a router knows it.
 ///
 /// An end counts against the request and against its parts. Once the same request was held in several
-/// ends, it explains them by itself, and all of them count as one end against the parts.
+/// ends, it explains them by itself, and all of them count as one end against the parts. So does a part that
+/// was never answered, against parts that were: those are often sent together with it.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceSet {
     parts: Suspects<ModelPart>,
@@ -72,16 +73,21 @@
         to_suspects(Vec::new(), self.parts.record_answer(parts, now))
     }
 
-    /// Records a whole answer to a request with these parts; returns what leaves quarantine.
+    /// Records a whole answer to a request with these parts; returns what leaves quarantine. The digest is
+    /// computed only if it is needed.
     pub fn record_answer(
         &mut self,
-        request: RequestDigest,
+        request: impl FnOnce() -> RequestDigest,
         parts: &[ModelPart],
         now: TimeMs,
     ) -> Vec<Suspect> {
+        let mut released = self.parts.record_answer(parts, now);
+        if self.requests.is_empty() {
+            return to_suspects(Vec::new(), released);
+        }
+        let request = request();
         let was_cause = !self.requests.explained(request).is_empty();
         let requests = self.requests.record_answer(&[request], now);
-        let mut released = self.parts.record_answer(parts, now);
         if was_cause {
             released.extend(self.update_causes());
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,7 +13,8 @@
 //! Evidence against a part is the end of an upstream that held a request with it, before its answer had
 //! gone on for [`PROOF_MS`]. Any answer on the part that is whole, or goes on for that long, anywhere,
 //! discards the evidence: a part that ends each upstream never has one, and a sound part soon does. The
-//! first event alone shows nothing, as the upstream may end right after it.
+//! first event alone shows nothing, as the upstream may end right after it. Parts that were answered lately
+//! are not blamed for ends that a part explains which never was.
 //!
 //! Evidence against a whole request is the end of an upstream that held it, also amid its answer. Only a
 //! whole answer to the same request discards it: its parts may be answered in sound requests all the time.
@@ -23,6 +24,7 @@
 mod key;
 mod probe;
 mod proof;
+mod proven;
 mod suspects;
 
 pub use evidence_set::DueReports;
--- a/crates/quarantine/src/probe.rs
+++ b/crates/quarantine/src/probe.rs
@@ -104,7 +104,8 @@
 /// the time of the table that keeps them.
 ///
 /// A request with several quarantined parts does not tell which of them ends upstreams. While another one
-/// may have been the cause, a part that was never probed alone is probed after the first pause.
+/// may have been the cause, a part that was never probed alone is probed without it after the first pause,
+/// or after the second one beside further parts.
 pub fn decide_probe(
     suspects: &[Suspect],
     stored: &[QuarantineRecord],
@@ -118,11 +119,14 @@
     };
     let missing = missing_records(suspects, stored, table_now_ms);
     let is_stored = |suspect: Suspect| stored.iter().any(|record| record.suspect == suspect);
+    let is_other = |partner: Suspect| is_stored(partner) && !suspects.contains(&partner);
     let remaining_ms = |record: &QuarantineRecord| {
-        let may_be_sound = record.solo_probes == 0 && record.partner.is_some_and(is_stored);
+        let may_be_sound = record.solo_probes == 0 && record.partner.is_some_and(is_other);
         let sent = match record.suspect {
             Suspect::Request(_) => record.probes,
-            Suspect::Part(_) if is_solo && may_be_sound => 0,
+            Suspect::Part(_) if may_be_sound && is_solo => 0,
+            // Once only: other requests with the query of death may hold other quarantined parts.
+            Suspect::Part(_) if may_be_sound && record.probes == 1 => 1,
             Suspect::Part(_) if is_solo => record.probes,
             // The first short pause is left to requests that test one part only.
             Suspect::Part(_) => record.probes.saturating_add(1),
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -13,6 +13,7 @@
 use crate::evidence::Causes;
 use crate::evidence::Evidence;
 use crate::key::SuspectKey;
+use crate::proven::Proven;
 
 /// Maximum number of keys with evidence. A caller can add them only by ending upstreams, but the head of
 /// one request has room for some thousand parts.
@@ -93,14 +94,39 @@
     sender_lacks_answer
 }
 
+/// Adds a cause of ends, the least one if there are several; returns whether one had none.
+fn add_causes<'a>(
+    causes: &mut Causes,
+    cause: Suspect,
+    starts: impl Iterator<Item = &'a UpstreamStart>,
+) -> bool {
+    let mut is_new = false;
+    for start in starts {
+        let known = causes.entry(*start);
+        is_new |= matches!(known, Entry::Vacant(_));
+        let known = known.or_insert(cause);
+        *known = (*known).min(cause);
+    }
+    is_new
+}
+
+/// Returns whether a key explains its ends for keys that were answered: it never was, and has several.
+fn explains<K: SuspectKey>(evidence: &Evidence) -> bool {
+    K::EXPLAINS_ENDS && !evidence.is_proven && evidence.has_several_ends()
+}
+
 /// Prompt parts, or requests, with evidence against them, as one process knows them.
 ///
 /// Reports of other processes can be merged in any order and more than once.
 #[derive(Clone, Debug)]
 pub struct Suspects<K> {
     known: HashMap<K, Evidence>,
+    /// Keys with answers, of which most have no evidence.
+    proven: Proven<K>,
     /// Ends that requests explain by themselves.
     causes: Causes,
+    /// The same, and ends that keys without an answer explain for those that have one.
+    causes_for_proven: Causes,
     /// Whether merged reports are news to announce.
     forwards: bool,
     announced_at: Option<TimeMs>,
@@ -112,7 +138,9 @@
     fn default() -> Self {
         Suspects {
             known: HashMap::new(),
+            proven: Proven::default(),
             causes: Causes::new(),
+            causes_for_proven: Causes::new(),
             forwards: false,
             announced_at: None,
             minor_reports: 0,
@@ -154,17 +182,33 @@
             return Vec::new();
         }
         self.causes = causes;
+        self.update_causes_for_proven();
         self.judge_all()
     }
 
-    /// Adds a request that explains ends by itself; returns what left quarantine because of it.
-    pub(crate) fn add_cause(&mut self, request: RequestDigest, starts: &[UpstreamStart]) -> Vec<K> {
+    /// Collects all ends that are explained for keys with an answer.
+    fn update_causes_for_proven(&mut self) {
+        self.causes_for_proven = self.causes.clone();
+        let known = self.known.iter();
+        let explaining = known.filter(|(_, evidence)| explains::<K>(evidence));
+        for (key, evidence) in explaining {
+            add_causes(
+                &mut self.causes_for_proven,
+                (*key).into(),
+                evidence.starts(),
+            );
+        }
+    }
+
+    /// Adds the ends that keys explain by themselves; returns what left quarantine because of it.
+    fn explain_ends(&mut self, keys: &[K]) -> Vec<K> {
         let mut is_new = false;
-        for start in starts {
-            let cause = self.causes.entry(*start);
-            is_new |= matches!(cause, Entry::Vacant(_));
-            let cause = cause.or_insert(request);
-            *cause = (*cause).min(request);
+        for key in keys {
+            let evidence = self.known.get(key);
+            if let Some(evidence) = evidence.filter(|evidence| explains::<K>(evidence)) {
+                let causes = &mut self.causes_for_proven;
+                is_new |= add_causes(causes, (*key).into(), evidence.starts());
+            }
         }
         match is_new {
             true => self.judge_all(),
@@ -172,11 +216,24 @@
         }
     }
 
+    /// Adds a request that explains ends by itself; returns what left quarantine because of it.
+    pub(crate) fn add_cause(&mut self, request: RequestDigest, starts: &[UpstreamStart]) -> Vec<K> {
+        add_causes(&mut self.causes_for_proven, request.into(), starts.iter());
+        match add_causes(&mut self.causes, request.into(), starts.iter()) {
+            true => self.judge_all(),
+            false => Vec::new(),
+        }
+    }
+
     /// Counts all ends again; returns what left quarantine because of it.
     fn judge_all(&mut self) -> Vec<K> {
         let mut released = Vec::new();
         for (key, evidence) in &mut self.known {
-            if evidence.judge(&self.causes) && !evidence.is_quarantined() {
+            let causes = match evidence.is_proven {
+                true => &self.causes_for_proven,
+                false => &self.causes,
+            };
+            if evidence.judge(causes) && !evidence.is_quarantined() {
                 released.push(*key);
             }
         }
@@ -191,41 +248,57 @@
         let (known, new): (Vec<K>, Vec<K>) =
             keys.iter().partition(|key| self.known.contains_key(*key));
         for key in known.iter().chain(&new) {
-            let (evidence, causes) = self.evidence(*key);
+            let (evidence, causes) = self.evidence(*key, now);
             let before = evidence.is_quarantined();
             evidence.add_end(start, now, causes);
             if !before && evidence.is_quarantined() {
                 quarantined.push(*key);
             }
         }
+        let released = self.explain_ends(keys);
+        quarantined.retain(|key| !released.contains(key));
         quarantined.truncate(MAX_NAMED_PARTS);
         quarantined
     }
 
     /// Records an answer under these keys; returns those that leave quarantine.
     pub fn record_answer(&mut self, keys: &[K], now: TimeMs) -> Vec<K> {
-        let causes = &self.causes;
-        let released = keys.iter().filter(|key| {
-            let evidence = self.known.get_mut(key);
-            evidence.is_some_and(|evidence| evidence.add_answer(now, causes))
-        });
-        released.copied().collect()
+        let mut released = Vec::new();
+        let mut explained = false;
+        for key in keys {
+            if K::EXPLAINS_ENDS {
+                self.proven.record(*key, now);
+            }
+            let Some(evidence) = self.known.get_mut(key) else {
+                continue;
+            };
+            explained |= explains::<K>(evidence);
+            if evidence.add_answer(now, &self.causes_for_proven) {
+                released.push(*key);
+            }
+        }
+        if explained {
+            self.update_causes_for_proven();
+            released.extend(self.judge_all());
+        }
+        released
     }
 
     /// Begins a quarantine that a stored record names.
     pub fn restore(&mut self, key: K, now: TimeMs) {
-        self.evidence(key).0.restore(now);
+        self.evidence(key, now).0.restore(now);
     }
 
     /// Adds what another process has announced.
     pub fn merge(&mut self, reports: Vec<SuspectReport<K>>, now: TimeMs) -> Merged<K> {
         let forwards = self.forwards;
         let mut merged = Merged::default();
+        let keys: Vec<K> = reports.iter().map(|report| report.key).collect();
         for report in reports {
             if report.ends.is_empty() && !self.known.contains_key(&report.key) {
                 continue;
             }
-            let (evidence, causes) = self.evidence(report.key);
+            let (evidence, causes) = self.evidence(report.key, now);
             let was_quarantined = evidence.is_quarantined();
             let had_news = std::mem::take(&mut evidence.has_news);
             let sender_lacks_answer = merge_report(evidence, &report, causes, now);
@@ -238,15 +311,29 @@
             let is_due = sender_lacks_answer || (forwards && evidence.has_news);
             evidence.has_news = had_news || is_due;
         }
+        for released in self.explain_ends(&keys) {
+            // Another report of these may have begun the quarantine.
+            let begun = merged.quarantined.len();
+            merged.quarantined.retain(|key| *key != released);
+            if merged.quarantined.len() == begun {
+                merged.released.push(released);
+            }
+        }
         merged
     }
 
     /// Returns the evidence under a key, and the known causes.
-    fn evidence(&mut self, key: K) -> (&mut Evidence, &Causes) {
+    fn evidence(&mut self, key: K, now: TimeMs) -> (&mut Evidence, &Causes) {
         if !self.known.contains_key(&key) && self.known.len() >= MAX_KEYS {
             self.drop_weakest();
         }
-        (self.known.entry(key).or_default(), &self.causes)
+        let evidence = self.known.entry(key).or_default();
+        evidence.is_proven |= self.proven.contains(key, now);
+        let causes = match evidence.is_proven {
+            true => &self.causes_for_proven,
+            false => &self.causes,
+        };
+        (evidence, causes)
     }
 
     /// Drops the weakest evidence of the owner with the most of it: what is in quarantine last, then what
@@ -327,6 +414,8 @@
         let causes = &self.causes;
         self.known
             .retain(|_, evidence| evidence.expire(now, K::END_EXPIRY_MS, causes));
+        self.update_causes_for_proven();
+        self.judge_all();
     }
 }
 
@@ -337,10 +426,7 @@
         let mut causes = Causes::new();
         let suspects = self.known.iter();
         for (request, evidence) in suspects.filter(|(_, evidence)| evidence.is_suspect()) {
-            for start in evidence.starts() {
-                let cause = causes.entry(*start).or_insert(*request);
-                *cause = (*cause).min(*request);
-            }
+            add_causes(&mut causes, (*request).into(), evidence.starts());
         }
         causes
     }
--- a/crates/quarantine/tests/probe.rs
+++ b/crates/quarantine/tests/probe.rs
@@ -110,6 +110,26 @@
     );
 }
 
+/// Guards against sound requests with two quarantined parts that wait longer and longer since requests with
+/// one of them and the query of death take the probes, and against more probes of the latter because of it.
+#[test]
+fn sound_parts_do_not_wait_for_probes_that_one_of_them_shared() {
+    let third = Suspect::Part(ModelPart(3));
+    let mut table = Table::default();
+    table.write(missing_records(&[QUERY_OF_DEATH, SOUND, third], &[], 0));
+    let deadly = [QUERY_OF_DEATH, SOUND];
+    assert_eq!(table.request_until(&deadly, 0, 3_100), 1);
+    assert_eq!(table.request_until(&[SOUND, third], 3_100, 6_100), 1);
+    let mut sent = 0;
+    for second in 7..67 {
+        let from_ms = second * 1_000;
+        sent += table.request_until(&deadly, from_ms, from_ms + 500);
+        let other = [QUERY_OF_DEATH, third];
+        sent += table.request_until(&other, from_ms + 500, from_ms + 1_000);
+    }
+    assert!(sent <= MOST_PROBES_ONCE_KNOWN, "{sent} probes");
+}
+
 /// Guards against a first request that waits although the record was stored with the quarantine.
 #[test]
 fn stored_record_makes_the_next_request_a_probe() {
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -197,7 +197,7 @@
                     let now = fleet.now;
                     let sound = digest("a", 1_000 + number as u64);
                     let router = &mut fleet.routers[at(router)];
-                    router.record_answer(sound, &[PART], now);
+                    router.record_answer(|| sound, &[PART], now);
                 }
                 Event::Crash(routers) => {
                     let sound = |router: &u16| (at(*router), digest("b", u64::from(*router)));
@@ -243,7 +243,7 @@
             prop_assert!(fleet.now.since(since) <= MOST_SOUND_PAUSE_MS + STEP_MS);
         }
         let now = fleet.now;
-        fleet.routers[at(asks)].record_answer(sound, &[PART], now);
+        fleet.routers[at(asks)].record_answer(|| sound, &[PART], now);
         for _ in 0..3 {
             fleet.announce(|_| false);
         }
@@ -303,10 +303,10 @@
         evidence.record_end(deadly, &[PART], start(number), TimeMs(1_000));
     }
     evidence.record_progress(&[PART], TimeMs(2_000));
-    evidence.record_answer(digest("a", 2), &[PART], TimeMs(2_000));
+    evidence.record_answer(|| digest("a", 2), &[PART], TimeMs(2_000));
     let verdict = evidence.verdict(|| deadly, &[PART]);
     assert_eq!(verdict, Verdict::Quarantined(vec![deadly.into()]));
-    evidence.record_answer(deadly, &[PART], TimeMs(3_000));
+    evidence.record_answer(|| deadly, &[PART], TimeMs(3_000));
     assert_eq!(evidence.verdict(|| deadly, &[PART]), Verdict::Clear);
 }
 
@@ -351,3 +351,55 @@
         "a request in quarantine does not wait"
     );
 }
+
+/// Guards against sound parts that enter quarantine since all requests with them have the same home as those
+/// of the part that ends upstreams, so that no answer comes in between: at the router that answered them
+/// before, and at one that hears of their answers and ends only.
+#[test]
+fn sound_parts_beside_a_query_of_death_are_not_quarantined() {
+    const SOUND: ModelPart = ModelPart(8);
+    const QUERY_OF_DEATH: ModelPart = ModelPart(9);
+    let mut fleet = Fleet::new(5);
+    for number in 0..5 {
+        let (now, sound) = (fleet.now, digest("a", number));
+        let router = &mut fleet.routers[number as usize];
+        router.record_answer(|| sound, &[PART, SOUND], now);
+    }
+    for number in 0..4 {
+        let (router, deadly) = (number as usize, digest("a", 10 + number));
+        fleet.end(&[
+            (router, deadly, &[PART, QUERY_OF_DEATH]),
+            (router + 1, digest("a", 20 + number), &[PART, SOUND]),
+        ]);
+        for _ in 0..4 {
+            fleet.announce(|_| false);
+        }
+    }
+    for router in 0..5 {
+        assert!(
+            fleet.is_quarantined(router, QUERY_OF_DEATH),
+            "router {router}"
+        );
+        let verdict = fleet.routers[router].verdict(|| digest("a", 30), &[PART, SOUND]);
+        assert!(
+            !matches!(verdict, Verdict::Quarantined(_)),
+            "router {router}: {verdict:?}"
+        );
+    }
+}
+
+/// Guards against a part that ends upstreams and hides behind another one that was never answered: requests
+/// without that one are still counted.
+#[test]
+fn answered_part_that_ends_upstreams_is_found_beside_a_new_part() {
+    const NEW: ModelPart = ModelPart(8);
+    let mut fleet = Fleet::new(1);
+    let now = fleet.now;
+    fleet.routers[0].record_answer(|| digest("a", 0), &[PART], now);
+    for number in 1..6 {
+        let parts: &[ModelPart] = if number <= 3 { &[PART, NEW] } else { &[PART] };
+        fleet.end(&[(0, digest("a", number), parts)]);
+        fleet.announce(|_| false);
+    }
+    assert!(fleet.is_quarantined(0, PART));
+}
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -135,7 +135,7 @@
     /// Records the whole answer to a job.
     pub(crate) fn record_answer(&self, job: &Job, upstream: &UpstreamId, now: TimeMs) {
         self.record(job, upstream, |evidence| {
-            evidence.record_answer(digest(job), &blocks(job), now)
+            evidence.record_answer(|| digest(job), &blocks(job), now)
         });
     }
 
@@ -146,10 +146,8 @@
         record: impl FnOnce(&mut EvidenceSet) -> Vec<Suspect>,
     ) {
         let mut state = self.lock();
-        if state.evidence.is_empty() {
-            return;
-        }
         let released = record(&mut state.evidence);
+        let has_news = state.evidence.has_news();
         state
             .records
             .retain(|record| !released.contains(&record.suspect));
@@ -160,7 +158,9 @@
                 "left quarantine: an upstream answered"
             );
         }
-        self.news.notify_one();
+        if has_news {
+            self.news.notify_one();
+        }
     }
 
     /// Merges evidence against blocks that another router has announced.
