gateway: read a refusal up to a length before its connection is used again

Another operator saw a machine run out of memory as an engine sent bytes without end. Here a gateway read the rest of a refusal for up to 20 ms without a bound in bytes, to use the connection again; many such refusals at once fill the memory of a small machine, and all requests on it end.

The rest is now read up to 16 KiB; otherwise the connection is closed.

The memory of a process under many of them was not measured.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -415,15 +416,13 @@
     AttemptResult::NoAnswer(AttemptOutcome::NotRun)
 }
 
-/// Returns the connection to the pool if the remainder of the answer arrives without delay.
+/// Returns the connection to the pool if the remainder of the answer is short and arrives without delay.
 async fn return_to_pool(shared: &Rc<Shared>, plan: &AttemptPlan, received: ReceivedResponse) {
     const REMAINDER_TIMEOUT_MS: DurationMs = DurationMs(20);
+    const MAX_REMAINDER_BYTES: usize = 16_384;
     let closes = received.head.closes;
-    let rest = timeout(
-        REMAINDER_TIMEOUT_MS.into(),
-        received.response.into_body().collect(),
-    )
-    .await;
+    let rest = Limited::new(received.response.into_body(), MAX_REMAINDER_BYTES);
+    let rest = timeout(REMAINDER_TIMEOUT_MS.into(), rest.collect()).await;
     if matches!(rest, Ok(Ok(_))) && !closes {
         let idle_ms = received.head.idle_ms;
         let now = shared.now();
