gateway: refuse requests that come too late in a planned stop

Another operator saw requests that came late in the grace period of a machine taken, passed on and cut without an answer. Here connections are no longer accepted from 2.7 s after SIGTERM on, but a request on an open connection, or with a body that takes long, was still passed on until the process ended, and what ran at the end was cut without an answer.

From then on a request is refused as not run, with Connection: close, once its body is whole; what still runs just before the exit gets 502, which promises nothing.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -16,9 +16,9 @@
 /// Times of a graceful shutdown, counted from SIGTERM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DrainTimes {
-    /// Until when requests are accepted on open and new connections.
+    /// Until when requests are accepted on open and new connections; later ones are refused as not run.
     pub accept_ms: DurationMs,
-    /// When the process exits even if requests are still running.
+    /// When requests that still run get their final answer, and the process exits.
     pub exit_ms: DurationMs,
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,9 @@
 /// Interval between checks of open connections during shutdown.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time in which requests that still run at the end get their final answer.
+const FINAL_ANSWERS_PAUSE: Duration = Duration::from_millis(50);
+
 /// Error that prevents the start of a gateway.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -198,6 +201,9 @@
         self.shared.draining.set(true);
         log::info!(connections = self.shared.connections.count(); "draining connections");
         let times = DrainTimes::new(self.shared.boot().bounds.grace_ms);
+        self.shared
+            .accepts_until
+            .set(Some(started + times.accept_ms));
         let until = started + times.exit_ms;
         tokio::time::sleep(times.accept_ms.into()).await;
         self.accepting.abort();
@@ -207,6 +213,10 @@
         while self.shared.connections.count() > 0 && self.shared.now() < until {
             tokio::time::sleep(EXIT_POLL_INTERVAL).await;
         }
+        if self.shared.connections.count() > 0 {
+            self.shared.exit.notify_waiters();
+            tokio::time::sleep(FINAL_ANSWERS_PAUSE).await;
+        }
         log::info!(connections = self.shared.connections.count(); "stopping gateway");
     }
 }
@@ -245,6 +255,8 @@
         origins,
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
+        accepts_until: Cell::default(),
+        exit: Notify::new(),
         announcement_due: Notify::new(),
     })
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -70,7 +70,12 @@
         }
     };
     shared.count_request(&context.service);
-    match run(shared, &context, guard).await {
+    let result = tokio::select! {
+        result = run(shared, &context, guard) => result,
+        // It may have been sent, and no answer can be awaited any longer.
+        () = shared.exit.notified() => Err(GatewayAnswer::Unknown),
+    };
+    match result {
         Ok(response) => response,
         Err(answer) => {
             log_gateway_answer(shared, &context, &answer);
@@ -122,6 +127,14 @@
         Ok(body) => body,
         Err(answer) => return Err(rejected(&id, answer)),
     };
+    if shared.is_stopping() {
+        // Other routers take the request at once.
+        let answer = GatewayAnswer::NotRun {
+            reason: "stopping",
+            retry_after_ms: DurationMs::ZERO,
+        };
+        return Err(rejected(&id, answer));
+    }
     let resume = origins::resume(shared, &request_head, &resolved).await;
     let resume = resume.map_err(|answer| rejected(&id, answer))?;
     let (service, software) = match resume {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -59,6 +59,10 @@
     pub(crate) origins: Origins,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
+    /// Until when requests are accepted, once the gateway drains.
+    pub(crate) accepts_until: Cell<Option<TimeMs>>,
+    /// Notifies the requests that still run when the process is about to exit.
+    pub(crate) exit: Notify,
     /// Wakes the task that sends announcements to the relays.
     pub(crate) announcement_due: Notify,
 }
@@ -81,6 +85,12 @@
         !self.draining.get() && self.registrations_read.get() && self.routes.borrow().is_some()
     }
 
+    /// Returns whether it is too late to accept requests, as the process will soon exit.
+    pub(crate) fn is_stopping(&self) -> bool {
+        let now = self.now();
+        self.accepts_until.get().is_some_and(|until| now >= until)
+    }
+
     /// Counts a caller's request for the retry budget of its service.
     pub(crate) fn count_request(&self, service: &ServiceId) {
         let now = self.now();
