origin: count the history of versions anew after a gap

Another operator saw streams go on at another software version at a machine that had stood still, or been cut off, while engines of the version that began them joined. Here a router that finds no origin of a stream lets it go on if it has itself seen one version only for long enough, and that history counted time in which the router stood still or heard of no registration.

An observation now says up to when the registrations were complete, and a gap longer than the time in which a change must be known makes the history count anew. So does a pause of the process of more than 1.5 s, also for requests that are handled before what is registered now has been read.

router_out_of_step_joins_streams_of_versions_that_it_missed failed before: the stream may go on anywhere.

--- a/crates/fleet/src/table_state.rs
+++ b/crates/fleet/src/table_state.rs
@@ -165,6 +165,15 @@
         TablePoll::Call(DurationMs::ZERO)
     }
 
+    /// Returns the time since the registrations that this router has read were known to be complete.
+    pub fn registrations_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        let registrations = self.followed[FollowedTable::Registrations as usize];
+        match registrations.relies_on_others {
+            true => self.hints.age_ms(now),
+            false => registrations.age_ms(now),
+        }
+    }
+
     /// Returns whether others read a table for this router, as far as the last decision took it.
     pub fn relies_on_others(&self, table: FollowedTable) -> bool {
         self.followed[table as usize].relies_on_others
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,7 +129,7 @@
         let socket = Rc::new(datagrams("inner", inner).await?);
         let quarantine = Quarantine::new(parts.quarantine);
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
-        let origins = Origins::new(socket.clone(), boot.inner_ports.0);
+        let origins = Origins::new(socket.clone(), boot.inner_ports.0, boot.bounds.leaving_ms);
         let shared = shared_state(
             &boot,
             parts.clock,
@@ -272,7 +272,9 @@
         shared.metrics.set_quarantined(&quarantined);
         shared.origins.expire(now);
         let directory = shared.directory.borrow();
-        shared.origins.observe(&directory, now);
+        if let Some(age_ms) = shared.tables.borrow().registrations_age_ms(now) {
+            shared.origins.observe(&directory, now - age_ms, now);
+        }
         shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
         if let Some(routes) = shared.routes() {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -73,23 +73,24 @@
 }
 
 impl Origins {
-    /// Creates the state without any origin.
-    pub(crate) fn new(socket: Rc<UdpSocket>, inner_port: u16) -> Self {
+    /// Creates the state without any origin; changes of registrations are known in `max_gap_ms`.
+    pub(crate) fn new(socket: Rc<UdpSocket>, inner_port: u16, max_gap_ms: DurationMs) -> Self {
         Origins {
             socket,
             inner_port,
             own: RefCell::default(),
-            history: RefCell::default(),
+            history: RefCell::new(SoftwareHistory::new(max_gap_ms)),
             pending: RefCell::default(),
             next_number: Cell::default(),
         }
     }
 
-    /// Records the software versions that are registered now.
-    pub(crate) fn observe(&self, directory: &Directory, now: TimeMs) {
+    /// Records the software versions that are registered, as far as it was known at `complete_at`.
+    pub(crate) fn observe(&self, directory: &Directory, complete_at: TimeMs, now: TimeMs) {
         let registrations = directory.all().map(|entry| &entry.registration);
         let versions = registrations.map(|known| (&known.service, &known.software));
-        self.history.borrow_mut().observe(versions, now);
+        let mut history = self.history.borrow_mut();
+        history.observe(versions, complete_at, now);
     }
 
     /// Passes the answer of a sidecar on to the request that waits for it.
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -150,7 +150,8 @@
     /// Drops the state of upstreams that are no longer registered.
     fn remove_unregistered(&self) {
         let directory = self.shared.directory.borrow();
-        self.shared.origins.observe(&directory, self.shared.now());
+        let now = self.shared.now();
+        self.shared.origins.observe(&directory, now, now);
         let is_known = |id: &dw_base::UpstreamId| directory.get(id).is_some();
         self.shared.placement.borrow_mut().retain(is_known);
         self.shared.weights.borrow_mut().retain(is_known);
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -7,35 +7,66 @@
 use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
 
+/// Time between two observations after which the process is taken to have stood still: requests that came
+/// meanwhile are handled before what is registered now is read.
+const MAX_STALL_MS: DurationMs = DurationMs(1_500);
+
 /// Time for which a version that serves no more is remembered.
 const MAX_AGE_MS: DurationMs = DurationMs(3_600_000);
 
 #[derive(Clone, Debug)]
 struct Service {
+    /// Since when no version can have come and gone unnoticed.
     observed_since: TimeMs,
+    /// Until when that is known.
+    observed_until: TimeMs,
     last_seen: BTreeMap<SoftwareVersion, TimeMs>,
 }
 
 /// Software versions of each service, as this process has observed them since its start.
 ///
 /// A process that has just started knows nothing of the time before: upstreams of another version may have
-/// left a moment ago.
-#[derive(Clone, Debug, Default)]
+/// left a moment ago. Neither does one that stood still, or was cut off from the registrations: they may have
+/// come and gone meanwhile.
+#[derive(Clone, Debug)]
 pub struct SoftwareHistory {
+    max_gap_ms: DurationMs,
+    observed_at: TimeMs,
     services: BTreeMap<ServiceId, Service>,
 }
 
 impl SoftwareHistory {
-    /// Records the service and version of each registered upstream.
+    /// Creates a history without observations, which counts anew after a gap of more than `max_gap_ms`.
+    pub fn new(max_gap_ms: DurationMs) -> Self {
+        SoftwareHistory {
+            max_gap_ms,
+            observed_at: TimeMs::default(),
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Records the service and version of each upstream, from registrations that were complete at
+    /// `complete_at`.
     pub fn observe<'a>(
         &mut self,
         registered: impl IntoIterator<Item = (&'a ServiceId, &'a SoftwareVersion)>,
+        complete_at: TimeMs,
         now: TimeMs,
     ) {
+        let has_stalled = self.has_stalled(now);
+        self.observed_at = now;
+        for service in self.services.values_mut() {
+            let gap_ms = complete_at.since(service.observed_until);
+            if has_stalled || gap_ms > self.max_gap_ms {
+                service.observed_since = now;
+            }
+            service.observed_until = complete_at.max(service.observed_until);
+        }
         for (service, software) in registered {
             if !self.services.contains_key(service) {
                 let new = Service {
                     observed_since: now,
+                    observed_until: complete_at,
                     last_seen: BTreeMap::new(),
                 };
                 self.services.insert(service.clone(), new);
@@ -58,6 +89,10 @@
             .retain(|_, service| !service.last_seen.is_empty());
     }
 
+    fn has_stalled(&self, now: TimeMs) -> bool {
+        now.since(self.observed_at) > MAX_STALL_MS
+    }
+
     /// Returns whether a service had one version only for all of the time before now.
     pub fn had_one_version(&self, service: &ServiceId, time_ms: DurationMs, now: TimeMs) -> bool {
         let Some(service) = self.services.get(service) else {
@@ -65,6 +100,10 @@
         };
         let is_within = |last_seen: &&TimeMs| now.since(**last_seen) < time_ms;
         let versions = service.last_seen.values().filter(is_within).count();
-        versions == 1 && now.since(service.observed_since) >= time_ms && time_ms <= MAX_AGE_MS
+        versions == 1
+            && !self.has_stalled(now)
+            && now.since(service.observed_since) >= time_ms
+            && now.since(service.observed_until) <= self.max_gap_ms
+            && time_ms <= MAX_AGE_MS
     }
 }
--- a/crates/origin/tests/origins.rs
+++ b/crates/origin/tests/origins.rs
@@ -23,6 +23,13 @@
 /// Time for which a stream may be taken up.
 const RETENTION_MS: DurationMs = DurationMs(10_000);
 
+/// Gap in the observations after which a router cannot know what served meanwhile.
+const MAX_GAP_MS: DurationMs = DurationMs(4_000);
+
+fn new_history() -> SoftwareHistory {
+    SoftwareHistory::new(MAX_GAP_MS)
+}
+
 fn service() -> ServiceId {
     "s".parse().expect("name is valid")
 }
@@ -55,7 +62,7 @@
 impl Fleet {
     fn new((routers, sidecars): (usize, usize)) -> Self {
         Fleet {
-            histories: vec![SoftwareHistory::default(); routers],
+            histories: vec![new_history(); routers],
             sidecars: vec![OriginKeeper::default(); sidecars],
             versions: BTreeSet::from([1]),
             now: TimeMs(1_000_000),
@@ -69,7 +76,7 @@
         let versions: Vec<SoftwareVersion> = self.versions.iter().copied().map(version).collect();
         for history in &mut self.histories {
             let registered = versions.iter().map(|software| (&service, software));
-            history.observe(registered, self.now);
+            history.observe(registered, self.now, self.now);
         }
     }
 
@@ -181,15 +188,15 @@
                 }
                 Event::RestartRouter(router) => {
                     let router = usize::from(router) % fleet.histories.len();
-                    fleet.histories[router] = SoftwareHistory::default();
+                    fleet.histories[router] = new_history();
                 }
-                Event::RestartAllRouters => fleet.histories.fill(SoftwareHistory::default()),
+                Event::RestartAllRouters => fleet.histories.fill(new_history()),
                 Event::RestartSidecar(sidecar) => {
                     let sidecar = usize::from(sidecar) % fleet.sidecars.len();
                     fleet.sidecars[sidecar] = OriginKeeper::default();
                 }
                 Event::RestartAll => {
-                    fleet.histories.fill(SoftwareHistory::default());
+                    fleet.histories.fill(new_history());
                     fleet.sidecars.fill(OriginKeeper::default());
                 }
             }
@@ -210,7 +217,7 @@
         for number in 0..40 {
             fleet.begin(number, false);
         }
-        fleet.histories.fill(SoftwareHistory::default());
+        fleet.histories.fill(new_history());
         for at in 0..40 {
             let (stream, began, _) = fleet.streams[at];
             let keeper = fleet.keepers(stream, 1)[0];
@@ -242,6 +249,53 @@
     assert_eq!(decided, Err(CannotResume::UnknownOrigin));
 }
 
+/// Guards against a router that stood still, or was cut off, while upstreams of another version joined, and
+/// takes the version that it knew for the only one: streams that began at the others meanwhile are taken up
+/// there as soon as it wakes, and after it has read what is registered now.
+#[test]
+fn router_out_of_step_joins_streams_of_versions_that_it_missed() {
+    for missed_ms in [1_600, 3_000, 6_000] {
+        let mut fleet = Fleet::new(FLEETS[0]);
+        for _ in 0..20 {
+            fleet.step(DurationMs(1_000));
+        }
+        let before = fleet.histories[0].clone();
+        fleet.versions = BTreeSet::from([2]);
+        fleet.step(DurationMs(500));
+        fleet.begin(0, true);
+        fleet.versions = BTreeSet::from([1]);
+        fleet.step(DurationMs(missed_ms - 500));
+        fleet.histories[0] = before;
+        let (_, decided) = fleet.take_up(0, 0).expect("the stream is recent");
+        assert_eq!(
+            decided,
+            Err(CannotResume::UnknownOrigin),
+            "{missed_ms} ms, as it wakes"
+        );
+        fleet.step(DurationMs(1));
+        let (_, decided) = fleet.take_up(0, 0).expect("the stream is recent");
+        assert_eq!(
+            decided,
+            Err(CannotResume::UnknownOrigin),
+            "{missed_ms} ms, once it has read"
+        );
+    }
+}
+
+/// Guards against a router that is cut off from the registrations while it runs, and takes the version that
+/// it knew for the only one.
+#[test]
+fn router_that_is_cut_off_does_not_know_what_serves() {
+    let mut history = new_history();
+    let (service, first) = (service(), version(1));
+    for second in 0..30 {
+        let (now, complete_at) = (TimeMs(second * 1_000), TimeMs(second.min(20) * 1_000));
+        history.observe([(&service, &first)], complete_at, now);
+        let has_one = history.had_one_version(&service, RETENTION_MS, now);
+        assert_eq!(has_one, (10..=24).contains(&second), "after {second} s");
+    }
+}
+
 /// Guards against a stream that goes on at a service to which its route does not lead any more.
 #[test]
 fn stream_of_another_service_does_not_go_on() {
