quarantine: count upstreams that crash together once against answered parts

Cause: three engines crash at one moment, each with requests that share the first part, and a part is now accused also amid answers and cleared by whole ones. Then a record of the part stayed in the table, as the answer that cleared it came at a router at which it was not in quarantine; after all machines had lost power, the routers read the record and refused the part.

Ends within 250 ms now count as one against a part that was answered before. A router that has written a record removes it when it hears that the part has left quarantine, or finds so once the write is done.

A test of the change before, answered_part_that_ends_upstreams_is_found_beside_a_new_part, let its ends come within one moment; they now come 0.4 s apart, as strict as before otherwise.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use dw_base::DurationMs;
@@ -17,6 +18,7 @@
 use dw_quarantine::EvidenceSet;
 use dw_quarantine::Merged;
 use dw_quarantine::ProbeDecision;
+use dw_quarantine::QuarantineRecord;
 use dw_quarantine::Verdict;
 use dw_wire::SuspectReport;
 use dw_wire::UpstreamStart;
@@ -81,6 +83,8 @@
     table: Mutex<Box<dyn QuarantineTable>>,
     /// When the next probe of a set of suspects may be requested.
     next_probes: RefCell<HashMap<Vec<Suspect>, TimeMs>>,
+    /// Suspects whose records this router has written, and removes when they leave quarantine.
+    stored: RefCell<HashSet<Suspect>>,
 }
 
 impl Quarantine {
@@ -90,17 +94,20 @@
             evidence: RefCell::default(),
             table: Mutex::new(table),
             next_probes: RefCell::default(),
+            stored: RefCell::default(),
         }
     }
 
-    /// Merges evidence against prompt parts that a relay has announced.
-    pub(crate) fn merge_parts(&self, reports: Vec<SuspectReport>, now: TimeMs) {
-        log_merged(&self.evidence.borrow_mut().merge_parts(reports, now));
+    fn record_stored(&self, records: &[QuarantineRecord]) {
+        let suspects = records.iter().map(|record| record.suspect);
+        self.stored.borrow_mut().extend(suspects);
     }
 
-    /// Merges evidence against requests that a relay has announced.
-    pub(crate) fn merge_requests(&self, reports: Vec<SuspectReport<RequestDigest>>, now: TimeMs) {
-        log_merged(&self.evidence.borrow_mut().merge_requests(reports, now));
+    /// Returns those of the suspects whose records this router has written, and forgets them.
+    fn take_stored(&self, suspects: &[Suspect]) -> Vec<Suspect> {
+        let mut stored = self.stored.borrow_mut();
+        let suspects = suspects.iter().copied();
+        suspects.filter(|suspect| stored.remove(suspect)).collect()
     }
 
     /// Returns the evidence to announce now.
@@ -135,6 +142,41 @@
     }
 }
 
+/// Merges evidence against prompt parts that a relay has announced.
+pub(crate) fn merge_parts(shared: &Rc<Shared>, reports: Vec<SuspectReport>) {
+    let now = shared.now();
+    let mut evidence = shared.quarantine.evidence.borrow_mut();
+    let merged = evidence.merge_parts(reports, now);
+    drop(evidence);
+    apply_merged(shared, &merged);
+}
+
+/// Merges evidence against requests that a relay has announced.
+pub(crate) fn merge_requests(shared: &Rc<Shared>, reports: Vec<SuspectReport<RequestDigest>>) {
+    let now = shared.now();
+    let mut evidence = shared.quarantine.evidence.borrow_mut();
+    let merged = evidence.merge_requests(reports, now);
+    drop(evidence);
+    apply_merged(shared, &merged);
+}
+
+/// Logs what a merge has changed, and removes the records that this router has written of what was released.
+fn apply_merged(shared: &Rc<Shared>, merged: &Merged<Suspect>) {
+    log_merged(merged);
+    let stored = shared.quarantine.take_stored(&merged.released);
+    if !stored.is_empty() {
+        tokio::task::spawn_local(remove_records(shared.clone(), stored));
+    }
+}
+
+async fn remove_records(shared: Rc<Shared>, suspects: Vec<Suspect>) {
+    let mut table = shared.quarantine.table.lock().await;
+    if let Err(e) = table.remove(&suspects, ANSWER_TIMEOUT_MS).await {
+        // A process that starts later reads the record and sends one more probe.
+        log::warn!(suspects = join(&suspects), error:% = e; "cannot remove quarantine records");
+    }
+}
+
 fn log_merged(merged: &Merged<Suspect>) {
     if !merged.quarantined.is_empty() {
         log::warn!(suspects = join(&merged.quarantined); "quarantined by other routers");
@@ -187,7 +229,7 @@
     let Ok(mut table) = quarantine.table.try_lock() else {
         return CONTENDED_PAUSE_MS;
     };
-    let pause_ms = match store_probe(table.as_mut(), suspects).await {
+    let pause_ms = match store_probe(shared, table.as_mut(), suspects).await {
         Ok(pause_ms) => pause_ms,
         Err(e) => {
             log::warn!(suspects = join(suspects), error:% = e; "cannot request a probe");
@@ -204,6 +246,7 @@
 /// Stores that a probe of these suspects is sent now; returns zero if it may be sent, and otherwise the
 /// time until the next one may be.
 async fn store_probe(
+    shared: &Shared,
     table: &mut dyn QuarantineTable,
     suspects: &[Suspect],
 ) -> Result<DurationMs, FeedError> {
@@ -213,7 +256,7 @@
     }
     match decide_probe(suspects, &stored.records, stored.now_ms) {
         ProbeDecision::Send(records) => {
-            let is_stored = table.write(&records, PROBE_TIMEOUT_MS).await?;
+            let is_stored = store(shared, table, &records, PROBE_TIMEOUT_MS).await?;
             Ok(match is_stored {
                 true => DurationMs::ZERO,
                 // Another router was faster.
@@ -222,13 +265,37 @@
         }
         ProbeDecision::Wait { pause_ms, missing } => {
             if !missing.is_empty() {
-                table.write(&missing, PROBE_TIMEOUT_MS).await?;
+                store(shared, table, &missing, PROBE_TIMEOUT_MS).await?;
             }
             Ok(pause_ms)
         }
     }
 }
 
+/// Writes records, and removes again those of suspects that have left quarantine meanwhile; returns whether
+/// they were written.
+async fn store(
+    shared: &Shared,
+    table: &mut dyn QuarantineTable,
+    records: &[QuarantineRecord],
+    timeout_ms: DurationMs,
+) -> Result<bool, FeedError> {
+    if !table.write(records, timeout_ms).await? {
+        return Ok(false);
+    }
+    shared.quarantine.record_stored(records);
+    let quarantined = shared.quarantine.evidence.borrow().quarantined();
+    let suspects = records.iter().map(|record| record.suspect);
+    let released: Vec<Suspect> = suspects
+        .filter(|suspect| !quarantined.contains(suspect))
+        .collect();
+    if !released.is_empty() {
+        shared.quarantine.take_stored(&released);
+        table.remove(&released, ANSWER_TIMEOUT_MS).await?;
+    }
+    Ok(true)
+}
+
 /// Records that an upstream ended while it held a request.
 pub(crate) fn record_end(
     shared: &Rc<Shared>,
@@ -261,7 +328,7 @@
 /// counts.
 async fn store_quarantine(shared: Rc<Shared>, suspects: Vec<Suspect>) {
     let mut table = shared.quarantine.table.lock().await;
-    if let Err(e) = store_missing(table.as_mut(), &suspects).await {
+    if let Err(e) = store_missing(&shared, table.as_mut(), &suspects).await {
         // The next request in quarantine stores its record.
         log::warn!(suspects = join(&suspects), error:% = e; "cannot store quarantine records");
     }
@@ -276,6 +343,7 @@
 }
 
 async fn store_missing(
+    shared: &Shared,
     table: &mut dyn QuarantineTable,
     suspects: &[Suspect],
 ) -> Result<(), FeedError> {
@@ -283,7 +351,7 @@
     let missing = missing_records(suspects, &stored.records, stored.now_ms);
     if !missing.is_empty() {
         // If the write is refused, another router has stored some of them.
-        table.write(&missing, ANSWER_TIMEOUT_MS).await?;
+        store(shared, table, &missing, ANSWER_TIMEOUT_MS).await?;
     }
     Ok(())
 }
@@ -326,14 +394,8 @@
         request_id = context.request_head.request_id.as_str(), suspects = join(&released);
         "left quarantine: an upstream answered"
     );
-    let shared = shared.clone();
-    tokio::task::spawn_local(async move {
-        let mut table = shared.quarantine.table.lock().await;
-        if let Err(e) = table.remove(&released, ANSWER_TIMEOUT_MS).await {
-            // A process that starts later reads the record and sends one more probe.
-            log::warn!(suspects = join(&released), error:% = e; "cannot remove quarantine records");
-        }
-    });
+    shared.quarantine.take_stored(&released);
+    tokio::task::spawn_local(remove_records(shared.clone(), released));
 }
 
 /// Reads the stored records once, as this process may have started after the quarantine began.
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -17,6 +17,7 @@
 use dw_wire::Phase;
 
 use crate::gossip::Gossip;
+use crate::quarantine;
 use crate::shared::Shared;
 
 impl Gossip {
@@ -45,12 +46,12 @@
                 }
                 Datagram::Suspects(reports) => {
                     self.shared.metrics.record_received("suspects", bytes.len());
-                    self.shared.quarantine.merge_parts(reports, now);
+                    quarantine::merge_parts(&self.shared, reports);
                 }
                 Datagram::SuspectRequests(reports) => {
                     let metrics = &self.shared.metrics;
                     metrics.record_received("suspect_requests", bytes.len());
-                    self.shared.quarantine.merge_requests(reports, now);
+                    quarantine::merge_requests(&self.shared, reports);
                 }
                 Datagram::Limits(reports) => {
                     self.shared.metrics.record_received("limits", bytes.len());
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -20,6 +20,10 @@
 /// meets the retry.
 const QUARANTINE_ENDS: usize = 3;
 
+/// Time within which ends have a common cause outside the requests: routers find out within 100 ms, and
+/// hear of it later.
+const MOMENT_MS: DurationMs = DurationMs(250);
+
 /// Maximum number of ends kept; the earliest are dropped first.
 const MAX_ENDS: usize = 8;
 
@@ -38,6 +42,20 @@
     Restored(TimeMs),
 }
 
+/// Returns the number of moments at which something happened.
+fn count_moments(times: &mut [TimeMs]) -> usize {
+    times.sort_unstable();
+    let mut moments = 0;
+    let mut began_at = None;
+    for at in times {
+        if began_at.is_none_or(|began_at| at.since(began_at) > MOMENT_MS) {
+            began_at = Some(*at);
+            moments += 1;
+        }
+    }
+    moments
+}
+
 /// Ends of upstreams under one part or request, and the last answer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Evidence {
@@ -78,15 +96,22 @@
         }
     }
 
-    /// Counts the ends; those that one cause explains count once.
+    /// Counts the ends; those that one cause explains count once, and if there was an answer before, so do
+    /// those at one moment: several upstreams ended together, whatever they held.
     fn count(&mut self, causes: &Causes) {
         let explaining: BTreeSet<&Suspect> = self
             .ends
             .keys()
             .filter_map(|start| causes.get(start))
             .collect();
-        let is_unexplained = |start: &&UpstreamStart| !causes.contains_key(*start);
-        self.counted = explaining.len() + self.ends.keys().filter(is_unexplained).count();
+        let ends = self.ends.iter();
+        let unexplained = ends.filter(|(start, _)| !causes.contains_key(*start));
+        let mut times: Vec<TimeMs> = unexplained.map(|(_, at)| *at).collect();
+        let unexplained = match self.is_proven {
+            true => count_moments(&mut times),
+            false => times.len(),
+        };
+        self.counted = explaining.len() + unexplained;
     }
 
     /// Counts the ends again after the known causes have changed; returns whether a quarantine began or
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -399,7 +399,37 @@
     for number in 1..6 {
         let parts: &[ModelPart] = if number <= 3 { &[PART, NEW] } else { &[PART] };
         fleet.end(&[(0, digest("a", number), parts)]);
+        for _ in 0..4 {
+            fleet.announce(|_| false);
+        }
+    }
+    assert!(fleet.is_quarantined(0, PART));
+}
+
+/// Guards against a sound part that all requests share and that is refused since several upstreams which held
+/// some of them crashed at one moment; ends one after the other are still counted.
+#[test]
+fn upstreams_that_crash_together_accuse_no_answered_part() {
+    let mut fleet = Fleet::new(5);
+    for router in 0..5 {
+        let (now, sound) = (fleet.now, digest("a", router as u64));
+        fleet.routers[router].record_answer(|| sound, &[PART], now);
+    }
+    for number in 0..4 {
+        let (first, second) = (digest("a", 10 + number), digest("a", 20 + number));
+        fleet.end(&[(number as usize, first, &[PART]), (4, second, &[PART])]);
+    }
+    for _ in 0..4 {
         fleet.announce(|_| false);
     }
+    for router in 0..5 {
+        assert!(!fleet.is_quarantined(router, PART), "router {router}");
+    }
+    for number in 0..2 {
+        for _ in 0..4 {
+            fleet.announce(|_| false);
+        }
+        fleet.end(&[(0, digest("a", 30 + number), &[PART])]);
+    }
     assert!(fleet.is_quarantined(0, PART));
 }
