--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -64,7 +64,7 @@
     /// Number of ends that do not have a common cause.
     counted: usize,
     answered_at: Option<TimeMs>,
-    /// Whether it was answered, then or not long before its ends.
+    /// Whether it was answered, then or not long before its ends; not kept for requests.
     pub(crate) is_proven: bool,
     quarantine: Option<Quarantine>,
     /// Time of the last end, answer or read record.
@@ -146,7 +146,6 @@
         }
         let ends_before = self.ends.len();
         self.answered_at = Some(at);
-        self.is_proven = true;
         self.changed_at = self.changed_at.max(at);
         self.ends.retain(|_, end| *end > at);
         self.count(causes);
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -77,13 +77,14 @@
 }
 
 /// Merges a report; returns whether its sender does not know of an answer that discards an end.
-fn merge_report<K>(
+fn merge_report<K: SuspectKey>(
     evidence: &mut Evidence,
     report: &SuspectReport<K>,
     causes: &Causes,
     now: TimeMs,
 ) -> bool {
     if let Some(age_ms) = report.answered_age_ms {
+        evidence.is_proven |= K::EXPLAINS_ENDS;
         evidence.add_answer(now - age_ms, causes);
     }
     let mut sender_lacks_answer = false;
@@ -273,6 +274,7 @@
                 continue;
             };
             explained |= explains::<K>(evidence);
+            evidence.is_proven |= K::EXPLAINS_ENDS;
             if evidence.add_answer(now, &self.causes_for_proven) {
                 released.push(*key);
             }
