fleet: let hints expire with 1.5 s of silence again, as before

Cause: replaced the expiry of silent announcements by the age from which a gateway reads itself, half of its bound, and changed the assertions of hints_end_with_silence_and_with_old_answers along with it. With bounds above 3 s that was looser than before: with 13 s a gateway that heard no relay at all relied on others for up to 6.5 s in place of 1.5 s.

--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -25,7 +25,7 @@
 /// Age at which what a relay has announced is forgotten.
 const SOURCE_EXPIRY_MS: DurationMs = DurationMs(60_000);
 
-/// Age at which a newer configuration that others announced no longer holds a router back.
+/// Age at which received progress expires.
 const HINT_EXPIRY_MS: DurationMs = DurationMs(1_500);
 
 /// Merges two progress reports: the later versions and the lower age.
@@ -81,8 +81,13 @@
     /// Load pattern: the tables refuse some routers while an operator adds keys and routes. Such a
     /// router must not treat keys and routes that it does not know as nonexistent.
     pub fn is_behind(&self, config_version: ConfigVersion, now: TimeMs) -> bool {
+        self.is_recent(now) && self.positions.config_version > config_version
+    }
+
+    /// Returns whether an announcement has arrived lately.
+    fn is_recent(&self, now: TimeMs) -> bool {
         let is_recent = |at: TimeMs| now.since(at) < HINT_EXPIRY_MS;
-        self.updated_at.is_some_and(is_recent) && self.positions.config_version > config_version
+        self.updated_at.is_some_and(is_recent)
     }
 
     /// Returns the time since a router last followed the tables, as far as it is known.
@@ -91,13 +96,14 @@
         followed_at.map(|at| now.since(*at))
     }
 
-    /// Returns the latest versions of the tables, if a router followed them less than `max_age_ms` ago.
+    /// Returns the latest versions of the tables, if a recent announcement shows that a router followed
+    /// them less than `max_age_ms` ago.
     pub fn fresh(&self, max_age_ms: DurationMs, now: TimeMs) -> Option<TableProgress> {
         let age_ms = self.age_ms(now)?;
         let progress = TableProgress {
             age_ms,
             ..self.positions
         };
-        (age_ms < max_age_ms).then_some(progress)
+        (self.is_recent(now) && age_ms < max_age_ms).then_some(progress)
     }
 }
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -96,8 +96,12 @@
     let mut hints = TableHints::default();
     assert_eq!(hints.fresh(MAX_AGE_MS, TimeMs(0)), None);
     update(&mut hints, progress(5, 9, 0), 0);
-    assert!(hints.fresh(MAX_AGE_MS, TimeMs(6_999)).is_some());
-    assert_eq!(hints.fresh(MAX_AGE_MS, TimeMs(7_000)), None, "silence");
+    assert!(hints.fresh(MAX_AGE_MS, TimeMs(1_000)).is_some());
+    assert_eq!(
+        hints.fresh(MAX_AGE_MS, TimeMs(2_000)),
+        None,
+        "the announcement has expired"
+    );
     // Announcements still arrive, but the tables have responded to no router since the first one.
     for now in (0..10_000).step_by(200) {
         update(&mut hints, progress(5, 9, now), now);
