quarantine: tell which parts leave quarantine as a later end explains theirs

Before: with the result as it was (nothing told as released) the new test part_that_is_explained_by_a_later_end_is_told_as_released fails: [] in place of the part. After: record_end returns what a merge returns; the gateway removes the records, the project's own router forgets them, both log it.

The merges of parts and of requests in the gateway were written twice and share one function now. The assertion on named parts is the same, on a field of the result.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -144,25 +144,20 @@
 
 /// Merges evidence against prompt parts that a relay has announced.
 pub(crate) fn merge_parts(shared: &Rc<Shared>, reports: Vec<SuspectReport>) {
-    let now = shared.now();
-    let mut evidence = shared.quarantine.evidence.borrow_mut();
-    let merged = evidence.merge_parts(reports, now);
-    drop(evidence);
-    apply_merged(shared, &merged);
+    merge(shared, |evidence, now| evidence.merge_parts(reports, now));
 }
 
 /// Merges evidence against requests that a relay has announced.
 pub(crate) fn merge_requests(shared: &Rc<Shared>, reports: Vec<SuspectReport<RequestDigest>>) {
-    let now = shared.now();
-    let mut evidence = shared.quarantine.evidence.borrow_mut();
-    let merged = evidence.merge_requests(reports, now);
-    drop(evidence);
-    apply_merged(shared, &merged);
+    merge(shared, |evidence, now| {
+        evidence.merge_requests(reports, now)
+    });
 }
 
-/// Logs what a merge has changed, and removes the records that this router has written of what was released.
-fn apply_merged(shared: &Rc<Shared>, merged: &Merged<Suspect>) {
-    log_merged(merged);
+/// Merges evidence, and removes the records that this router has written of what was released.
+fn merge(shared: &Rc<Shared>, merge: impl FnOnce(&mut EvidenceSet, TimeMs) -> Merged<Suspect>) {
+    let merged = merge(&mut shared.quarantine.evidence.borrow_mut(), shared.now());
+    log_merged(&merged);
     let stored = shared.quarantine.take_stored(&merged.released);
     if !stored.is_empty() {
         tokio::task::spawn_local(remove_records(shared.clone(), stored));
@@ -309,8 +304,8 @@
     };
     let now = shared.now();
     let mut evidence = shared.quarantine.evidence.borrow_mut();
-    let quarantined = evidence.record_end(context.digest(), &parts, start, now);
-    for suspect in &quarantined {
+    let changed = evidence.record_end(context.digest(), &parts, start, now);
+    for suspect in &changed.quarantined {
         log::warn!(
             request_id = context.request_head.request_id.as_str(), suspect:%,
             ends = evidence.ends(*suspect);
@@ -319,8 +314,17 @@
     }
     drop(evidence);
     request_announcement(shared);
-    if !quarantined.is_empty() {
-        tokio::task::spawn_local(store_quarantine(shared.clone(), quarantined));
+    if !changed.quarantined.is_empty() {
+        tokio::task::spawn_local(store_quarantine(shared.clone(), changed.quarantined));
+    }
+    if !changed.released.is_empty() {
+        log::info!(
+            request_id = context.request_head.request_id.as_str(),
+            suspects = join(&changed.released);
+            "left quarantine: the ends are explained"
+        );
+        shared.quarantine.take_stored(&changed.released);
+        tokio::task::spawn_local(remove_records(shared.clone(), changed.released));
     }
 }
 
--- a/crates/quarantine/src/evidence_set.rs
+++ b/crates/quarantine/src/evidence_set.rs
@@ -52,19 +52,25 @@
     }
 
     /// Records that an upstream ended while it held a request; the parts are those that its end accuses
-    /// ([`accuses_parts`](crate::accuses_parts)). Returns some or all of what is in quarantine because of it.
+    /// ([`accuses_parts`](crate::accuses_parts)). Returns some or all of what is in quarantine because of
+    /// it, and what has left it since something else explains its ends.
     pub fn record_end(
         &mut self,
         request: RequestDigest,
         parts: &[ModelPart],
         start: UpstreamStart,
         now: TimeMs,
-    ) -> Vec<Suspect> {
+    ) -> Merged<Suspect> {
         let requests = self.requests.record_end(&[request], start, now);
         // First the causes, so that the parts of a request that explains the end are left alone.
-        self.add_cause(request);
-        let parts = self.parts.record_end(parts, start, now);
-        to_suspects(requests, parts)
+        let explained = self.add_cause(request);
+        let mut parts = self.parts.record_end(parts, start, now);
+        parts.released.extend(explained);
+        Merged {
+            has_news: true,
+            quarantined: to_suspects(requests.quarantined, parts.quarantined),
+            released: to_suspects(requests.released, parts.released),
+        }
     }
 
     /// Records that an answer on these parts has gone on for [`PROOF_MS`](crate::PROOF_MS); returns those
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -44,7 +44,7 @@
     Quarantined(Vec<K>),
 }
 
-/// What a merge has changed.
+/// What a merge, or an end of an upstream, has changed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Merged<K> {
     /// Whether something was not known.
@@ -201,8 +201,9 @@
         }
     }
 
-    /// Adds the ends that keys explain by themselves; returns what left quarantine because of it.
-    fn explain_ends(&mut self, keys: &[K]) -> Vec<K> {
+    /// Adds the ends that keys explain by themselves, and to what has changed the keys that have left
+    /// quarantine because of it.
+    fn explain_ends(&mut self, keys: &[K], merged: &mut Merged<K>) {
         let mut is_new = false;
         for key in keys {
             let evidence = self.known.get(key);
@@ -211,9 +212,16 @@
                 is_new |= add_causes(causes, (*key).into(), evidence.starts());
             }
         }
-        match is_new {
-            true => self.judge_all(),
-            false => Vec::new(),
+        if !is_new {
+            return;
+        }
+        for released in self.judge_all() {
+            // A quarantine that has just begun is none.
+            let begun = merged.quarantined.len();
+            merged.quarantined.retain(|key| *key != released);
+            if merged.quarantined.len() == begun {
+                merged.released.push(released);
+            }
         }
     }
 
@@ -242,8 +250,8 @@
     }
 
     /// Records that an upstream ended while it held a request with these keys; returns some or all of those
-    /// that are in quarantine because of it.
-    pub fn record_end(&mut self, keys: &[K], start: UpstreamStart, now: TimeMs) -> Vec<K> {
+    /// that are in quarantine because of it, and those that have left it since others explain their ends.
+    pub fn record_end(&mut self, keys: &[K], start: UpstreamStart, now: TimeMs) -> Merged<K> {
         let mut quarantined = Vec::new();
         // Known keys first: new ones may take the room of others.
         let (known, new): (Vec<K>, Vec<K>) =
@@ -256,10 +264,13 @@
                 quarantined.push(*key);
             }
         }
-        let released = self.explain_ends(keys);
-        quarantined.retain(|key| !released.contains(key));
-        quarantined.truncate(MAX_NAMED_PARTS);
-        quarantined
+        let mut merged = Merged {
+            quarantined,
+            ..Merged::default()
+        };
+        self.explain_ends(keys, &mut merged);
+        merged.quarantined.truncate(MAX_NAMED_PARTS);
+        merged
     }
 
     /// Records an answer under these keys; returns those that leave quarantine.
@@ -313,14 +324,7 @@
             let is_due = sender_lacks_answer || (forwards && evidence.has_news);
             evidence.has_news = had_news || is_due;
         }
-        for released in self.explain_ends(&keys) {
-            // Another report of these may have begun the quarantine.
-            let begun = merged.quarantined.len();
-            merged.quarantined.retain(|key| *key != released);
-            if merged.quarantined.len() == begun {
-                merged.released.push(released);
-            }
-        }
+        self.explain_ends(&keys, &mut merged);
         merged
     }
 
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -433,3 +433,25 @@
     }
     assert!(fleet.is_quarantined(0, PART));
 }
+
+/// Guards against a record that stays since nobody is told that a part leaves quarantine as a later end shows
+/// which part was at fault.
+#[test]
+fn part_that_is_explained_by_a_later_end_is_told_as_released() {
+    const QUERY_OF_DEATH: ModelPart = ModelPart(9);
+    let mut router = EvidenceSet::default();
+    router.record_answer(|| digest("a", 0), &[PART], TimeMs(1_000));
+    let mut changes = Vec::new();
+    for number in 0..3 {
+        let at = TimeMs(2_000 + number * 1_000);
+        changes.push(router.record_end(digest("a", 1 + number), &[PART], start(number), at));
+    }
+    assert_eq!(changes[2].quarantined, [PART.into()]);
+    let at = TimeMs(6_000);
+    for number in 0..2 {
+        let parts = &[QUERY_OF_DEATH];
+        changes.push(router.record_end(digest("a", 9 + number), parts, start(number), at));
+    }
+    assert_eq!(changes[4].released, [PART.into()]);
+    assert!(!router.quarantined().contains(&PART.into()));
+}
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -298,7 +298,10 @@
         parts.push(QUERY_OF_DEATH);
         for round in 0..3 {
             let named = suspects.record_end(&parts, start(caller * 3 + round), now);
-            assert!(named.len() <= 32, "one transaction stores the records");
+            assert!(
+                named.quarantined.len() <= 32,
+                "one transaction stores the records"
+            );
         }
     }
     let second = ModelPart(98);
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -54,6 +54,14 @@
     records: Vec<QuarantineRecord>,
 }
 
+impl State {
+    /// Drops the records of suspects that have left quarantine.
+    fn forget(&mut self, released: &[Suspect]) {
+        self.records
+            .retain(|record| !released.contains(&record.suspect));
+    }
+}
+
 /// Prompt blocks and requests under which upstreams ended, as this router knows them.
 #[derive(Default)]
 pub(crate) struct Quarantine {
@@ -115,13 +123,22 @@
             false => Vec::new(),
         };
         let start = UpstreamStart::new(&status.upstream, status.upstream_incarnation.0);
-        let evidence = &mut self.lock().evidence;
-        for suspect in evidence.record_end(digest(job), &blocks, start, now) {
+        let mut state = self.lock();
+        let changed = state.evidence.record_end(digest(job), &blocks, start, now);
+        state.forget(&changed.released);
+        drop(state);
+        for suspect in changed.quarantined {
             log::warn!(
                 request_id:% = job.request_id, upstream:% = status.upstream, suspect:%;
                 "quarantined: upstreams ended under it and none has answered"
             );
         }
+        for suspect in changed.released {
+            log::info!(
+                request_id:% = job.request_id, upstream:% = status.upstream, suspect:%;
+                "left quarantine: the ends are explained"
+            );
+        }
         self.news.notify_one();
     }
 
@@ -148,9 +165,7 @@
         let mut state = self.lock();
         let released = record(&mut state.evidence);
         let has_news = state.evidence.has_news();
-        state
-            .records
-            .retain(|record| !released.contains(&record.suspect));
+        state.forget(&released);
         drop(state);
         for suspect in released {
             log::info!(
