fleet: keep the pauses of announcements beside their pacing

Cause: put the pauses of routers and relays into hint_timing, which only adds them up, and gave a relay's two pauses as a tuple; a reader of the gateway or the sidecar would not look for them there.

Before and after: the same values and the same sums; the tests of dw-fleet and dw-sidecar pass. The relay's pauses have a name each.

--- a/crates/fleet/src/hint_timing.rs
+++ b/crates/fleet/src/hint_timing.rs
@@ -4,18 +4,11 @@
 use dw_base::NodeId;
 
 use crate::aggregate::router_hash;
-
-/// Shortest time between two announcements of a router.
-pub const ROUTER_MIN_PAUSE_MS: DurationMs = DurationMs(60);
-
-/// Longest time that a router waits for a change before it announces its state again.
-pub const ROUTER_MAX_PAUSE_MS: DurationMs = DurationMs(500);
-
-/// Shortest and longest time between two announcements of a relay.
-pub const RELAY_PAUSES_MS: (DurationMs, DurationMs) = (DurationMs(60), DurationMs(500));
-
-/// Shortest pause between two rounds of announcements of a relay.
-pub const RELAY_ROUND_PAUSE_MS: DurationMs = DurationMs(20);
+use crate::pace::RELAY_MAX_PAUSE_MS;
+use crate::pace::RELAY_MIN_PAUSE_MS;
+use crate::pace::RELAY_ROUND_PAUSE_MS;
+use crate::pace::ROUTER_MAX_PAUSE_MS;
+use crate::pace::ROUTER_MIN_PAUSE_MS;
 
 /// Time between two looks of a router at what others have announced.
 pub const HINT_CHECK_INTERVAL_MS: DurationMs = DurationMs(100);
@@ -68,7 +61,7 @@
 
 /// Returns the longest time that a relay takes to pass on what a router has announced.
 fn relay_ms() -> DurationMs {
-    RELAY_PAUSES_MS.1 + RELAY_PAUSES_MS.0 + RELAY_ROUND_PAUSE_MS
+    RELAY_MAX_PAUSE_MS + RELAY_MIN_PAUSE_MS + RELAY_ROUND_PAUSE_MS
 }
 
 /// Returns the longest age of announcements of a reader that waits for changes.
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -1,7 +1,22 @@
-//! Pauses between datagrams that bound the bytes sent per second.
+//! Pauses between datagrams: those of announcements, and those that bound the bytes sent per second.
 
 use dw_base::DurationMs;
 
+/// Shortest time between two announcements of a router.
+pub const ROUTER_MIN_PAUSE_MS: DurationMs = DurationMs(60);
+
+/// Longest time that a router waits for a change before it announces its state again.
+pub const ROUTER_MAX_PAUSE_MS: DurationMs = DurationMs(500);
+
+/// Shortest time between two announcements of a relay.
+pub const RELAY_MIN_PAUSE_MS: DurationMs = DurationMs(60);
+
+/// Longest time between two announcements of a relay.
+pub const RELAY_MAX_PAUSE_MS: DurationMs = DurationMs(500);
+
+/// Shortest pause between two rounds of announcements of a relay.
+pub const RELAY_ROUND_PAUSE_MS: DurationMs = DurationMs(20);
+
 /// Rate limit for the datagrams that a relay sends to one kind of receivers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SendPacing {
--- a/crates/fleet/tests/lost_readers.rs
+++ b/crates/fleet/tests/lost_readers.rs
@@ -20,7 +20,8 @@
 use dw_fleet::TablePoll;
 use dw_fleet::TablePollSettings;
 use dw_fleet::TableState;
-use dw_fleet::RELAY_PAUSES_MS;
+use dw_fleet::RELAY_MAX_PAUSE_MS;
+use dw_fleet::RELAY_MIN_PAUSE_MS;
 use dw_fleet::RELAY_ROUND_PAUSE_MS;
 use dw_fleet::ROUTER_MAX_PAUSE_MS;
 use dw_fleet::ROUTER_MIN_PAUSE_MS;
@@ -237,7 +238,7 @@
             }
         }
         for (number, relay) in self.relays.iter_mut().enumerate() {
-            let pause_ms = RELAY_PAUSES_MS.0 + RELAY_PAUSES_MS.1 + RELAY_ROUND_PAUSE_MS;
+            let pause_ms = RELAY_MIN_PAUSE_MS + RELAY_MAX_PAUSE_MS + RELAY_ROUND_PAUSE_MS;
             if self.are_relays_lost || now.since(relay.announced_at) < pause_ms {
                 continue;
             }
--- a/crates/sidecar/src/relay_announcer.rs
+++ b/crates/sidecar/src/relay_announcer.rs
@@ -8,7 +8,8 @@
 use dw_base::TimeMs;
 use dw_base::WeightsVersion;
 use dw_fleet::SendPacing;
-use dw_fleet::RELAY_PAUSES_MS;
+use dw_fleet::RELAY_MAX_PAUSE_MS;
+use dw_fleet::RELAY_MIN_PAUSE_MS;
 use dw_wire::send_to_all;
 use dw_wire::CachedState;
 use dw_wire::DataCentreState;
@@ -39,8 +40,8 @@
 /// Returns the pacing of states.
 fn state_pacing(bytes_per_s: u64) -> SendPacing {
     SendPacing {
-        min_pause_ms: RELAY_PAUSES_MS.0,
-        max_pause_ms: RELAY_PAUSES_MS.1,
+        min_pause_ms: RELAY_MIN_PAUSE_MS,
+        max_pause_ms: RELAY_MAX_PAUSE_MS,
         bytes_per_s,
     }
 }
