quota: count the quotas of organisations over all gateways

Change: each request asks the sidecar that counts for its organisation; the counter's account may go below zero by one request, leaves a reserve to urgent requests and begins empty after a takeover. Not measured yet.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -30,6 +30,11 @@
         /// Time after which the caller may retry.
         retry_after_ms: DurationMs,
     },
+    /// The organisation has used its quota; the request was not run, and the caller may retry it.
+    OverQuota {
+        /// Time after which the caller may retry.
+        retry_after_ms: DurationMs,
+    },
     /// The caller takes up a stream that cannot go on; the request was not run, and another attempt to
     /// take the stream up would not help.
     CannotResume(&'static str),
@@ -48,6 +53,7 @@
             GatewayAnswer::NoKey => StatusCode::UNAUTHORIZED,
             GatewayAnswer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             GatewayAnswer::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            GatewayAnswer::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             GatewayAnswer::NotRun { .. } | GatewayAnswer::CannotResume(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
@@ -65,6 +71,7 @@
             GatewayAnswer::TooLarge => "too_large",
             GatewayAnswer::BodyTimeout => "body_timeout",
             GatewayAnswer::NotRun { reason, .. } | GatewayAnswer::CannotResume(reason) => reason,
+            GatewayAnswer::OverQuota { .. } => "over_quota",
             GatewayAnswer::Unknown => "unknown_outcome",
             GatewayAnswer::Timeout => "timeout",
         }
@@ -82,6 +89,11 @@
             GatewayAnswer::NotRun { reason, .. } => {
                 format!("the request was not run ({reason}); send it again after Retry-After")
             }
+            GatewayAnswer::OverQuota { .. } => {
+                "the quota is used up, and the request was not run; send it again after \
+                 Retry-After"
+                    .to_owned()
+            }
             GatewayAnswer::CannotResume(reason) => {
                 format!("the stream cannot go on ({reason}), and was not run; begin a new one")
             }
@@ -103,7 +115,9 @@
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        if let GatewayAnswer::NotRun { retry_after_ms, .. } = self {
+        if let GatewayAnswer::NotRun { retry_after_ms, .. }
+        | GatewayAnswer::OverQuota { retry_after_ms } = self
+        {
             let seconds = format!("{:.3}", retry_after_ms.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,7 @@
 use crate::probe;
 use crate::quarantine;
 use crate::quarantine::Quarantine;
+use crate::quotas::Quotas;
 use crate::registrations::follow_registrations;
 use crate::shared::Shared;
 use crate::upstream_end::EndedUpstreams;
@@ -129,12 +130,13 @@
         let socket = Rc::new(datagrams("inner", inner).await?);
         let quarantine = Quarantine::new(parts.quarantine);
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
+        let quotas = Quotas::new(socket.clone(), boot.inner_ports.0);
         let origins = Origins::new(socket.clone(), boot.inner_ports.0, boot.bounds.leaving_ms);
         let shared = shared_state(
             &boot,
             parts.clock,
             parts.codec,
-            (quarantine, limits, origins),
+            (quarantine, limits, quotas, origins),
         );
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
@@ -229,7 +231,7 @@
     boot: &Rc<Boot>,
     clock: Arc<dyn Clock>,
     codec: Arc<dyn Codec>,
-    (quarantine, limits, origins): (Quarantine, RequestLimits, Origins),
+    (quarantine, limits, quotas, origins): (Quarantine, RequestLimits, Quotas, Origins),
 ) -> Rc<Shared> {
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
@@ -252,6 +254,7 @@
         metrics: GatewayMetrics::new(),
         quarantine,
         limits,
+        quotas,
         origins,
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
@@ -278,6 +281,7 @@
         shared.ended.retain(|id| directory.get(id).is_some());
         shared.pool.sweep(|addr| directory.at(addr).is_some(), now);
         if let Some(routes) = shared.routes() {
+            shared.quotas.retain(&routes.limited_organisations());
             let idle_ms = routes.limits().idle_ms.0 as f64 * IDLE_TIMEOUT_FACTOR;
             let idle_ms = DurationMs(idle_ms.max(1.0) as u64);
             shared.connections.close_idle(idle_ms, now);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,8 +1,6 @@
 //! Request limits that upstreams name in their answers, and the permits that requests to them need.
 
-use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,7 +16,6 @@
 use dw_permit::Requester;
 use dw_permit::UpstreamLimits;
 use dw_port::NamedLimit;
-use dw_wire::send_datagram;
 use dw_wire::Datagram;
 use dw_wire::LimitReport;
 use dw_wire::PermitAnswer;
@@ -26,11 +23,10 @@
 use dw_wire::PermitResult;
 use dw_wire::UpstreamStart;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use crate::context::RequestContext;
 use crate::gossip::request_announcement;
+use crate::questions::Questions;
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
@@ -42,14 +38,9 @@
 
 /// Limits of upstreams as this gateway knows them, and its requests for permits.
 pub(crate) struct RequestLimits {
-    socket: Rc<UdpSocket>,
-    /// Port of the sidecars for datagrams.
-    inner_port: u16,
     limits: RefCell<UpstreamLimits>,
     requester: RefCell<Requester>,
-    /// Requests for permits that wait for an answer, by number.
-    pending: RefCell<HashMap<u32, oneshot::Sender<PermitResult>>>,
-    next_number: Cell<u32>,
+    questions: Questions<PermitResult>,
     /// Upstreams with an unreadable limit, which is logged once.
     unreadable: RefCell<HashSet<UpstreamStart>>,
 }
@@ -58,12 +49,9 @@
     /// Creates the state without any limits.
     pub(crate) fn new(socket: Rc<UdpSocket>, inner_port: u16) -> Self {
         RequestLimits {
-            socket,
-            inner_port,
             limits: RefCell::default(),
             requester: RefCell::default(),
-            pending: RefCell::default(),
-            next_number: Cell::default(),
+            questions: Questions::new(socket, inner_port),
             unreadable: RefCell::default(),
         }
     }
@@ -98,10 +86,8 @@
 
     /// Passes the answer of an issuer on to the request that waits for it.
     pub(crate) fn record_permit(&self, answer: PermitAnswer) {
-        if let Some(waiting) = self.pending.borrow_mut().remove(&answer.number) {
-            // The request may have given up in this moment; the permit is then not used.
-            let _ = waiting.send(answer.result);
-        }
+        // The request may have given up; the permit is then not used.
+        self.questions.record_answer(answer.number, answer.result);
     }
 
     /// Returns the limits to announce now.
@@ -125,25 +111,6 @@
         }
         unreadable.insert(upstream)
     }
-
-    /// Asks an issuer for a permit; returns nothing if it does not answer in time.
-    async fn ask(&self, issuer: SocketAddr, request: PermitRequest) -> Option<PermitResult> {
-        let number = request.number;
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().insert(number, sender);
-        let sidecar = SocketAddr::new(issuer.ip(), self.inner_port);
-        let request = Datagram::PermitRequest(request);
-        send_datagram(&self.socket, sidecar, &request).await;
-        let answer = timeout(PERMIT_TIMEOUT_MS.into(), receiver).await;
-        self.pending.borrow_mut().remove(&number);
-        answer.ok()?.ok()
-    }
-
-    fn next_number(&self) -> u32 {
-        let number = self.next_number.get();
-        self.next_number.set(number.wrapping_add(1));
-        number
-    }
 }
 
 fn start(entry: &Entry) -> UpstreamStart {
@@ -199,13 +166,18 @@
     };
     let (result, is_granted) = match Decider::find(shared, plan, limit) {
         Decider::Issuer(issuer) => {
-            let request = PermitRequest {
-                number: limits.next_number(),
-                data_centre: plan.data_centre.clone(),
-                priority: context.priority(),
-                limit: report,
+            let question = |number| {
+                Datagram::PermitRequest(PermitRequest {
+                    number,
+                    data_centre: plan.data_centre.clone(),
+                    priority: context.priority(),
+                    limit: report,
+                })
             };
-            let result = limits.ask(issuer, request).await;
+            let result = limits
+                .questions
+                .ask(issuer, PERMIT_TIMEOUT_MS, question)
+                .await;
             let mut requester = limits.requester.borrow_mut();
             let is_granted = requester.record(upstream, result, shared.now());
             (result.map_or("no_answer", PermitResult::label), is_granted)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -96,6 +96,7 @@
     first_token: Latency,
     total: Latency,
     permits: Family<PermitLabels, Counter>,
+    quotas: Family<KindLabel, Counter>,
     table_calls: Family<KindLabel, Counter>,
     success_lines: LineLimit,
     denial_lines: LineLimit,
@@ -173,6 +174,11 @@
             ),
             first_token: metrics.add("first_token_seconds", first, latencies()),
             total: metrics.add("answer_seconds", total, latencies()),
+            quotas: metrics.add(
+                "quota_questions",
+                "Questions about quotas of organisations by answer",
+                Family::default(),
+            ),
             permits: metrics.add(
                 "permits",
                 "Requests for permits of upstreams with a limit, by result",
@@ -322,7 +328,12 @@
         self.permits.get_or_create(&labels).inc();
     }
 
-    /// Counts a request without a permit and returns whether it may be logged in this second.
+    /// Counts a question about a quota by its answer, and decisions without one.
+    pub(crate) fn record_quota(&self, kind: &'static str) {
+        self.quotas.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a request without a permit or a part of a quota and returns whether it may be logged in this second.
     pub(crate) fn may_log_denial(&self, now: TimeMs) -> bool {
         self.denial_lines.may_log(now)
     }
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -65,12 +65,18 @@
                     self.shared.metrics.record_received("origins", bytes.len());
                     self.shared.origins.record_answer(answer);
                 }
+                Datagram::QuotaAnswer(answer) => {
+                    self.shared.metrics.record_received("quotas", bytes.len());
+                    self.shared.quotas.record_answer(answer);
+                }
                 Datagram::Router(_)
                 | Datagram::Engine(_)
                 | Datagram::Roster(_)
                 | Datagram::PermitRequest(_)
                 | Datagram::OriginRecord(_)
-                | Datagram::OriginQuery(_) => {}
+                | Datagram::OriginQuery(_)
+                | Datagram::QuotaQuestion(_)
+                | Datagram::QuotaReturn(_) => {}
             }
         })
         .await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,13 +7,10 @@
 use bytes::Bytes;
 use dw_admit::retry_after;
 use dw_admit::retry_after_limit;
-use dw_admit::retry_after_overload;
 use dw_admit::retry_after_pause;
-use dw_admit::Offer;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_origin::Resume;
-use dw_quarantine::Verdict;
 use dw_retry::AttemptOutcome;
 use dw_retry::NextAction;
 use dw_retry::RetryState;
@@ -37,13 +34,10 @@
 use crate::context::SharedContext;
 use crate::forward::forward;
 use crate::forward::AttemptResult;
-use crate::limits::acquire_permit;
 use crate::origins;
-use crate::quarantine;
-use crate::quarantine::Admission;
-use crate::quarantine::ProbeKind;
+use crate::rules::AttemptRules;
+use crate::rules::Ruling;
 use crate::selection::select_upstream;
-use crate::selection::AttemptPlan;
 use crate::selection::NoUpstream;
 use crate::shared::Shared;
 
@@ -224,11 +218,10 @@
     let mut retry_state =
         RetryState::new(context.route.kind.may_repeat(), context.route.max_attempts);
     let mut exclusions = Exclusions::default();
+    let mut rules = AttemptRules::new(shared, context);
     let mut guard = Some(guard);
-    let mut is_offered = false;
     loop {
-        let now = shared.now();
-        if context.remaining(now) == DurationMs::ZERO {
+        if context.remaining(shared.now()) == DurationMs::ZERO {
             return Err(final_answer(shared, context, &retry_state, "no_time"));
         }
         let plan = match select_upstream(shared, context, &exclusions) {
@@ -237,20 +230,17 @@
                 return Err(final_answer(shared, context, &retry_state, reason))
             }
         };
-        if !std::mem::replace(&mut is_offered, true) {
-            if let Some(answer) = reject_if_overloaded(shared, context, &plan, now) {
-                return Err(answer);
-            }
-        }
-        if let Some(answer) = reject_if_quarantined(shared, context, &retry_state).await {
-            return Err(answer);
-        }
+        let ruling = rules.check(&plan, &retry_state).await;
         exclusions.add(&plan.choice.upstream);
-        if !acquire_permit(shared, context, &plan).await {
-            continue;
+        match ruling {
+            Ruling::Send => {}
+            Ruling::NextUpstream => continue,
+            Ruling::Answer(_) if retry_state.may_have_run() => return Err(GatewayAnswer::Unknown),
+            Ruling::Answer(answer) => return Err(answer),
         }
         let result = forward(shared, context, &plan).await;
         context.attempts.set(context.attempts.get() + 1);
+        rules.record_result(&result);
         let (outcome, failure) = match result {
             AttemptResult::Answer(relay) => return Ok(relay.response(guard.take())),
             AttemptResult::TimedOut => {
@@ -277,81 +267,6 @@
     }
 }
 
-/// Returns the answer to a request that must not be sent, or not be sent again, because upstreams ended
-/// under it or a part of its prompt.
-async fn reject_if_quarantined(
-    shared: &Shared,
-    context: &RequestContext,
-    retry_state: &RetryState,
-) -> Option<GatewayAnswer> {
-    if retry_state.may_have_run() {
-        let may_end_another = quarantine::verdict(shared, context) != Verdict::Clear;
-        return may_end_another.then_some(GatewayAnswer::Unknown);
-    }
-    let admission = match context.probe.get() {
-        Some(ProbeKind::Part) => return None,
-        Some(ProbeKind::Request) if context.attempts.get() == 0 => return None,
-        Some(ProbeKind::Request) | None => quarantine::admit(shared, context).await,
-    };
-    match admission {
-        Admission::Open => None,
-        Admission::Probe(kind) => {
-            context.probe.set(Some(kind));
-            None
-        }
-        Admission::Rejected(rejection) => Some(GatewayAnswer::NotRun {
-            reason: match rejection.kind {
-                ProbeKind::Part => "quarantined_part",
-                ProbeKind::Request => "quarantined_request",
-            },
-            retry_after_ms: retry_after_pause(
-                context.remaining(shared.now()),
-                request_hash(&context.request_head.request_id),
-                rejection.pause_ms,
-            ),
-        }),
-    }
-}
-
-/// Returns the answer to a prompt that is rejected because the service's first tokens are late.
-fn reject_if_overloaded(
-    shared: &Shared,
-    context: &RequestContext,
-    plan: &AttemptPlan,
-    now: TimeMs,
-) -> Option<GatewayAnswer> {
-    plan.choice.weights?;
-    let offer = Offer {
-        priority: context.priority(),
-        tokens: context.request_head.prompt_tokens(),
-        expected_ms: plan.choice.first_token_ms,
-        objective_ms: context.route.objective_ms,
-        point: request_hash(&context.request_head.request_id),
-    };
-    let (before, rank, share) = shared.with_overload(&context.service, |overload| {
-        let before = overload.share();
-        let rank = overload.reject(&offer, now);
-        (before, rank, overload.share())
-    });
-    if (before == 0.0) != (share == 0.0) {
-        log::warn!(
-            service:% = context.service, share_before = before, share;
-            "overload state changed"
-        );
-    }
-    let rank = rank?;
-    log::warn!(
-        request_id = context.request_head.request_id.as_str(), priority = offer.priority, share,
-        tokens = offer.tokens.0, expected_ms = offer.expected_ms.0,
-        objective_ms = offer.objective_ms.0;
-        "request rejected because of overload"
-    );
-    Some(GatewayAnswer::NotRun {
-        reason: "overload",
-        retry_after_ms: retry_after_overload(context.remaining(now), rank),
-    })
-}
-
 fn final_answer(
     shared: &Shared,
     context: &RequestContext,
@@ -407,6 +322,10 @@
 fn log_gateway_answer(shared: &Shared, context: &RequestContext, answer: &GatewayAnswer) {
     let took = shared.now().since(context.arrived);
     shared.metrics.record_gateway_answer(answer);
+    if matches!(answer, GatewayAnswer::OverQuota { .. }) {
+        // Logged with its cause, up to a number of lines per second.
+        return;
+    }
     log::warn!(
         request_id = context.request_head.request_id.as_str(), route = context.route.name.as_str(),
         service:% = context.service, status = answer.status().as_u16(), reason = answer.label(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::origins::Origins;
 use crate::pool::ConnectionPool;
 use crate::quarantine::Quarantine;
+use crate::quotas::Quotas;
 use crate::upstream_end::EndedUpstreams;
 use crate::weights::Weights;
 
@@ -56,6 +57,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: RequestLimits,
+    pub(crate) quotas: Quotas,
     pub(crate) origins: Origins,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
--- a/crates/port/src/request_head.rs
+++ b/crates/port/src/request_head.rs
@@ -23,6 +23,8 @@
     pub prompt: Vec<PromptPart>,
     /// Most tokens of the answer.
     pub output_tokens: Tokens,
+    /// Tokens of the prompt and of the longest answer, as the caller declares them.
+    pub declared_tokens: Option<Tokens>,
     /// Last event that the caller has of the stream which it takes up, if it takes one up.
     pub last_event: Option<String>,
     /// Id of the caller's attempt that brought the first event of this stream.
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,23 @@
+//! Quotas of organisations, counted over all routers.
+//!
+//! | event | action |
+//! | --- | --- |
+//! | [`Requester::denied_until`]: a request arrives | refuses it, if the counter has said until when |
+//! | [`first_counter`]: it is about to be sent | the sidecar to ask |
+//! | [`Counter::ask`]: a question arrives there | [`QuotaResult`](dw_wire::QuotaResult) |
+//! | [`Requester::record`]: the answer, or none in time | allows or refuses the request |
+//! | [`Requester::take_isolated`]: no sidecar is heard | allows or refuses the request by turns |
+//! | [`Counter::give_back`]: a granted request did not run | none; the amount may be granted again |
+
+mod account;
+mod counter;
+mod order;
+mod requester;
+
+pub use counter::Counter;
+pub use counter::LimitChange;
+pub use counter::MAX_OVERLAP_MS;
+pub use order::first_counter;
+pub use requester::Isolated;
+pub use requester::Requester;
+pub use requester::ISOLATED_FRACTION;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use limits::Limits;
 pub use organisation::Organisation;
+pub use organisation::Quota;
 pub use route::Destination;
 pub use route::Kind;
 pub use route::Route;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,9 +1,11 @@
 //! Route table of one configuration version.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use dw_base::ConfigVersion;
+use dw_base::OrgId;
 use dw_base::ServiceId;
 
 use crate::limits::Limits;
@@ -110,6 +112,13 @@
         &self.kv_stores
     }
 
+    /// Returns the organisations with a quota.
+    pub fn limited_organisations(&self) -> HashSet<&OrgId> {
+        let organisations = self.keys.values();
+        let limited = organisations.filter(|organisation| organisation.quota.is_some());
+        limited.map(|organisation| &organisation.org).collect()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -35,6 +35,7 @@
         org: "o".parse().expect("test data is valid"),
         priority: Some(1),
         exclusive: false,
+        quota: None,
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
     };
     RouteTable::new(RouteTableParts {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -18,6 +18,7 @@
 use crate::engine_announcer::EngineAnnouncer;
 use crate::origins;
 use crate::permits;
+use crate::quotas;
 use crate::relay::Relay;
 use crate::relay_announcer::RelayAnnouncer;
 use crate::sidecar::Shared;
@@ -30,6 +31,7 @@
     loop {
         let now = shared.clock.now();
         shared.issuer.borrow_mut().tick(now);
+        quotas::tick(&shared, now);
         shared.origins.borrow_mut().expire(now);
         let own_due = own.announce_due(&shared, now).await;
         let relay_due = relay.announce_due(&shared, now).await;
@@ -98,9 +100,14 @@
                 }
             }
             Datagram::PermitRequest(request) => permits::answer(&shared, from, &request, now),
+            Datagram::QuotaQuestion(question) => quotas::answer(&shared, from, &question, now),
+            Datagram::QuotaReturn(returned) => quotas::give_back(&shared, &returned, now),
             Datagram::OriginRecord(record) => origins::record(&shared, record, now),
             Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
-            Datagram::Kv(_) | Datagram::PermitAnswer(_) | Datagram::OriginAnswer(_) => {}
+            Datagram::Kv(_)
+            | Datagram::PermitAnswer(_)
+            | Datagram::OriginAnswer(_)
+            | Datagram::QuotaAnswer(_) => {}
         }
     })
     .await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod origins;
 mod permits;
+mod quotas;
 mod relay;
 mod relay_announcer;
 mod sidecar;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
 /// Histogram buckets of the duration of phases; loads take from 0.27 s to some seconds.
@@ -31,6 +32,8 @@
     report_s: Histogram,
     phase_s: Family<Label, Histogram, fn() -> Histogram>,
     permits: Family<Label, Counter>,
+    quotas: Family<Label, Counter>,
+    quota_accounts: Gauge,
     sent_bytes: Family<Label, Counter>,
     sent_datagrams: Family<Label, Counter>,
     /// Start of the current phase.
@@ -53,6 +56,16 @@
             reports: metrics.add("reports", "Reports of the engine", Family::default()),
             report_s: metrics.add("report_seconds", call, Histogram::new(REPORT_BUCKETS_S)),
             phase_s: metrics.add("phase_seconds", phases, phase_s),
+            quotas: metrics.add(
+                "quota_questions",
+                "Questions about quotas of organisations by result",
+                Family::default(),
+            ),
+            quota_accounts: metrics.add(
+                "quota_accounts",
+                "Organisations whose quotas this sidecar counts",
+                Gauge::default(),
+            ),
             permits: metrics.add(
                 "permits",
                 "Requests for permits by result",
@@ -97,6 +110,16 @@
         self.permits.get_or_create(&Label { kind }).inc();
     }
 
+    /// Counts a question about a quota by its result, or an amount that was given back.
+    pub(crate) fn record_quota(&self, kind: &'static str) {
+        self.quotas.get_or_create(&Label { kind }).inc();
+    }
+
+    /// Sets the number of organisations whose quotas this sidecar counts.
+    pub(crate) fn set_quota_accounts(&self, accounts: usize) {
+        self.quota_accounts.set(accounts as i64);
+    }
+
     /// Counts a datagram that was sent to several receivers.
     pub(crate) fn record_sent(&self, kind: &'static str, bytes: usize, receivers: usize) {
         let label = Label { kind };
--- a/crates/sidecar/src/permits.rs
+++ b/crates/sidecar/src/permits.rs
@@ -23,8 +23,13 @@
         number: request.number,
         result,
     });
-    match encode(&answer) {
-        Ok(bytes) => forward_datagram(&shared.socket, &[from], &bytes),
+    send_answer(shared, from, &answer);
+}
+
+/// Sends the answer to a question, unless the send buffer is full.
+pub(crate) fn send_answer(shared: &Shared, to: SocketAddr, answer: &Datagram) {
+    match encode(answer) {
+        Ok(bytes) => forward_datagram(&shared.socket, &[to], &bytes),
         Err(e) => log::error!(error:% = e; "cannot encode datagram"),
     }
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -21,6 +21,7 @@
 use dw_port::Engine;
 use dw_port::Feed;
 use dw_port::KvIndex;
+use dw_quota::Counter;
 use dw_telem::Metrics;
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -82,6 +83,8 @@
     pub(crate) relay: RefCell<Relay>,
     /// Issuer of permits of upstreams with a request limit.
     pub(crate) issuer: RefCell<Issuer>,
+    /// Counter of the quotas of organisations.
+    pub(crate) counter: RefCell<Counter>,
     /// Origins of streams that routers have told this sidecar.
     pub(crate) origins: RefCell<OriginKeeper>,
     pub(crate) metrics: SidecarMetrics,
@@ -161,6 +164,7 @@
             data_centre: boot.data_centre.clone(),
             inner_port: boot.inner_ports.0,
             issuer: RefCell::new(Issuer::new(engine, parts.clock.now())),
+            counter: RefCell::new(Counter::new(engine, parts.clock.now())),
             origins: RefCell::default(),
             metrics: SidecarMetrics::new(parts.clock.now()),
             clock: parts.clock,
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -17,6 +17,8 @@
 //! | [`LimitReport`] | router, relay | relays, routers |
 //! | [`PermitRequest`] | router | sidecar that issues the permits of an upstream |
 //! | [`PermitAnswer`] | sidecar | router |
+//! | [`QuotaQuestion`], [`QuotaReturn`] | router | sidecar that counts for an organisation |
+//! | [`QuotaAnswer`] | sidecar | router |
 //! | [`OriginRecord`], [`OriginQuery`] | router | sidecars that keep the origin of a stream |
 //! | [`OriginAnswer`] | sidecar | router |
 
@@ -48,6 +50,9 @@
 use crate::permits::LimitReport;
 use crate::permits::PermitAnswer;
 use crate::permits::PermitRequest;
+use crate::quota::QuotaAnswer;
+use crate::quota::QuotaQuestion;
+use crate::quota::QuotaReturn;
 
 /// Maximum length of a datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 16_384;
@@ -280,4 +285,10 @@
     OriginQuery(OriginQuery),
     /// Answer of a sidecar to a question for the origin of a stream.
     OriginAnswer(OriginAnswer),
+    /// Question of a router whether a request is within the quota of its organisation.
+    QuotaQuestion(QuotaQuestion),
+    /// Answer of a sidecar to such a question.
+    QuotaAnswer(QuotaAnswer),
+    /// What a router gives back of a quota.
+    QuotaReturn(QuotaReturn),
 }
