--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller of a router.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -12,6 +13,12 @@
 
 use crate::site::BOOTSTRAP_TOKEN;
 
+/// Number of times that an operator sends statements while the table is unavailable.
+const MAX_OPERATOR_TRIES: u32 = 20;
+
+/// Pause of an operator before statements are sent again.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(250);
+
 /// One request of a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestHead {
@@ -139,6 +146,20 @@
     ask(admin, &request).await
 }
 
+/// Sends statements as the first operator, again while the answer is that the table was unavailable and
+/// nothing was changed; returns the first other answer, or the last one.
+pub async fn operate_until_available(admin: SocketAddr, body: Value) -> Reply {
+    let mut reply = operate(admin, body.clone()).await;
+    for _ in 1..MAX_OPERATOR_TRIES {
+        if reply.status != 503 || !reply.body.contains("nothing was changed") {
+            break;
+        }
+        tokio::time::sleep(OPERATOR_PAUSE).await;
+        reply = operate(admin, body.clone()).await;
+    }
+    reply
+}
+
 /// Returns the JSON answer to a read of a stand-in, or null if there is none.
 pub async fn get(addr: SocketAddr, path: &str) -> Value {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -14,6 +14,7 @@
 pub use caller::ask;
 pub use caller::get;
 pub use caller::operate;
+pub use caller::operate_until_available;
 pub use caller::Reply;
 pub use caller::RequestHead;
 pub use check::check_once;
