quota: mend takeovers, versions, denials and repeated questions

Cause: a counter that was first again, or had been cut off, kept an account that was refilled while another one counted; the newest version of the configuration counted for ever; a denial refused requests that the counter would grant; a repeated question took the amount twice, and one whose request was dropped kept it. Change: accounts are dropped when a process appears that counts or has counted; new ones begin one second after the change and grant no debts for a window; an older version counts once the newer one is not named for 5 s; denials apply to the same urgency, quota and no smaller amounts, for at most 1 s, and name the true time; questions keep their number when they are repeated and are withdrawn when they get no answer; turns of routers without a counter depend on the amount.

--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -33,21 +33,29 @@
         }
     }
 
-    /// Asks the sidecar beside an engine; returns nothing if it does not answer in time.
+    /// Begins a question, which may be sent more than once.
+    pub(crate) fn begin(&self) -> Question<'_, T> {
+        let number = self.next_number.get();
+        self.next_number.set(number.wrapping_add(1));
+        let (sender, receiver) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, sender);
+        Question {
+            questions: self,
+            number,
+            receiver,
+        }
+    }
+
+    /// Asks the sidecar beside an engine once; returns nothing if it does not answer in time.
     pub(crate) async fn ask(
         &self,
         engine: SocketAddr,
         timeout_ms: DurationMs,
         question: impl FnOnce(u32) -> Datagram,
     ) -> Option<T> {
-        let number = self.next_number.get();
-        self.next_number.set(number.wrapping_add(1));
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().insert(number, sender);
-        send_datagram(&self.socket, self.sidecar(engine), &question(number)).await;
-        let answer = timeout(timeout_ms.into(), receiver).await;
-        self.pending.borrow_mut().remove(&number);
-        answer.ok()?.ok()
+        let mut asked = self.begin();
+        let datagram = question(asked.number);
+        asked.ask(engine, timeout_ms, &datagram).await
     }
 
     /// Passes an answer on to the request that waits for it; returns whether one still waits.
@@ -70,3 +78,33 @@
         SocketAddr::new(engine.ip(), self.inner_port)
     }
 }
+
+/// A question that waits for an answer until it is dropped.
+pub(crate) struct Question<'a, T> {
+    questions: &'a Questions<T>,
+    /// Number that the answer repeats.
+    pub(crate) number: u32,
+    receiver: oneshot::Receiver<T>,
+}
+
+impl<T> Question<'_, T> {
+    /// Sends the question to the sidecar beside an engine; returns nothing if no answer arrives in time, be
+    /// it to this datagram or an earlier one.
+    pub(crate) async fn ask(
+        &mut self,
+        engine: SocketAddr,
+        timeout_ms: DurationMs,
+        question: &Datagram,
+    ) -> Option<T> {
+        let to = self.questions.sidecar(engine);
+        send_datagram(&self.questions.socket, to, question).await;
+        let answer = timeout(timeout_ms.into(), &mut self.receiver).await;
+        answer.ok()?.ok()
+    }
+}
+
+impl<T> Drop for Question<'_, T> {
+    fn drop(&mut self) {
+        self.questions.pending.borrow_mut().remove(&self.number);
+    }
+}
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -8,31 +8,27 @@
 use dw_admit::retry_after_limit;
 use dw_base::DurationMs;
 use dw_base::OrgId;
-use dw_base::QuotaAmount;
-use dw_base::QuotaLimit;
 use dw_base::TimeMs;
 use dw_fleet::router_hash;
 use dw_quota::first_counter;
+use dw_quota::Claim;
 use dw_quota::Isolated;
 use dw_quota::Requester;
 use dw_wire::Datagram;
 use dw_wire::QuotaAnswer;
-use dw_wire::QuotaQuestion;
 use dw_wire::QuotaResult;
-use dw_wire::QuotaReturn;
 use tokio::net::UdpSocket;
 
 use crate::answer::GatewayAnswer;
 use crate::context::RequestContext;
+use crate::questions::Question;
 use crate::questions::Questions;
 use crate::request::request_hash;
 use crate::shared::Shared;
 
-/// Time that a request waits for a counter's answer before it asks once more or takes a turn.
-const ANSWER_TIMEOUT_MS: DurationMs = DurationMs(40);
-
-/// Number of times that a request asks, as single datagrams are lost.
-const MAX_QUESTIONS: u32 = 2;
+/// Times that a request waits for a counter's answer before it asks once more, and before it takes a turn:
+/// single datagrams are lost, and a slow sidecar answers late.
+const ANSWER_TIMEOUTS_MS: [DurationMs; 2] = [DurationMs(40), DurationMs(80)];
 
 /// Quotas as this gateway knows them.
 pub(crate) struct Quotas {
@@ -51,7 +47,7 @@
 
     /// Passes the answer of a counter on to the request that waits for it.
     pub(crate) fn record_answer(&self, answer: QuotaAnswer) {
-        // The amount is lost to the organisation if the request has given up: it may have asked again.
+        // A request that has given up has withdrawn its question.
         self.questions.record_answer(answer.number, answer.result);
     }
 
@@ -62,37 +58,17 @@
     }
 }
 
-/// What a request uses of a quota.
-#[derive(Clone, Debug)]
-struct Claim {
-    org: OrgId,
-    limit: QuotaLimit,
-    amount: QuotaAmount,
-    urgency: u8,
-}
-
-impl Claim {
-    fn new(context: &RequestContext) -> Option<Self> {
-        let organisation = context.organisation.as_ref()?;
-        let quota = organisation.quota.as_ref()?;
-        Some(Claim {
-            org: organisation.org.clone(),
-            limit: quota.limit,
-            amount: quota.amount(context.request_head.declared_tokens),
-            // The priority of the organisation is the same for all of its requests.
-            urgency: context.route.priority,
-        })
-    }
-
-    fn question(&self, number: u32) -> Datagram {
-        Datagram::QuotaQuestion(QuotaQuestion {
-            number,
-            org: self.org.clone(),
-            limit: self.limit,
-            amount: self.amount,
-            urgency: self.urgency,
-        })
-    }
+/// Returns what a request uses of its organisation's quota, if there is one.
+fn claim(context: &RequestContext) -> Option<Claim> {
+    let organisation = context.organisation.as_ref()?;
+    let quota = organisation.quota.as_ref()?;
+    Some(Claim {
+        org: organisation.org.clone(),
+        limit: quota.limit,
+        amount: quota.amount(context.request_head.declared_tokens),
+        // The priority of the organisation is the same for all of its requests.
+        urgency: context.route.priority,
+    })
 }
 
 /// What a request may use of its organisation's quota for one try.
@@ -109,7 +85,7 @@
     pub(crate) fn new(shared: &Rc<Shared>, context: &RequestContext) -> Self {
         Grant {
             shared: shared.clone(),
-            claim: Claim::new(context),
+            claim: claim(context),
             is_held: false,
         }
     }
@@ -164,59 +140,95 @@
             return;
         };
         if let Some(counter) = counter(&self.shared, &claim.org) {
-            let returned = Datagram::QuotaReturn(QuotaReturn {
-                org: claim.org,
-                amount: claim.amount,
-            });
+            let returned = Datagram::QuotaReturn(claim.give_back(None));
             self.shared.quotas.questions.tell(counter, &returned);
         }
     }
 }
 
+/// A question to counters that is withdrawn unless it is answered: the request has been dropped or goes on
+/// without the answer, which may say that the amount is granted.
+struct Asking<'a> {
+    shared: &'a Shared,
+    claim: &'a Claim,
+    question: Question<'a, QuotaResult>,
+    unanswered: Vec<SocketAddr>,
+}
+
+impl<'a> Asking<'a> {
+    fn new(shared: &'a Shared, claim: &'a Claim) -> Self {
+        Asking {
+            shared,
+            claim,
+            question: shared.quotas.questions.begin(),
+            unanswered: Vec::new(),
+        }
+    }
+
+    async fn ask(&mut self, counter: SocketAddr, timeout_ms: DurationMs) -> Option<QuotaResult> {
+        if !self.unanswered.contains(&counter) {
+            self.unanswered.push(counter);
+        }
+        let datagram = Datagram::QuotaQuestion(self.claim.question(self.question.number));
+        let answer = self.question.ask(counter, timeout_ms, &datagram).await?;
+        self.unanswered.clear();
+        Some(answer)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        for counter in &self.unanswered {
+            let withdrawn = self.claim.give_back(Some(self.question.number));
+            let datagram = Datagram::QuotaReturn(withdrawn);
+            self.shared.quotas.questions.tell(*counter, &datagram);
+        }
+    }
+}
+
 /// Asks whether a claim is within the quota; otherwise returns the time to wait.
 async fn ask(shared: &Shared, claim: &Claim) -> Result<(), DurationMs> {
     let quotas = &shared.quotas;
     let now = shared.now();
-    let denied_until = quotas
-        .requester
-        .borrow()
-        .denied_until(&claim.org, claim.urgency, now);
+    let denied_until = quotas.requester.borrow().denied_until(claim, now);
     if let Some(until) = denied_until {
         shared.metrics.record_quota("denied_before");
         return Err(until.since(now));
     }
-    for _ in 0..MAX_QUESTIONS {
-        let Some(counter) = counter(shared, &claim.org) else {
-            break;
-        };
-        let answer = quotas
-            .questions
-            .ask(counter, ANSWER_TIMEOUT_MS, |number| claim.question(number))
-            .await;
-        shared
-            .metrics
-            .record_quota(answer.map_or("no_answer", QuotaResult::label));
-        match answer {
-            Some(QuotaResult::NotCounter) => break,
-            Some(result) => {
-                let now = shared.now();
-                let mut requester = quotas.requester.borrow_mut();
-                return requester.record(&claim.org, claim.urgency, result, now);
-            }
-            None => {}
+    match ask_counter(shared, claim).await {
+        None | Some(QuotaResult::NotCounter) => take_isolated(shared, claim, shared.now()),
+        Some(result) => {
+            let now = shared.now();
+            quotas.requester.borrow_mut().record(claim, result, now)
+        }
+    }
+}
+
+/// Returns the answer of the counter, or nothing if none is heard or answers in time.
+async fn ask_counter(shared: &Shared, claim: &Claim) -> Option<QuotaResult> {
+    let mut asking = Asking::new(shared, claim);
+    for timeout_ms in ANSWER_TIMEOUTS_MS {
+        let counter = counter(shared, &claim.org)?;
+        let answer = asking.ask(counter, timeout_ms).await;
+        let label = answer.map_or("no_answer", QuotaResult::label);
+        shared.metrics.record_quota(label);
+        if answer.is_some() {
+            return answer;
+        }
+        if shared.metrics.may_log_denial(shared.now()) {
+            log::info!(org:% = claim.org, counter:%; "counter of a quota does not answer");
         }
     }
-    take_isolated(shared, claim, shared.now())
+    None
 }
 
 fn take_isolated(shared: &Shared, claim: &Claim, now: TimeMs) -> Result<(), DurationMs> {
     let share = Isolated {
-        limit: claim.limit,
         routers: shared.view.borrow().last_known_routers(),
         router_hash: router_hash(&shared.boot().node),
     };
     let mut requester = shared.quotas.requester.borrow_mut();
-    let taken = requester.take_isolated(&claim.org, claim.amount, &share, now);
+    let taken = requester.take_isolated(claim, &share, now);
     let result = match taken {
         Ok(()) => "isolated",
         Err(_) => "isolated_denied",
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -27,10 +27,21 @@
 const LESS_URGENT_FRACTION: f64 = 0.1;
 
 /// Part of the burst below zero down to which less urgent requests use that part of the rate.
-const LESS_URGENT_DEBT_FRACTION: f64 = 0.25;
+const LESS_URGENT_DEBT_FRACTION: f64 = 0.1;
 
-/// Longest time after which a denied request may ask again, as the quota may have risen.
-const MAX_DENIAL_MS: u64 = 2_000;
+/// Time for which an account that begins grants no debts: the debt that another process may have granted is
+/// then no longer in the same window as one granted here.
+const NO_DEBT_MS: DurationMs = DurationMs(8_000);
+
+/// Rate covered by what is saved up meanwhile for a request that is larger than the burst.
+const MAX_SAVING_MS: f64 = 2_000.0;
+
+/// Time for which a version of the configuration must not have been named before an older one counts: the
+/// store has come back from a copy if no router knows the version any more.
+const LIMIT_LAPSE_MS: DurationMs = DurationMs(5_000);
+
+/// Longest wait that is named.
+const MAX_WAIT_MS: f64 = 60_000.0;
 
 /// Amounts that an organisation may still use.
 ///
@@ -39,6 +50,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Account {
     limit: QuotaLimit,
+    /// When the version of the configuration that holds it was last named.
+    named_at: TimeMs,
     balance: f64,
     /// What less urgent requests may use while urgent ones use up the balance.
     less_urgent: f64,
@@ -46,33 +59,50 @@
     demand: [f64; URGENCIES],
     /// From when on the balance may become negative.
     debt_from: TimeMs,
+    /// Largest request since the account began, until then.
+    saved_for: f64,
     pub(crate) asked_at: TimeMs,
 }
 
 impl Account {
-    /// Creates the account of an organisation of which nothing was granted since `since`.
-    pub(crate) fn new(limit: QuotaLimit, since: TimeMs, debt_from: TimeMs) -> Self {
+    /// Creates the account of an organisation of which nothing was granted since `since`, or nothing will
+    /// be until then.
+    pub(crate) fn new(limit: QuotaLimit, since: TimeMs, now: TimeMs) -> Self {
         Account {
             limit,
+            named_at: now,
             balance: 0.0,
             less_urgent: 0.0,
             updated: since,
             demand: [0.0; URGENCIES],
-            debt_from,
-            asked_at: since,
+            debt_from: since + NO_DEBT_MS,
+            saved_for: 0.0,
+            asked_at: now,
         }
     }
 
-    /// Returns the quota in force.
-    pub(crate) fn limit(&self) -> QuotaLimit {
-        self.limit
-    }
-
-    /// Replaces the quota by that of a newer configuration.
-    pub(crate) fn set_limit(&mut self, limit: QuotaLimit, now: TimeMs) {
+    /// Takes note of the quota that a router names; returns the one before if another is in force now.
+    pub(crate) fn update_limit(&mut self, limit: QuotaLimit, now: TimeMs) -> Option<QuotaLimit> {
+        let is_older = limit.version < self.limit.version;
+        if is_older && now.since(self.named_at) < LIMIT_LAPSE_MS {
+            return None;
+        }
+        self.named_at = now;
+        let before = std::mem::replace(&mut self.limit, limit);
+        let is_same = (limit.rate, limit.burst) == (before.rate, before.burst);
+        if is_same {
+            return None;
+        }
+        self.limit = before;
         self.refill(now);
         self.limit = limit;
+        // A debt takes as long to pay as before, as it was small in proportion to the higher quota.
+        let ratio = (limit.rate.per_s() / before.rate.per_s().max(f64::MIN_POSITIVE)).min(1.0);
+        for amount in [&mut self.balance, &mut self.less_urgent] {
+            *amount = amount.max(*amount * ratio);
+        }
         self.balance = self.balance.min(self.burst());
+        Some(before)
     }
 
     /// Takes the amount of a request, or returns the time after which one of its urgency is granted.
@@ -82,28 +112,29 @@
         urgency: u8,
         now: TimeMs,
     ) -> Result<(), DurationMs> {
+        let amount = amount.0 as f64;
+        self.saved_for = self.saved_for.max(amount);
         self.refill(now);
         self.asked_at = now;
         let urgency = usize::from(urgency).min(URGENCIES - 1);
-        self.demand[urgency] += amount.0 as f64;
+        self.demand[urgency] += amount;
         let reserve = self.reserve(urgency);
-        let amount = amount.0 as f64;
-        let needed = match now < self.debt_from {
-            true => reserve + amount,
-            false => reserve,
+        let may_owe = now >= self.debt_from;
+        let needed = match may_owe {
+            true => reserve,
+            false => (reserve + amount).min(self.capacity(now)),
         };
-        if self.balance > needed {
+        if self.balance > needed || (!may_owe && self.balance >= needed && needed > 0.0) {
             self.balance -= amount;
             return Ok(());
         }
         let least = -self.burst() * LESS_URGENT_DEBT_FRACTION;
-        if reserve > 0.0 && self.less_urgent > 0.0 && self.balance > least && now >= self.debt_from
-        {
+        if reserve > 0.0 && self.less_urgent > 0.0 && self.balance > least && may_owe {
             self.balance -= amount;
             self.less_urgent -= amount;
             return Ok(());
         }
-        Err(self.wait_ms(needed, reserve > 0.0))
+        Err(self.wait_ms(needed, reserve > 0.0, now))
     }
 
     /// Adds an amount that was taken but not used.
@@ -120,12 +151,22 @@
         (self.limit.burst.0 as f64).max(self.rate_per_ms() * MIN_BURST_MS)
     }
 
+    /// Returns how much can be saved up.
+    fn capacity(&self, now: TimeMs) -> f64 {
+        let saved = match now < self.debt_from {
+            true => self.saved_for.min(self.rate_per_ms() * MAX_SAVING_MS),
+            false => 0.0,
+        };
+        self.burst().max(saved)
+    }
+
     fn refill(&mut self, now: TimeMs) {
         let passed_ms = now.since(self.updated).0 as f64;
+        let capacity = self.capacity(now);
         self.updated = self.updated.max(now);
         let added = passed_ms * self.rate_per_ms();
         let burst = self.burst();
-        self.balance = (self.balance + added).min(burst);
+        self.balance = (self.balance + added).min(capacity);
         let most = burst * LESS_URGENT_FRACTION;
         self.less_urgent = (self.less_urgent + added * LESS_URGENT_FRACTION).min(most);
         let decay = (-passed_ms / DEMAND_DECAY_MS).exp();
@@ -141,14 +182,18 @@
         recent.min(self.burst() * MAX_RESERVE_FRACTION)
     }
 
-    fn wait_ms(&self, needed: f64, is_less_urgent: bool) -> DurationMs {
+    fn wait_ms(&self, needed: f64, is_less_urgent: bool, now: TimeMs) -> DurationMs {
         let rate = self.rate_per_ms();
+        if rate == 0.0 {
+            return DurationMs(MAX_WAIT_MS as u64);
+        }
         let mut wait_ms = (needed - self.balance) / rate;
-        if is_less_urgent {
+        if is_less_urgent && now >= self.debt_from {
             let share_ms = -self.less_urgent / (rate * LESS_URGENT_FRACTION);
             let least = -self.burst() * LESS_URGENT_DEBT_FRACTION;
             wait_ms = wait_ms.min(share_ms.max((least - self.balance) / rate));
         }
-        DurationMs((wait_ms.max(0.0) as u64 + 1).min(MAX_DENIAL_MS))
+        let begins_ms = self.updated.since(now);
+        begins_ms + DurationMs(wait_ms.clamp(0.0, MAX_WAIT_MS) as u64 + 1)
     }
 }
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -12,7 +12,9 @@
 use dw_wire::QuotaReturn;
 
 use crate::account::Account;
+use crate::order::counters;
 use crate::order::first_counter;
+use crate::recent_grants::RecentGrants;
 
 /// Longest time between two calls of [`Counter::tick`] of a process that was not stopped meanwhile.
 const MAX_TICK_GAP_MS: DurationMs = DurationMs(1_500);
@@ -48,6 +50,7 @@
     /// Since when the same processes are live.
     unchanged_since: TimeMs,
     ticked_at: TimeMs,
+    recent_grants: RecentGrants,
 }
 
 impl Counter {
@@ -59,18 +62,40 @@
             live: vec![own],
             unchanged_since: now,
             ticked_at: now,
+            recent_grants: RecentGrants::default(),
         }
     }
 
     /// Takes note of the live processes, this one included; must be called at least every second.
-    pub fn tick(&mut self, live: Vec<SocketAddr>, now: TimeMs) {
+    ///
+    /// Returns the number of accounts that were dropped because another process counts, or may have.
+    pub fn tick(&mut self, live: Vec<SocketAddr>, now: TimeMs) -> usize {
+        let before = self.accounts.len();
         self.restart_after_gap(now);
         if live != self.live {
-            self.live = live;
+            let old = std::mem::replace(&mut self.live, live);
             self.unchanged_since = now;
+            self.drop_moved(&old);
         }
+        let dropped = before - self.accounts.len();
         self.accounts
             .retain(|_, account| now.since(account.asked_at) < IDLE_EXPIRY_MS);
+        self.recent_grants.expire(now);
+        dropped
+    }
+
+    /// Drops the accounts for which a process that has become live counts, and those for which it comes
+    /// second: it has counted for them if it did not hear this one.
+    fn drop_moved(&mut self, old: &[SocketAddr]) {
+        let is_new = |addr: &SocketAddr| !old.contains(addr);
+        if !self.live.iter().any(is_new) {
+            return;
+        }
+        let (own, live) = (self.own, &self.live);
+        self.accounts.retain(|org, _| {
+            let [first, second] = counters(org, live.iter().copied());
+            first == Some(own) && !second.as_ref().is_some_and(is_new)
+        });
     }
 
     /// Drops all accounts if this process was stopped, as another has counted meanwhile.
@@ -82,17 +107,16 @@
         self.ticked_at = now;
     }
 
-    /// Decides about a request, and returns a change of the quota for the log.
+    /// Decides about a request of the router at `from`, and returns a change of the quota for the log.
     pub fn ask(
         &mut self,
+        from: SocketAddr,
         question: &QuotaQuestion,
         now: TimeMs,
     ) -> (QuotaResult, Option<LimitChange>) {
         self.restart_after_gap(now);
-        let first = first_counter(&question.org, self.live.iter().copied());
-        if first != Some(self.own) {
-            self.accounts.remove(&question.org);
-            return (QuotaResult::NotCounter, None);
+        if self.recent_grants.contains(from, question.number) {
+            return (QuotaResult::Granted, None);
         }
         let Some((account, change)) = self.account(question, now) else {
             return (QuotaResult::NotCounter, None);
@@ -101,11 +125,19 @@
             Ok(()) => QuotaResult::Granted,
             Err(wait_ms) => QuotaResult::Denied(wait_ms),
         };
+        if result == QuotaResult::Granted {
+            self.recent_grants.insert(from, question.number, now);
+        }
         (result, change)
     }
 
-    /// Takes back what was granted to a request that did not run.
-    pub fn give_back(&mut self, returned: &QuotaReturn, now: TimeMs) {
+    /// Takes back what was granted to a request that did not run, or that did not get the answer.
+    pub fn give_back(&mut self, from: SocketAddr, returned: &QuotaReturn, now: TimeMs) {
+        if let Some(number) = returned.number {
+            if !self.recent_grants.remove(from, number) {
+                return;
+            }
+        }
         if let Some(account) = self.accounts.get_mut(&returned.org) {
             account.give_back(returned.amount, now);
         }
@@ -122,30 +154,26 @@
         now: TimeMs,
     ) -> Option<(&mut Account, Option<LimitChange>)> {
         let limit = question.limit;
-        if !self.accounts.contains_key(&question.org) {
-            if self.accounts.len() >= MAX_ACCOUNTS {
-                return None;
-            }
-            let since = self.unchanged_since;
-            let account = Account::new(limit, since, since + MAX_OVERLAP_MS);
-            self.accounts.insert(question.org.clone(), account);
-            let change = LimitChange {
-                before: None,
+        // Accounts exist only where this process comes first.
+        if self.accounts.contains_key(&question.org) {
+            let account = self.accounts.get_mut(&question.org)?;
+            let before = account.update_limit(limit, now);
+            let change = before.map(|before| LimitChange {
+                before: Some(before),
                 after: limit,
-            };
-            return Some((self.accounts.get_mut(&question.org)?, Some(change)));
+            });
+            return Some((account, change));
         }
-        let account = self.accounts.get_mut(&question.org)?;
-        let before = account.limit();
-        let is_newer = limit.version > before.version
-            && (limit.rate, limit.burst) != (before.rate, before.burst);
-        if is_newer {
-            account.set_limit(limit, now);
+        let first = first_counter(&question.org, self.live.iter().copied());
+        if first != Some(self.own) || self.accounts.len() >= MAX_ACCOUNTS {
+            return None;
         }
-        let change = is_newer.then_some(LimitChange {
-            before: Some(before),
+        let account = Account::new(limit, self.unchanged_since + MAX_OVERLAP_MS, now);
+        let change = LimitChange {
+            before: None,
             after: limit,
-        });
-        Some((account, change))
+        };
+        let account = self.accounts.entry(question.org.clone()).or_insert(account);
+        Some((account, Some(change)))
     }
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -7,13 +7,16 @@
 //! | [`Counter::ask`]: a question arrives there | [`QuotaResult`](dw_wire::QuotaResult) |
 //! | [`Requester::record`]: the answer, or none in time | allows or refuses the request |
 //! | [`Requester::take_isolated`]: no sidecar is heard | allows or refuses the request by turns |
-//! | [`Counter::give_back`]: a granted request did not run | none; the amount may be granted again |
+//! | [`Counter::give_back`]: a granted request did not run, or a question got no answer | none; the amount may be granted again |
 
 mod account;
+mod claim;
 mod counter;
 mod order;
+mod recent_grants;
 mod requester;
 
+pub use claim::Claim;
 pub use counter::Counter;
 pub use counter::LimitChange;
 pub use counter::MAX_OVERLAP_MS;
--- a/crates/quota/src/requester.rs
+++ b/crates/quota/src/requester.rs
@@ -9,8 +9,10 @@
 use dw_base::TimeMs;
 use dw_wire::QuotaResult;
 
+use crate::claim::Claim;
+
 /// Part of its equal share that a router uses while no counter answers it.
-pub const ISOLATED_FRACTION: f64 = 0.25;
+pub const ISOLATED_FRACTION: f64 = 0.05;
 
 /// Shortest time after which a request that found no counter and no turn may come back.
 const MIN_ISOLATED_WAIT_MS: DurationMs = DurationMs(200);
@@ -21,26 +23,35 @@
 /// Time for which a turn that is not used stays valid.
 const TURN_MS: DurationMs = DurationMs(1_000);
 
-/// Number of urgencies; 0 is the most urgent.
-const URGENCIES: usize = 10;
+/// Longest time for which a denial is applied without another question: others may have given something
+/// back, or the quota may have been raised.
+const MAX_CACHED_DENIAL_MS: DurationMs = DurationMs(1_000);
 
-/// A router's use of a quota without a counter.
+/// A router's place among those that use a quota without a counter.
 #[derive(Clone, Copy, Debug)]
 pub struct Isolated {
-    /// Quota.
-    pub limit: QuotaLimit,
     /// Number of routers that share it, as last known; 0 if it was never known.
     pub routers: u32,
     /// Hash of the router's name, uniformly distributed.
     pub router_hash: u32,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+/// Answer of a counter to requests of one urgency.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    urgency: u8,
+    /// Least amount that is denied.
+    amount: QuotaAmount,
+    limit: QuotaLimit,
+    until: TimeMs,
+    ask_again: TimeMs,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Asked {
-    /// Until when requests of each urgency are denied.
-    denied_until: [TimeMs; URGENCIES],
-    /// When this router has its next turn without a counter.
-    next_turn: TimeMs,
+    denials: Vec<Denial>,
+    /// When the time to this router's next turn without a counter begins.
+    turn_from: Option<TimeMs>,
 }
 
 /// What a router knows of the answers of the counters.
@@ -50,21 +61,29 @@
 }
 
 impl Requester {
-    /// Returns until when a request of this urgency is denied, if that is known.
-    pub fn denied_until(&self, org: &OrgId, urgency: u8, now: TimeMs) -> Option<TimeMs> {
-        let until = self.asked.get(org)?.denied_until[index(urgency)];
-        (now < until).then_some(until)
+    /// Returns until when a request is denied, if that is known.
+    ///
+    /// Less urgent requests have a part of the quota of their own, so that the denial of an urgent one does
+    /// not apply to them.
+    pub fn denied_until(&self, claim: &Claim, now: TimeMs) -> Option<TimeMs> {
+        let denials = &self.asked.get(&claim.org)?.denials;
+        let denial = denials.iter().find(|denial| {
+            denial.urgency == claim.urgency
+                && denial.amount <= claim.amount
+                && denial.limit == claim.limit
+                && now < denial.until.min(denial.ask_again)
+        });
+        denial.map(|denial| denial.until)
     }
 
-    /// Records the answer of a counter; returns the time to wait if the request may not be sent.
+    /// Records the answer of a counter.
     ///
     /// # Errors
     ///
-    /// Returns the time after which a request of this urgency may be sent.
+    /// Returns the time after which a request like this one may be sent.
     pub fn record(
         &mut self,
-        org: &OrgId,
-        urgency: u8,
+        claim: &Claim,
         result: QuotaResult,
         now: TimeMs,
     ) -> Result<(), DurationMs> {
@@ -73,46 +92,55 @@
             QuotaResult::Denied(wait_ms) => wait_ms,
             QuotaResult::NotCounter => return Err(MIN_ISOLATED_WAIT_MS),
         };
-        // Less urgent requests are granted no sooner.
-        let asked = self.asked.entry(org.clone()).or_default();
-        for until in &mut asked.denied_until[index(urgency)..] {
-            *until = (*until).max(now + wait_ms);
-        }
+        let denials = &mut self.asked.entry(claim.org.clone()).or_default().denials;
+        denials.retain(|denial| denial.urgency != claim.urgency);
+        denials.push(Denial {
+            urgency: claim.urgency,
+            amount: claim.amount,
+            limit: claim.limit,
+            until: now + wait_ms,
+            ask_again: now + MAX_CACHED_DENIAL_MS,
+        });
         Err(wait_ms)
     }
 
     /// Decides without a counter.
     ///
-    /// The routers take turns, each as far apart as its part of its share needs to cover the last
-    /// request, and an unused turn lapses: requests that hundreds of routers saved up would be more than a
-    /// small quota allows.
+    /// The routers take turns, as far apart as their part of the share needs to cover the request, and a
+    /// turn that is not used lapses: requests that hundreds of routers saved up would be more than a small
+    /// quota allows. The time to a turn depends on the request, as all routers may send a long one after a
+    /// short one.
     ///
     /// # Errors
     ///
     /// Returns the time after which the request may come back.
     pub fn take_isolated(
         &mut self,
-        org: &OrgId,
-        amount: QuotaAmount,
+        claim: &Claim,
         share: &Isolated,
         now: TimeMs,
     ) -> Result<(), DurationMs> {
-        if share.routers == 0 || share.limit.rate.0 == 0 {
+        if share.routers == 0 || claim.limit.rate.0 == 0 {
             return Err(MIN_ISOLATED_WAIT_MS);
         }
-        let rate_per_ms = share.limit.rate.per_s() * ISOLATED_FRACTION / 1_000.0;
-        let interval_ms = amount.0 as f64 * f64::from(share.routers) / rate_per_ms;
-        let asked = self.asked.entry(org.clone()).or_default();
-        if now >= asked.next_turn + TURN_MS {
-            let place = f64::from(share.router_hash) / f64::from(u32::MAX);
-            asked.next_turn = now + DurationMs((interval_ms * place).ceil() as u64);
-        }
-        if now >= asked.next_turn {
-            asked.next_turn = now + DurationMs(interval_ms.ceil() as u64);
+        let rate_per_ms = claim.limit.rate.per_s() * ISOLATED_FRACTION / 1_000.0;
+        let interval_ms = claim.amount.0 as f64 * f64::from(share.routers) / rate_per_ms;
+        let place = f64::from(share.router_hash) / f64::from(u32::MAX);
+        let to_turn_ms = DurationMs((interval_ms * place).ceil() as u64);
+        let asked = self.asked.entry(claim.org.clone()).or_default();
+        let from = asked
+            .turn_from
+            .filter(|from| now < *from + to_turn_ms + TURN_MS);
+        let turn = from.unwrap_or(now) + to_turn_ms;
+        if now >= turn {
+            let rest_ms = DurationMs((interval_ms * (1.0 - place)).ceil() as u64);
+            asked.turn_from = Some(now + rest_ms);
             return Ok(());
         }
-        let wait_ms = asked.next_turn.since(now);
-        Err(wait_ms.clamp(MIN_ISOLATED_WAIT_MS, MAX_ISOLATED_WAIT_MS))
+        asked.turn_from = Some(from.unwrap_or(now));
+        Err(turn
+            .since(now)
+            .clamp(MIN_ISOLATED_WAIT_MS, MAX_ISOLATED_WAIT_MS))
     }
 
     /// Removes the state of organisations for which `keep` returns false.
@@ -120,7 +148,3 @@
         self.asked.retain(|org, _| keep(org));
     }
 }
-
-fn index(urgency: u8) -> usize {
-    usize::from(urgency).min(URGENCIES - 1)
-}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -101,7 +101,7 @@
             }
             Datagram::PermitRequest(request) => permits::answer(&shared, from, &request, now),
             Datagram::QuotaQuestion(question) => quotas::answer(&shared, from, &question, now),
-            Datagram::QuotaReturn(returned) => quotas::give_back(&shared, &returned, now),
+            Datagram::QuotaReturn(returned) => quotas::give_back(&shared, from, &returned, now),
             Datagram::OriginRecord(record) => origins::record(&shared, record, now),
             Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
             Datagram::Kv(_)
--- a/crates/sidecar/src/quotas.rs
+++ b/crates/sidecar/src/quotas.rs
@@ -21,13 +21,16 @@
     let mut live: Vec<SocketAddr> = live.into_iter().filter(is_live).collect();
     live.sort_unstable();
     let mut counter = shared.counter.borrow_mut();
-    counter.tick(live, now);
+    let dropped = counter.tick(live, now);
+    if dropped > 0 {
+        log::info!(dropped; "other sidecars count the quotas of organisations");
+    }
     shared.metrics.set_quota_accounts(counter.accounts());
 }
 
 /// Answers whether a request is within the quota of its organisation.
 pub(crate) fn answer(shared: &Shared, from: SocketAddr, question: &QuotaQuestion, now: TimeMs) {
-    let (result, change) = shared.counter.borrow_mut().ask(question, now);
+    let (result, change) = shared.counter.borrow_mut().ask(from, question, now);
     if let Some(change) = change {
         let limit = change.after;
         log::info!(
@@ -45,8 +48,8 @@
     send_answer(shared, from, &Datagram::QuotaAnswer(answer));
 }
 
-/// Takes back what was granted to a request that did not run.
-pub(crate) fn give_back(shared: &Shared, returned: &QuotaReturn, now: TimeMs) {
-    shared.counter.borrow_mut().give_back(returned, now);
+/// Takes back what was granted to a request that did not run or got no answer.
+pub(crate) fn give_back(shared: &Shared, from: SocketAddr, returned: &QuotaReturn, now: TimeMs) {
+    shared.counter.borrow_mut().give_back(from, returned, now);
     shared.metrics.record_quota("returned");
 }
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -53,11 +53,13 @@
     pub result: QuotaResult,
 }
 
-/// Gives back what was granted to a request that did not run.
+/// Gives back what was granted to a request that did not run, or withdraws a question.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuotaReturn {
     /// Organisation.
     pub org: OrgId,
     /// Amount that was granted.
     pub amount: QuotaAmount,
+    /// Number of the question if its answer did not arrive; the amount is given back only if it was granted.
+    pub number: Option<u32>,
 }
