quota: test quotas of fleets in virtual time

Cause: no test played counters that end, freeze, are cut off or overlap, changes of the quota, or the sum of the excess. Change: a fleet of 25, 45 and 340 routers in virtual time at the figures of the deployments; a sum of the named parts of the excess. Ruled out: independent arrivals at exactly the quota, of which a bucket of one second itself refuses some.

--- /dev/null
+++ b/crates/quota/tests/quota/calm.rs
@@ -0,0 +1,89 @@
+//! What is served below a quota and at it.
+
+use crate::data::limit;
+use crate::fleet::allowed;
+use crate::fleet::Fleet;
+
+/// Requests of the deployments: short urgent ones and long less urgent ones.
+const MIXED: [(u64, u8, f64); 2] = [(2_400, 0, 0.6), (12_000, 1, 0.4)];
+
+/// Guards against requests that are refused although the quota allows them, for want of a message, and
+/// against more than the quota.
+#[test]
+fn quota_is_served_in_calm() {
+    for routers in [25, 45, 340] {
+        for (rate, seed) in [(709_743, 1), (36_000, 2)] {
+            let limit = limit(1, rate, rate);
+            let mut fleet = Fleet::new(seed, (routers, 12), &[limit]);
+            fleet.is_even = true;
+            let from = fleet.now;
+            fleet.run(40_000, &[(rate as f64, &MIXED)]);
+            let quota = (rate * 40).min(fleet.asked);
+            let part = fleet.served(0, from) as f64 / quota as f64;
+            assert!(part >= 0.97, "{routers} routers, {rate}: {part:.3} served");
+            // Independent arrivals at a higher rate use the quota up too.
+            fleet.is_even = false;
+            fleet.run(2_000, &[(1.5 * rate as f64, &MIXED)]);
+            let from = fleet.now;
+            fleet.run(20_000, &[(1.5 * rate as f64, &MIXED)]);
+            let part = fleet.served(0, from) as f64 / (rate * 20) as f64;
+            assert!(
+                part >= 0.97,
+                "{routers} routers, {rate}: {part:.3} of 1.5 served"
+            );
+            assert!(fleet.most_in_window(0, 0) <= allowed(limit));
+        }
+    }
+}
+
+/// Guards against organisations with one request a second over all routers, each as large as a tenth of
+/// the window, that are refused as no router sees enough of them.
+#[test]
+fn few_large_requests_are_served() {
+    for routers in [25, 45, 340] {
+        let rate = 88_750;
+        let kinds = [(71_000, 1, 1.0)];
+        let limit = limit(1, rate, rate);
+        let mut fleet = Fleet::new(3, (routers, 12), &[limit; 3]);
+        fleet.is_even = true;
+        let from = fleet.now;
+        fleet.run(60_000, &[(71_000.0, kinds.as_slice()); 3]);
+        let served: u64 = (0..3).map(|org| fleet.served(org, from)).sum();
+        let part = served as f64 / fleet.asked as f64;
+        assert!(part >= 0.97, "{routers} routers: {part:.3} served");
+        for org in 0..3 {
+            assert!(fleet.most_in_window(org, 0) <= allowed(limit));
+        }
+    }
+}
+
+/// Guards against a fleet that cannot serve the quotas after some of the processes that count have ended or
+/// stopped for a while.
+#[test]
+fn quotas_are_served_when_counters_end_or_freeze() {
+    for routers in [25, 45, 340] {
+        for is_killed in [true, false] {
+            let limit = limit(1, 36_000, 36_000);
+            let mut fleet = Fleet::new(4, (routers, 15), &[limit; 10]);
+            let load = [(36_000.0, MIXED.as_slice()); 10];
+            let from = fleet.now;
+            fleet.run(8_000, &load);
+            for at in [1, 6, 11] {
+                match is_killed {
+                    true => fleet.kill(at, 1_000_000),
+                    false => fleet.sidecars[at].frozen_until = fleet.now + 5_000,
+                }
+            }
+            fleet.run(22_000, &load);
+            let served: u64 = (0..10).map(|org| fleet.served(org, from)).sum();
+            let part = served as f64 / fleet.asked.min(36_000 * 30 * 10) as f64;
+            assert!(
+                part >= 0.9,
+                "{routers} routers, killed {is_killed}: {part:.3} served"
+            );
+            for org in 0..10 {
+                assert!(fleet.most_in_window(org, 0) <= allowed(limit));
+            }
+        }
+    }
+}
--- a/crates/quota/tests/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -1,11 +1,9 @@
 //! Counter of one process: changes of who counts, of the quota, and repeated questions.
 
-mod common;
-
-use common::addr;
-use common::limit;
-use common::org;
-use common::question;
+use crate::data::addr;
+use crate::data::limit;
+use crate::data::org;
+use crate::data::question;
 use dw_base::DurationMs;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
@@ -222,6 +220,30 @@
     }
 }
 
+/// Guards against a debt at a process that has taken over beside the one that the other process granted
+/// shortly before.
+#[test]
+fn new_counter_grants_no_debts_for_a_window() {
+    let limit = limit(1, 36_000, 36_000);
+    let mut process = Process::new(0);
+    let mut granted = 0;
+    while process.now < 9_000 {
+        process.run(&[0], 100);
+        for (amount, urgency) in [(71_000, 0), (12_000, 1), (2_400, 0)] {
+            if process.ask(limit, amount, urgency) == QuotaResult::Granted {
+                granted += amount;
+            }
+        }
+        let added = 36 * process.now.saturating_sub(1_000);
+        assert!(
+            granted <= added,
+            "{granted} of {added} at {} ms",
+            process.now
+        );
+    }
+    assert!(granted >= 36_000 * 6, "{granted}");
+}
+
 /// Guards against urgent short requests that long less urgent ones starve, and the other way round, under
 /// several times the quota.
 #[test]
--- a/crates/quota/tests/common/mod.rs
+++ b/crates/quota/tests/quota/data.rs
@@ -10,17 +10,17 @@
 use dw_wire::QuotaQuestion;
 
 /// Returns the address of a process.
-pub fn addr(process: usize) -> SocketAddr {
+pub(crate) fn addr(process: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, process as u8 + 1], 7340))
 }
 
 /// Returns the organisation that the tests ask for.
-pub fn org() -> OrgId {
+pub(crate) fn org() -> OrgId {
     "acme".parse().expect("name is valid")
 }
 
 /// Returns a quota of one version of the configuration.
-pub fn limit(version: u64, per_s: u64, burst: u64) -> QuotaLimit {
+pub(crate) fn limit(version: u64, per_s: u64, burst: u64) -> QuotaLimit {
     QuotaLimit {
         version: ConfigVersion(version),
         rate: QuotaRate(per_s * 1_000),
@@ -29,7 +29,11 @@
 }
 
 /// Returns a question for an amount with an urgency.
-pub fn question(number: u32, limit: QuotaLimit, (amount, urgency): (u64, u8)) -> QuotaQuestion {
+pub(crate) fn question(
+    number: u32,
+    limit: QuotaLimit,
+    (amount, urgency): (u64, u8),
+) -> QuotaQuestion {
     QuotaQuestion {
         number,
         org: org(),
--- a/crates/quota/tests/requester.rs
+++ b/crates/quota/tests/quota/requester.rs
@@ -1,9 +1,7 @@
 //! Router's use of the answers of counters, and of its share without them.
 
-mod common;
-
-use common::limit;
-use common::org;
+use crate::data::limit;
+use crate::data::org;
 use dw_base::DurationMs;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
