--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -56,9 +56,8 @@
 
     /// Decides about a try, which the caller starts at once if it may be sent.
     pub(crate) async fn check(&mut self, plan: &AttemptPlan, retry_state: &RetryState) -> Ruling {
-        match self.find_answer(plan, retry_state).await {
-            Some(answer) => return Ruling::Answer(answer),
-            None => {}
+        if let Some(answer) = self.find_answer(plan, retry_state).await {
+            return Ruling::Answer(answer);
         }
         if !acquire_permit(&self.shared, &self.context, plan).await {
             return Ruling::NextUpstream;
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -54,6 +54,12 @@
 }
 
 impl Counter {
+    /// Memory of an account, without the name of the organisation.
+    pub const ACCOUNT_BYTES: usize = size_of::<(OrgId, Account)>();
+
+    /// Memory of a question that was granted lately.
+    pub const RECENT_GRANT_BYTES: usize = RecentGrants::GRANT_BYTES;
+
     /// Creates the counter of the process beside the engine at `own`.
     pub fn new(own: SocketAddr, now: TimeMs) -> Self {
         Counter {
--- a/crates/quota/src/recent_grants.rs
+++ b/crates/quota/src/recent_grants.rs
@@ -21,6 +21,8 @@
 }
 
 impl RecentGrants {
+    pub(crate) const GRANT_BYTES: usize = size_of::<((SocketAddr, u32), TimeMs)>();
+
     pub(crate) fn insert(&mut self, router: SocketAddr, number: u32, now: TimeMs) {
         if self.granted_at.len() < MAX_GRANTS {
             self.granted_at.insert((router, number), now);
--- a/crates/quota/src/requester.rs
+++ b/crates/quota/src/requester.rs
@@ -61,6 +61,12 @@
 }
 
 impl Requester {
+    /// Memory of an organisation, without its name and denials.
+    pub const ORGANISATION_BYTES: usize = size_of::<(OrgId, Asked)>();
+
+    /// Memory of the last denial of one urgency.
+    pub const DENIAL_BYTES: usize = size_of::<Denial>();
+
     /// Returns until when a request is denied, if that is known.
     ///
     /// Less urgent requests have a part of the quota of their own, so that the denial of an urgent one does
--- a/crates/quota/tests/quota/main.rs
+++ b/crates/quota/tests/quota/main.rs
@@ -8,4 +8,5 @@
 mod failures;
 mod fleet;
 mod links;
+mod memory;
 mod requester;
