--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -12,7 +12,7 @@
 const URGENCIES: usize = 10;
 
 /// Rate covered by the least amount that can be saved up, for quotas with a smaller burst.
-const MIN_BURST_MS: f64 = 100.0;
+pub const MIN_BURST_MS: f64 = 100.0;
 
 /// Time constant of the exponential decay of the recent demand by urgency.
 const DEMAND_DECAY_MS: f64 = 1_000.0;
@@ -27,7 +27,7 @@
 const LESS_URGENT_FRACTION: f64 = 0.1;
 
 /// Part of the burst below zero down to which less urgent requests use that part of the rate.
-const LESS_URGENT_DEBT_FRACTION: f64 = 0.1;
+pub const LESS_URGENT_DEBT_FRACTION: f64 = 0.1;
 
 /// Time for which an account that begins grants no debts: the debt that another process may have granted is
 /// then no longer in the same window as one granted here.
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -16,6 +16,8 @@
 mod recent_grants;
 mod requester;
 
+pub use account::LESS_URGENT_DEBT_FRACTION;
+pub use account::MIN_BURST_MS;
 pub use claim::Claim;
 pub use counter::Counter;
 pub use counter::LimitChange;
--- a/crates/quota/tests/quota/excess.rs
+++ b/crates/quota/tests/quota/excess.rs
@@ -2,6 +2,8 @@
 
 use dw_base::QuotaLimit;
 use dw_quota::ISOLATED_FRACTION;
+use dw_quota::LESS_URGENT_DEBT_FRACTION;
+use dw_quota::MIN_BURST_MS;
 
 use crate::data::limit;
 use crate::fleet::allowed;
@@ -13,12 +15,6 @@
 /// Longest time from a grant to the arrival at an upstream.
 const ARRIVAL_MS: f64 = 300.0;
 
-/// Part of the burst below zero down to which less urgent requests use their part of the rate.
-const LESS_URGENT_DEBT_FRACTION: f64 = 0.1;
-
-/// Rate covered by the least amount that can be saved up.
-const MIN_BURST_MS: f64 = 100.0;
-
 /// Returns the parts in tokens, with the routers that hear no sidecar.
 fn parts(limit: QuotaLimit, (routers, isolated): (u32, u32)) -> [(&'static str, f64); 7] {
     let rate_per_ms = limit.rate.per_s() / 1_000.0;
