gateway: bound memory for callers and refuse early while it is late

Cause: a gateway read the whole body of each request before it decided anything, held bodies without a bound over all connections, stopped reading an upstream's answer while its caller did not read, and wrote up to three log lines for each refusal. Under ten times the usual load, closes, drains and health answers wait behind this work.

Change: - dw_admit::Held accounts for request bodies and answers that wait for their callers, with bounds for each answer, organisation and process derived from the memory in the settings. Bodies are reserved before they are read; what does not fit is refused with 503 and Retry-After, the largest and least urgent first once half of the memory is used. - While a caller does not read, the task of its connection reads on in the upstream's answer, up to 64 KB, and returns the upstream's connection. - dw_admit::Congestion refuses new requests, least urgent first, while the gateway's own timers are late. One late timer, as after a suspension, refuses nothing. - arrival_rules checks this and known denials of quotas before the body is read and before a placement. Short refused bodies are read and dropped, so that connections stay open. - Lines about refusals are limited to 20 a second; suppressed_lines_total counts the others. New gauges: held_bytes, timer_lag_ms.

Ruled out: a task and a channel for each answer (a wake-up for each event), longer buffers in hyper (they also accept longer heads), and moving the rule for late first tokens before placement (it needs the expected time).

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,10 +13,15 @@
 //! After [`Action::Preempt`] the slot counts as free. The agent cancels the request on the upstream
 //! and offers its ticket again with the remaining tokens. If the caller of a running request
 //! disconnects, the agent reports the end of that request with [`Gate::finished`].
+//!
+//! [`Overload`], [`Congestion`] and [`Held`] decide for a router: they refuse requests while first tokens,
+//! its own timers, or the memory that it holds exceed their bounds.
 
+mod congestion;
 mod fair;
 mod fifo;
 mod gate;
+mod held;
 mod overload;
 mod queue;
 mod retry_after;
@@ -24,6 +29,8 @@
 mod speed;
 mod ticket;
 
+pub use congestion::Congestion;
+pub use congestion::LAG_INTERVAL_MS;
 pub use fair::Fair;
 pub use fair::FairSettings;
 pub use fifo::Fifo;
@@ -32,6 +39,10 @@
 pub use gate::Finished;
 pub use gate::Gate;
 pub use gate::Load;
+pub use held::Held;
+pub use held::HeldBounds;
+pub use held::HeldClaim;
+pub use held::NoRoom;
 pub use overload::Offer;
 pub use overload::Overload;
 pub use retry_after::retry_after;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Returns whether the request was refused without being run, and the caller may repeat it.
+    pub(crate) fn is_refusal(&self) -> bool {
+        matches!(
+            self,
+            GatewayAnswer::NotRun { .. } | GatewayAnswer::OverQuota { .. }
+        )
+    }
+
     fn message(&self) -> String {
         match self {
             GatewayAnswer::BadRequest(detail) => detail.clone(),
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,6 +1,8 @@
 //! Bodies of answers to callers.
 
+use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -18,7 +20,7 @@
     /// Body of an answer that the gateway itself gives.
     Gateway(Full<Bytes>),
     /// Body of an upstream's answer, relayed as it arrives.
-    Relay(Box<Relay>),
+    Relay(Rc<RefCell<Relay>>),
 }
 
 impl Body for AnswerBody {
@@ -36,14 +38,14 @@
                 Poll::Ready(_) => Poll::Ready(None),
                 Poll::Pending => Poll::Pending,
             },
-            AnswerBody::Relay(relay) => relay.poll_frame(cx),
+            AnswerBody::Relay(relay) => relay.borrow_mut().poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             AnswerBody::Gateway(body) => body.is_end_stream(),
-            AnswerBody::Relay(relay) => relay.is_end_stream(),
+            AnswerBody::Relay(relay) => relay.borrow().is_end_stream(),
         }
     }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,8 @@
 //! Accepts and serves the connections of callers.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,10 +62,17 @@
     tokio::pin!(serving);
     let mut closing = false;
     loop {
+        let relaying = poll_fn(|cx| {
+            let polled = serving.as_mut().poll(cx);
+            if polled.is_pending() {
+                connection.read_ahead(cx);
+            }
+            polled
+        });
         tokio::select! {
             // An error means that the caller disconnected or did not send valid HTTP. Each request
             // logs its own end.
-            _ = &mut serving => break,
+            _ = relaying => break,
             () = connection.close.notified(), if !closing => {
                 closing = true;
                 serving.as_mut().graceful_shutdown();
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,16 +4,22 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::rc::Weak;
+use std::task::Context;
 
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use tokio::sync::Notify;
 
+use crate::relay::Relay;
+
 /// One connection of a caller.
 #[derive(Default)]
 pub(crate) struct CallerConnection {
     requests: Cell<u32>,
     idle_since: Cell<TimeMs>,
+    /// The answer that is being relayed.
+    answer: RefCell<Weak<RefCell<Relay>>>,
     /// Notifies the task of the connection to close it once it is idle.
     pub(crate) close: Notify,
 }
@@ -24,12 +30,25 @@
         self.requests.set(self.requests.get() + 1);
         RequestGuard(self.clone())
     }
+
+    /// Reads on in the answer of an upstream while the caller does not read.
+    pub(crate) fn read_ahead(&self, cx: &mut Context<'_>) {
+        let answer = self.answer.borrow().upgrade();
+        if let Some(answer) = answer {
+            answer.borrow_mut().read_ahead(cx);
+        }
+    }
 }
 
 /// Guard of a running request on a connection.
 pub(crate) struct RequestGuard(Rc<CallerConnection>);
 
 impl RequestGuard {
+    /// Records the answer that is relayed.
+    pub(crate) fn set_answer(&self, answer: &Rc<RefCell<Relay>>) {
+        *self.0.answer.borrow_mut() = Rc::downgrade(answer);
+    }
+
     /// Records when the request ended.
     pub(crate) fn record_end(&self, now: TimeMs) {
         self.0.idle_since.set(now);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,6 +20,7 @@
 use http::Method;
 use http::Uri;
 
+use crate::memory::Reservation;
 use crate::quarantine::ProbeKind;
 
 /// Estimated size of the heads of a request and its answer, and of a short answer body.
@@ -35,6 +36,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: bytes::Bytes,
+    /// Memory of the body.
+    pub(crate) _held: Reservation,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: ServiceId,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -403,13 +403,15 @@
         }
     }
     shared.metrics.record_failed_attempt("not_run");
-    log::info!(
-        request_id = context.request_head.request_id.as_str(), upstream:% = upstream,
-        status = status.as_u16(), displaced,
-        weights_sent = plan.choice.weights.unwrap_or_default().0,
-        weights_held = received.head.weights.unwrap_or_default().0;
-        "upstream did not run the request"
-    );
+    if shared.metrics.may_log_refusal(shared.now()) {
+        log::info!(
+            request_id = context.request_head.request_id.as_str(), upstream:% = upstream,
+            status = status.as_u16(), displaced,
+            weights_sent = plan.choice.weights.unwrap_or_default().0,
+            weights_held = received.head.weights.unwrap_or_default().0;
+            "upstream did not run the request"
+        );
+    }
     if !displaced {
         return_to_pool(shared, plan, received).await;
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dw_admit::Held;
+use dw_admit::HeldBounds;
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_fleet::View;
@@ -39,6 +41,7 @@
 use crate::drain::DrainTimes;
 use crate::gossip::Gossip;
 use crate::kv;
+use crate::lag;
 use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
 use crate::origins::Origins;
@@ -158,6 +161,7 @@
         spawn(gossip.receive_from_relays());
         spawn(probe::serve_ready(shared.clone(), ready));
         spawn(sweep(shared.clone()));
+        spawn(lag::measure(shared.clone()));
         if let Some(port) = parts.metrics_port {
             let addr = SocketAddr::new(boot.ip, port);
             let shared = shared.clone();
@@ -189,6 +193,8 @@
         match Boot::read(&self.boot_path) {
             Ok(boot) => {
                 log::info!(path:% = self.boot_path.display(); "reloaded settings");
+                let bounds = HeldBounds::new(boot.memory);
+                self.shared.held.borrow_mut().set_bounds(bounds);
                 *self.shared.boot.borrow_mut() = Rc::new(boot);
             }
             Err(e) => {
@@ -249,6 +255,8 @@
         budgets: RefCell::new(HashMap::new()),
         kv: RefCell::new(HashMap::new()),
         overload: RefCell::default(),
+        congestion: RefCell::default(),
+        held: Rc::new(RefCell::new(Held::new(HeldBounds::new(boot.memory)))),
         pool: ConnectionPool::default(),
         connections: Connections::default(),
         metrics: GatewayMetrics::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! and `dw_quarantine` decide where a request goes, whether it is retried, and whether it is sent at all.
 
 mod answer;
+mod arrival_rules;
 mod body;
 mod caller;
 mod candidates;
@@ -20,7 +21,9 @@
 mod gossip;
 mod in_flight;
 mod kv;
+mod lag;
 mod limits;
+mod memory;
 mod metrics;
 mod origins;
 mod overload_rule;
@@ -31,10 +34,12 @@
 mod quarantine_rule;
 mod questions;
 mod quotas;
+mod read_ahead;
 mod registrations;
 mod relay;
 mod relay_updates;
 mod request;
+mod request_body;
 mod roster;
 mod rules;
 mod selection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use dw_base::Bytes;
 use dw_base::DurationMs;
 use dw_base::Suspect;
 use dw_base::TimeMs;
@@ -28,6 +29,9 @@
 /// Maximum number of requests without a permit logged per second.
 const MAX_DENIAL_LINES_PER_S: u32 = 20;
 
+/// Maximum number of lines about refused requests logged per second; the metrics count all of them.
+const MAX_REFUSAL_LINES_PER_S: u32 = 20;
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct OutcomeLabels {
     route: String,
@@ -98,8 +102,12 @@
     permits: Family<PermitLabels, Counter>,
     quotas: Family<KindLabel, Counter>,
     table_calls: Family<KindLabel, Counter>,
+    suppressed_lines: Family<KindLabel, Counter>,
+    held_bytes: Gauge,
+    lag_ms: Gauge,
     success_lines: LineLimit,
     denial_lines: LineLimit,
+    refusal_lines: LineLimit,
 }
 
 fn latency() -> Histogram {
@@ -190,7 +198,23 @@
                 Family::default(),
             ),
             success_lines: LineLimit::new(MAX_SUCCESS_LINES_PER_S),
+            suppressed_lines: metrics.add(
+                "suppressed_lines",
+                "Log lines left out above the limit per second, by kind",
+                Family::default(),
+            ),
+            held_bytes: metrics.add(
+                "held_bytes",
+                "Memory of request bodies and of answers that wait for their callers",
+                Gauge::default(),
+            ),
+            lag_ms: metrics.add(
+                "timer_lag_ms",
+                "Time by which the last timer of the process was late",
+                Gauge::default(),
+            ),
             denial_lines: LineLimit::new(MAX_DENIAL_LINES_PER_S),
+            refusal_lines: LineLimit::new(MAX_REFUSAL_LINES_PER_S),
             metrics,
         }
     }
@@ -335,6 +359,29 @@
 
     /// Counts a request without a permit or a part of a quota and returns whether it may be logged in this second.
     pub(crate) fn may_log_denial(&self, now: TimeMs) -> bool {
-        self.denial_lines.may_log(now)
+        let may_log = self.denial_lines.may_log(now);
+        self.count_suppressed("denial", may_log);
+        may_log
+    }
+
+    /// Counts a refused request and returns whether it may be logged in this second.
+    pub(crate) fn may_log_refusal(&self, now: TimeMs) -> bool {
+        let may_log = self.refusal_lines.may_log(now);
+        self.count_suppressed("refusal", may_log);
+        may_log
+    }
+
+    /// Records how late a timer was, and the memory that requests and answers hold.
+    pub(crate) fn set_process_state(&self, lag_ms: DurationMs, held: Bytes) {
+        let gauge_value = |number| i64::try_from(number).unwrap_or(i64::MAX);
+        self.lag_ms.set(gauge_value(lag_ms.0));
+        self.held_bytes.set(gauge_value(held.0));
+    }
+
+    fn count_suppressed(&self, kind: &'static str, may_log: bool) {
+        if !may_log {
+            let lines = self.suppressed_lines.get_or_create(&KindLabel { kind });
+            lines.inc();
+        }
     }
 }
--- a/crates/gateway/src/overload_rule.rs
+++ b/crates/gateway/src/overload_rule.rs
@@ -36,12 +36,14 @@
         );
     }
     let rank = rank?;
-    log::warn!(
-        request_id = context.request_head.request_id.as_str(), priority = offer.priority, share,
-        tokens = offer.tokens.0, expected_ms = offer.expected_ms.0,
-        objective_ms = offer.objective_ms.0;
-        "request rejected because of overload"
-    );
+    if shared.metrics.may_log_refusal(now) {
+        log::warn!(
+            request_id = context.request_head.request_id.as_str(), priority = offer.priority, share,
+            tokens = offer.tokens.0, expected_ms = offer.expected_ms.0,
+            objective_ms = offer.objective_ms.0;
+            "request rejected because of overload"
+        );
+    }
     Some(GatewayAnswer::NotRun {
         reason: "overload",
         retry_after_ms: retry_after_overload(context.remaining(now), rank),
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -15,6 +15,7 @@
 use dw_quota::first_counter;
 use dw_quota::Isolated;
 use dw_quota::Requester;
+use dw_route::Resolved;
 use dw_wire::Datagram;
 use dw_wire::QuotaAnswer;
 use dw_wire::QuotaQuestion;
@@ -173,6 +174,24 @@
     }
 }
 
+/// Returns the answer to a request whose organisation is known to have used up its quota.
+pub(crate) fn known_denial(
+    shared: &Shared,
+    resolved: &Resolved,
+    (remaining_ms, point): (DurationMs, u32),
+) -> Option<GatewayAnswer> {
+    let organisation = resolved.organisation.as_ref()?;
+    organisation.quota.as_ref()?;
+    let now = shared.now();
+    let urgency = resolved.route.priority;
+    let requester = shared.quotas.requester.borrow();
+    let until = requester.denied_until(&organisation.org, urgency, now)?;
+    shared.metrics.record_quota("denied_before");
+    Some(GatewayAnswer::OverQuota {
+        retry_after_ms: retry_after_limit(remaining_ms, point, until.since(now)),
+    })
+}
+
 /// Asks whether a claim is within the quota; otherwise returns the time to wait.
 async fn ask(shared: &Shared, claim: &Claim) -> Result<(), DurationMs> {
     let quotas = &shared.quotas;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relaying of an upstream's answer to the caller.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -31,7 +32,10 @@
 use crate::forward::is_healthy_status;
 use crate::framing::ends_with_connection;
 use crate::in_flight::InFlight;
+use crate::memory::Reservation;
 use crate::quarantine;
+use crate::read_ahead::Piece;
+use crate::read_ahead::ReadAhead;
 use crate::shared::Shared;
 use crate::upstream_end::confirm_answer;
 use crate::upstream_end::report_break;
@@ -83,13 +87,14 @@
     status: StatusCode,
     head: ResponseHead,
     parts: Option<http::response::Parts>,
-    body: Incoming,
-    first_data: Option<Bytes>,
+    body: Option<Incoming>,
+    read_ahead: ReadAhead,
     events: Option<EventBoundary>,
     /// Whether only the end of the connection ends the body.
     ends_with_connection: bool,
     connection: Option<Connection>,
-    _in_flight: InFlight,
+    /// Until the whole answer has been read.
+    in_flight: Option<InFlight>,
     guard: Option<RequestGuard>,
     deadline: Pin<Box<Sleep>>,
     started: TimeMs,
@@ -105,15 +110,18 @@
         let now = parts.shared.now();
         let (head, body) = parts.response.into_parts();
         let remaining = parts.context.remaining(now);
+        let organisation = parts.context.organisation.as_ref();
+        let held = Reservation::new(&parts.shared.held, organisation);
+        let max_bytes = parts.shared.held.borrow().bounds().answer.0 as usize;
         Relay {
             status: head.status,
             ends_with_connection: !body.is_end_stream() && ends_with_connection(&head.headers),
             parts: Some(head),
-            body,
-            first_data: parts.first_data,
+            body: Some(body),
+            read_ahead: ReadAhead::new(parts.first_data, max_bytes, held),
             events: parts.events,
             connection: Some(parts.connection),
-            _in_flight: parts.in_flight,
+            in_flight: Some(parts.in_flight),
             guard: None,
             deadline: Box::pin(sleep(remaining.into())),
             started: now,
@@ -135,10 +143,14 @@
         mut self: Box<Self>,
         guard: Option<RequestGuard>,
     ) -> Response<AnswerBody> {
-        self.guard = guard;
         let parts = self.parts.take();
         let shared = self.shared.clone();
-        let mut response = Response::new(AnswerBody::Relay(self));
+        let relay = Rc::new(RefCell::new(*self));
+        if let Some(guard) = guard {
+            guard.set_answer(&relay);
+            relay.borrow_mut().guard = Some(guard);
+        }
+        let mut response = Response::new(AnswerBody::Relay(relay));
         if let Some(parts) = parts {
             *response.status_mut() = parts.status;
             *response.headers_mut() = shared.codec.caller_headers(&parts.headers);
@@ -151,45 +163,76 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        if let Some(first_data) = self.first_data.take() {
-            self.bytes += first_data.len() as u64;
-            return Poll::Ready(Some(Ok(Frame::data(first_data))));
+        let polled = match self.read_ahead.pop() {
+            Some(piece) => Poll::Ready(piece),
+            None => self.poll_upstream(cx),
+        };
+        self.read_ahead.set_caller_waits(polled.is_pending());
+        polled.map(|piece| self.pass_on(piece))
+    }
+
+    /// Reads what the upstream has sent while the caller does not read, up to the bound of an answer.
+    pub(crate) fn read_ahead(&mut self, cx: &mut Context<'_>) {
+        while !self.ended && self.read_ahead.wants_more() {
+            let Poll::Ready(piece) = self.poll_upstream(cx) else {
+                return;
+            };
+            match piece {
+                Piece::Data(_) => {}
+                Piece::End => self.release_upstream(),
+                Piece::Failed(_) => self.drop_upstream(),
+            }
+            self.read_ahead.push(piece);
         }
-        loop {
-            match Pin::new(&mut self.body).poll_frame(cx) {
+    }
+
+    fn poll_upstream(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
+        while let Some(body) = &mut self.body {
+            match Pin::new(body).poll_frame(cx) {
                 Poll::Ready(None) if self.is_inside_event() => {
-                    self.fail("stream ended inside an event");
-                    self.report_end();
-                    return Poll::Ready(Some(Err(RelayError::InsideEvent)));
-                }
-                Poll::Ready(None) => {
-                    self.complete();
-                    return Poll::Ready(None);
-                }
-                Poll::Ready(Some(Err(e))) => {
-                    self.fail(&describe(&e));
-                    self.report_end();
-                    return Poll::Ready(Some(Err(e.into())));
+                    return Poll::Ready(Piece::Failed(RelayError::InsideEvent));
                 }
+                Poll::Ready(None) => return Poll::Ready(Piece::End),
+                Poll::Ready(Some(Err(e))) => return Poll::Ready(Piece::Failed(e.into())),
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers apply only to the connection to the upstream and are not relayed.
                     if let Ok(data) = frame.into_data() {
-                        self.bytes += data.len() as u64;
                         if let Some(events) = &mut self.events {
                             events.push(&data);
                         }
                         self.record_progress();
-                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                        return Poll::Ready(Piece::Data(data));
                     }
                 }
                 Poll::Pending => break,
             }
         }
-        if self.deadline.as_mut().poll(cx).is_ready() {
-            self.fail("timeout");
-            return Poll::Ready(Some(Err(RelayError::Timeout)));
+        let deadline = self.deadline.as_mut().poll(cx);
+        deadline.map(|()| Piece::Failed(RelayError::Timeout))
+    }
+
+    fn pass_on(&mut self, piece: Piece) -> Option<Result<Frame<Bytes>, RelayError>> {
+        match piece {
+            Piece::Data(data) => {
+                self.bytes += data.len() as u64;
+                Some(Ok(Frame::data(data)))
+            }
+            Piece::End => {
+                self.complete();
+                None
+            }
+            Piece::Failed(e) => {
+                match &e {
+                    RelayError::Broken(e) => self.fail(&describe(e)),
+                    RelayError::InsideEvent => self.fail("stream ended inside an event"),
+                    RelayError::Timeout => self.fail("timeout"),
+                }
+                if !matches!(e, RelayError::Timeout) {
+                    self.report_end();
+                }
+                Some(Err(e))
+            }
         }
-        Poll::Pending
     }
 
     /// Returns whether the body has ended.
@@ -199,7 +242,9 @@
 
     /// Returns whether all of the body has been passed on and none of it is missing.
     fn is_at_end(&self) -> bool {
-        self.first_data.is_none() && self.body.is_end_stream() && !self.is_inside_event()
+        let at_end = |body: &Incoming| body.is_end_stream() && !self.is_inside_event();
+        let is_whole = self.read_ahead.has_ended() || self.body.as_ref().is_some_and(at_end);
+        self.read_ahead.is_drained() && is_whole
     }
 
     fn is_inside_event(&self) -> bool {
@@ -256,13 +301,27 @@
                     .record_service_time(took);
             }
         }
+        self.release_upstream();
+        self.log("complete", now);
+    }
+
+    /// Returns the connection of an upstream whose whole answer has been read.
+    fn release_upstream(&mut self) {
+        self.in_flight = None;
         if let Some(connection) = self.connection.take().filter(|_| !self.head.closes) {
             let idle_ms = self.head.idle_ms;
+            let now = self.shared.now();
             self.shared
                 .pool
                 .put(self.sent_to.addr, connection, idle_ms, now);
         }
-        self.log("complete", now);
+    }
+
+    /// Closes the connection of an upstream whose answer is not awaited any longer.
+    fn drop_upstream(&mut self) {
+        self.in_flight = None;
+        self.connection = None;
+        self.body = None;
     }
 
     fn fail(&mut self, cause: &str) {
@@ -275,7 +334,7 @@
             health.record_failure(now);
         }
         drop(directory);
-        self.connection = None;
+        self.drop_upstream();
         self.log(cause, now);
     }
 
@@ -315,7 +374,7 @@
                 self.complete();
             } else if self.parts.is_none() {
                 self.ended = true;
-                self.connection = None;
+                self.drop_upstream();
                 self.log("caller_left", now);
             }
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,9 +4,9 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use dw_admit::retry_after;
 use dw_admit::retry_after_limit;
+use dw_admit::retry_after_overload;
 use dw_admit::retry_after_pause;
 use dw_base::DurationMs;
 use dw_base::TimeMs;
@@ -20,13 +20,10 @@
 use http::request::Parts;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::answer::GatewayAnswer;
+use crate::arrival_rules;
 use crate::body::AnswerBody;
 use crate::candidates::Exclusions;
 use crate::connections::RequestGuard;
@@ -34,7 +31,11 @@
 use crate::context::SharedContext;
 use crate::forward::forward;
 use crate::forward::AttemptResult;
+use crate::memory::Reservation;
 use crate::origins;
+use crate::request_body;
+use crate::request_body::BodyBounds;
+use crate::request_body::BodyError;
 use crate::rules::AttemptRules;
 use crate::rules::Ruling;
 use crate::selection::select_upstream;
@@ -88,7 +89,7 @@
 async fn admit(
     shared: &Shared,
     head: Parts,
-    body: Incoming,
+    mut body: Incoming,
     arrived: TimeMs,
 ) -> Result<RequestContext, RejectedRequest> {
     let rejected = |request_id: &str, answer| RejectedRequest {
@@ -115,11 +116,29 @@
         .map_err(|answer| rejected(&id, retryable_if_behind(shared, &request_head, answer)))?;
     let max_wait_ms = request_head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = arrived + max_wait_ms.min(resolved.route.timeout_ms);
-    let limit = routes.limits().body_bytes.0 as usize;
-    let remaining = deadline.since(shared.now());
-    let body = match read_body(body, limit, remaining).await {
+    let remaining_ms = deadline.since(shared.now());
+    let refused = arrival_rules::check(shared, &request_head, &resolved, remaining_ms);
+    if let Some(answer) = refused {
+        request_body::discard(&mut body, &head.headers).await;
+        return Err(rejected(&id, answer));
+    }
+    let bounds = BodyBounds {
+        max_bytes: routes.limits().body_bytes.0 as usize,
+        timeout_ms: remaining_ms,
+        priority: arrival_rules::priority(&resolved),
+    };
+    let mut held = Reservation::new(&shared.held, resolved.organisation.as_ref());
+    let body = match request_body::read(&mut body, &bounds, &mut held).await {
         Ok(body) => body,
-        Err(answer) => return Err(rejected(&id, answer)),
+        Err(BodyError::Answer(answer)) => return Err(rejected(&id, answer)),
+        Err(BodyError::NoRoom(no_room)) => {
+            request_body::discard(&mut body, &head.headers).await;
+            let answer = GatewayAnswer::NotRun {
+                reason: no_room.label(),
+                retry_after_ms: retry_after_overload(remaining_ms, request_hash(&id)),
+            };
+            return Err(rejected(&id, answer));
+        }
     };
     if shared.is_stopping() {
         // Other routers take the request at once.
@@ -143,6 +162,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        _held: held,
         route: resolved.route,
         organisation: resolved.organisation,
         service,
@@ -188,22 +208,6 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    remaining: DurationMs,
-) -> Result<Bytes, GatewayAnswer> {
-    let collected = timeout(remaining.into(), Limited::new(body, limit).collect()).await;
-    match collected {
-        Err(_) => Err(GatewayAnswer::BodyTimeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(GatewayAnswer::TooLarge),
-        Ok(Err(e)) => Err(GatewayAnswer::BadRequest(format!(
-            "cannot read the request body: {e}"
-        ))),
-    }
-}
-
 /// Returns a hash of a request id that is uniformly distributed over `u32`.
 pub(crate) fn request_hash(request_id: &str) -> u32 {
     (dw_base::PrefixKey::root(request_id).0 >> 32) as u32
@@ -311,6 +315,9 @@
 fn log_rejected(shared: &Shared, rejected: &RejectedRequest, arrived: TimeMs) {
     let took = shared.now().since(arrived);
     shared.metrics.record_gateway_answer(&rejected.answer);
+    if rejected.answer.is_refusal() && !shared.metrics.may_log_refusal(shared.now()) {
+        return;
+    }
     log::warn!(
         request_id = rejected.request_id.as_str(), path = rejected.path.as_str(),
         status = rejected.answer.status().as_u16(), reason = rejected.answer.label(),
@@ -326,6 +333,9 @@
         // Logged with its cause, up to a number of lines per second.
         return;
     }
+    if answer.is_refusal() && !shared.metrics.may_log_refusal(shared.now()) {
+        return;
+    }
     log::warn!(
         request_id = context.request_head.request_id.as_str(), route = context.route.name.as_str(),
         service:% = context.service, status = answer.status().as_u16(), reason = answer.label(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use dw_admit::Congestion;
 use dw_admit::Overload;
 use dw_base::Clock;
 use dw_base::ServiceId;
@@ -25,6 +26,7 @@
 
 use crate::connections::Connections;
 use crate::limits::RequestLimits;
+use crate::memory::HeldMemory;
 use crate::metrics::GatewayMetrics;
 use crate::origins::Origins;
 use crate::pool::ConnectionPool;
@@ -52,6 +54,9 @@
     pub(crate) budgets: RefCell<HashMap<ServiceId, BudgetShare>>,
     pub(crate) kv: RefCell<HashMap<SocketAddr, Rc<RefCell<Contents>>>>,
     pub(crate) overload: RefCell<HashMap<ServiceId, Overload>>,
+    pub(crate) congestion: RefCell<Congestion>,
+    /// Memory that requests and answers hold.
+    pub(crate) held: HeldMemory,
     pub(crate) pool: ConnectionPool,
     pub(crate) connections: Connections,
     pub(crate) metrics: GatewayMetrics,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use dw_base::ConfigVersion;
+use dw_base::DurationMs;
 use dw_base::OrgId;
 use dw_base::ServiceId;
 
@@ -41,6 +42,7 @@
     keys: HashMap<String, Arc<Organisation>>,
     needs_keys: bool,
     limits: Limits,
+    shortest_objective_ms: Option<DurationMs>,
 }
 
 /// Route and organisation of a request.
@@ -64,6 +66,8 @@
 impl RouteTable {
     /// Builds the table.
     pub fn new(parts: RouteTableParts) -> Self {
+        let objectives = parts.routes.iter().map(|route| route.objective_ms);
+        let shortest_objective_ms = objectives.min();
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
@@ -89,6 +93,7 @@
             keys,
             needs_keys,
             limits: parts.limits,
+            shortest_objective_ms,
         }
     }
 
@@ -102,6 +107,11 @@
         &self.limits
     }
 
+    /// Returns the shortest latency objective of all routes.
+    pub fn shortest_objective_ms(&self) -> Option<DurationMs> {
+        self.shortest_objective_ms
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, service: &ServiceId) -> Option<&Service> {
         self.services.get(service)
