--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -10,10 +10,14 @@
 use dw_base::OrgId;
 use dw_base::TimeMs;
 use dw_fleet::router_hash;
+use dw_port::RequestHead;
 use dw_quota::first_counter;
 use dw_quota::Claim;
 use dw_quota::Isolated;
 use dw_quota::Requester;
+use dw_route::Organisation;
+use dw_route::Resolved;
+use dw_route::Route;
 use dw_wire::Datagram;
 use dw_wire::QuotaAnswer;
 use dw_wire::QuotaResult;
@@ -59,15 +63,14 @@
 }
 
 /// Returns what a request uses of its organisation's quota, if there is one.
-fn claim(context: &RequestContext) -> Option<Claim> {
-    let organisation = context.organisation.as_ref()?;
+fn claim(organisation: &Organisation, route: &Route, head: &RequestHead) -> Option<Claim> {
     let quota = organisation.quota.as_ref()?;
     Some(Claim {
         org: organisation.org.clone(),
         limit: quota.limit,
-        amount: quota.amount(context.request_head.declared_tokens),
+        amount: quota.amount(head.declared_tokens),
         // The priority of the organisation is the same for all of its requests.
-        urgency: context.route.priority,
+        urgency: route.priority,
     })
 }
 
@@ -83,9 +86,12 @@
 impl Grant {
     /// Creates the state of a request that was granted nothing.
     pub(crate) fn new(shared: &Rc<Shared>, context: &RequestContext) -> Self {
+        let organisation = context.organisation.as_ref();
         Grant {
             shared: shared.clone(),
-            claim: claim(context),
+            claim: organisation.and_then(|organisation| {
+                claim(organisation, &context.route, &context.request_head)
+            }),
             is_held: false,
         }
     }
@@ -186,6 +192,22 @@
     }
 }
 
+/// Returns the answer to a request whose organisation is known to have used up its quota.
+pub(crate) fn known_denial(
+    shared: &Shared,
+    (request_head, resolved): (&RequestHead, &Resolved),
+    (remaining_ms, point): (DurationMs, u32),
+) -> Option<GatewayAnswer> {
+    let organisation = resolved.organisation.as_ref()?;
+    let claim = claim(organisation, &resolved.route, request_head)?;
+    let now = shared.now();
+    let until = shared.quotas.requester.borrow().denied_until(&claim, now)?;
+    shared.metrics.record_quota("denied_before");
+    Some(GatewayAnswer::OverQuota {
+        retry_after_ms: retry_after_limit(remaining_ms, point, until.since(now)),
+    })
+}
+
 /// Asks whether a claim is within the quota; otherwise returns the time to wait.
 async fn ask(shared: &Shared, claim: &Claim) -> Result<(), DurationMs> {
     let quotas = &shared.quotas;
