capacity: decide admissions at an engine in a ledger of its sidecar

Cause: gateways see the same stale sums of outstanding tokens and fill an engine several times over, so its requests reach their deadline there. Change: a pure ledger of what an engine was given, by priority, with its slots, memory and the shares of organisations, corrected by the engine's report and by what routers know to be outstanding; the decision of a router when to ask; and the messages between them. Ruled out: asking from an eighth of the objective or at the first question to foresee what the hints do not show yet, since both refuse requests in calm.

--- /dev/null
+++ b/crates/capacity/src/ledger.rs
@@ -0,0 +1,158 @@
+//! What an engine was asked to compute and has not, over all routers.
+//!
+//! Load pattern: three times as much is asked of an engine as it can compute. It gets what it can begin
+//! in time, and the rest is refused at once.
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_wire::AdmissionOffer;
+use dw_wire::AdmissionQuestion;
+use dw_wire::AdmissionResult;
+
+use crate::backlog::Backlog;
+use crate::memory::Admission;
+use crate::memory::Occupancy;
+use crate::shares::Shares;
+
+/// Part of the objective that the queue may take up; the rest covers the errors of the estimates. A queue at
+/// its limit would else make every request late that is behind a wrong one.
+const QUEUE_UP_TO: f64 = 0.85;
+
+/// Weight of the newest request in the moving average of the tokens to compute.
+const MEAN_SMOOTHING: f64 = 0.1;
+
+/// Part of the objective that the queue may take up before organisations are held to their shares.
+const SHARES_FROM: f64 = 0.5;
+
+/// Longest queue of all priorities at which a request is admitted whose objective cannot be met: the engine
+/// is almost idle, so it holds up no other for long.
+const LATE_MAX_QUEUE_MS: f64 = 40.0;
+
+/// Shortest wait that a denial names.
+const MIN_WAIT_MS: f64 = 20.0;
+
+/// What the engine's own report says of its load.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Tokens in the memory that cannot yield.
+    pub kv_used: u64,
+    /// Tokens that the memory holds, if the engine tells them.
+    pub kv_total: Option<u64>,
+    /// Start of the engine; differs after a restart.
+    pub started_ms: u64,
+}
+
+/// Admissions at one engine.
+///
+/// A ledger that starts empty, after a restart of its sidecar or of the engine, is filled by the questions
+/// of routers, which tell what they know to be outstanding.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    backlog: Backlog,
+    occupancy: Occupancy,
+    shares: Shares,
+    /// Mean tokens to compute of the requests that routers asked for.
+    mean_tokens: f64,
+    last_priority: u8,
+    drained_at: TimeMs,
+}
+
+impl Ledger {
+    /// Corrects the ledger by a report of the engine.
+    pub fn observe(&mut self, report: EngineReport, now: TimeMs) {
+        self.advance(now);
+        if self.occupancy.observe(report, now) {
+            self.backlog.lower_to(0.0);
+            self.occupancy.clear();
+            return;
+        }
+        if report.waiting == 0 && report.running == 0 {
+            // What it has been sent and the report does not show yet may still wait.
+            self.backlog.lower_to(self.occupancy.recent_tokens() as f64);
+        }
+        let waiting = self.mean_tokens * f64::from(report.waiting);
+        self.backlog.raise_to(waiting, self.last_priority);
+    }
+
+    /// Decides whether a request may be sent to the engine, and records it if so.
+    pub fn ask(&mut self, question: &AdmissionQuestion, now: TimeMs) -> AdmissionResult {
+        self.advance(now);
+        let engine = &question.engine;
+        self.backlog.update_speed(engine.speed.get() / 1_000.0);
+        let offer = &question.offer;
+        self.last_priority = offer.priority;
+        let outstanding = engine.outstanding.0 as f64;
+        self.backlog.raise_to(outstanding, offer.priority);
+        let newest = offer.compute_tokens.0 as f64;
+        self.mean_tokens += MEAN_SMOOTHING * (newest - self.mean_tokens);
+        let result = self.decide(offer, engine.slots, now);
+        if result == AdmissionResult::Granted {
+            self.record(offer, now);
+        }
+        result
+    }
+
+    /// Returns the time that the engine needs for what it was sent.
+    pub fn queue_ms(&self) -> DurationMs {
+        DurationMs(self.backlog.total_ms() as u64)
+    }
+
+    /// Returns the number of organisations with recent admissions.
+    pub fn organisations(&self) -> usize {
+        self.shares.len()
+    }
+
+    fn advance(&mut self, now: TimeMs) {
+        self.backlog.drain(now.since(self.drained_at));
+        self.occupancy.expire(now);
+        self.drained_at = self.drained_at.max(now);
+    }
+
+    fn decide(&mut self, offer: &AdmissionOffer, slots: u32, now: TimeMs) -> AdmissionResult {
+        let memory_ms = self.occupancy.memory_wait_ms(offer.memory_tokens, now);
+        if memory_ms > 0.0 {
+            return AdmissionResult::Denied(shown(memory_ms));
+        }
+        let room_ms = self.occupancy.slot_wait_ms(slots, now);
+        let wait_ms = self.backlog.wait_ms(offer.priority).max(room_ms);
+        let slack_ms = offer.objective_ms.saturating_sub(offer.compute_ms).0 as f64;
+        let max_wait_ms = slack_ms * QUEUE_UP_TO;
+        if wait_ms > max_wait_ms || slack_ms == 0.0 {
+            return match self.may_be_late(offer, room_ms) {
+                true => AdmissionResult::Granted,
+                false => AdmissionResult::Denied(shown(wait_ms - max_wait_ms)),
+            };
+        }
+        let shared_ms = slack_ms * SHARES_FROM;
+        if wait_ms > shared_ms && self.shares.is_above(&offer.org, now) {
+            return AdmissionResult::OverShare(shown(wait_ms - shared_ms));
+        }
+        AdmissionResult::Granted
+    }
+
+    /// Returns whether a request that misses its objective is admitted nevertheless, since the engine has
+    /// hardly anything else to do.
+    fn may_be_late(&self, offer: &AdmissionOffer, room_ms: f64) -> bool {
+        let is_in_deadline = offer.compute_ms < offer.deadline_ms;
+        is_in_deadline && room_ms == 0.0 && self.backlog.total_ms() <= LATE_MAX_QUEUE_MS
+    }
+
+    fn record(&mut self, offer: &AdmissionOffer, now: TimeMs) {
+        let tokens = offer.compute_tokens.0;
+        self.backlog.add(offer.priority, tokens as f64);
+        self.shares.record(&offer.org, tokens as f64, now);
+        self.occupancy.record(Admission {
+            at: now,
+            compute_tokens: tokens,
+            memory_tokens: offer.memory_tokens.0,
+        });
+    }
+}
+
+fn shown(wait_ms: f64) -> DurationMs {
+    DurationMs(wait_ms.max(MIN_WAIT_MS) as u64)
+}
--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,24 @@
+//! Admission of requests by the sidecar of their engine.
+//!
+//! Load pattern: many routers see the same room at an engine and fill it several times over. Each asks
+//! the sidecar, whose ledger adds up what all of them were granted.
+//!
+//! | event | action |
+//! | --- | --- |
+//! | [`Requester::is_needed`]: a request is about to be sent | whether the engine's sidecar is asked |
+//! | [`Requester::denied_for`]: it is to be asked | refuses the request, if the sidecar has said until when |
+//! | [`Ledger::ask`]: a question arrives there | [`AdmissionResult`](dw_wire::AdmissionResult) |
+//! | [`Requester::record`]: the answer, or none in time | sends the request or tries another engine |
+//! | [`Ledger::observe`]: the engine reports its state | corrects the ledger |
+
+mod backlog;
+mod ledger;
+mod memory;
+mod requester;
+mod shares;
+
+pub use ledger::EngineReport;
+pub use ledger::Ledger;
+pub use requester::Expectation;
+pub use requester::Requester;
+pub use requester::MAX_DENIALS;
--- /dev/null
+++ b/crates/capacity/src/requester.rs
@@ -0,0 +1,139 @@
+//! Decisions of a router: when it asks, and what it does with the answer.
+//!
+//! Load pattern: calm, in which no request may wait for a question; and an overload, in which most
+//! refusals must not cost one.
+
+use std::collections::HashMap;
+
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_wire::AdmissionOffer;
+use dw_wire::AdmissionResult;
+use dw_wire::UpstreamStart;
+
+/// Number of engines whose denial a request meets before it is refused.
+pub const MAX_DENIALS: u32 = 2;
+
+/// Part of the remaining objective above which an expected wait is confirmed by the engine's sidecar.
+const ASK_FROM: f64 = 0.25;
+
+/// Time for which an engine is asked about each request once its last denial has run out.
+const ASK_AFTER_DENIAL_MS: DurationMs = DurationMs(1_000);
+
+/// Maximum number of engines whose denials are remembered.
+const MAX_ENGINES: usize = 4_096;
+
+/// What a router expects of an engine for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Expectation {
+    /// Wait for earlier prompts.
+    pub wait_ms: DurationMs,
+    /// Time to the first token, which includes the wait.
+    pub first_token_ms: DurationMs,
+}
+
+/// The last denial of an engine.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    until: TimeMs,
+    priority: u8,
+    slack_ms: DurationMs,
+}
+
+/// Denials that a router has received.
+#[derive(Clone, Debug, Default)]
+pub struct Requester {
+    denials: HashMap<UpstreamStart, Denial>,
+}
+
+impl Denial {
+    fn is_recent(&self, now: TimeMs) -> bool {
+        now.since(self.until) < ASK_AFTER_DENIAL_MS
+    }
+}
+
+fn slack_ms(offer: &AdmissionOffer) -> DurationMs {
+    offer.objective_ms.saturating_sub(offer.compute_ms)
+}
+
+impl Requester {
+    /// Returns whether a request may be sent to an engine only once its sidecar was asked.
+    pub fn is_needed(
+        &self,
+        engine: UpstreamStart,
+        (offer, expected): (&AdmissionOffer, &Expectation),
+        now: TimeMs,
+    ) -> bool {
+        let noticeable_ms = offer.objective_ms.0 as f64 * ASK_FROM;
+        let was_denied = self.denials.get(&engine);
+        expected.wait_ms.0 as f64 > noticeable_ms
+            || was_denied.is_some_and(|denial| denial.is_recent(now))
+    }
+
+    /// Returns how long an engine takes no such request: one that is neither more urgent nor has more time
+    /// than the one that it denied.
+    pub fn denied_for(
+        &self,
+        engine: UpstreamStart,
+        offer: &AdmissionOffer,
+        now: TimeMs,
+    ) -> Option<DurationMs> {
+        let denial = self.denials.get(&engine)?;
+        let applies = denial.until > now
+            && offer.priority >= denial.priority
+            && slack_ms(offer) <= denial.slack_ms;
+        applies.then(|| denial.until.since(now))
+    }
+
+    /// Records the answer of an engine's sidecar; returns how long the engine takes no such request, or
+    /// nothing if it is granted.
+    pub fn record(
+        &mut self,
+        engine: UpstreamStart,
+        (offer, result): (&AdmissionOffer, AdmissionResult),
+        now: TimeMs,
+    ) -> Option<DurationMs> {
+        let wait_ms = match result {
+            AdmissionResult::Granted => return None,
+            AdmissionResult::Denied(wait_ms) => {
+                self.record_denial(engine, (offer, wait_ms), now);
+                wait_ms
+            }
+            // It concerns one organisation, and others may be sent there.
+            AdmissionResult::OverShare(wait_ms) => {
+                self.record_denial(engine, (offer, DurationMs::ZERO), now);
+                wait_ms
+            }
+        };
+        Some(wait_ms)
+    }
+
+    /// Decides without an answer: returns how long the request would miss its objective, or nothing if it
+    /// is expected to meet it.
+    pub fn decide_alone(offer: &AdmissionOffer, expected: &Expectation) -> Option<DurationMs> {
+        let excess_ms = expected.first_token_ms.saturating_sub(offer.objective_ms);
+        (excess_ms > DurationMs::ZERO).then_some(excess_ms)
+    }
+
+    /// Removes denials that concern no request any more.
+    pub fn expire(&mut self, now: TimeMs) {
+        self.denials.retain(|_, denial| denial.is_recent(now));
+    }
+
+    fn record_denial(
+        &mut self,
+        engine: UpstreamStart,
+        (offer, wait_ms): (&AdmissionOffer, DurationMs),
+        now: TimeMs,
+    ) {
+        if self.denials.len() >= MAX_ENGINES {
+            self.denials.clear();
+        }
+        let denial = Denial {
+            until: now + wait_ms,
+            priority: offer.priority,
+            slack_ms: slack_ms(offer),
+        };
+        self.denials.insert(engine, denial);
+    }
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -19,6 +19,8 @@
 //! | [`PermitAnswer`] | sidecar | router |
 //! | [`QuotaQuestion`], [`QuotaReturn`] | router | sidecar that counts for an organisation |
 //! | [`QuotaAnswer`] | sidecar | router |
+//! | [`AdmissionQuestion`] | router | sidecar of an engine |
+//! | [`AdmissionAnswer`] | sidecar | router |
 //! | [`OriginRecord`], [`OriginQuery`] | router | sidecars that keep the origin of a stream |
 //! | [`OriginAnswer`] | sidecar | router |
 
@@ -43,6 +45,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admission::AdmissionAnswer;
+use crate::admission::AdmissionQuestion;
 use crate::cached_parts::CachedParts;
 use crate::origins::OriginAnswer;
 use crate::origins::OriginQuery;
@@ -291,4 +295,8 @@
     QuotaAnswer(QuotaAnswer),
     /// What a router gives back of a quota.
     QuotaReturn(QuotaReturn),
+    /// Question of a router whether a request is to be sent to an engine.
+    AdmissionQuestion(AdmissionQuestion),
+    /// Answer of a sidecar to such a question.
+    AdmissionAnswer(AdmissionAnswer),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! Where routers reach model engines directly, routers and sidecars exchange [`Datagram`]s.
 
+mod admission;
 mod cached_parts;
 mod codec;
 mod control;
@@ -19,6 +20,11 @@
 mod status;
 mod transport;
 
+pub use admission::AdmissionAnswer;
+pub use admission::AdmissionOffer;
+pub use admission::AdmissionQuestion;
+pub use admission::AdmissionResult;
+pub use admission::EngineEstimate;
 pub use cached_parts::CachedParts;
 pub use cached_parts::ReportedParts;
 pub use codec::decode;
