gateway, sidecar: ask the sidecar of a busy engine before a request is sent

Cause: each gateway decides alone from sums that are some hundred ms old. Change: a rule before the quota's part asks the sidecar beside the chosen engine if a wait of more than a quarter of the remaining objective is expected or the engine denied lately. A denial leads to the next best engine, two to the answer overload with the shorter wait. The sidecar keeps the ledger; reports carry the KV memory. A request that may have run already is not asked about, since a refusal would leave its outcome unknown.

--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,184 @@
+//! Rule of each try: the sidecar of a busy engine says whether the request may be sent there.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use dw_admit::retry_after_limit;
+use dw_base::DurationMs;
+use dw_base::TimeMs;
+use dw_base::Tokens;
+use dw_capacity::Expectation;
+use dw_capacity::Requester;
+use dw_capacity::MAX_DENIALS;
+use dw_wire::AdmissionAnswer;
+use dw_wire::AdmissionOffer;
+use dw_wire::AdmissionQuestion;
+use dw_wire::AdmissionResult;
+use dw_wire::Datagram;
+use dw_wire::EngineEstimate;
+use tokio::net::UdpSocket;
+
+use crate::answer::GatewayAnswer;
+use crate::context::RequestContext;
+use crate::questions::Questions;
+use crate::request::request_hash;
+use crate::rules::Ruling;
+use crate::selection::AttemptPlan;
+use crate::shared::Shared;
+
+/// Time that a request waits for the sidecar's answer before the gateway decides alone.
+const ANSWER_TIMEOUT_MS: DurationMs = DurationMs(30);
+
+/// Admissions of engines as this gateway knows them.
+pub(crate) struct Admissions {
+    requester: RefCell<Requester>,
+    questions: Questions<AdmissionResult>,
+}
+
+impl Admissions {
+    /// Creates the state in which nothing was asked.
+    pub(crate) fn new(socket: Rc<UdpSocket>, inner_port: u16) -> Self {
+        Admissions {
+            requester: RefCell::default(),
+            questions: Questions::new(socket, inner_port),
+        }
+    }
+
+    /// Passes the answer of a sidecar on to the request that waits for it.
+    pub(crate) fn record_answer(&self, answer: AdmissionAnswer) {
+        // An admission that comes too late drains from the ledger with the speed of the engine.
+        self.questions.record_answer(answer.number, answer.result);
+    }
+
+    /// Removes denials that concern no request any more.
+    pub(crate) fn expire(&self, now: TimeMs) {
+        self.requester.borrow_mut().expire(now);
+    }
+}
+
+/// Denials that one request has met.
+#[derive(Default)]
+pub(crate) struct Denials {
+    count: u32,
+    shortest_ms: Option<DurationMs>,
+}
+
+impl Denials {
+    /// Decides about a try; returns nothing if the request may be sent.
+    pub(crate) async fn check(
+        &mut self,
+        shared: &Shared,
+        context: &RequestContext,
+        plan: &AttemptPlan,
+    ) -> Option<Ruling> {
+        let (result, wait_ms) = find_denial(shared, context, plan).await?;
+        self.count += 1;
+        let shortest_ms = self.shortest_ms.map_or(wait_ms, |ms| ms.min(wait_ms));
+        self.shortest_ms = Some(shortest_ms);
+        let now = shared.now();
+        if shared.metrics.may_log_denial(now) {
+            log::info!(
+                request_id = context.request_head.request_id.as_str(),
+                upstream:% = plan.choice.upstream, result, wait_ms = wait_ms.0,
+                priority = context.priority(), missing = plan.choice.missing_tokens.0,
+                backlog_ms = plan.choice.backlog_ms.0, denials = self.count;
+                "engine takes no such request now"
+            );
+        }
+        match self.count < MAX_DENIALS {
+            true => Some(Ruling::NextUpstream),
+            false => self.answer(context, now).map(Ruling::Answer),
+        }
+    }
+
+    /// Returns the answer to a request that no engine takes, if one has denied it.
+    pub(crate) fn answer(&self, context: &RequestContext, now: TimeMs) -> Option<GatewayAnswer> {
+        let wait_ms = self.shortest_ms?;
+        let point = request_hash(&context.request_head.request_id);
+        Some(GatewayAnswer::NotRun {
+            reason: "overload",
+            retry_after_ms: retry_after_limit(context.remaining(now), point, wait_ms),
+        })
+    }
+}
+
+/// Returns why and for how long the engine takes no such request, or nothing if it may be sent.
+async fn find_denial(
+    shared: &Shared,
+    context: &RequestContext,
+    plan: &AttemptPlan,
+) -> Option<(&'static str, DurationMs)> {
+    // Only model engines have weights.
+    plan.choice.weights?;
+    let admissions = &shared.admissions;
+    let now = shared.now();
+    let offer = offer(context, plan, now);
+    let expected = Expectation {
+        wait_ms: plan.choice.backlog_ms,
+        first_token_ms: plan.choice.first_token_ms,
+    };
+    let engine = plan.start();
+    let requester = admissions.requester.borrow();
+    if !requester.is_needed(engine, (&offer, &expected), now) {
+        return None;
+    }
+    let known = requester.denied_for(engine, &offer, now);
+    drop(requester);
+    if let Some(wait_ms) = known {
+        shared.metrics.record_admission("known_denial");
+        return Some(("known_denial", wait_ms));
+    }
+    let estimate = estimate(shared, plan, now);
+    let question = |number| {
+        Datagram::AdmissionQuestion(AdmissionQuestion {
+            number,
+            offer: offer.clone(),
+            engine: estimate,
+        })
+    };
+    let questions = &admissions.questions;
+    let result = questions.ask(plan.addr, ANSWER_TIMEOUT_MS, question).await;
+    let label = result.map_or("no_answer", AdmissionResult::label);
+    shared.metrics.record_admission(label);
+    let denied_ms = match result {
+        Some(result) => {
+            let mut requester = admissions.requester.borrow_mut();
+            requester.record(engine, (&offer, result), shared.now())
+        }
+        None => Requester::decide_alone(&offer, &expected),
+    };
+    denied_ms.map(|wait_ms| (label, wait_ms))
+}
+
+fn offer(context: &RequestContext, plan: &AttemptPlan, now: TimeMs) -> AdmissionOffer {
+    let head = &context.request_head;
+    let choice = &plan.choice;
+    let computed = choice
+        .missing_tokens
+        .0
+        .saturating_sub(choice.fetched_tokens.0);
+    let organisation = context.organisation.as_ref();
+    AdmissionOffer {
+        org: organisation.map(|organisation| organisation.org.clone()),
+        priority: context.priority(),
+        compute_tokens: Tokens(computed),
+        memory_tokens: Tokens(head.prompt_tokens().0 + head.output_tokens.0),
+        compute_ms: choice.first_token_ms.saturating_sub(choice.backlog_ms),
+        objective_ms: (context.arrived + context.route.objective_ms).since(now),
+        deadline_ms: context.remaining(now),
+    }
+}
+
+fn estimate(shared: &Shared, plan: &AttemptPlan, now: TimeMs) -> EngineEstimate {
+    let upstream = &plan.choice.upstream;
+    let directory = shared.directory.borrow();
+    let mut placement = shared.placement.borrow_mut();
+    let load = placement.load_mut(upstream);
+    EngineEstimate {
+        outstanding: load.outstanding(now),
+        speed: load.queue_speed(),
+        slots: directory
+            .get(upstream)
+            .map_or(u32::MAX, |entry| entry.registration.slots),
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use crate::admission::Admissions;
 use crate::caller;
 use crate::connections::Connections;
 use crate::declaration_times::DeclarationTimeQueue;
@@ -131,12 +132,13 @@
         let quarantine = Quarantine::new(parts.quarantine);
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
         let quotas = Quotas::new(socket.clone(), boot.inner_ports.0);
+        let admissions = Admissions::new(socket.clone(), boot.inner_ports.0);
         let origins = Origins::new(socket.clone(), boot.inner_ports.0, boot.bounds.leaving_ms);
         let shared = shared_state(
             &boot,
             parts.clock,
             parts.codec,
-            (quarantine, limits, quotas, origins),
+            (quarantine, limits, quotas, admissions, origins),
         );
         log::info!(
             node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
@@ -231,7 +233,13 @@
     boot: &Rc<Boot>,
     clock: Arc<dyn Clock>,
     codec: Arc<dyn Codec>,
-    (quarantine, limits, quotas, origins): (Quarantine, RequestLimits, Quotas, Origins),
+    (quarantine, limits, quotas, admissions, origins): (
+        Quarantine,
+        RequestLimits,
+        Quotas,
+        Admissions,
+        Origins,
+    ),
 ) -> Rc<Shared> {
     let lapse_ms = DurationMs(boot.heartbeat_ms.0 * LAPSE_HEARTBEATS);
     Rc::new(Shared {
@@ -255,6 +263,7 @@
         quarantine,
         limits,
         quotas,
+        admissions,
         origins,
         ended: EndedUpstreams::default(),
         draining: Cell::new(false),
@@ -271,6 +280,7 @@
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
         shared.limits.expire(now);
+        shared.admissions.expire(now);
         let quarantined = shared.quarantine.expire(now);
         shared.metrics.set_quarantined(&quarantined);
         shared.origins.expire(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform's formats come through the traits of `dw_port`. `dw_place`, `dw_member`, `dw_retry`
 //! and `dw_quarantine` decide where a request goes, whether it is retried, and whether it is sent at all.
 
+mod admission;
 mod answer;
 mod body;
 mod caller;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,7 @@
     total: Latency,
     permits: Family<PermitLabels, Counter>,
     quotas: Family<KindLabel, Counter>,
+    admissions: Family<KindLabel, Counter>,
     table_calls: Family<KindLabel, Counter>,
     success_lines: LineLimit,
     denial_lines: LineLimit,
@@ -174,6 +175,11 @@
             ),
             first_token: metrics.add("first_token_seconds", first, latencies()),
             total: metrics.add("answer_seconds", total, latencies()),
+            admissions: metrics.add(
+                "admission_questions",
+                "Questions about admissions at engines by answer",
+                Family::default(),
+            ),
             quotas: metrics.add(
                 "quota_questions",
                 "Questions about quotas of organisations by answer",
@@ -333,6 +339,11 @@
         self.quotas.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a question about an admission by its answer, and denials that were known without one.
+    pub(crate) fn record_admission(&self, kind: &'static str) {
+        self.admissions.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request without a permit or a part of a quota and returns whether it may be logged in this second.
     pub(crate) fn may_log_denial(&self, now: TimeMs) -> bool {
         self.denial_lines.may_log(now)
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -69,6 +69,11 @@
                     self.shared.metrics.record_received("quotas", bytes.len());
                     self.shared.quotas.record_answer(answer);
                 }
+                Datagram::AdmissionAnswer(answer) => {
+                    let metrics = &self.shared.metrics;
+                    metrics.record_received("admissions", bytes.len());
+                    self.shared.admissions.record_answer(answer);
+                }
                 Datagram::Router(_)
                 | Datagram::Engine(_)
                 | Datagram::Roster(_)
@@ -76,7 +81,8 @@
                 | Datagram::OriginRecord(_)
                 | Datagram::OriginQuery(_)
                 | Datagram::QuotaQuestion(_)
-                | Datagram::QuotaReturn(_) => {}
+                | Datagram::QuotaReturn(_)
+                | Datagram::AdmissionQuestion(_) => {}
             }
         })
         .await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -227,7 +227,11 @@
         let plan = match select_upstream(shared, context, &exclusions) {
             Ok(plan) => plan,
             Err(NoUpstream { reason }) => {
-                return Err(final_answer(shared, context, &retry_state, reason))
+                let denied = rules.denied_answer();
+                if let Some(answer) = denied.filter(|_| !retry_state.may_have_run()) {
+                    return Err(answer);
+                }
+                return Err(final_answer(shared, context, &retry_state, reason));
             }
         };
         let ruling = rules.check(&plan, &retry_state).await;
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | [`overload_rule`]: first tokens are in time; first try only | answer |
 //! | [`quarantine_rule`]: no upstream ended under it | answer |
+//! | [`Denials`]: a busy engine begins it in time | next upstream, then answer |
 //! | [`Grant`]: within the quota of its organisation | answer |
 //! | [`acquire_permit`]: within the limit of the upstream | next upstream |
 
@@ -15,6 +16,7 @@
 use dw_retry::AttemptOutcome;
 use dw_retry::RetryState;
 
+use crate::admission::Denials;
 use crate::answer::GatewayAnswer;
 use crate::context::SharedContext;
 use crate::forward::AttemptResult;
@@ -39,6 +41,7 @@
 pub(crate) struct AttemptRules {
     shared: Rc<Shared>,
     context: SharedContext,
+    denials: Denials,
     grant: Grant,
     is_offered: bool,
 }
@@ -49,6 +52,7 @@
         AttemptRules {
             shared: shared.clone(),
             context: context.clone(),
+            denials: Denials::default(),
             grant: Grant::new(shared, context),
             is_offered: false,
         }
@@ -56,9 +60,18 @@
 
     /// Decides about a try, which the caller starts at once if it may be sent.
     pub(crate) async fn check(&mut self, plan: &AttemptPlan, retry_state: &RetryState) -> Ruling {
-        match self.find_answer(plan, retry_state).await {
-            Some(answer) => return Ruling::Answer(answer),
-            None => {}
+        if let Some(answer) = self.find_answer(plan, retry_state).await {
+            return Ruling::Answer(answer);
+        }
+        // A request that may have run goes on: refusing it would leave its outcome unknown.
+        if !retry_state.may_have_run() {
+            let ruling = self.denials.check(&self.shared, &self.context, plan);
+            if let Some(ruling) = ruling.await {
+                return ruling;
+            }
+        }
+        if let Err(answer) = self.grant.acquire(&self.context).await {
+            return Ruling::Answer(answer);
         }
         if !acquire_permit(&self.shared, &self.context, plan).await {
             return Ruling::NextUpstream;
@@ -79,11 +92,12 @@
                 return answer;
             }
         }
-        let answer = quarantine_rule::check(&self.shared, &self.context, retry_state).await;
-        if answer.is_some() {
-            return answer;
-        }
-        self.grant.acquire(&self.context).await.err()
+        quarantine_rule::check(&self.shared, &self.context, retry_state).await
+    }
+
+    /// Returns the answer to a request that no further engine takes, if one has denied it.
+    pub(crate) fn denied_answer(&self) -> Option<GatewayAnswer> {
+        self.denials.answer(&self.context, self.shared.now())
     }
 
     /// Records how a try ended.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use dw_route::RouteTable;
 use tokio::sync::Notify;
 
+use crate::admission::Admissions;
 use crate::connections::Connections;
 use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
@@ -58,6 +59,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: RequestLimits,
     pub(crate) quotas: Quotas,
+    pub(crate) admissions: Admissions,
     pub(crate) origins: Origins,
     pub(crate) ended: EndedUpstreams,
     pub(crate) draining: Cell<bool>,
--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -4,6 +4,7 @@
 use dw_base::MeasuredSpeeds;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::TokensPerS;
 
 use crate::learned_speed::LearnedSpeed;
 use crate::learned_speed::PRIOR_TOKENS_PER_MS;
@@ -110,6 +111,16 @@
         self.compute_speed.tokens_per_ms()
     }
 
+    /// Returns the estimated speed at which the engine processes its queue.
+    pub fn queue_speed(&self) -> TokensPerS {
+        TokensPerS::new(self.queue_speed.tokens_per_ms() * 1_000.0).unwrap_or_default()
+    }
+
+    /// Returns the prompt tokens of all routers that await their first token.
+    pub fn outstanding(&self, now: TimeMs) -> Tokens {
+        Tokens(self.outstanding_tokens(now))
+    }
+
     /// Records the time that a request at a plain service took.
     pub fn record_service_time(&mut self, took_ms: DurationMs) {
         self.service_ms += SERVICE_TIME_SMOOTHING * (took_ms.0 as f64 - self.service_ms);
--- a/crates/port/src/engine.rs
+++ b/crates/port/src/engine.rs
@@ -4,6 +4,7 @@
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
 use dw_base::ModelId;
+use dw_base::Tokens;
 use dw_base::WeightsVersion;
 use thiserror::Error;
 
@@ -20,6 +21,10 @@
     pub waiting: u32,
     /// Requests that run.
     pub running: u32,
+    /// Tokens in the KV memory that cannot yield.
+    pub kv_used: Tokens,
+    /// Tokens that the KV memory holds, if the engine tells them.
+    pub kv_total: Option<Tokens>,
     /// Start of the engine in milliseconds since the Unix epoch; differs after a restart.
     pub started_ms: u64,
 }
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -15,6 +15,7 @@
 use dw_wire::TableProgress;
 use dw_wire::WeightsUpdate;
 
+use crate::admission;
 use crate::engine_announcer::EngineAnnouncer;
 use crate::origins;
 use crate::permits;
@@ -102,12 +103,16 @@
             Datagram::PermitRequest(request) => permits::answer(&shared, from, &request, now),
             Datagram::QuotaQuestion(question) => quotas::answer(&shared, from, &question, now),
             Datagram::QuotaReturn(returned) => quotas::give_back(&shared, &returned, now),
+            Datagram::AdmissionQuestion(question) => {
+                admission::answer(&shared, from, &question, now);
+            }
             Datagram::OriginRecord(record) => origins::record(&shared, record, now),
             Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
             Datagram::Kv(_)
             | Datagram::PermitAnswer(_)
             | Datagram::OriginAnswer(_)
-            | Datagram::QuotaAnswer(_) => {}
+            | Datagram::QuotaAnswer(_)
+            | Datagram::AdmissionAnswer(_) => {}
         }
     })
     .await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's table and from routers, and decides from the other sidecars' announcements when its
 //! engine loads them.
 
+mod admission;
 mod cache;
 mod engine_announcer;
 mod gossip;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a sidecar.
 
 use std::cell::Cell;
+use std::sync::atomic::AtomicU64;
 
 use dw_base::DurationMs;
 use dw_base::TimeMs;
@@ -34,6 +35,8 @@
     permits: Family<Label, Counter>,
     quotas: Family<Label, Counter>,
     quota_accounts: Gauge,
+    admissions: Family<Label, Counter>,
+    admitted_queue_s: Gauge<f64, AtomicU64>,
     sent_bytes: Family<Label, Counter>,
     sent_datagrams: Family<Label, Counter>,
     /// Start of the current phase.
@@ -66,6 +69,16 @@
                 "Organisations whose quotas this sidecar counts",
                 Gauge::default(),
             ),
+            admissions: metrics.add(
+                "admission_questions",
+                "Questions about admissions at the engine by result",
+                Family::default(),
+            ),
+            admitted_queue_s: metrics.add(
+                "admitted_queue_seconds",
+                "Time that the engine needs for what it was sent, as of the last question",
+                Gauge::default(),
+            ),
             permits: metrics.add(
                 "permits",
                 "Requests for permits by result",
@@ -115,6 +128,13 @@
         self.quotas.get_or_create(&Label { kind }).inc();
     }
 
+    /// Counts a question about an admission by its result, and sets the time that the engine needs for what it
+    /// was sent.
+    pub(crate) fn record_admission(&self, kind: &'static str, queue_ms: DurationMs) {
+        self.admissions.get_or_create(&Label { kind }).inc();
+        self.admitted_queue_s.set(queue_ms.as_secs_f64());
+    }
+
     /// Sets the number of organisations whose quotas this sidecar counts.
     pub(crate) fn set_quota_accounts(&self, accounts: usize) {
         self.quota_accounts.set(accounts as i64);
--- a/crates/sidecar/src/orders.rs
+++ b/crates/sidecar/src/orders.rs
@@ -11,6 +11,7 @@
 use dw_port::OrderResult;
 use dw_wire::Phase;
 
+use crate::admission;
 use crate::sidecar::Shared;
 use crate::state::DueLoad;
 
@@ -96,6 +97,7 @@
 }
 
 fn apply_report(shared: &Shared, report: dw_port::Report, orders: &mut OrderState) {
+    admission::observe(shared, &report, shared.clock.now());
     let busy = report.busy;
     let running = report.running;
     let accepted = report.orders;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -28,6 +28,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
+use crate::admission::Admissions;
 use crate::cache::follow_cache;
 use crate::gossip;
 use crate::metrics::SidecarMetrics;
@@ -85,6 +86,8 @@
     pub(crate) issuer: RefCell<Issuer>,
     /// Counter of the quotas of organisations.
     pub(crate) counter: RefCell<Counter>,
+    /// Admissions at the engine.
+    pub(crate) admissions: RefCell<Admissions>,
     /// Origins of streams that routers have told this sidecar.
     pub(crate) origins: RefCell<OriginKeeper>,
     pub(crate) metrics: SidecarMetrics,
@@ -165,6 +168,7 @@
             inner_port: boot.inner_ports.0,
             issuer: RefCell::new(Issuer::new(engine, parts.clock.now())),
             counter: RefCell::new(Counter::new(engine, parts.clock.now())),
+            admissions: RefCell::default(),
             origins: RefCell::default(),
             metrics: SidecarMetrics::new(parts.clock.now()),
             clock: parts.clock,
