capacity: ask about every engine of a service after a denial

Cause: in the trace of a burst, engines that came back from a load of weights got some 60 requests of all gateways within 60 ms, since the sums showed no queue there and so nobody asked: first tokens after 1.2 s where 0.1 s was expected. Change: a denial by one engine makes a gateway ask about all engines of that service until a second after its end.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -21,4 +21,5 @@
 pub use ledger::Ledger;
 pub use requester::Expectation;
 pub use requester::Requester;
+pub use requester::Target;
 pub use requester::MAX_DENIALS;
--- a/crates/capacity/src/requester.rs
+++ b/crates/capacity/src/requester.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use dw_base::DurationMs;
+use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_wire::AdmissionOffer;
 use dw_wire::AdmissionResult;
@@ -17,12 +18,22 @@
 /// Part of the remaining objective above which an expected wait is confirmed by the engine's sidecar.
 const ASK_FROM: f64 = 0.25;
 
-/// Time for which an engine is asked about each request once its last denial has run out.
+/// Time for which each engine of a service is asked about each request once a denial has run out. An engine
+/// that comes back empty into an overload would otherwise get a request of every waiting caller at once.
 const ASK_AFTER_DENIAL_MS: DurationMs = DurationMs(1_000);
 
 /// Maximum number of engines whose denials are remembered.
 const MAX_ENGINES: usize = 4_096;
 
+/// An engine that a request may be sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target<'a> {
+    /// Start of the engine.
+    pub engine: UpstreamStart,
+    /// Its service.
+    pub service: &'a ServiceId,
+}
+
 /// What a router expects of an engine for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Expectation {
@@ -44,12 +55,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Requester {
     denials: HashMap<UpstreamStart, Denial>,
+    /// Until when the last denial of any engine of a service holds.
+    services: HashMap<ServiceId, TimeMs>,
 }
 
-impl Denial {
-    fn is_recent(&self, now: TimeMs) -> bool {
-        now.since(self.until) < ASK_AFTER_DENIAL_MS
-    }
+fn is_recent(denied_until: TimeMs, now: TimeMs) -> bool {
+    now.since(denied_until) < ASK_AFTER_DENIAL_MS
 }
 
 fn slack_ms(offer: &AdmissionOffer) -> DurationMs {
@@ -57,17 +68,17 @@
 }
 
 impl Requester {
-    /// Returns whether a request may be sent to an engine only once its sidecar was asked.
+    /// Returns whether a request may be sent to an engine of a service only once its sidecar was asked.
     pub fn is_needed(
         &self,
-        engine: UpstreamStart,
+        service: &ServiceId,
         (offer, expected): (&AdmissionOffer, &Expectation),
         now: TimeMs,
     ) -> bool {
         let noticeable_ms = offer.objective_ms.0 as f64 * ASK_FROM;
-        let was_denied = self.denials.get(&engine);
+        let denied_until = self.services.get(service);
         expected.wait_ms.0 as f64 > noticeable_ms
-            || was_denied.is_some_and(|denial| denial.is_recent(now))
+            || denied_until.is_some_and(|until| is_recent(*until, now))
     }
 
     /// Returns how long an engine takes no such request: one that is neither more urgent nor has more time
@@ -89,19 +100,19 @@
     /// nothing if it is granted.
     pub fn record(
         &mut self,
-        engine: UpstreamStart,
+        target: Target<'_>,
         (offer, result): (&AdmissionOffer, AdmissionResult),
         now: TimeMs,
     ) -> Option<DurationMs> {
         let wait_ms = match result {
             AdmissionResult::Granted => return None,
             AdmissionResult::Denied(wait_ms) => {
-                self.record_denial(engine, (offer, wait_ms), now);
+                self.record_denial(target, (offer, wait_ms), now);
                 wait_ms
             }
             // It concerns one organisation, and others may be sent there.
             AdmissionResult::OverShare(wait_ms) => {
-                self.record_denial(engine, (offer, DurationMs::ZERO), now);
+                self.record_denial(target, (offer, DurationMs::ZERO), now);
                 wait_ms
             }
         };
@@ -117,12 +128,13 @@
 
     /// Removes denials that concern no request any more.
     pub fn expire(&mut self, now: TimeMs) {
-        self.denials.retain(|_, denial| denial.is_recent(now));
+        self.denials.retain(|_, denial| denial.until > now);
+        self.services.retain(|_, until| is_recent(*until, now));
     }
 
     fn record_denial(
         &mut self,
-        engine: UpstreamStart,
+        target: Target<'_>,
         (offer, wait_ms): (&AdmissionOffer, DurationMs),
         now: TimeMs,
     ) {
@@ -134,6 +146,12 @@
             priority: offer.priority,
             slack_ms: slack_ms(offer),
         };
-        self.denials.insert(engine, denial);
+        self.denials.insert(target.engine, denial);
+        match self.services.get_mut(target.service) {
+            Some(until) => *until = denial.until.max(*until),
+            None => {
+                self.services.insert(target.service.clone(), denial.until);
+            }
+        }
     }
 }
--- a/crates/capacity/tests/fake/mod.rs
+++ b/crates/capacity/tests/fake/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 
 use dw_base::DurationMs;
+use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::TokensPerS;
@@ -12,6 +13,7 @@
 use dw_capacity::Expectation;
 use dw_capacity::Ledger;
 use dw_capacity::Requester;
+use dw_capacity::Target;
 use dw_wire::AdmissionOffer;
 use dw_wire::AdmissionQuestion;
 use dw_wire::EngineEstimate;
@@ -183,8 +185,13 @@
         };
         self.next_router = (self.next_router + 1) % ROUTERS;
         let now = self.now();
+        let service: ServiceId = "s".parse().expect("a valid id");
+        let target = Target {
+            engine: ENGINE,
+            service: &service,
+        };
         let router = &mut self.routers[self.next_router];
-        let denied_for = if !router.is_needed(ENGINE, (&offer, &expected), now) {
+        let denied_for = if !router.is_needed(&service, (&offer, &expected), now) {
             None
         } else if let Some(wait_ms) = router.denied_for(ENGINE, &offer, now) {
             Some(wait_ms)
@@ -200,7 +207,7 @@
             };
             let result = self.ledger.ask(&question, now);
             match self.answers {
-                true => router.record(ENGINE, (&offer, result), now),
+                true => router.record(target, (&offer, result), now),
                 false => Requester::decide_alone(&offer, &expected),
             }
         };
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,7 @@
 use dw_base::Tokens;
 use dw_capacity::Expectation;
 use dw_capacity::Requester;
+use dw_capacity::Target;
 use dw_capacity::MAX_DENIALS;
 use dw_wire::AdmissionAnswer;
 use dw_wire::AdmissionOffer;
@@ -118,12 +119,17 @@
         first_token_ms: plan.choice.first_token_ms,
     };
     let engine = plan.start();
-    let requester = admissions.requester.borrow();
-    if !requester.is_needed(engine, (&offer, &expected), now) {
-        return None;
-    }
-    let known = requester.denied_for(engine, &offer, now);
-    drop(requester);
+    let target = Target {
+        engine,
+        service: &context.service,
+    };
+    let known = {
+        let requester = admissions.requester.borrow();
+        if !requester.is_needed(&context.service, (&offer, &expected), now) {
+            return None;
+        }
+        requester.denied_for(engine, &offer, now)
+    };
     if let Some(wait_ms) = known {
         shared.metrics.record_admission("known_denial");
         return Some(("known_denial", wait_ms));
@@ -143,7 +149,7 @@
     let denied_ms = match result {
         Some(result) => {
             let mut requester = admissions.requester.borrow_mut();
-            requester.record(engine, (&offer, result), shared.now())
+            requester.record(target, (&offer, result), shared.now())
         }
         None => Requester::decide_alone(&offer, &expected),
     };
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -75,6 +75,7 @@
             waiting: 0,
             running: 0,
             started_ms: 7,
+            ..Report::default()
         })
     }
 
