gateway: tell the typical speed of the service for an engine that was not measured

Cause: in the trace, engines that had just started were taken to compute 90 tokens/ms, which is the prior of placement, while those of their service computed about half of that; their ledgers admitted twice what fits the objective. Change: the prior of the speed in a question is the mean of what was measured at the engines of the service, summed once a second; the ledger takes the first speed that it is told. Placement keeps its own prior.

--- a/crates/capacity/src/backlog.rs
+++ b/crates/capacity/src/backlog.rs
@@ -11,9 +11,6 @@
 /// Time constant with which earlier admissions count less in the mix of priorities.
 const MIX_DECAY_MS: f64 = 2_000.0;
 
-/// Speed that is assumed before a router tells one, in tokens per millisecond.
-const PRIOR_TOKENS_PER_MS: f64 = 90.0;
-
 /// Lowest speed, in tokens per millisecond, so that a wrong value ends no engine's service.
 const MIN_TOKENS_PER_MS: f64 = 1.0;
 
@@ -21,22 +18,13 @@
 const SPEED_SMOOTHING: f64 = 0.2;
 
 /// Prompt tokens that are admitted and not computed yet.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Backlog {
     tokens: [f64; PRIORITIES],
     /// Tokens admitted lately, with which work of unknown priority is distributed.
     mix: [f64; PRIORITIES],
-    tokens_per_ms: f64,
-}
-
-impl Default for Backlog {
-    fn default() -> Self {
-        Backlog {
-            tokens: Default::default(),
-            mix: Default::default(),
-            tokens_per_ms: PRIOR_TOKENS_PER_MS,
-        }
-    }
+    /// Unknown until a router has told it; nothing is in the backlog before.
+    tokens_per_ms: Option<f64>,
 }
 
 /// Returns the index of a priority.
@@ -48,12 +36,13 @@
     /// Takes in a speed that a router has told.
     pub(crate) fn update_speed(&mut self, tokens_per_ms: f64) {
         let told = tokens_per_ms.max(MIN_TOKENS_PER_MS);
-        self.tokens_per_ms += SPEED_SMOOTHING * (told - self.tokens_per_ms);
+        let speed = self.tokens_per_ms.unwrap_or(told);
+        self.tokens_per_ms = Some(speed + SPEED_SMOOTHING * (told - speed));
     }
 
     /// Removes what the engine has computed in the meantime, the most urgent work first.
     pub(crate) fn drain(&mut self, elapsed_ms: DurationMs) {
-        let mut computed = elapsed_ms.0 as f64 * self.tokens_per_ms;
+        let mut computed = elapsed_ms.0 as f64 * self.speed();
         for tokens in &mut self.tokens {
             let done = tokens.min(computed);
             *tokens -= done;
@@ -99,6 +88,10 @@
         }
     }
 
+    fn speed(&self) -> f64 {
+        self.tokens_per_ms.unwrap_or(MIN_TOKENS_PER_MS)
+    }
+
     /// Returns the sum of all tokens.
     pub(crate) fn total(&self) -> f64 {
         self.tokens.iter().sum()
@@ -106,12 +99,12 @@
 
     /// Returns the time to compute all tokens.
     pub(crate) fn total_ms(&self) -> f64 {
-        self.total() / self.tokens_per_ms
+        self.total() / self.speed()
     }
 
     /// Returns the time to compute what is at least as urgent as a priority.
     pub(crate) fn wait_ms(&self, priority: u8) -> f64 {
         let ahead: f64 = self.tokens[..=index(priority)].iter().sum();
-        ahead / self.tokens_per_ms
+        ahead / self.speed()
     }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,12 +1,16 @@
 //! Rule of each try: the sidecar of a busy engine says whether the request may be sent there.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use dw_admit::retry_after_limit;
 use dw_base::DurationMs;
+use dw_base::MeasuredWork;
+use dw_base::ServiceId;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::TokensPerS;
 use dw_capacity::Expectation;
 use dw_capacity::Requester;
 use dw_capacity::Target;
@@ -30,10 +34,18 @@
 /// Time that a request waits for the sidecar's answer before the gateway decides alone.
 const ANSWER_TIMEOUT_MS: DurationMs = DurationMs(30);
 
+/// Interval at which the speeds of all engines of a service are summed.
+const SPEED_INTERVAL_MS: DurationMs = DurationMs(1_000);
+
+/// Speed of an engine while nothing is measured in its service.
+const PRIOR_TOKENS_PER_S: f64 = 90_000.0;
+
 /// Admissions of engines as this gateway knows them.
 pub(crate) struct Admissions {
     requester: RefCell<Requester>,
     questions: Questions<AdmissionResult>,
+    /// Speeds at which the engines of a service process their queues, and when they were summed.
+    speeds: RefCell<HashMap<ServiceId, (TokensPerS, TimeMs)>>,
 }
 
 impl Admissions {
@@ -42,6 +54,7 @@
         Admissions {
             requester: RefCell::default(),
             questions: Questions::new(socket, inner_port),
+            speeds: RefCell::default(),
         }
     }
 
@@ -134,7 +147,7 @@
         shared.metrics.record_admission("known_denial");
         return Some(("known_denial", wait_ms));
     }
-    let estimate = estimate(shared, plan, now);
+    let estimate = estimate(shared, context, plan);
     let question = |number| {
         Datagram::AdmissionQuestion(AdmissionQuestion {
             number,
@@ -175,14 +188,41 @@
     }
 }
 
-fn estimate(shared: &Shared, plan: &AttemptPlan, now: TimeMs) -> EngineEstimate {
+/// Returns the mean speed at which the engines of a service process their queues. It stands for that of
+/// an engine that has just started and was not measured.
+fn typical_speed(shared: &Shared, service: &ServiceId, now: TimeMs) -> TokensPerS {
+    let mut speeds = shared.admissions.speeds.borrow_mut();
+    if let Some((speed, at)) = speeds.get(service) {
+        if now.since(*at) < SPEED_INTERVAL_MS {
+            return *speed;
+        }
+    }
+    let directory = shared.directory.borrow();
+    let mut placement = shared.placement.borrow_mut();
+    let measured = directory.serving(service).map(|entry| {
+        let load = placement.load_mut(&entry.registration.upstream);
+        load.measured_queue()
+    });
+    let work: MeasuredWork = measured.sum();
+    let per_s = match work.took_ms {
+        DurationMs::ZERO => PRIOR_TOKENS_PER_S,
+        took_ms => work.tokens.0 as f64 / took_ms.as_secs_f64(),
+    };
+    let speed = TokensPerS::new(per_s).unwrap_or_default();
+    speeds.insert(service.clone(), (speed, now));
+    speed
+}
+
+fn estimate(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> EngineEstimate {
+    let now = shared.now();
+    let typical = typical_speed(shared, &context.service, now);
     let upstream = &plan.choice.upstream;
     let directory = shared.directory.borrow();
     let mut placement = shared.placement.borrow_mut();
     let load = placement.load_mut(upstream);
     EngineEstimate {
         outstanding: load.outstanding(now),
-        speed: load.queue_speed(),
+        speed: load.queue_speed(typical),
         slots: directory
             .get(upstream)
             .map_or(u32::MAX, |entry| entry.registration.slots),
--- a/crates/place/src/learned_speed.rs
+++ b/crates/place/src/learned_speed.rs
@@ -59,13 +59,27 @@
         }
     }
 
+    /// Returns the measurements that cover the most tokens: those of this router or of all.
+    pub(crate) fn best_measured(&self) -> MeasuredWork {
+        match self.shared.tokens.0 as f64 > self.own_tokens {
+            true => self.shared,
+            false => self.measured(),
+        }
+    }
+
+    /// Returns the estimate.
     pub(crate) fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms_with_prior(PRIOR_TOKENS_PER_MS)
+    }
+
+    /// Returns the estimate with another prior speed.
+    pub(crate) fn tokens_per_ms_with_prior(&self, prior_tokens_per_ms: f64) -> f64 {
         let shared_tokens = self.shared.tokens.0 as f64;
         let (tokens, took_ms) = match shared_tokens > self.own_tokens {
             true => (shared_tokens, self.shared.took_ms.0 as f64),
             false => (self.own_tokens, self.own_ms),
         };
-        let prior_ms = self.prior_tokens / PRIOR_TOKENS_PER_MS;
+        let prior_ms = self.prior_tokens / prior_tokens_per_ms;
         let speed = (self.prior_tokens + tokens) / (prior_ms + took_ms);
         speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -2,6 +2,7 @@
 
 use dw_base::DurationMs;
 use dw_base::MeasuredSpeeds;
+use dw_base::MeasuredWork;
 use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::TokensPerS;
@@ -111,9 +112,19 @@
         self.compute_speed.tokens_per_ms()
     }
 
-    /// Returns the estimated speed at which the engine processes its queue.
-    pub fn queue_speed(&self) -> TokensPerS {
-        TokensPerS::new(self.queue_speed.tokens_per_ms() * 1_000.0).unwrap_or_default()
+    /// Returns the estimated speed at which the engine processes its queue; `typical` is that of others like
+    /// it, and counts while little is measured.
+    pub fn queue_speed(&self, typical: TokensPerS) -> TokensPerS {
+        let prior_tokens_per_ms = (typical.get() / 1_000.0).max(f64::MIN_POSITIVE);
+        let speed = self
+            .queue_speed
+            .tokens_per_ms_with_prior(prior_tokens_per_ms);
+        TokensPerS::new(speed * 1_000.0).unwrap_or(typical)
+    }
+
+    /// Returns what was measured of the speed at which the engine processes its queue.
+    pub fn measured_queue(&self) -> MeasuredWork {
+        self.queue_speed.best_measured()
     }
 
     /// Returns the prompt tokens of all routers that await their first token.
