--- a/crates/place/src/upstream_load.rs
+++ b/crates/place/src/upstream_load.rs
@@ -2,8 +2,10 @@
 
 use dw_base::DurationMs;
 use dw_base::MeasuredSpeeds;
+use dw_base::MeasuredWork;
 use dw_base::TimeMs;
 use dw_base::Tokens;
+use dw_base::TokensPerS;
 
 use crate::learned_speed::LearnedSpeed;
 use crate::learned_speed::PRIOR_TOKENS_PER_MS;
@@ -110,6 +112,26 @@
         self.compute_speed.tokens_per_ms()
     }
 
+    /// Returns the estimated speed at which the engine processes its queue; `typical` is that of others like
+    /// it, and counts while little is measured.
+    pub fn queue_speed(&self, typical: TokensPerS) -> TokensPerS {
+        let prior_tokens_per_ms = (typical.get() / 1_000.0).max(f64::MIN_POSITIVE);
+        let speed = self
+            .queue_speed
+            .tokens_per_ms_with_prior(prior_tokens_per_ms);
+        TokensPerS::new(speed * 1_000.0).unwrap_or(typical)
+    }
+
+    /// Returns what was measured of the speed at which the engine processes its queue.
+    pub fn measured_queue(&self) -> MeasuredWork {
+        self.queue_speed.best_measured()
+    }
+
+    /// Returns the prompt tokens of all routers that await their first token.
+    pub fn outstanding(&self, now: TimeMs) -> Tokens {
+        Tokens(self.outstanding_tokens(now))
+    }
+
     /// Records the time that a request at a plain service took.
     pub fn record_service_time(&mut self, took_ms: DurationMs) {
         self.service_ms += SERVICE_TIME_SMOOTHING * (took_ms.0 as f64 - self.service_ms);
