place: place long prompts with regard to short ones

Cause: engines read what they have admitted in the order of arrival, whatever its priority. Prompts that are late wherever they go take one engine after the other.

Priorities at the engines stay as declared. Streams that are taken up are placed as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use dw_net::BindError;
 use dw_place::Direct;
 use dw_place::DirectSettings;
+use dw_place::MixedSettings;
 use dw_platform::Boot;
 use dw_port::Codec;
 use dw_port::Declaration;
@@ -89,6 +90,8 @@
     pub boot_path: PathBuf,
     /// Port for metrics, if they are served.
     pub metrics_port: Option<u16>,
+    /// Whether prompts are placed with regard to those of routes with other aims.
+    pub mixed_prompts: bool,
     /// Source of the current time.
     pub clock: Arc<dyn Clock>,
     /// Codec for the heads of requests and answers.
@@ -138,8 +141,13 @@
             parts.codec,
             (quarantine, limits, quotas, origins),
         );
+        if parts.mixed_prompts {
+            let mixed = MixedSettings::builder().build();
+            let settings = DirectSettings::builder().mixed(mixed).build();
+            shared.placement.replace(Direct::new(settings));
+        }
         log::info!(
-            node:% = boot.node, callers:? = boot.callers, table:% = boot.table,
+            node:% = boot.node, mixed_prompts = parts.mixed_prompts, callers:? = boot.callers, table:% = boot.table,
             data_centre:% = boot.data_centre;
             "starting gateway"
         );
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,6 +4,7 @@
 
 use dw_base::rendezvous_score;
 use dw_base::DataCentreId;
+use dw_base::DurationMs;
 use dw_base::PromptPart;
 use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
@@ -142,10 +143,20 @@
         bytes: context.bytes(),
         output_tokens: context.request_head.output_tokens,
         stored: &stored,
+        mixed_objective_ms: mixed_objective_ms(shared, context),
     };
     shared.placement.borrow().place(&request, targets, now)
 }
 
+/// Returns the objective of a request to a service that also gets requests with other aims.
+///
+/// A stream that goes on has none: it is due at once, whatever its length.
+fn mixed_objective_ms(shared: &Shared, context: &RequestContext) -> Option<DurationMs> {
+    let is_mixed = shared.routes()?.is_mixed(&context.service);
+    let is_new = context.request_head.resumes.is_none();
+    (is_mixed && is_new).then_some(context.route.objective_ms)
+}
+
 /// KV cache of a prompt that the KV stores hold.
 struct PromptCache<'a> {
     shared: &'a Shared,
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -26,6 +26,8 @@
 use crate::direct_settings::DirectSettings;
 use crate::home_shares::HomeShares;
 use crate::learned_speed::PRIOR_TOKENS_PER_MS;
+use crate::scored::cheapest;
+use crate::scored::Scored;
 use crate::upstream_load::UpstreamLoad;
 
 /// Placement policy with one router's state of each upstream.
@@ -59,15 +61,6 @@
     source: Option<&'a UpstreamId>,
 }
 
-struct Scored {
-    cost: f64,
-    choice: Choice,
-}
-
-fn cheapest(scored: impl Iterator<Item = Scored>) -> Option<Scored> {
-    scored.min_by(|a, b| a.cost.total_cmp(&b.cost))
-}
-
 impl Direct {
     /// Creates a policy with no recorded state.
     pub fn new(settings: DirectSettings) -> Self {
@@ -142,7 +135,7 @@
         let is_warm = |candidate: &DirectTarget<'_>| self.is_warm(request, candidate, now);
         let mut homes_by_weights: Vec<Homes<'_>> = Vec::new();
         let congestion_factor = self.congestion_factor(targets, now);
-        cheapest(targets.iter().map(|target| {
+        let scored = targets.iter().map(|target| {
             let found = homes_by_weights
                 .iter()
                 .find(|homes| homes.weights == target.weights);
@@ -157,7 +150,12 @@
                 congestion_factor,
             };
             self.score_prompt(request, target, &context, now)
-        }))
+        });
+        let mut scored: Vec<Scored> = scored.collect();
+        if let Some(mixed) = &self.settings.mixed {
+            mixed.apply(request, &mut scored);
+        }
+        cheapest(scored)
     }
 
     /// Records that a request was sent, and returns the data that
@@ -212,8 +210,10 @@
     fn score_plain(&self, request: &DirectRequest<'_>, target: &DirectTarget<'_>) -> Scored {
         let load = self.loads.get(target.upstream);
         let expected_ms = load.map_or(0.0, |load| load.service_ms(target.slots, self.routers));
+        let penalty = self.target_penalty(request, target);
         Scored {
-            cost: self.latency_cost(request, expected_ms) + self.target_penalty(request, target),
+            cost: self.latency_cost(request, expected_ms) + penalty,
+            penalty,
             choice: Choice {
                 upstream: target.upstream.clone(),
                 weights: None,
@@ -251,12 +251,14 @@
         let fetch_ms = coverage.fetched as f64 * self.settings.fetch_ms_per_token;
         let first_token_ms = backlog_ms + compute_ms + fetch_ms;
         let mut cost = self.latency_cost(request, first_token_ms);
-        cost += self.target_penalty(request, target);
+        let penalty = self.target_penalty(request, target);
+        cost += penalty;
         if !home {
             cost += self.non_home_cost(&coverage) * context.congestion_factor;
         }
         Scored {
             cost,
+            penalty,
             choice: Choice {
                 upstream: target.upstream.clone(),
                 weights: target.weights,
--- a/crates/place/src/direct_request.rs
+++ b/crates/place/src/direct_request.rs
@@ -53,6 +53,8 @@
     pub output_tokens: Tokens,
     /// Returns the tokens of shared parts that the KV store holds for the given weights.
     pub stored: &'a dyn Fn(WeightsVersion) -> Tokens,
+    /// Whole latency objective, if the service also gets requests with another priority or objective.
+    pub mixed_objective_ms: Option<DurationMs>,
 }
 
 /// Chosen upstream and the estimates that led to the choice.
--- a/crates/place/src/direct_settings.rs
+++ b/crates/place/src/direct_settings.rs
@@ -3,6 +3,8 @@
 use bon::Builder;
 use dw_base::Tokens;
 
+use crate::mixed_settings::MixedSettings;
+
 /// Settings of [`Direct`](crate::Direct); costs are in weighted milliseconds of time to first token.
 #[derive(Builder, Clone, Debug)]
 pub struct DirectSettings {
@@ -57,4 +59,7 @@
     /// Cost of a millisecond beyond `easy_part` of the objective.
     #[builder(default = 2.0)]
     pub late_weight: f64,
+    /// Placement of prompts at services that get prompts with different aims; absent if these are
+    /// placed like others.
+    pub mixed: Option<MixedSettings>,
 }
--- a/crates/place/tests/direct_fleet/mod.rs
+++ b/crates/place/tests/direct_fleet/mod.rs
@@ -135,6 +135,7 @@
         bytes: Bytes(13_000),
         output_tokens: case.output_tokens,
         stored,
+        mixed_objective_ms: None,
     }
 }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -41,6 +41,7 @@
     keys: HashMap<String, Arc<Organisation>>,
     needs_keys: bool,
     limits: Limits,
+    mixed: HashSet<ServiceId>,
 }
 
 /// Route and organisation of a request.
@@ -64,6 +65,7 @@
 impl RouteTable {
     /// Builds the table.
     pub fn new(parts: RouteTableParts) -> Self {
+        let mixed = mixed_services(&parts.routes);
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
@@ -89,6 +91,7 @@
             keys,
             needs_keys,
             limits: parts.limits,
+            mixed,
         }
     }
 
@@ -107,6 +110,11 @@
         self.services.get(service)
     }
 
+    /// Returns whether routes with different priorities or latency objectives lead to a service.
+    pub fn is_mixed(&self, service: &ServiceId) -> bool {
+        self.mixed.contains(service)
+    }
+
     /// Returns the KV stores.
     pub fn kv_stores(&self) -> &[KvStore] {
         &self.kv_stores
@@ -149,3 +157,18 @@
         })
     }
 }
+
+/// Returns the services to which routes with different priorities or latency objectives lead.
+fn mixed_services(routes: &[Route]) -> HashSet<ServiceId> {
+    let mut aims = HashMap::new();
+    let mut mixed = HashSet::new();
+    for route in routes {
+        let aim = (route.priority, route.objective_ms);
+        for destination in &route.destinations {
+            if *aims.entry(&destination.service).or_insert(aim) != aim {
+                mixed.insert(destination.service.clone());
+            }
+        }
+    }
+    mixed
+}
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -31,6 +31,10 @@
 }
 
 fn table(keys: &[&str]) -> RouteTable {
+    RouteTable::new(parts(keys))
+}
+
+fn parts(keys: &[&str]) -> RouteTableParts {
     let organisation = Organisation {
         org: "o".parse().expect("test data is valid"),
         priority: Some(1),
@@ -38,7 +42,7 @@
         quota: None,
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
     };
-    RouteTable::new(RouteTableParts {
+    RouteTableParts {
         version: ConfigVersion(7),
         routes: vec![
             route("short", "/a/", false),
@@ -54,7 +58,7 @@
             header_ms: DurationMs(3_000),
             idle_ms: DurationMs(15_000),
         },
-    })
+    }
 }
 
 fn resolved_name(table: &RouteTable, path: &str, key: Option<&str>) -> Result<String, Unresolved> {
@@ -134,3 +138,26 @@
     });
     assert_eq!(to_y.count(), 99);
 }
+
+/// Guards against rules for different aims at a service all of whose routes have the same ones, and
+/// against overlooking a route whose priority alone or objective alone differs.
+#[test]
+fn services_of_routes_with_different_aims_are_mixed() {
+    let service = "s".parse().expect("test data is valid");
+    let is_mixed = |change: fn(&mut Route)| {
+        let mut other = route("other", "/other/", false);
+        change(&mut other);
+        let parts = RouteTableParts {
+            routes: vec![route("one", "/one/", false), other],
+            ..parts(&["k"])
+        };
+        RouteTable::new(parts).is_mixed(&service)
+    };
+    assert!(!is_mixed(|_| ()));
+    assert!(is_mixed(|other| other.priority = 0));
+    assert!(is_mixed(|other| other.objective_ms = DurationMs(400)));
+    assert!(!is_mixed(|other| {
+        other.priority = 0;
+        other.destinations[0].service = "t".parse().expect("test data is valid");
+    }));
+}
