--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -43,6 +43,7 @@
     needs_keys: bool,
     limits: Limits,
     shortest_objective_ms: Option<DurationMs>,
+    mixed: HashSet<ServiceId>,
 }
 
 /// Route and organisation of a request.
@@ -68,6 +69,7 @@
     pub fn new(parts: RouteTableParts) -> Self {
         let objectives = parts.routes.iter().map(|route| route.objective_ms);
         let shortest_objective_ms = objectives.min();
+        let mixed = mixed_services(&parts.routes);
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
@@ -94,6 +96,7 @@
             needs_keys,
             limits: parts.limits,
             shortest_objective_ms,
+            mixed,
         }
     }
 
@@ -117,6 +120,11 @@
         self.services.get(service)
     }
 
+    /// Returns whether routes with different priorities or latency objectives lead to a service.
+    pub fn is_mixed(&self, service: &ServiceId) -> bool {
+        self.mixed.contains(service)
+    }
+
     /// Returns the KV stores.
     pub fn kv_stores(&self) -> &[KvStore] {
         &self.kv_stores
@@ -159,3 +167,18 @@
         })
     }
 }
+
+/// Returns the services to which routes with different priorities or latency objectives lead.
+fn mixed_services(routes: &[Route]) -> HashSet<ServiceId> {
+    let mut aims = HashMap::new();
+    let mut mixed = HashSet::new();
+    for route in routes {
+        let aim = (route.priority, route.objective_ms);
+        for destination in &route.destinations {
+            if *aims.entry(&destination.service).or_insert(aim) != aim {
+                mixed.insert(destination.service.clone());
+            }
+        }
+    }
+    mixed
+}
