quota: count a second after the start, not after the last process is heard

Change: changes within a second of the start of the process do not begin it anew, as a process that counted before hears the new one within it. Ruled out: a shorter second, which the time until a process is heard forbids; the same for processes that were stopped, which served no more in the test of frozen counters. The new test failed before.

--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -47,8 +47,10 @@
     own: SocketAddr,
     accounts: HashMap<OrgId, Account>,
     live: Vec<SocketAddr>,
-    /// Since when the same processes are live.
+    /// Since when the same processes are live, without the changes soon after the start.
     unchanged_since: TimeMs,
+    /// When this process started.
+    started_at: TimeMs,
     ticked_at: TimeMs,
     recent_grants: RecentGrants,
 }
@@ -67,6 +69,7 @@
             accounts: HashMap::new(),
             live: vec![own],
             unchanged_since: now,
+            started_at: now,
             ticked_at: now,
             recent_grants: RecentGrants::default(),
         }
@@ -80,7 +83,10 @@
         self.restart_after_gap(now);
         if live != self.live {
             let old = std::mem::replace(&mut self.live, live);
-            self.unchanged_since = now;
+            // A process that counted before this one started hears it as soon as it is heard.
+            if now > self.started_at + MAX_OVERLAP_MS {
+                self.unchanged_since = now;
+            }
             self.drop_moved(&old);
         }
         let dropped = before - self.accounts.len();
--- a/crates/quota/tests/quota/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -95,6 +95,17 @@
     assert!(process.use_up(limit(1, 36_000, 36_000)) > 0);
 }
 
+/// Guards against quotas that nobody counts for seconds after all processes have started at once and hear each
+/// other one by one.
+#[test]
+fn processes_that_start_together_count_after_a_second() {
+    let (first, second) = order();
+    let mut process = Process::new(first);
+    process.run(&[first], 600);
+    process.run(&[first, second], 700);
+    assert!(process.use_up(limit(1, 36_000, 36_000)) > 0);
+}
+
 /// Guards against a second burst after a process was stopped.
 #[test]
 fn counter_that_was_stopped_has_saved_nothing() {
