--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -7,8 +7,8 @@
 //! | --- | --- |
 //! | [`overload_rule`]: first tokens are in time; first try only | answer |
 //! | [`quarantine_rule`]: no upstream ended under it | answer |
-//! | [`Denials`]: a busy engine begins it in time | next upstream, then answer |
 //! | [`Grant`]: within the quota of its organisation | answer |
+//! | [`Denials`]: a busy engine begins it in time | next upstream, then answer |
 //! | [`acquire_permit`]: within the limit of the upstream | next upstream |
 
 use std::rc::Rc;
@@ -63,6 +63,11 @@
         if let Some(answer) = self.find_answer(plan, retry_state).await {
             return Ruling::Answer(answer);
         }
+        // A grant that is not used is given back, and an admission is not: the quota comes first, or else
+        // requests beyond it take room at the engines.
+        if let Err(answer) = self.grant.acquire(&self.context).await {
+            return Ruling::Answer(answer);
+        }
         // A request that may have run goes on: refusing it would leave its outcome unknown.
         if !retry_state.may_have_run() {
             let ruling = self.denials.check(&self.shared, &self.context, plan);
@@ -70,9 +75,6 @@
                 return ruling;
             }
         }
-        if let Err(answer) = self.grant.acquire(&self.context).await {
-            return Ruling::Answer(answer);
-        }
         if !acquire_permit(&self.shared, &self.context, plan).await {
             return Ruling::NextUpstream;
         }
