place: keep oversize prompts apart only while prompts wait

Change: they share engines only while the mean backlog is above a tenth of the objective. Also orders imports of two test files as the style test asks.

--- a/crates/place/src/mixed.rs
+++ b/crates/place/src/mixed.rs
@@ -6,8 +6,8 @@
 //!
 //! Two rules follow. A prompt is compared for a random few engines besides its homes, so that routers
 //! with the same late sums do not all choose the engine that looked idle. And prompts that are late
-//! wherever they go share a few engines, in an order on which all routers agree. Their queues there
-//! are long and seldom change, so the other prompts avoid them.
+//! wherever they go share a few engines while there are queues, in an order on which all routers agree.
+//! Their queues there are long and seldom change, so the other prompts avoid them.
 
 use std::collections::HashMap;
 
@@ -37,10 +37,12 @@
         let Some(objective_ms) = request.mixed_objective_ms else {
             return;
         };
-        if self.is_oversize(objective_ms, scored) {
-            self.share_few_engines(objective_ms, scored);
-        } else {
-            self.compare_few_engines(request, scored);
+        match self.is_oversize(objective_ms, scored) {
+            true if self.is_crowded(objective_ms, scored) => {
+                self.share_few_engines(objective_ms, scored);
+            }
+            true => {}
+            false => self.compare_few_engines(request, scored),
         }
     }
 
@@ -51,6 +53,12 @@
         alone_ms > objective_ms.0 as f64 * self.oversize_part * scored.len() as f64
     }
 
+    /// Returns whether prompts wait at the engines on average.
+    fn is_crowded(&self, objective_ms: DurationMs, scored: &[Scored]) -> bool {
+        let backlog_ms: u64 = scored.iter().map(|one| one.choice.backlog_ms.0).sum();
+        backlog_ms as f64 > objective_ms.0 as f64 * self.crowded_part * scored.len() as f64
+    }
+
     /// Makes a prompt prefer the first engine of a fixed order whose queue is not too long.
     fn share_few_engines(&self, objective_ms: DurationMs, scored: &mut [Scored]) {
         let places = places(scored);
--- a/crates/place/src/mixed_settings.rs
+++ b/crates/place/src/mixed_settings.rs
@@ -13,6 +13,10 @@
     /// oversize: it is late at most of them, even without a queue.
     #[builder(default = 1.0)]
     pub oversize_part: f64,
+    /// Mean backlog of the engines, as a part of the objective, from which on oversize prompts share a few.
+    /// With less, they hold up hardly any other prompt, and a queue of their own would only delay them.
+    #[builder(default = 0.1)]
+    pub crowded_part: f64,
     /// Wait at an engine, as a multiple of the objective, from which on oversize prompts go to the next
     /// one. Callers give up after some four objectives, and expected waits are exceeded.
     #[builder(default = 2.0)]
--- a/crates/quota/tests/quota/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -1,9 +1,5 @@
 //! Counter of one process: changes of who counts, of the quota, and repeated questions.
 
-use crate::data::addr;
-use crate::data::limit;
-use crate::data::org;
-use crate::data::question;
 use dw_base::DurationMs;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
@@ -13,6 +9,11 @@
 use dw_wire::QuotaResult;
 use dw_wire::QuotaReturn;
 
+use crate::data::addr;
+use crate::data::limit;
+use crate::data::org;
+use crate::data::question;
+
 /// A counter that is ticked often enough.
 struct Process {
     counter: Counter,
--- a/crates/quota/tests/quota/requester.rs
+++ b/crates/quota/tests/quota/requester.rs
@@ -1,7 +1,5 @@
 //! Router's use of the answers of counters, and of its share without them.
 
-use crate::data::limit;
-use crate::data::org;
 use dw_base::DurationMs;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
@@ -11,6 +9,9 @@
 use dw_quota::Requester;
 use dw_wire::QuotaResult;
 
+use crate::data::limit;
+use crate::data::org;
+
 fn claim(limit: QuotaLimit, amount: u64, urgency: u8) -> Claim {
     Claim {
         org: org(),
