quota: hand an account over to the sidecar that counts next

Change: the sidecar that learns that another counts now sends it what is left of the account; the other goes on with it unless it has granted something itself. Ruled out: no silence after a move, since a sidecar that is cut off may still grant; candidates without regard to registrations, which gateways cannot list. The new test covers calls that did not exist before.

--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -82,6 +82,7 @@
                 | Datagram::OriginQuery(_)
                 | Datagram::QuotaQuestion(_)
                 | Datagram::QuotaReturn(_)
+                | Datagram::QuotaHandover(_)
                 | Datagram::AdmissionQuestion(_) => {}
             }
         })
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -4,9 +4,11 @@
 //! long less urgent ones, of which one alone uses a large part of a small quota.
 
 use dw_base::DurationMs;
+use dw_base::OrgId;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
 use dw_base::TimeMs;
+use dw_wire::QuotaHandover;
 
 /// Number of urgencies; 0 is the most urgent.
 const URGENCIES: usize = 10;
@@ -81,6 +83,37 @@
         }
     }
 
+    /// Creates the account that another process hands over.
+    pub(crate) fn from_handover(handed: &QuotaHandover, now: TimeMs) -> Self {
+        Account {
+            balance: handed.balance as f64,
+            less_urgent: handed.less_urgent as f64,
+            updated: now,
+            debt_from: match handed.may_owe {
+                true => now,
+                false => now + NO_DEBT_MS,
+            },
+            ..Account::new(handed.limit, now, now)
+        }
+    }
+
+    /// Returns the account as the process that counts next gets it.
+    pub(crate) fn handover(mut self, org: OrgId, now: TimeMs) -> QuotaHandover {
+        self.refill(now);
+        QuotaHandover {
+            org,
+            limit: self.limit,
+            balance: self.balance as i64,
+            less_urgent: self.less_urgent as i64,
+            may_owe: now >= self.debt_from,
+        }
+    }
+
+    /// Returns whether nothing was granted yet, as another process may still count.
+    pub(crate) fn is_silent(&self, now: TimeMs) -> bool {
+        now < self.updated
+    }
+
     /// Takes note of the quota that a router names; returns the one before if another is in force now.
     pub(crate) fn update_limit(&mut self, limit: QuotaLimit, now: TimeMs) -> Option<QuotaLimit> {
         let is_older = limit.version < self.limit.version;
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -7,6 +7,7 @@
 use dw_base::OrgId;
 use dw_base::QuotaLimit;
 use dw_base::TimeMs;
+use dw_wire::QuotaHandover;
 use dw_wire::QuotaQuestion;
 use dw_wire::QuotaResult;
 use dw_wire::QuotaReturn;
@@ -75,41 +76,72 @@
         }
     }
 
-    /// Takes note of the live processes, this one included; must be called at least every second.
+    /// Takes note of the live processes that may count, this one included if it may; must be called at
+    /// least every second.
     ///
-    /// Returns the number of accounts that were dropped because another process counts, or may have.
-    pub fn tick(&mut self, live: Vec<SocketAddr>, now: TimeMs) -> usize {
-        let before = self.accounts.len();
+    /// Returns the accounts that another process counts from now on, with that process.
+    pub fn tick(&mut self, live: Vec<SocketAddr>, now: TimeMs) -> Vec<(SocketAddr, QuotaHandover)> {
         self.restart_after_gap(now);
+        let mut moved = Vec::new();
         if live != self.live {
             let old = std::mem::replace(&mut self.live, live);
             // A process that counted before this one started hears it as soon as it is heard.
             if now > self.started_at + MAX_OVERLAP_MS {
                 self.unchanged_since = now;
             }
-            self.drop_moved(&old);
+            moved = self.remove_moved(now);
+            self.drop_doubtful(&old);
         }
-        let dropped = before - self.accounts.len();
         self.accounts
             .retain(|_, account| now.since(account.asked_at) < IDLE_EXPIRY_MS);
         self.recent_grants.expire(now);
-        dropped
+        moved
     }
 
-    /// Drops the accounts for which a process that has become live counts, and those for which it comes
-    /// second: it has counted for them if it did not hear this one.
-    fn drop_moved(&mut self, old: &[SocketAddr]) {
+    /// Removes the accounts for which another process comes first now.
+    fn remove_moved(&mut self, now: TimeMs) -> Vec<(SocketAddr, QuotaHandover)> {
+        let mut moved = Vec::new();
+        for (org, account) in std::mem::take(&mut self.accounts) {
+            match first_counter(&org, self.live.iter().copied()) {
+                Some(first) if first != self.own => {
+                    moved.push((first, account.handover(org, now)));
+                }
+                _ => {
+                    self.accounts.insert(org, account);
+                }
+            }
+        }
+        moved
+    }
+
+    /// Drops the accounts for which a process that has become live comes second: it has counted for them
+    /// if it did not hear this one.
+    fn drop_doubtful(&mut self, old: &[SocketAddr]) {
         let is_new = |addr: &SocketAddr| !old.contains(addr);
         if !self.live.iter().any(is_new) {
             return;
         }
-        let (own, live) = (self.own, &self.live);
+        let live = &self.live;
         self.accounts.retain(|org, _| {
-            let [first, second] = counters(org, live.iter().copied());
-            first == Some(own) && !second.as_ref().is_some_and(is_new)
+            let [_, second] = counters(org, live.iter().copied());
+            !second.as_ref().is_some_and(is_new)
         });
     }
 
+    /// Goes on with the account of a process that has ceased to count, unless this one has granted
+    /// something for the organisation since it began itself. Returns whether it does.
+    pub fn take_over(&mut self, handed: &QuotaHandover, now: TimeMs) -> bool {
+        self.restart_after_gap(now);
+        let known = self.accounts.get(&handed.org);
+        let has_begun = known.is_some_and(|account| !account.is_silent(now));
+        if has_begun || (known.is_none() && self.accounts.len() >= MAX_ACCOUNTS) {
+            return false;
+        }
+        let account = Account::from_handover(handed, now);
+        self.accounts.insert(handed.org.clone(), account);
+        true
+    }
+
     /// Drops all accounts if this process was stopped, as another has counted meanwhile.
     fn restart_after_gap(&mut self, now: TimeMs) {
         if now.since(self.ticked_at) > MAX_TICK_GAP_MS {
@@ -166,7 +198,6 @@
         now: TimeMs,
     ) -> Option<(&mut Account, Option<LimitChange>)> {
         let limit = question.limit;
-        // Accounts exist only where this process comes first.
         if self.accounts.contains_key(&question.org) {
             let account = self.accounts.get_mut(&question.org)?;
             let before = account.update_limit(limit, now);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -7,6 +7,8 @@
 //! | [`Counter::ask`]: a question arrives there | [`QuotaResult`](dw_wire::QuotaResult) |
 //! | [`Requester::record`]: the answer, or none in time | allows or refuses the request |
 //! | [`Requester::take_isolated`]: no sidecar is heard | allows or refuses the request by turns |
+//! | [`Counter::tick`]: other processes count now | the accounts to hand over |
+//! | [`Counter::take_over`]: such an account arrives | none; goes on with it |
 //! | [`Counter::give_back`]: a granted request did not run, or a question got no answer | none; the amount may be granted again |
 
 mod account;
--- a/crates/quota/tests/quota/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -107,6 +107,29 @@
     assert!(process.use_up(limit(1, 36_000, 36_000)) > 0);
 }
 
+/// Guards against requests that are refused because another process begins to count while both are live, and
+/// against an account that is worth more there.
+#[test]
+fn account_goes_on_at_the_next_process() {
+    let (first, second) = order();
+    let (mut giver, mut receiver) = (Process::new(second), Process::new(first));
+    giver.run(&[second], 15_000);
+    receiver.run(&[first], 15_000);
+    assert!(giver.use_up(limit(1, 36_000, 36_000)) >= 36);
+    giver.run(&[second], 500);
+    giver.now += 100;
+    let live = vec![addr(first), addr(second)];
+    let moved = giver.counter.tick(live, TimeMs(giver.now));
+    assert_eq!(moved.len(), 1);
+    let (receiver_addr, handed) = &moved[0];
+    assert_eq!(*receiver_addr, addr(first));
+    receiver.run(&[first, second], 600);
+    assert!(receiver.counter.take_over(handed, TimeMs(receiver.now)));
+    let granted = receiver.use_up(limit(1, 36_000, 36_000));
+    assert!((1..=22).contains(&granted), "{granted} of 600 ms");
+    assert!(!receiver.counter.take_over(handed, TimeMs(receiver.now)));
+}
+
 /// Guards against a second burst after a process was stopped.
 #[test]
 fn counter_that_was_stopped_has_saved_nothing() {
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -108,6 +108,7 @@
             }
             Datagram::OriginRecord(record) => origins::record(&shared, record, now),
             Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
+            Datagram::QuotaHandover(accounts) => quotas::take_over(&shared, &accounts, now),
             Datagram::Kv(_)
             | Datagram::PermitAnswer(_)
             | Datagram::OriginAnswer(_)
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -140,7 +140,8 @@
         others.map(|engine| self.sidecar_addr(engine)).collect()
     }
 
-    fn sidecar_addr(&self, engine: SocketAddr) -> SocketAddr {
+    /// Returns the address of the sidecar beside an engine.
+    pub(crate) fn sidecar_addr(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.inner_port)
     }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -19,6 +19,7 @@
 //! | [`PermitAnswer`] | sidecar | router |
 //! | [`QuotaQuestion`], [`QuotaReturn`] | router | sidecar that counts for an organisation |
 //! | [`QuotaAnswer`] | sidecar | router |
+//! | [`QuotaHandover`] | sidecar that ceases to count | sidecar that begins |
 //! | [`AdmissionQuestion`] | router | sidecar of an engine |
 //! | [`AdmissionAnswer`] | sidecar | router |
 //! | [`OriginRecord`], [`OriginQuery`] | router | sidecars that keep the origin of a stream |
@@ -55,6 +56,7 @@
 use crate::permits::PermitAnswer;
 use crate::permits::PermitRequest;
 use crate::quota::QuotaAnswer;
+use crate::quota::QuotaHandover;
 use crate::quota::QuotaQuestion;
 use crate::quota::QuotaReturn;
 
@@ -299,4 +301,6 @@
     AdmissionQuestion(AdmissionQuestion),
     /// Answer of a sidecar to such a question.
     AdmissionAnswer(AdmissionAnswer),
+    /// Accounts of organisations, sent by a sidecar that ceases to count for them.
+    QuotaHandover(Vec<QuotaHandover>),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -81,6 +81,7 @@
 pub use permits::PermitRequest;
 pub use permits::PermitResult;
 pub use quota::QuotaAnswer;
+pub use quota::QuotaHandover;
 pub use quota::QuotaQuestion;
 pub use quota::QuotaResult;
 pub use quota::QuotaReturn;
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -63,3 +63,18 @@
     /// Number of the question if its answer did not arrive; the amount is given back only if it was granted.
     pub number: Option<u32>,
 }
+
+/// Account of an organisation, sent by a sidecar that ceases to count to the one that begins.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaHandover {
+    /// Organisation.
+    pub org: OrgId,
+    /// Quota in force.
+    pub limit: QuotaLimit,
+    /// What the organisation may still use; negative if it owes.
+    pub balance: i64,
+    /// What its less urgent requests may use of that while urgent ones use it up.
+    pub less_urgent: i64,
+    /// Whether its requests may make the balance negative.
+    pub may_owe: bool,
+}
