quota: grant a part of each quota on each side of a split network

Cause: a sidecar counted the whole quota if it was the first among those that it hears. In a split network each side has such a sidecar, so that an organisation used its quota twice: with one of eight sidecars split off, 9,004,800 tokens ran in a window that allows 7,166,455.

A side that does not grant the whole grants no debts. Sidecars count amounts by result (quota_amounts), and a line tells when the part changes.

Ruled out: whole quotas for the majority only, which leaves the smaller of two regions nearly nothing for as long as the split lasts.

Tests: split_network fails without the change.

--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -63,6 +63,8 @@
     debt_from: TimeMs,
     /// Largest request since the account began, until then.
     saved_for: f64,
+    /// Part of the quota that this process grants.
+    part: f64,
     pub(crate) asked_at: TimeMs,
 }
 
@@ -79,10 +81,24 @@
             demand: [0.0; URGENCIES],
             debt_from: since + NO_DEBT_MS,
             saved_for: 0.0,
+            part: 1.0,
             asked_at: now,
         }
     }
 
+    /// Sets the part of the quota that this process grants. While it is not the whole, the other side of a
+    /// split network may grant debts, so that this one grants none.
+    pub(crate) fn set_part(&mut self, part: f64, now: TimeMs) {
+        if part != self.part {
+            self.refill(now);
+            self.part = part;
+            self.balance = self.balance.min(self.burst());
+        }
+        if part < 1.0 {
+            self.debt_from = self.debt_from.max(now + NO_DEBT_MS);
+        }
+    }
+
     /// Creates the account that another process hands over.
     pub(crate) fn from_handover(handed: &QuotaHandover, now: TimeMs) -> Self {
         Account {
@@ -177,11 +193,12 @@
     }
 
     fn rate_per_ms(&self) -> f64 {
-        self.limit.rate.per_s() / 1_000.0
+        self.limit.rate.per_s() * self.part / 1_000.0
     }
 
     fn burst(&self) -> f64 {
-        (self.limit.burst.0 as f64).max(self.rate_per_ms() * MIN_BURST_MS)
+        let burst = self.limit.burst.0 as f64 * self.part;
+        burst.max(self.rate_per_ms() * MIN_BURST_MS)
     }
 
     /// Returns how much can be saved up.
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -16,6 +16,7 @@
 use crate::order::counters;
 use crate::order::first_counter;
 use crate::recent_grants::RecentGrants;
+use crate::split::granted_part;
 
 /// Longest time between two calls of [`Counter::tick`] of a process that was not stopped meanwhile.
 const MAX_TICK_GAP_MS: DurationMs = DurationMs(1_500);
@@ -48,6 +49,8 @@
     own: SocketAddr,
     accounts: HashMap<OrgId, Account>,
     live: Vec<SocketAddr>,
+    /// Part of each quota that the live processes grant.
+    part: f64,
     /// Since when the same processes are live, without the changes soon after the start.
     unchanged_since: TimeMs,
     /// When this process started.
@@ -69,6 +72,7 @@
             own,
             accounts: HashMap::new(),
             live: vec![own],
+            part: 1.0,
             unchanged_since: now,
             started_at: now,
             ticked_at: now,
@@ -76,12 +80,18 @@
         }
     }
 
-    /// Takes note of the live processes that may count, this one included if it may; must be called at
-    /// least every second.
+    /// Takes note of the live processes that may count, this one included if it may, and of how many are
+    /// registered, live or not; must be called at least every second.
     ///
     /// Returns the accounts that another process counts from now on, with that process.
-    pub fn tick(&mut self, live: Vec<SocketAddr>, now: TimeMs) -> Vec<(SocketAddr, QuotaHandover)> {
+    pub fn tick(
+        &mut self,
+        live: Vec<SocketAddr>,
+        registered: usize,
+        now: TimeMs,
+    ) -> Vec<(SocketAddr, QuotaHandover)> {
         self.restart_after_gap(now);
+        self.part = granted_part(live.len(), registered);
         let mut moved = Vec::new();
         if live != self.live {
             let old = std::mem::replace(&mut self.live, live);
@@ -94,6 +104,9 @@
         }
         self.accounts
             .retain(|_, account| now.since(account.asked_at) < IDLE_EXPIRY_MS);
+        for account in self.accounts.values_mut() {
+            account.set_part(self.part, now);
+        }
         self.recent_grants.expire(now);
         moved
     }
@@ -137,7 +150,8 @@
         if has_begun || (known.is_none() && self.accounts.len() >= MAX_ACCOUNTS) {
             return false;
         }
-        let account = Account::from_handover(handed, now);
+        let mut account = Account::from_handover(handed, now);
+        account.set_part(self.part, now);
         self.accounts.insert(handed.org.clone(), account);
         true
     }
@@ -187,6 +201,11 @@
         }
     }
 
+    /// Returns the part of each quota that this process grants.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+
     /// Returns the number of accounts.
     pub fn accounts(&self) -> usize {
         self.accounts.len()
@@ -211,7 +230,8 @@
         if first != Some(self.own) || self.accounts.len() >= MAX_ACCOUNTS {
             return None;
         }
-        let account = Account::new(limit, self.unchanged_since + MAX_OVERLAP_MS, now);
+        let mut account = Account::new(limit, self.unchanged_since + MAX_OVERLAP_MS, now);
+        account.set_part(self.part, now);
         let change = LimitChange {
             before: None,
             after: limit,
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -17,6 +17,7 @@
 mod order;
 mod recent_grants;
 mod requester;
+mod split;
 
 pub use account::LESS_URGENT_DEBT_FRACTION;
 pub use account::MIN_BURST_MS;
@@ -28,3 +29,4 @@
 pub use requester::Isolated;
 pub use requester::Requester;
 pub use requester::ISOLATED_FRACTION;
+pub use split::granted_part;
--- a/crates/quota/tests/quota/calm.rs
+++ b/crates/quota/tests/quota/calm.rs
@@ -1,8 +1,16 @@
 //! What is served below a quota and at it.
 
+use dw_base::DurationMs;
+use dw_base::QuotaLimit;
+use dw_wire::Datagram;
+use dw_wire::QuotaAnswer;
+use dw_wire::QuotaResult;
+
 use crate::data::limit;
+use crate::data::question;
 use crate::fleet::allowed;
 use crate::fleet::Fleet;
+use crate::fleet::RequestKind;
 
 /// Requests of the deployments: short urgent ones and long less urgent ones.
 const MIXED: [(u64, u8, f64); 2] = [(2_400, 0, 0.6), (12_000, 1, 0.4)];
@@ -87,3 +95,65 @@
         }
     }
 }
+
+/// Length of the heads of a datagram below the protocol of the processes: IPv4 and UDP.
+const DATAGRAM_HEAD_BYTES: usize = 28;
+
+/// Returns the length of a question and its answer.
+fn question_bytes(limit: QuotaLimit) -> u64 {
+    let messages = [
+        Datagram::QuotaQuestion(question(u32::MAX, limit, (12_000, 1))),
+        Datagram::QuotaAnswer(QuotaAnswer {
+            number: u32::MAX,
+            result: QuotaResult::Denied(DurationMs(8_000)),
+        }),
+    ];
+    let lengths = messages.map(|message| {
+        let message = dw_wire::encode(&message).expect("message is valid");
+        message.len() + DATAGRAM_HEAD_BYTES
+    });
+    lengths.iter().sum::<usize>() as u64
+}
+
+/// Guards against a fleet of the target's size that refuses organisations below their quotas, lets those
+/// above them through, or spends the bandwidth of its routers on questions.
+#[test]
+fn two_thousand_organisations_are_served() {
+    const ORGANISATIONS: usize = 2_000;
+    const GREEDY: usize = 50;
+    let quota = limit(1, 6_000, 12_000);
+    let limits = vec![quota; ORGANISATIONS];
+    let mut fleet = Fleet::new(5, (340, 24), &limits);
+    fleet.is_even = true;
+    let load: Vec<(f64, &[RequestKind])> = (0..ORGANISATIONS)
+        .map(|org| match org < GREEDY {
+            true => (18_000.0, MIXED.as_slice()),
+            false => (3_000.0, MIXED.as_slice()),
+        })
+        .collect();
+    let from = fleet.now;
+    fleet.run(16_000, &load);
+    let modest: u64 = (GREEDY..ORGANISATIONS)
+        .map(|org| fleet.served(org, from))
+        .sum();
+    let asked = fleet.asked as f64 * (ORGANISATIONS - GREEDY) as f64 * 3.0
+        / ((ORGANISATIONS - GREEDY) as f64 * 3.0 + GREEDY as f64 * 18.0);
+    let part = modest as f64 / asked;
+    assert!(part >= 0.97, "{part:.3} of what is below the quotas served");
+    for org in 0..GREEDY {
+        assert!(fleet.most_in_window(org, 0) <= allowed(quota));
+        let part = fleet.served(org, from) as f64 / (6_000.0 * 16.0);
+        assert!(part >= 0.9, "organisation {org}: {part:.2} of its quota");
+    }
+    let questions: u64 = fleet
+        .routers
+        .iter()
+        .map(|router| u64::from(router.number))
+        .sum();
+    let bytes_per_s = questions * question_bytes(quota) / 16 / 340;
+    println!("{bytes_per_s} bytes a second and router");
+    assert!(
+        bytes_per_s <= 6_000,
+        "{bytes_per_s} bytes a second and router"
+    );
+}
--- a/crates/quota/tests/quota/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -1,5 +1,7 @@
 //! Counter of one process: changes of who counts, of the quota, and repeated questions.
 
+use std::net::SocketAddr;
+
 use dw_base::DurationMs;
 use dw_base::QuotaAmount;
 use dw_base::QuotaLimit;
@@ -33,8 +35,9 @@
     fn run(&mut self, live: &[usize], length_ms: u64) {
         for _ in 0..length_ms / 100 {
             self.now += 100;
-            let live = live.iter().copied().map(addr).collect();
-            self.counter.tick(live, TimeMs(self.now));
+            let live: Vec<SocketAddr> = live.iter().copied().map(addr).collect();
+            let registered = live.len();
+            self.counter.tick(live, registered, TimeMs(self.now));
         }
     }
 
@@ -119,7 +122,7 @@
     giver.run(&[second], 500);
     giver.now += 100;
     let live = vec![addr(first), addr(second)];
-    let moved = giver.counter.tick(live, TimeMs(giver.now));
+    let moved = giver.counter.tick(live, 2, TimeMs(giver.now));
     assert_eq!(moved.len(), 1);
     let (receiver_addr, handed) = &moved[0];
     assert_eq!(*receiver_addr, addr(first));
--- a/crates/quota/tests/quota/failures.rs
+++ b/crates/quota/tests/quota/failures.rs
@@ -1,12 +1,14 @@
 //! Failures during several times the quota.
 
 use dw_base::QuotaLimit;
+use dw_quota::granted_part;
 
 use crate::data::limit;
 use crate::fleet::allowed;
 use crate::fleet::Fleet;
 use crate::fleet::RequestKind;
 use crate::links::Router;
+use crate::links::Split;
 
 /// Short urgent requests, long less urgent ones, and the longest of the deployments.
 const MIXED: [RequestKind; 3] = [(2_400, 0, 0.5), (12_000, 1, 0.3), (71_000, 1, 0.2)];
@@ -158,3 +160,54 @@
         fleet.routers.push(router);
     });
 }
+
+/// Splits a fleet so that `sidecars` and a quarter of the routers for each two of them are on one side.
+fn split(fleet: &mut Fleet, sidecars: usize) {
+    let routers = fleet.routers.len() * sidecars / fleet.sidecars.len();
+    fleet.split = Some(Split {
+        first: (sidecars, routers),
+        until: fleet.now + 9_000,
+    });
+}
+
+/// Guards against two sides of a split network that each grant the whole quota.
+#[test]
+fn split_network() {
+    for sidecars in 1..8 {
+        check(&format!("{sidecars} of 8 sidecars split off"), |fleet| {
+            split(fleet, sidecars);
+        });
+    }
+}
+
+/// Guards against a side of a split network that is refused nearly all of its quota.
+#[test]
+fn both_sides_of_a_split_network_are_served() {
+    for sidecars in [3, 4, 5] {
+        let limit = limit(1, 36_000, 36_000);
+        let mut fleet = Fleet::new(6, (45, 8), &[limit; 8]);
+        let load = [(36_000.0, [(2_400, 0, 1.0)].as_slice()); 8];
+        fleet.run(4_000, &load);
+        split(&mut fleet, sidecars);
+        let from = fleet.now;
+        fleet.run(9_000, &load);
+        let served: u64 = (0..8).map(|org| fleet.served(org, from)).sum();
+        let part = served as f64 / (36_000 * 9 * 8) as f64;
+        assert!(part >= 0.8, "{sidecars} of 8 sidecars: {part:.2} served");
+    }
+}
+
+/// Guards against parts of a quota that exceed it together, whatever the sides are.
+#[test]
+fn parts_of_all_sides_are_one_quota() {
+    for registered in 1..=60 {
+        for first in 0..=registered {
+            for second in 0..=registered - first {
+                let sides = [first, second, registered - first - second];
+                let parts = sides.map(|live| granted_part(live, registered));
+                let sum: f64 = parts.iter().sum();
+                assert!(sum <= 1.02, "{sides:?}: {sum}");
+            }
+        }
+    }
+}
--- a/crates/quota/tests/quota/fleet.rs
+++ b/crates/quota/tests/quota/fleet.rs
@@ -20,6 +20,7 @@
 use crate::links::live;
 use crate::links::Router;
 use crate::links::Sidecar;
+use crate::links::Split;
 
 const STEP_MS: u64 = 10;
 
@@ -48,6 +49,7 @@
     pub(crate) now: u64,
     /// Part of the datagrams that are lost.
     pub(crate) loss: f64,
+    pub(crate) split: Option<Split>,
     /// Amounts that arrived at upstreams: time, organisation, amount.
     pub(crate) arrivals: Vec<(u64, usize, u64)>,
     pub(crate) asked: u64,
@@ -79,6 +81,7 @@
                 .collect(),
             now: 1,
             loss: 0.0,
+            split: None,
             arrivals: Vec::new(),
             asked: 0,
             is_even: false,
@@ -99,14 +102,20 @@
         }
         for to in 0..self.sidecars.len() {
             let receiver = &self.sidecars[to];
-            let hears = receiver.is_reachable(self.now) && self.now >= receiver.deaf_until;
+            let hears = receiver.is_reachable(self.now)
+                && self.now >= receiver.deaf_until
+                && !self.split.is_some_and(|split| split.separates(from, to));
             // Others do not hear a process that does not hear them.
             if hears && self.now >= self.sidecars[from].deaf_until && !self.is_lost() {
                 self.sidecars[to].heard[from] = self.now;
             }
         }
         for to in 0..self.routers.len() {
-            if self.now >= self.routers[to].cut_until && !self.is_lost() {
+            let hears = self.now >= self.routers[to].cut_until
+                && !self
+                    .split
+                    .is_some_and(|split| split.separates_router(to, from));
+            if hears && !self.is_lost() {
                 self.routers[to].heard[from] = self.now;
             }
         }
@@ -114,6 +123,11 @@
 
     fn step(&mut self) {
         self.now += STEP_MS;
+        self.split = self.split.filter(|split| self.now < split.until);
+        let now = self.now;
+        let sidecars = self.sidecars.iter();
+        let registered = sidecars.filter(|sidecar| sidecar.is_registered(now));
+        let registered = registered.count();
         for at in 0..self.sidecars.len() {
             let phase = at as u64 * 70;
             if (self.now + phase) % ANNOUNCE_MS < STEP_MS {
@@ -122,7 +136,7 @@
             if (self.now + phase) % TICK_MS < STEP_MS && self.sidecars[at].runs(self.now) {
                 let sidecar = &mut self.sidecars[at];
                 let live = live(&sidecar.heard, Some(at), self.now);
-                sidecar.counter.tick(live, TimeMs(self.now));
+                sidecar.counter.tick(live, registered, TimeMs(self.now));
             }
         }
     }
@@ -132,6 +146,7 @@
         let sidecars = self.sidecars.len();
         self.sidecars[at] = Sidecar::new(at, sidecars, self.now + away_ms);
         self.sidecars[at].gone_until = self.now.saturating_add(away_ms);
+        self.sidecars[at].gone_since = Some(self.now);
     }
 
     /// Returns the sidecar that counts for an organisation in calm.
@@ -190,7 +205,9 @@
             let first = first_counter(&claim.org, heard.into_iter())?;
             let counter = (0..self.sidecars.len()).find(|at| addr(*at) == first)?;
             waited_ms += timeout_ms;
-            let is_cut = now < self.routers[at].cut_until;
+            let split = self.split;
+            let is_cut = now < self.routers[at].cut_until
+                || split.is_some_and(|split| split.separates_router(at, counter));
             if is_cut || !self.sidecars[counter].is_reachable(now) || self.is_lost() {
                 continue;
             }
--- a/crates/quota/tests/quota/links.rs
+++ b/crates/quota/tests/quota/links.rs
@@ -12,6 +12,29 @@
 /// Age at which a sidecar that is not heard counts as gone.
 const EXPIRY_MS: u64 = 1_300;
 
+/// Time after which a process that has ended is no longer registered.
+const REGISTRATION_MS: u64 = 3_000;
+
+/// A split of the network into two sides.
+#[derive(Clone, Copy)]
+pub(crate) struct Split {
+    /// Sidecars and routers on the first side, which have the lowest numbers.
+    pub(crate) first: (usize, usize),
+    pub(crate) until: u64,
+}
+
+impl Split {
+    /// Returns whether two sidecars do not hear each other.
+    pub(crate) fn separates(&self, a: usize, b: usize) -> bool {
+        (a < self.first.0) != (b < self.first.0)
+    }
+
+    /// Returns whether a router and a sidecar do not hear each other.
+    pub(crate) fn separates_router(&self, router: usize, sidecar: usize) -> bool {
+        (router < self.first.1) != (sidecar < self.first.0)
+    }
+}
+
 /// A sidecar that counts.
 pub(crate) struct Sidecar {
     pub(crate) counter: Counter,
@@ -19,6 +42,8 @@
     pub(crate) heard: Vec<u64>,
     /// Until when it is not there.
     pub(crate) gone_until: u64,
+    /// When it has ended, if it has.
+    pub(crate) gone_since: Option<u64>,
     pub(crate) frozen_until: u64,
     pub(crate) cut_until: u64,
     /// Until when it hears no other sidecar, though routers hear it.
@@ -33,6 +58,7 @@
             counter: Counter::new(addr(own), TimeMs(now)),
             heard: vec![0; sidecars],
             gone_until: 0,
+            gone_since: None,
             frozen_until: 0,
             cut_until: 0,
             deaf_until: 0,
@@ -44,6 +70,11 @@
         now >= self.frozen_until.max(self.gone_until)
     }
 
+    pub(crate) fn is_registered(&self, now: u64) -> bool {
+        let is_recent = |since: u64| now < since + REGISTRATION_MS;
+        now >= self.gone_until || self.gone_since.is_none_or(is_recent)
+    }
+
     pub(crate) fn is_reachable(&self, now: u64) -> bool {
         self.runs(now) && now >= self.cut_until
     }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 
 use dw_base::DurationMs;
+use dw_base::QuotaAmount;
 use dw_base::TimeMs;
 use dw_port::OrderResult;
 use dw_telem::Metrics;
@@ -34,6 +35,7 @@
     phase_s: Family<Label, Histogram, fn() -> Histogram>,
     permits: Family<Label, Counter>,
     quotas: Family<Label, Counter>,
+    quota_amounts: Family<Label, Counter>,
     quota_accounts: Gauge,
     admissions: Family<Label, Counter>,
     admitted_queue_s: Gauge<f64, AtomicU64>,
@@ -64,6 +66,11 @@
                 "Questions about quotas of organisations by result",
                 Family::default(),
             ),
+            quota_amounts: metrics.add(
+                "quota_amounts",
+                "Requests or tokens, as each quota counts them, by result of the question",
+                Family::default(),
+            ),
             quota_accounts: metrics.add(
                 "quota_accounts",
                 "Organisations whose quotas this sidecar counts",
@@ -123,9 +130,11 @@
         self.permits.get_or_create(&Label { kind }).inc();
     }
 
-    /// Counts a question about a quota by its result, or an amount that was given back.
-    pub(crate) fn record_quota(&self, kind: &'static str) {
-        self.quotas.get_or_create(&Label { kind }).inc();
+    /// Counts a question about a quota and its amount by its result, or an amount that was given back.
+    pub(crate) fn record_quota(&self, kind: &'static str, amount: QuotaAmount) {
+        let label = Label { kind };
+        self.quotas.get_or_create(&label).inc();
+        self.quota_amounts.get_or_create(&label).inc_by(amount.0);
     }
 
     /// Counts a question about an admission by its result, and sets the time that the engine needs for what it
--- a/crates/sidecar/src/quotas.rs
+++ b/crates/sidecar/src/quotas.rs
@@ -26,12 +26,19 @@
     }
     let is_live =
         |engine: &SocketAddr| *engine == shared.engine || state.view.engine(*engine, now).is_some();
+    let registered = engines.len();
     let live: Vec<SocketAddr> = engines.into_iter().filter(is_live).collect();
     drop(state);
+    let heard = live.len();
     let mut counter = shared.counter.borrow_mut();
-    let moved = counter.tick(live, now);
+    let part_before = counter.part();
+    let moved = counter.tick(live, registered, now);
+    let part = counter.part();
     shared.metrics.set_quota_accounts(counter.accounts());
     drop(counter);
+    if part != part_before {
+        log::info!(part, part_before, heard, registered; "part of quotas that is granted here changed");
+    }
     if !moved.is_empty() {
         log::info!(accounts = moved.len(); "other sidecars count the quotas of organisations");
         hand_over(shared, moved);
@@ -75,7 +82,7 @@
             "counting the quota of an organisation"
         );
     }
-    shared.metrics.record_quota(result.label());
+    shared.metrics.record_quota(result.label(), question.amount);
     let answer = QuotaAnswer {
         number: question.number,
         result,
@@ -86,5 +93,5 @@
 /// Takes back what was granted to a request that did not run or got no answer.
 pub(crate) fn give_back(shared: &Shared, from: SocketAddr, returned: &QuotaReturn, now: TimeMs) {
     shared.counter.borrow_mut().give_back(from, returned, now);
-    shared.metrics.record_quota("returned");
+    shared.metrics.record_quota("returned", returned.amount);
 }
