capacity: give admissions back whose requests do not run

Cause: an admission that came too late, or whose request got no permit or was turned away by the engine, stayed in the ledger until the engine would have computed it, so that others were refused. And once an engine did not answer its sidecar for a second, the ledger took it for idle: 21 requests were admitted beside 30 that ran in 32 slots.

Change: gateways give such admissions back (a new datagram, the last of the enum). The last report of an engine counts for 3 s, together with all admissions since.

Ruled out: numbers of granted questions at the sidecar, as for quotas. An answer that is lost costs one request's time at the engine at most.

Tests: admissions_that_are_not_sent_do_not_hold_the_engine, returned_admissions_do_not_count_for_shares and engine_without_reports_is_not_idle, which fails without the change.

--- a/crates/capacity/src/backlog.rs
+++ b/crates/capacity/src/backlog.rs
@@ -60,6 +60,14 @@
         self.mix[index(priority)] += tokens;
     }
 
+    /// Removes a request that was added and is not sent, as far as its tokens are still there.
+    pub(crate) fn remove(&mut self, priority: u8, tokens: f64) {
+        for amounts in [&mut self.tokens, &mut self.mix] {
+            let amount = &mut amounts[index(priority)];
+            *amount = (*amount - tokens).max(0.0);
+        }
+    }
+
     /// Raises the sum of all tokens to at least `least`, since routers or the engine know of work that
     /// nobody asked for. Such work has the priorities of what was admitted lately, or else that of the
     /// request at hand.
--- a/crates/capacity/src/ledger.rs
+++ b/crates/capacity/src/ledger.rs
@@ -96,6 +96,15 @@
         result
     }
 
+    /// Takes an admission back whose request was not sent.
+    pub fn give_back(&mut self, offer: &AdmissionOffer, now: TimeMs) {
+        self.advance(now);
+        let tokens = offer.compute_tokens.0;
+        self.backlog.remove(offer.priority, tokens as f64);
+        self.shares.record(&offer.org, -(tokens as f64), now);
+        self.occupancy.give_back(tokens, offer.memory_tokens.0);
+    }
+
     /// Returns the time that the engine needs for what it was sent.
     pub fn queue_ms(&self) -> DurationMs {
         DurationMs(self.backlog.total_ms() as u64)
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`Requester::denied_for`]: it is to be asked | refuses the request, if the sidecar has said until when |
 //! | [`Ledger::ask`]: a question arrives there | [`AdmissionResult`](dw_wire::AdmissionResult) |
 //! | [`Requester::record`]: the answer, or none in time | sends the request or tries another engine |
+//! | [`Ledger::give_back`]: an admitted request was not sent | none; the room may be given to another one |
 //! | [`Ledger::observe`]: the engine reports its state | corrects the ledger |
 
 mod backlog;
--- a/crates/capacity/src/memory.rs
+++ b/crates/capacity/src/memory.rs
@@ -11,11 +11,15 @@
 
 use crate::ledger::EngineReport;
 
+/// Longest time between two reports of an engine that answers its sidecar.
+const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
+
 /// Age of what an engine's report shows when the next one is due: admissions of this time are not in it.
 const REPORT_LAG_MS: DurationMs = DurationMs(400);
 
-/// Age at which a report is ignored.
-const MAX_REPORT_AGE_MS: DurationMs = DurationMs(1_000);
+/// Age at which a report is ignored. An engine that does not answer its sidecar is seldom idle, so that its
+/// last report counts for as long as an answer usually runs, together with all admissions since.
+const MAX_REPORT_AGE_MS: DurationMs = DurationMs(3_000);
 
 /// Maximum number of recent admissions that are remembered; the earliest are dropped.
 const MAX_RECENT: usize = 4_096;
@@ -81,14 +85,35 @@
         self.recent.push_back(admission);
     }
 
-    /// Removes the admissions that the report shows.
+    /// Removes a recent admission whose request was not sent.
+    pub(crate) fn give_back(&mut self, compute_tokens: u64, memory_tokens: u64) {
+        let amounts = (compute_tokens, memory_tokens);
+        let is_same = |known: &Admission| (known.compute_tokens, known.memory_tokens) == amounts;
+        if let Some(position) = self.recent.iter().rposition(is_same) {
+            self.recent.remove(position);
+        }
+    }
+
+    /// Removes the admissions that the last report shows.
     pub(crate) fn expire(&mut self, now: TimeMs) {
-        let is_shown = |admission: &Admission| now.since(admission.at) >= REPORT_LAG_MS;
+        let lag_ms = REPORT_LAG_MS + self.overdue_ms(now);
+        let is_shown = |admission: &Admission| now.since(admission.at) >= lag_ms;
         while self.recent.front().is_some_and(is_shown) {
             self.recent.pop_front();
         }
     }
 
+    /// Returns by how much the next report is late, unless the last one is ignored.
+    fn overdue_ms(&self, now: TimeMs) -> DurationMs {
+        let age_ms = self
+            .report
+            .map_or(DurationMs::ZERO, |(_, at)| now.since(at));
+        match age_ms < MAX_REPORT_AGE_MS {
+            true => age_ms.saturating_sub(REPORT_INTERVAL_MS),
+            false => DurationMs::ZERO,
+        }
+    }
+
     /// Forgets all admissions, as the engine has lost them.
     pub(crate) fn clear(&mut self) {
         self.recent.clear();
--- a/crates/capacity/src/shares.rs
+++ b/crates/capacity/src/shares.rs
@@ -55,21 +55,22 @@
         usage.at(now) * self.usages.len() as f64 > total.at(now) * ROUNDING
     }
 
-    /// Records an admission.
+    /// Records an admission, or with negative tokens one that is given back.
     pub(crate) fn record(&mut self, org: &Option<OrgId>, tokens: f64, now: TimeMs) {
         let total = Usage {
             tokens: self.total,
             at: self.total_at,
         };
-        self.total = total.at(now) + tokens;
+        self.total = (total.at(now) + tokens).max(0.0);
         self.total_at = now;
         match self.usages.get_mut(org) {
             Some(usage) => {
                 *usage = Usage {
-                    tokens: usage.at(now) + tokens,
+                    tokens: (usage.at(now) + tokens).max(0.0),
                     at: now,
                 };
             }
+            None if tokens <= 0.0 => {}
             None => {
                 let usage = Usage { tokens, at: now };
                 self.usages.insert(org.clone(), usage);
--- a/crates/capacity/tests/failures.rs
+++ b/crates/capacity/tests/failures.rs
@@ -2,10 +2,15 @@
 
 mod fake;
 
+use dw_base::DurationMs;
+use dw_base::TimeMs;
 use dw_capacity::EngineReport;
 use dw_capacity::Ledger;
+use dw_wire::AdmissionResult;
 
 use crate::fake::Fake;
+use crate::fake::Request;
+use crate::fake::OBJECTIVE_MS;
 use crate::fake::SHORT;
 
 /// Guards against goodput that stays low after engines crash and their load comes to the others.
@@ -72,7 +77,73 @@
         started_ms: 2,
         ..EngineReport::default()
     };
-    let now = dw_base::TimeMs(fake.now_ms);
+    let now = TimeMs(fake.now_ms);
     fake.ledger.observe(restarted, now);
     assert_eq!(fake.ledger.queue_ms().0, 0);
 }
+
+/// Guards against an engine that refuses work because of admissions whose requests were never sent: their
+/// gateways ended, or the answers came too late.
+#[test]
+fn admissions_that_are_not_sent_do_not_hold_the_engine() {
+    let offer = fake::offer(SHORT);
+    let question = fake::question(&offer, 0);
+    let mut ledger = Ledger::default();
+    let at = TimeMs(10_000);
+    let mut granted = 0;
+    while ledger.ask(&question, at) == AdmissionResult::Granted {
+        granted += 1;
+    }
+    assert!(granted >= 5, "{granted}");
+    ledger.give_back(&offer, at);
+    assert_eq!(ledger.ask(&question, at), AdmissionResult::Granted);
+    assert_ne!(ledger.ask(&question, at), AdmissionResult::Granted);
+    // A gateway that has ended gives nothing back; the engine is idle once the time for it has passed.
+    let later = at + ledger.queue_ms();
+    assert_eq!(ledger.ask(&question, later), AdmissionResult::Granted);
+}
+
+/// Guards against an organisation that loses its share by admissions which it gave back.
+#[test]
+fn returned_admissions_do_not_count_for_shares() {
+    let hot = fake::offer(SHORT);
+    let small = fake::offer(Request {
+        org: "small",
+        ..SHORT
+    });
+    let mut ledger = Ledger::default();
+    let at = TimeMs(10_000);
+    ledger.ask(&fake::question(&small, 0), at);
+    for _ in 0..100 {
+        ledger.ask(&fake::question(&hot, 0), at);
+        ledger.give_back(&hot, at);
+    }
+    // Above half of what the objective allows, organisations are held to their shares.
+    while ledger.queue_ms() < DurationMs(OBJECTIVE_MS / 2) {
+        let question = fake::question(&small, 0);
+        assert_eq!(ledger.ask(&question, at), AdmissionResult::Granted);
+    }
+    let result = ledger.ask(&fake::question(&hot, 0), at);
+    assert_eq!(result, AdmissionResult::Granted);
+}
+
+/// Guards against an engine that takes whatever is asked because it no longer answers its sidecar.
+#[test]
+fn engine_without_reports_is_not_idle() {
+    let report = EngineReport {
+        running: 30,
+        kv_total: Some(100_000),
+        kv_used: 90_000,
+        ..EngineReport::default()
+    };
+    let mut ledger = Ledger::default();
+    ledger.observe(report, TimeMs(10_000));
+    let mut granted = 0;
+    for at in (10_000..12_500).step_by(100) {
+        let question = fake::question(&fake::offer(SHORT), 32);
+        if ledger.ask(&question, TimeMs(at)) == AdmissionResult::Granted {
+            granted += 1;
+        }
+    }
+    assert!(granted <= 10, "{granted} admitted beside 30 that run");
+}
--- a/crates/capacity/tests/fake/mod.rs
+++ b/crates/capacity/tests/fake/mod.rs
@@ -90,6 +90,33 @@
     counts: Vec<(Request, Counts)>,
 }
 
+/// Returns what a router offers for a request.
+pub(crate) fn offer(request: Request) -> AdmissionOffer {
+    AdmissionOffer {
+        org: Some(request.org.parse().expect("a valid id")),
+        priority: request.priority,
+        compute_tokens: Tokens(request.tokens),
+        memory_tokens: Tokens(request.tokens),
+        compute_ms: DurationMs(request.tokens / TOKENS_PER_MS),
+        objective_ms: DurationMs(OBJECTIVE_MS),
+        deadline_ms: DurationMs(3_000),
+    }
+}
+
+/// Returns the question of a router that knows of no work at an engine with so many slots, or any number
+/// of them for 0.
+pub(crate) fn question(offer: &AdmissionOffer, slots: u32) -> AdmissionQuestion {
+    AdmissionQuestion {
+        number: 0,
+        offer: offer.clone(),
+        engine: EngineEstimate {
+            outstanding: Tokens(0),
+            speed: TokensPerS::new(TOKENS_PER_MS as f64 * 1_000.0).expect("valid"),
+            slots: if slots == 0 { u32::MAX } else { slots },
+        },
+    }
+}
+
 impl Fake {
     pub(crate) fn new() -> Self {
         Fake {
@@ -169,19 +196,10 @@
     pub(crate) fn offer(&mut self, request: Request) -> bool {
         self.counts_mut(&request).asked += 1;
         let hint = self.outstanding.front().copied().unwrap_or(0);
-        let compute_ms = request.tokens / TOKENS_PER_MS;
-        let offer = AdmissionOffer {
-            org: Some(request.org.parse().expect("a valid id")),
-            priority: request.priority,
-            compute_tokens: Tokens(request.tokens),
-            memory_tokens: Tokens(request.tokens),
-            compute_ms: DurationMs(compute_ms),
-            objective_ms: DurationMs(OBJECTIVE_MS),
-            deadline_ms: DurationMs(3_000),
-        };
+        let offer = offer(request);
         let expected = Expectation {
             wait_ms: DurationMs(hint / TOKENS_PER_MS),
-            first_token_ms: DurationMs(hint / TOKENS_PER_MS + compute_ms),
+            first_token_ms: DurationMs(hint / TOKENS_PER_MS) + offer.compute_ms,
         };
         self.next_router = (self.next_router + 1) % ROUTERS;
         let now = self.now();
@@ -196,15 +214,8 @@
         } else if let Some(wait_ms) = router.denied_for(ENGINE, &offer, now) {
             Some(wait_ms)
         } else {
-            let question = AdmissionQuestion {
-                number: 0,
-                offer: offer.clone(),
-                engine: EngineEstimate {
-                    outstanding: Tokens(hint),
-                    speed: TokensPerS::new(TOKENS_PER_MS as f64 * 1_000.0).expect("valid"),
-                    slots: 10_000,
-                },
-            };
+            let mut question = question(&offer, 10_000);
+            question.engine.outstanding = Tokens(hint);
             let result = self.ledger.ask(&question, now);
             match self.answers {
                 true => router.record(target, (&offer, result), now),
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use dw_admit::retry_after_limit;
@@ -19,6 +20,7 @@
 use dw_wire::AdmissionOffer;
 use dw_wire::AdmissionQuestion;
 use dw_wire::AdmissionResult;
+use dw_wire::AdmissionReturn;
 use dw_wire::Datagram;
 use dw_wire::EngineEstimate;
 use tokio::net::UdpSocket;
@@ -34,16 +36,28 @@
 /// Time that a request waits for the sidecar's answer before the gateway decides alone.
 const ANSWER_TIMEOUT_MS: DurationMs = DurationMs(30);
 
+/// Time within which an answer still arrives for which no request waits any more.
+const LATE_ANSWER_MS: DurationMs = DurationMs(1_000);
+
 /// Interval at which the speeds of all engines of a service are summed.
 const SPEED_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
 /// Speed of an engine while nothing is measured in its service.
 const PRIOR_TOKENS_PER_S: f64 = 90_000.0;
 
+/// A request that was not sent as the answer about its admission did not arrive in time.
+struct Unsent {
+    engine: SocketAddr,
+    offer: AdmissionOffer,
+    at: TimeMs,
+}
+
 /// Admissions of engines as this gateway knows them.
 pub(crate) struct Admissions {
     requester: RefCell<Requester>,
     questions: Questions<AdmissionResult>,
+    /// Requests that were not sent as no answer arrived in time, by the number of the question.
+    unsent: RefCell<HashMap<u32, Unsent>>,
     /// Speeds at which the engines of a service process their queues, and when they were summed.
     speeds: RefCell<HashMap<ServiceId, (TokensPerS, TimeMs)>>,
 }
@@ -54,38 +68,93 @@
         Admissions {
             requester: RefCell::default(),
             questions: Questions::new(socket, inner_port),
+            unsent: RefCell::default(),
             speeds: RefCell::default(),
         }
     }
 
-    /// Passes the answer of a sidecar on to the request that waits for it.
+    /// Passes the answer of a sidecar on to the request that waits for it. An admission that comes too late
+    /// is given back.
     pub(crate) fn record_answer(&self, answer: AdmissionAnswer) {
-        // An admission that comes too late drains from the ledger with the speed of the engine.
-        self.questions.record_answer(answer.number, answer.result);
+        let is_awaited = self.questions.record_answer(answer.number, answer.result);
+        let unsent = self.unsent.borrow_mut().remove(&answer.number);
+        if let Some(unsent) = unsent.filter(|_| !is_awaited) {
+            if answer.result == AdmissionResult::Granted {
+                self.give_back(unsent.engine, unsent.offer);
+            }
+        }
     }
 
-    /// Removes denials that concern no request any more.
+    /// Removes denials that concern no request any more, and requests about which no answer will arrive.
     pub(crate) fn expire(&self, now: TimeMs) {
         self.requester.borrow_mut().expire(now);
+        let is_awaited = |unsent: &Unsent| now.since(unsent.at) < LATE_ANSWER_MS;
+        self.unsent
+            .borrow_mut()
+            .retain(|_, unsent| is_awaited(unsent));
+    }
+
+    fn give_back(&self, engine: SocketAddr, offer: AdmissionOffer) {
+        let returned = Datagram::AdmissionReturn(AdmissionReturn { offer });
+        self.questions.tell(engine, &returned);
     }
 }
 
-/// Denials that one request has met.
+/// An admission, which is given back when it is dropped unless its request was sent.
+struct Admitted {
+    shared: Rc<Shared>,
+    engine: SocketAddr,
+    offer: AdmissionOffer,
+    is_sent: bool,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            let admissions = &self.shared.admissions;
+            admissions.give_back(self.engine, self.offer.clone());
+        }
+    }
+}
+
+/// Denials that one request has met, and its admission.
 #[derive(Default)]
 pub(crate) struct Denials {
     count: u32,
     shortest_ms: Option<DurationMs>,
+    admitted: Option<Admitted>,
+}
+
+/// What a sidecar says about a request.
+enum Admission {
+    /// No sidecar was asked.
+    NotAsked,
+    Granted(AdmissionOffer),
+    /// The engine takes no such request for this time; the label is for logs.
+    Denied(&'static str, DurationMs),
 }
 
 impl Denials {
     /// Decides about a try; returns nothing if the request may be sent.
     pub(crate) async fn check(
         &mut self,
-        shared: &Shared,
+        shared: &Rc<Shared>,
         context: &RequestContext,
         plan: &AttemptPlan,
     ) -> Option<Ruling> {
-        let (result, wait_ms) = find_denial(shared, context, plan).await?;
+        let (result, wait_ms) = match ask(shared, context, plan).await {
+            Admission::NotAsked => return None,
+            Admission::Granted(offer) => {
+                self.admitted = Some(Admitted {
+                    shared: shared.clone(),
+                    engine: plan.addr,
+                    offer,
+                    is_sent: false,
+                });
+                return None;
+            }
+            Admission::Denied(result, wait_ms) => (result, wait_ms),
+        };
         self.count += 1;
         let shortest_ms = self.shortest_ms.map_or(wait_ms, |ms| ms.min(wait_ms));
         self.shortest_ms = Some(shortest_ms);
@@ -105,6 +174,20 @@
         }
     }
 
+    /// Records that the request is sent.
+    pub(crate) fn spend(&mut self) {
+        if let Some(admitted) = &mut self.admitted {
+            admitted.is_sent = true;
+        }
+    }
+
+    /// Gives the admission back, as the request did not run at the engine.
+    pub(crate) fn give_back(&mut self) {
+        if let Some(mut admitted) = self.admitted.take() {
+            admitted.is_sent = false;
+        }
+    }
+
     /// Returns the answer to a request that no engine takes, if one has denied it.
     pub(crate) fn answer(&self, context: &RequestContext, now: TimeMs) -> Option<GatewayAnswer> {
         let wait_ms = self.shortest_ms?;
@@ -116,14 +199,11 @@
     }
 }
 
-/// Returns why and for how long the engine takes no such request, or nothing if it may be sent.
-async fn find_denial(
-    shared: &Shared,
-    context: &RequestContext,
-    plan: &AttemptPlan,
-) -> Option<(&'static str, DurationMs)> {
-    // Only model engines have weights.
-    plan.choice.weights?;
+async fn ask(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> Admission {
+    if plan.choice.weights.is_none() {
+        // Only model engines have weights.
+        return Admission::NotAsked;
+    }
     let admissions = &shared.admissions;
     let now = shared.now();
     let offer = offer(context, plan, now);
@@ -139,24 +219,21 @@
     let known = {
         let requester = admissions.requester.borrow();
         if !requester.is_needed(&context.service, (&offer, &expected), now) {
-            return None;
+            return Admission::NotAsked;
         }
         requester.denied_for(engine, &offer, now)
     };
     if let Some(wait_ms) = known {
         shared.metrics.record_admission("known_denial");
-        return Some(("known_denial", wait_ms));
+        return Admission::Denied("known_denial", wait_ms);
     }
-    let estimate = estimate(shared, context, plan);
-    let question = |number| {
-        Datagram::AdmissionQuestion(AdmissionQuestion {
-            number,
-            offer: offer.clone(),
-            engine: estimate,
-        })
-    };
-    let questions = &admissions.questions;
-    let result = questions.ask(plan.addr, ANSWER_TIMEOUT_MS, question).await;
+    let mut question = admissions.questions.begin();
+    let datagram = Datagram::AdmissionQuestion(AdmissionQuestion {
+        number: question.number,
+        offer: offer.clone(),
+        engine: estimate(shared, context, plan),
+    });
+    let result = question.ask(plan.addr, ANSWER_TIMEOUT_MS, &datagram).await;
     let label = result.map_or("no_answer", AdmissionResult::label);
     shared.metrics.record_admission(label);
     let denied_ms = match result {
@@ -166,7 +243,21 @@
         }
         None => Requester::decide_alone(&offer, &expected),
     };
-    denied_ms.map(|wait_ms| (label, wait_ms))
+    match (denied_ms, result) {
+        (None, Some(_)) => Admission::Granted(offer),
+        (None, None) => Admission::NotAsked,
+        (Some(wait_ms), Some(_)) => Admission::Denied(label, wait_ms),
+        (Some(wait_ms), None) => {
+            let unsent = Unsent {
+                engine: plan.addr,
+                offer,
+                at: now,
+            };
+            let mut all = admissions.unsent.borrow_mut();
+            all.insert(question.number, unsent);
+            Admission::Denied(label, wait_ms)
+        }
+    }
 }
 
 fn offer(context: &RequestContext, plan: &AttemptPlan, now: TimeMs) -> AdmissionOffer {
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -83,7 +83,8 @@
                 | Datagram::QuotaQuestion(_)
                 | Datagram::QuotaReturn(_)
                 | Datagram::QuotaHandover(_)
-                | Datagram::AdmissionQuestion(_) => {}
+                | Datagram::AdmissionQuestion(_)
+                | Datagram::AdmissionReturn(_) => {}
             }
         })
         .await;
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -63,8 +63,7 @@
         if let Some(answer) = self.find_answer(plan, retry_state).await {
             return Ruling::Answer(answer);
         }
-        // A grant that is not used is given back, and an admission is not: the quota comes first, or else
-        // requests beyond it take room at the engines.
+        // The quota comes first, or else requests beyond it take room at the engines.
         if let Err(answer) = self.grant.acquire(&self.context).await {
             return Ruling::Answer(answer);
         }
@@ -76,8 +75,10 @@
             }
         }
         if !acquire_permit(&self.shared, &self.context, plan).await {
+            self.denials.give_back();
             return Ruling::NextUpstream;
         }
+        self.denials.spend();
         self.grant.spend();
         Ruling::Send
     }
@@ -105,6 +106,7 @@
     /// Records how a try ended.
     pub(crate) fn record_result(&mut self, result: &AttemptResult) {
         if let AttemptResult::NoAnswer(AttemptOutcome::Unsent | AttemptOutcome::NotRun) = result {
+            self.denials.give_back();
             self.grant.restore();
         }
     }
--- a/crates/sidecar/src/admission.rs
+++ b/crates/sidecar/src/admission.rs
@@ -10,6 +10,7 @@
 use dw_wire::AdmissionAnswer;
 use dw_wire::AdmissionQuestion;
 use dw_wire::AdmissionResult;
+use dw_wire::AdmissionReturn;
 use dw_wire::Datagram;
 
 use crate::permits::send_answer;
@@ -69,3 +70,11 @@
     };
     send_answer(shared, from, &Datagram::AdmissionAnswer(answer));
 }
+
+/// Takes an admission back whose request was not sent.
+pub(crate) fn give_back(shared: &Shared, returned: &AdmissionReturn, now: TimeMs) {
+    let mut admissions = shared.admissions.borrow_mut();
+    admissions.ledger.give_back(&returned.offer, now);
+    let queue_ms = admissions.ledger.queue_ms();
+    shared.metrics.record_admission("returned", queue_ms);
+}
--- a/crates/sidecar/src/gossip.rs
+++ b/crates/sidecar/src/gossip.rs
@@ -106,6 +106,7 @@
             Datagram::AdmissionQuestion(question) => {
                 admission::answer(&shared, from, &question, now);
             }
+            Datagram::AdmissionReturn(returned) => admission::give_back(&shared, &returned, now),
             Datagram::OriginRecord(record) => origins::record(&shared, record, now),
             Datagram::OriginQuery(query) => origins::answer(&shared, from, query, now),
             Datagram::QuotaHandover(accounts) => quotas::take_over(&shared, &accounts, now),
--- a/crates/wire/src/admission.rs
+++ b/crates/wire/src/admission.rs
@@ -78,3 +78,10 @@
     /// Result.
     pub result: AdmissionResult,
 }
+
+/// Gives an admission back whose request was not sent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AdmissionReturn {
+    /// Request as it was admitted.
+    pub offer: AdmissionOffer,
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -20,7 +20,7 @@
 //! | [`QuotaQuestion`], [`QuotaReturn`] | router | sidecar that counts for an organisation |
 //! | [`QuotaAnswer`] | sidecar | router |
 //! | [`QuotaHandover`] | sidecar that ceases to count | sidecar that begins |
-//! | [`AdmissionQuestion`] | router | sidecar of an engine |
+//! | [`AdmissionQuestion`], [`AdmissionReturn`] | router | sidecar of an engine |
 //! | [`AdmissionAnswer`] | sidecar | router |
 //! | [`OriginRecord`], [`OriginQuery`] | router | sidecars that keep the origin of a stream |
 //! | [`OriginAnswer`] | sidecar | router |
@@ -48,6 +48,7 @@
 
 use crate::admission::AdmissionAnswer;
 use crate::admission::AdmissionQuestion;
+use crate::admission::AdmissionReturn;
 use crate::cached_parts::CachedParts;
 use crate::origins::OriginAnswer;
 use crate::origins::OriginQuery;
@@ -303,4 +304,6 @@
     AdmissionAnswer(AdmissionAnswer),
     /// Accounts of organisations, sent by a sidecar that ceases to count for them.
     QuotaHandover(Vec<QuotaHandover>),
+    /// Admission whose request a router has not sent.
+    AdmissionReturn(AdmissionReturn),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 pub use admission::AdmissionOffer;
 pub use admission::AdmissionQuestion;
 pub use admission::AdmissionResult;
+pub use admission::AdmissionReturn;
 pub use admission::EngineEstimate;
 pub use cached_parts::CachedParts;
 pub use cached_parts::ReportedParts;
