gateway, cli: explain where a request would go

Cause: operators could not ask where a request would go now; logs and metrics tell of requests that were sent.

The code of a request decides: state that a decision changes is copied first, and rules that would ask a sidecar say whom. Placement ranks what it compares (Direct::rank), and select_upstream, the admission, the quota and the overload rule are split where the explanation joins them.

Ruled out: asking sidecars, since an answer takes what it explains; a header on a caller's request, which would show other organisations' load.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -9,6 +9,7 @@
 pub use generated::admin;
 pub use generated::callers;
 pub use generated::engine;
+pub use generated::explain;
 pub use generated::service;
 pub use generated::table;
 pub use generated::vms;
--- a/crates/api/tests/generated.rs
+++ b/crates/api/tests/generated.rs
@@ -6,7 +6,9 @@
 use typify::TypeSpace;
 use typify::TypeSpaceSettings;
 
-const MODULES: [&str; 6] = ["admin", "callers", "engine", "service", "table", "vms"];
+const MODULES: [&str; 7] = [
+    "admin", "callers", "engine", "explain", "service", "table", "vms",
+];
 
 fn generate(schema_path: &Path) -> String {
     let text = fs::read_to_string(schema_path).expect("schema is readable");
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -14,6 +14,7 @@
 mod speeds;
 mod stream_key;
 mod suspect;
+mod token_hash;
 mod work;
 
 pub use chain::BlockHash;
@@ -71,4 +72,6 @@
 pub use speeds::MeasuredSpeeds;
 pub use stream_key::StreamKey;
 pub use suspect::Suspect;
+pub use token_hash::ParseTokenHashError;
+pub use token_hash::TokenHash;
 pub use work::MeasuredWork;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -47,7 +47,7 @@
 /// The command line is invalid.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 #[error("{0}; see dandelionwall --help")]
-pub struct UsageError(String);
+pub struct UsageError(pub(crate) String);
 
 fn option_definitions() -> getopts::Options {
     let mut options = getopts::Options::new();
@@ -96,7 +96,9 @@
 pub fn usage() -> String {
     option_definitions().usage(
         "Usage: dandelionwall --router HOST:PORT [options] [STATEMENT ...]\n\n\
-         Without a statement or a file, statements are read from an interactive prompt.",
+         Without a statement or a file, statements are read from an interactive prompt.\n\n\
+         dandelionwall --gateway HOST:PORT ... explains where a request would go; see\n\
+         dandelionwall --gateway --help.",
     )
 }
 
@@ -135,7 +137,7 @@
     }
 }
 
-fn format(text: Option<&str>) -> Result<Format, UsageError> {
+pub(crate) fn format(text: Option<&str>) -> Result<Format, UsageError> {
     match text {
         None | Some("table") => Ok(Format::Table),
         Some("json") => Ok(Format::Json),
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -34,7 +34,7 @@
     text
 }
 
-fn render_table(columns: &[Column], rows: &[Vec<Value>]) -> String {
+pub(crate) fn render_table(columns: &[Column], rows: &[Vec<Value>]) -> String {
     let header = columns.iter().map(|column| match column.unit.as_str() {
         "" => column.name.clone(),
         unit => format!("{} ({unit})", column.name),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -12,6 +12,7 @@
 
 use crate::client::Client;
 use crate::client::ClientError;
+use crate::explain;
 use crate::options::usage;
 use crate::options::Format;
 use crate::options::Options;
@@ -34,6 +35,9 @@
 
 /// Runs the program with the arguments after the program name.
 pub fn run(args: &[String]) -> ExitStatus {
+    if explain::is_meant(args) {
+        return explain::run(args);
+    }
     let options = match Options::parse(args) {
         Ok(Some(options)) => options,
         Ok(None) => {
@@ -61,7 +65,7 @@
     }
 }
 
-fn read_token(path: &Path) -> Result<String> {
+pub(crate) fn read_token(path: &Path) -> Result<String> {
     let text = fs::read_to_string(path)
         .wrap_err_with(|| format!("token file {} cannot be read", path.display()))?;
     Ok(text.trim().to_owned())
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -129,6 +129,12 @@
         self.fresh(engine, now).map(|known| &known.state)
     }
 
+    /// Returns the time since the sidecar of an engine was heard, if it ever was.
+    pub fn age_ms(&self, engine: SocketAddr, now: TimeMs) -> Option<DurationMs> {
+        let known = self.engines.get(&engine)?;
+        Some(now.since(known.received_at))
+    }
+
     /// Returns whether any sidecar was heard lately.
     pub fn has_live_engines(&self, now: TimeMs) -> bool {
         self.engines
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -199,34 +199,52 @@
     }
 }
 
-async fn ask(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> Admission {
+/// What is known of an admission before the engine's sidecar is asked.
+pub(crate) enum Foreseen {
+    /// The sidecar is not asked.
+    NotAsked,
+    /// The engine has said that it takes no such request for this time.
+    Denied(DurationMs),
+    /// The sidecar is asked.
+    Asked(AdmissionOffer, Expectation),
+}
+
+/// Returns what is known of the admission of a request.
+pub(crate) fn foresee(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> Foreseen {
     if plan.choice.weights.is_none() {
         // Only model engines have weights.
-        return Admission::NotAsked;
+        return Foreseen::NotAsked;
     }
-    let admissions = &shared.admissions;
     let now = shared.now();
     let offer = offer(context, plan, now);
     let expected = Expectation {
         wait_ms: plan.choice.backlog_ms,
         first_token_ms: plan.choice.first_token_ms,
     };
-    let engine = plan.start();
+    let requester = shared.admissions.requester.borrow();
+    if !requester.is_needed(&context.service, (&offer, &expected), now) {
+        return Foreseen::NotAsked;
+    }
+    match requester.denied_for(plan.start(), &offer, now) {
+        Some(wait_ms) => Foreseen::Denied(wait_ms),
+        None => Foreseen::Asked(offer, expected),
+    }
+}
+
+async fn ask(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> Admission {
+    let (offer, expected) = match foresee(shared, context, plan) {
+        Foreseen::NotAsked => return Admission::NotAsked,
+        Foreseen::Denied(wait_ms) => {
+            shared.metrics.record_admission("known_denial");
+            return Admission::Denied("known_denial", wait_ms);
+        }
+        Foreseen::Asked(offer, expected) => (offer, expected),
+    };
+    let admissions = &shared.admissions;
     let target = Target {
-        engine,
+        engine: plan.start(),
         service: &context.service,
     };
-    let known = {
-        let requester = admissions.requester.borrow();
-        if !requester.is_needed(&context.service, (&offer, &expected), now) {
-            return Admission::NotAsked;
-        }
-        requester.denied_for(engine, &offer, now)
-    };
-    if let Some(wait_ms) = known {
-        shared.metrics.record_admission("known_denial");
-        return Admission::Denied("known_denial", wait_ms);
-    }
     let mut question = admissions.questions.begin();
     let datagram = Datagram::AdmissionQuestion(AdmissionQuestion {
         number: question.number,
@@ -251,7 +269,7 @@
             let unsent = Unsent {
                 engine: plan.addr,
                 offer,
-                at: now,
+                at: shared.now(),
             };
             let mut all = admissions.unsent.borrow_mut();
             all.insert(question.number, unsent);
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -1,6 +1,7 @@
 //! Candidate upstreams for a request.
 
 use dw_base::ModelId;
+use dw_base::TimeMs;
 use dw_base::Tokens;
 use dw_base::UpstreamId;
 use dw_base::WeightsVersion;
@@ -37,14 +38,10 @@
     exclusions: &Exclusions,
 ) -> Vec<&'a Entry> {
     let now = shared.now();
-    let view = shared.view.borrow();
     let open: Vec<&Entry> = directory
         .serving(&context.service)
         .filter(|entry| !exclusions.contains(&entry.registration.upstream))
-        .filter(|entry| context.may_run_on(&entry.registration.software))
-        .filter(|entry| !entry.is_paused(now))
-        .filter(|entry| shared.limits.denied_until(entry, now).is_none())
-        .filter(|entry| view.is_open(entry.registration.addr, now))
+        .filter(|entry| closed_reason(shared, context, entry, now).is_none())
         .collect();
     let healthy = open.iter().filter(|entry| entry.health.is_usable(now));
     let healthy: Vec<&Entry> = healthy.copied().collect();
@@ -56,6 +53,26 @@
     }
 }
 
+/// Returns why an upstream takes no such request now, or nothing if it does.
+pub(crate) fn closed_reason(
+    shared: &Shared,
+    context: &RequestContext,
+    entry: &Entry,
+    now: TimeMs,
+) -> Option<&'static str> {
+    if !context.may_run_on(&entry.registration.software) {
+        return Some("other_software_version");
+    }
+    if entry.is_paused(now) {
+        return Some("paused");
+    }
+    if shared.limits.denied_until(entry, now).is_some() {
+        return Some("no_permit");
+    }
+    let is_open = shared.view.borrow().is_open(entry.registration.addr, now);
+    (!is_open).then_some("closing_or_unreachable")
+}
+
 /// Returns the properties of an upstream that placement compares, or `None` if its weights are
 /// unknown or too old to be used.
 pub(crate) fn placement_target<'a>(
@@ -69,12 +86,8 @@
     let (weights, freshness) = match kv_capacity {
         None => (None, Freshness::Current),
         Some(_) => {
-            let model = model(context, entry)?;
-            let held = newest_known_weights(shared, entry, model)?;
-            (
-                Some(held),
-                shared.weights.borrow().freshness(model, held, now),
-            )
+            let (held, freshness) = held_weights(shared, context, entry)?;
+            (Some(held), freshness)
         }
     };
     let view = shared.view.borrow();
@@ -94,6 +107,19 @@
     })
 }
 
+/// Returns the weights of the requested model that an engine holds, and whether newer ones were published;
+/// nothing if they are unknown, or the upstream is no engine.
+pub(crate) fn held_weights(
+    shared: &Shared,
+    context: &RequestContext,
+    entry: &Entry,
+) -> Option<(WeightsVersion, Freshness)> {
+    let model = model(context, entry)?;
+    let held = newest_known_weights(shared, entry, model)?;
+    let weights = shared.weights.borrow();
+    Some((held, weights.freshness(model, held, shared.now())))
+}
+
 /// Returns the requested model, or the engine's first one if the request does not specify one.
 fn model<'a>(context: &'a RequestContext, entry: &'a Entry) -> Option<&'a ModelId> {
     let first = entry.registration.models.first().map(|(model, _)| model);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,7 +15,9 @@
 use dw_base::WeightsVersion;
 use dw_port::RequestHead;
 use dw_route::Organisation;
+use dw_route::Resolved;
 use dw_route::Route;
+use http::request::Parts;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -54,6 +56,45 @@
     pub(crate) digest: OnceCell<RequestDigest>,
 }
 
+/// A request whose route is known and that has been read.
+pub(crate) struct AcceptedRequest {
+    pub(crate) request_head: RequestHead,
+    pub(crate) head: Parts,
+    pub(crate) body: bytes::Bytes,
+    /// Memory of the body.
+    pub(crate) held: Reservation,
+    pub(crate) resolved: Resolved,
+    pub(crate) arrived: TimeMs,
+    pub(crate) deadline: TimeMs,
+}
+
+impl AcceptedRequest {
+    /// Returns the state of a request to a service; `software` is the only version that may run it.
+    pub(crate) fn into_context(
+        self,
+        service: ServiceId,
+        software: Option<SoftwareVersion>,
+    ) -> RequestContext {
+        RequestContext {
+            request_head: self.request_head,
+            method: self.head.method,
+            uri: self.head.uri,
+            headers: self.head.headers,
+            body: self.body,
+            _held: self.held,
+            route: self.resolved.route,
+            organisation: self.resolved.organisation,
+            service,
+            software,
+            arrived: self.arrived,
+            deadline: self.deadline,
+            attempts: Cell::new(0),
+            probe: Cell::new(None),
+            digest: OnceCell::new(),
+        }
+    }
+}
+
 impl RequestContext {
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self, now: TimeMs) -> DurationMs {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use dw_place::DirectSettings;
 use dw_place::MixedSettings;
 use dw_platform::Boot;
+use dw_platform::ExplainSettings;
 use dw_port::Codec;
 use dw_port::Declaration;
 use dw_port::DeclarationTimes;
@@ -41,6 +42,7 @@
 use crate::declaration_times::DeclarationTimeQueue;
 use crate::declarations::follow_declarations;
 use crate::drain::DrainTimes;
+use crate::explain_server;
 use crate::gossip::Gossip;
 use crate::kv;
 use crate::lag;
@@ -96,6 +98,8 @@
     pub metrics_port: Option<u16>,
     /// Whether prompts are placed with regard to those of routes with other aims.
     pub mixed_prompts: bool,
+    /// Where operators may ask where a request would go, if they may.
+    pub explain: Option<ExplainSettings>,
     /// Source of the current time.
     pub clock: Arc<dyn Clock>,
     /// Codec for the heads of requests and answers.
@@ -116,6 +120,7 @@
     boot_path: PathBuf,
     callers_addr: SocketAddr,
     ready_addr: SocketAddr,
+    explain_addr: Option<SocketAddr>,
     accepting: JoinHandle<()>,
 }
 
@@ -178,12 +183,19 @@
             let text = move || shared.metrics.render();
             start_text("metrics", addr, Metrics::CONTENT_TYPE, text).await?;
         }
+        let mut explain_addr = None;
+        if let Some(settings) = parts.explain {
+            let addr = SocketAddr::new(boot.ip, settings.port);
+            let bound = explain_server::start(shared.clone(), addr, settings.token).await?;
+            explain_addr = Some(bound);
+        }
         let accepting = spawn(caller::accept(shared.clone(), callers));
         Ok(Gateway {
             shared,
             boot_path: parts.boot_path,
             callers_addr,
             ready_addr,
+            explain_addr,
             accepting,
         })
     }
@@ -198,6 +210,11 @@
         self.ready_addr
     }
 
+    /// Returns the address at which operators may ask where a request would go, if they may.
+    pub fn explain_addr(&self) -> Option<SocketAddr> {
+        self.explain_addr
+    }
+
     /// Reads the settings file again and applies its bounds.
     pub fn reload(&self) {
         match Boot::read(&self.boot_path) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,8 @@
 mod declaration_times;
 mod declarations;
 mod drain;
+mod explain;
+mod explain_server;
 mod forward;
 mod framing;
 mod gateway;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -152,6 +152,11 @@
     }
 }
 
+/// Returns the request limit of the selected upstream, which needs permits if there is one.
+pub(crate) fn named_limit(shared: &Shared, plan: &AttemptPlan) -> Option<RequestsPerS> {
+    shared.limits.limits.borrow().get(plan.start())
+}
+
 /// Gets the permit that a request to the selected upstream needs; returns whether it may be sent.
 pub(crate) async fn acquire_permit(
     shared: &Shared,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -35,6 +35,7 @@
         boot_path: options.path,
         metrics_port: options.metrics_port,
         mixed_prompts: options.mixed_prompts,
+        explain: options.explain,
         clock: Arc::new(BootClock::new()),
         codec: Arc::new(PlatformCodec),
         declarations: Box::new(Declarations::new(table)),
--- a/crates/gateway/src/overload_rule.rs
+++ b/crates/gateway/src/overload_rule.rs
@@ -9,6 +9,32 @@
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
+fn offer(context: &RequestContext, plan: &AttemptPlan) -> Offer {
+    Offer {
+        priority: context.priority(),
+        tokens: context.request_head.prompt_tokens(),
+        expected_ms: plan.choice.first_token_ms,
+        objective_ms: context.route.objective_ms,
+        point: request_hash(&context.request_head.request_id),
+    }
+}
+
+/// Returns the shed ratio of a service, and whether a prompt would be rejected, without recording it.
+pub(crate) fn foresee(
+    shared: &Shared,
+    context: &RequestContext,
+    plan: &AttemptPlan,
+) -> (f64, bool) {
+    let overload = shared.overload.borrow().get(&context.service).cloned();
+    let mut overload = overload.unwrap_or_default();
+    let is_prompt = plan.choice.weights.is_some();
+    let is_rejected = is_prompt
+        && overload
+            .reject(&offer(context, plan), shared.now())
+            .is_some();
+    (overload.share(), is_rejected)
+}
+
 /// Returns the answer to a prompt that is rejected because the service's first tokens are late.
 pub(crate) fn check(
     shared: &Shared,
@@ -17,13 +43,7 @@
 ) -> Option<GatewayAnswer> {
     plan.choice.weights?;
     let now = shared.now();
-    let offer = Offer {
-        priority: context.priority(),
-        tokens: context.request_head.prompt_tokens(),
-        expected_ms: plan.choice.first_token_ms,
-        objective_ms: context.route.objective_ms,
-        point: request_hash(&context.request_head.request_id),
-    };
+    let offer = offer(context, plan);
     let (before, rank, share) = shared.with_overload(&context.service, |overload| {
         let before = overload.share();
         let rank = overload.reject(&offer, now);
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -192,6 +192,35 @@
     }
 }
 
+/// What is known of a quota before its counter is asked.
+pub(crate) enum Foreseen {
+    /// The organisation has no quota.
+    Unlimited,
+    /// The quota is known to be used up for this time.
+    Denied(Claim, DurationMs),
+    /// The sidecar beside this engine is asked, or nobody.
+    Asked(Claim, Option<SocketAddr>),
+}
+
+/// Returns what is known of the quota of a request.
+pub(crate) fn foresee(shared: &Shared, context: &RequestContext) -> Foreseen {
+    let organisation = context.organisation.as_ref();
+    let claim = organisation
+        .and_then(|organisation| claim(organisation, &context.route, &context.request_head));
+    let Some(claim) = claim else {
+        return Foreseen::Unlimited;
+    };
+    let now = shared.now();
+    let denied_until = shared.quotas.requester.borrow().denied_until(&claim, now);
+    match denied_until {
+        Some(until) => Foreseen::Denied(claim, until.since(now)),
+        None => {
+            let counter = counter(shared, &claim.org);
+            Foreseen::Asked(claim, counter)
+        }
+    }
+}
+
 /// Returns the answer to a request whose organisation is known to have used up its quota.
 pub(crate) fn known_denial(
     shared: &Shared,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,5 @@
 //! Handling of a caller's request, from its head to the head of the answer.
 
-use std::cell::Cell;
-use std::cell::OnceCell;
 use std::rc::Rc;
 
 use dw_admit::retry_after;
@@ -11,6 +9,7 @@
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 use dw_origin::Resume;
+use dw_port::RequestHead;
 use dw_retry::AttemptOutcome;
 use dw_retry::NextAction;
 use dw_retry::RetryState;
@@ -27,6 +26,7 @@
 use crate::body::AnswerBody;
 use crate::candidates::Exclusions;
 use crate::connections::RequestGuard;
+use crate::context::AcceptedRequest;
 use crate::context::RequestContext;
 use crate::context::SharedContext;
 use crate::forward::forward;
@@ -114,8 +114,7 @@
     let resolved = resolve(&routes, &request_head, &head);
     let resolved = resolved
         .map_err(|answer| rejected(&id, retryable_if_behind(shared, &request_head, answer)))?;
-    let max_wait_ms = request_head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let deadline = arrived + max_wait_ms.min(resolved.route.timeout_ms);
+    let deadline = deadline(&request_head, &resolved, arrived);
     let remaining_ms = deadline.since(shared.now());
     let refused = arrival_rules::check(shared, &request_head, &resolved, remaining_ms);
     if let Some(answer) = refused {
@@ -156,28 +155,26 @@
         None => (resolved.route.destination(request_hash(&id)).cloned(), None),
     };
     let service = service.ok_or_else(|| rejected(&id, GatewayAnswer::NoRoute))?;
-    Ok(RequestContext {
+    let accepted = AcceptedRequest {
         request_head,
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
+        head,
         body,
-        _held: held,
-        route: resolved.route,
-        organisation: resolved.organisation,
-        service,
-        software,
+        held,
+        resolved,
         arrived,
         deadline,
-        attempts: Cell::new(0),
-        probe: Cell::new(None),
-        digest: OnceCell::new(),
-    })
+    };
+    Ok(accepted.into_context(service, software))
 }
 
-fn resolve(
+/// Returns the route and the organisation of a request.
+///
+/// # Errors
+///
+/// Returns the answer to a request that the configuration does not allow.
+pub(crate) fn resolve(
     routes: &RouteTable,
-    request_head: &dw_port::RequestHead,
+    request_head: &RequestHead,
     head: &Parts,
 ) -> Result<Resolved, GatewayAnswer> {
     let resolved = routes.resolve(
@@ -191,11 +188,17 @@
     })
 }
 
+/// Returns when the caller's deadline or the route's timeout is reached, whichever comes first.
+pub(crate) fn deadline(request_head: &RequestHead, resolved: &Resolved, arrived: TimeMs) -> TimeMs {
+    let max_wait_ms = request_head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    arrived + max_wait_ms.min(resolved.route.timeout_ms)
+}
+
 /// Returns the answer to a request that the configuration rejects. If other routers have read a
 /// newer configuration, which may allow the request, the caller is told to retry.
 fn retryable_if_behind(
     shared: &Shared,
-    request_head: &dw_port::RequestHead,
+    request_head: &RequestHead,
     answer: GatewayAnswer,
 ) -> GatewayAnswer {
     if !shared.tables.borrow().is_behind(shared.now()) {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -73,6 +73,35 @@
 ) -> Result<AttemptPlan, NoUpstream> {
     let directory = shared.directory.borrow();
     let candidates = open_upstreams(shared, &directory, context, exclusions);
+    with_targets(shared, context, &candidates, |cache, targets| {
+        let choice = with_request(shared, context, cache, |request, now| {
+            shared.placement.borrow().place(request, targets, now)
+        });
+        attempt_plan(shared, (&candidates, cache), choice)
+    })
+}
+
+/// Returns the upstreams that are compared for the first attempt of a request, each with its cost, the
+/// cheapest first.
+pub(crate) fn rank_upstreams(
+    shared: &Shared,
+    context: &RequestContext,
+    candidates: &[&Entry],
+) -> Vec<(f64, Choice)> {
+    with_targets(shared, context, candidates, |cache, targets| {
+        with_request(shared, context, cache, |request, now| {
+            shared.placement.borrow().rank(request, targets, now)
+        })
+    })
+}
+
+/// Calls `decide` with what placement compares.
+fn with_targets<T>(
+    shared: &Shared,
+    context: &RequestContext,
+    candidates: &[&Entry],
+    decide: impl FnOnce(&PromptCache<'_>, &[DirectTarget<'_>]) -> T,
+) -> T {
     let kv_capacity = shared
         .routes()
         .and_then(|routes| routes.service(&context.service).and_then(|s| s.kv_capacity));
@@ -86,8 +115,16 @@
         .iter()
         .filter_map(|entry| placement_target(shared, context, entry, &cache.keys, kv_capacity))
         .collect();
-    let choice = place_request(shared, context, &cache, &targets);
-    let registered = |choice: &Choice| registration(&candidates, &choice.upstream);
+    decide(&cache, &targets)
+}
+
+/// Returns the plan for an attempt at the chosen upstream.
+fn attempt_plan(
+    shared: &Shared,
+    (candidates, cache): (&[&Entry], &PromptCache<'_>),
+    choice: Option<Choice>,
+) -> Result<AttemptPlan, NoUpstream> {
+    let registered = |choice: &Choice| registration(candidates, &choice.upstream);
     let chosen = choice.and_then(|choice| Some((registered(&choice)?, choice)));
     let Some((registered, choice)) = chosen else {
         let reason = match candidates.is_empty() {
@@ -97,9 +134,9 @@
         return Err(NoUpstream { reason });
     };
     let holder = choice.holder.as_ref();
-    let holder = holder.and_then(|holder| registration(&candidates, holder));
+    let holder = holder.and_then(|holder| registration(candidates, holder));
     let holder = holder.map(|holder| holder.addr);
-    let salt = choice.weights.map(|weights| salt(&scope, weights));
+    let salt = choice.weights.map(|weights| salt(cache.scope, weights));
     let is_shared = salt.is_some() && !cache.shared_parts.is_empty();
     let fetch_from = holder.or(cache.store).filter(|_| is_shared);
     let save_to = choice
@@ -111,7 +148,7 @@
         started_ms: registered.started_ms,
         software: registered.software.clone(),
         choice,
-        scope,
+        scope: cache.scope.to_owned(),
         salt,
         fetch_from,
         save_to,
@@ -126,12 +163,13 @@
     registrations.find(|registration| registration.upstream == *upstream)
 }
 
-fn place_request(
+/// Calls `decide` with the request as placement sees it.
+fn with_request<T>(
     shared: &Shared,
     context: &RequestContext,
     cache: &PromptCache<'_>,
-    targets: &[DirectTarget<'_>],
-) -> Option<Choice> {
+    decide: impl FnOnce(&DirectRequest<'_>, TimeMs) -> T,
+) -> T {
     let now = shared.now();
     let boot = shared.boot();
     let stored = |weights| cache.stored(weights);
@@ -145,7 +183,7 @@
         stored: &stored,
         mixed_objective_ms: mixed_objective_ms(shared, context),
     };
-    shared.placement.borrow().place(&request, targets, now)
+    decide(&request, now)
 }
 
 /// Returns the objective of a request to a service that also gets requests with other aims.
--- a/crates/place/src/direct.rs
+++ b/crates/place/src/direct.rs
@@ -108,27 +108,50 @@
         targets: &[DirectTarget<'_>],
         now: TimeMs,
     ) -> Option<Choice> {
-        let best = match request.prompt.is_empty() {
-            true => cheapest(
-                targets
-                    .iter()
-                    .map(|target| self.score_plain(request, target)),
-            ),
-            false => self.cheapest_for_prompt(request, targets, now),
-        }?;
+        let best = cheapest(self.score(request, targets, now))?;
         Some(Choice {
             compared: targets.len(),
             ..best.choice
         })
     }
 
-    /// Returns the cheapest target for a request with a prompt.
-    fn cheapest_for_prompt(
+    /// Returns what [`place`](Self::place) compares: each target with its cost in weighted milliseconds, the
+    /// cheapest first.
+    pub fn rank(
         &self,
         request: &DirectRequest<'_>,
         targets: &[DirectTarget<'_>],
         now: TimeMs,
-    ) -> Option<Scored> {
+    ) -> Vec<(f64, Choice)> {
+        let mut scored = self.score(request, targets, now);
+        // The sort is stable, so that the first of equally cheap ones is the one that is chosen.
+        scored.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let ranked = scored.into_iter().map(|one| (one.cost, one.choice));
+        ranked.collect()
+    }
+
+    fn score(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'_>],
+        now: TimeMs,
+    ) -> Vec<Scored> {
+        match request.prompt.is_empty() {
+            true => targets
+                .iter()
+                .map(|target| self.score_plain(request, target))
+                .collect(),
+            false => self.score_prompts(request, targets, now),
+        }
+    }
+
+    /// Returns the costs of all targets for a request with a prompt.
+    fn score_prompts(
+        &self,
+        request: &DirectRequest<'_>,
+        targets: &[DirectTarget<'_>],
+        now: TimeMs,
+    ) -> Vec<Scored> {
         let speeds = targets.iter().map(|t| self.tokens_per_ms(t.upstream));
         let shares = HomeShares::new(&self.settings, speeds);
         let share = |upstream: &UpstreamId| shares.share(self.tokens_per_ms(upstream));
@@ -155,7 +178,7 @@
         if let Some(mixed) = &self.settings.mixed {
             mixed.apply(request, &mut scored);
         }
-        cheapest(scored)
+        scored
     }
 
     /// Records that a request was sent, and returns the data that
--- a/crates/port/src/codec.rs
+++ b/crates/port/src/codec.rs
@@ -83,6 +83,9 @@
     /// Returns an error that names the header and the remedy.
     fn decode_request(&self, head: &request::Parts) -> Result<RequestHead, RequestHeadError>;
 
+    /// Sets the id of a request that names none.
+    fn set_default_id(&self, headers: &mut HeaderMap, id: &'static str);
+
     /// Returns the headers for the upstream: the caller's, less those that concern one connection
     /// or that only a router may set, and those of the envelope.
     fn upstream_headers(&self, caller: &HeaderMap, envelope: &Envelope) -> HeaderMap;
