quota: grant whole quotas while a quarter of the sidecars is missing

Change: whole quotas from two thirds of the sidecars on, the twentieth up to one third, and a smaller part only after half a second.

Ruled out: longer than half a second, as the other side begins to count a second after it has noticed the split.

--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -16,7 +16,7 @@
 use crate::order::counters;
 use crate::order::first_counter;
 use crate::recent_grants::RecentGrants;
-use crate::split::granted_part;
+use crate::split::GrantedPart;
 
 /// Longest time between two calls of [`Counter::tick`] of a process that was not stopped meanwhile.
 const MAX_TICK_GAP_MS: DurationMs = DurationMs(1_500);
@@ -50,7 +50,7 @@
     accounts: HashMap<OrgId, Account>,
     live: Vec<SocketAddr>,
     /// Part of each quota that the live processes grant.
-    part: f64,
+    part: GrantedPart,
     /// Since when the same processes are live, without the changes soon after the start.
     unchanged_since: TimeMs,
     /// When this process started.
@@ -72,7 +72,7 @@
             own,
             accounts: HashMap::new(),
             live: vec![own],
-            part: 1.0,
+            part: GrantedPart::default(),
             unchanged_since: now,
             started_at: now,
             ticked_at: now,
@@ -91,7 +91,7 @@
         now: TimeMs,
     ) -> Vec<(SocketAddr, QuotaHandover)> {
         self.restart_after_gap(now);
-        self.part = granted_part(live.len(), registered);
+        self.part.update(live.len(), registered, now);
         let mut moved = Vec::new();
         if live != self.live {
             let old = std::mem::replace(&mut self.live, live);
@@ -105,7 +105,7 @@
         self.accounts
             .retain(|_, account| now.since(account.asked_at) < IDLE_EXPIRY_MS);
         for account in self.accounts.values_mut() {
-            account.set_part(self.part, now);
+            account.set_part(self.part.get(), now);
         }
         self.recent_grants.expire(now);
         moved
@@ -151,7 +151,7 @@
             return false;
         }
         let mut account = Account::from_handover(handed, now);
-        account.set_part(self.part, now);
+        account.set_part(self.part.get(), now);
         self.accounts.insert(handed.org.clone(), account);
         true
     }
@@ -203,7 +203,7 @@
 
     /// Returns the part of each quota that this process grants.
     pub fn part(&self) -> f64 {
-        self.part
+        self.part.get()
     }
 
     /// Returns the number of accounts.
@@ -231,7 +231,7 @@
             return None;
         }
         let mut account = Account::new(limit, self.unchanged_since + MAX_OVERLAP_MS, now);
-        account.set_part(self.part, now);
+        account.set_part(self.part.get(), now);
         let change = LimitChange {
             before: None,
             after: limit,
