--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -63,6 +63,7 @@
 pub use quota::QuotaLimit;
 pub use quota::QuotaRate;
 pub use quota::QuotaUnit;
+pub use rendezvous::rendezvous_hash;
 pub use rendezvous::rendezvous_score;
 pub use request_digest::RequestDigest;
 pub use rng::seeded_rng;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -318,6 +318,7 @@
         shared.metrics.set_quarantined(&quarantined);
         shared.origins.expire(now);
         let directory = shared.directory.borrow();
+        shared.quotas.set_engines(&directory);
         if let Some(age_ms) = shared.tables.borrow().registrations_age_ms(now) {
             shared.origins.observe(&directory, now - age_ms, now);
         }
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -10,9 +10,10 @@
 use dw_base::OrgId;
 use dw_base::TimeMs;
 use dw_fleet::router_hash;
+use dw_member::Directory;
 use dw_port::RequestHead;
-use dw_quota::first_counter;
 use dw_quota::Claim;
+use dw_quota::Engines;
 use dw_quota::Isolated;
 use dw_quota::Requester;
 use dw_route::Organisation;
@@ -38,6 +39,7 @@
 pub(crate) struct Quotas {
     requester: RefCell<Requester>,
     questions: Questions<QuotaResult>,
+    engines: RefCell<Engines>,
 }
 
 impl Quotas {
@@ -46,6 +48,7 @@
         Quotas {
             requester: RefCell::default(),
             questions: Questions::new(socket, inner_port),
+            engines: RefCell::default(),
         }
     }
 
@@ -55,6 +58,12 @@
         self.questions.record_answer(answer.number, answer.result);
     }
 
+    /// Takes note of the registered engines, whose sidecars count.
+    pub(crate) fn set_engines(&self, directory: &Directory) {
+        let engines = directory.engines().map(|entry| entry.registration.addr);
+        self.engines.borrow_mut().set(engines);
+    }
+
     /// Removes what is known about organisations without a quota.
     pub(crate) fn retain(&self, limited: &HashSet<&OrgId>) {
         let is_limited = |org: &OrgId| limited.contains(org);
@@ -292,10 +301,6 @@
 fn counter(shared: &Shared, org: &OrgId) -> Option<SocketAddr> {
     let now = shared.now();
     let view = shared.view.borrow();
-    let directory = shared.directory.borrow();
-    let engines = directory.engines().map(|entry| entry.registration.addr);
-    first_counter(
-        org,
-        engines.filter(|addr| view.engine(*addr, now).is_some()),
-    )
+    let engines = shared.quotas.engines.borrow();
+    engines.first_live(org, |addr| view.engine(addr, now).is_some())
 }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -152,6 +152,7 @@
         let directory = self.shared.directory.borrow();
         let now = self.shared.now();
         self.shared.origins.observe(&directory, now, now);
+        self.shared.quotas.set_engines(&directory);
         let is_known = |id: &dw_base::UpstreamId| directory.get(id).is_some();
         self.shared.placement.borrow_mut().retain(is_known);
         self.shared.weights.borrow_mut().retain(is_known);
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -269,12 +269,12 @@
     }
 
     /// Returns all upstreams, except those displaced by a later one at the same address.
-    pub fn all(&self) -> impl Iterator<Item = &Entry> {
+    pub fn all(&self) -> impl Iterator<Item = &Entry> + Clone {
         self.entries.values().filter(|entry| !entry.displaced)
     }
 
     /// Returns the model engines among [`Directory::all`].
-    pub fn engines(&self) -> impl Iterator<Item = &Entry> {
+    pub fn engines(&self) -> impl Iterator<Item = &Entry> + Clone {
         self.all()
             .filter(|entry| !entry.registration.models.is_empty())
     }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -3,7 +3,7 @@
 //! | event | action |
 //! | --- | --- |
 //! | [`Requester::denied_until`]: a request arrives | refuses it, if the counter has said until when |
-//! | [`first_counter`]: it is about to be sent | the sidecar to ask |
+//! | [`Engines::first_live`]: it is about to be sent | the sidecar to ask |
 //! | [`Counter::ask`]: a question arrives there | [`QuotaResult`](dw_wire::QuotaResult) |
 //! | [`Requester::record`]: the answer, or none in time | allows or refuses the request |
 //! | [`Requester::take_isolated`]: no sidecar is heard | allows or refuses the request by turns |
@@ -14,6 +14,7 @@
 mod account;
 mod claim;
 mod counter;
+mod engines;
 mod order;
 mod recent_grants;
 mod requester;
@@ -25,6 +26,7 @@
 pub use counter::Counter;
 pub use counter::LimitChange;
 pub use counter::MAX_OVERLAP_MS;
+pub use engines::Engines;
 pub use order::first_counter;
 pub use requester::Isolated;
 pub use requester::Requester;
--- a/crates/quota/src/split.rs
+++ b/crates/quota/src/split.rs
@@ -8,13 +8,13 @@
 
 use crate::requester::ISOLATED_FRACTION;
 
-/// Part of the registered processes from which a side grants whole quotas: a quarter of the processes that
+/// Part of the registered processes above which a side grants whole quotas: a quarter of the processes that
 /// end, freeze or are cut off with their engines costs the organisations nothing.
-const WHOLE_FROM: f64 = 2.0 / 3.0;
+const WHOLE_ABOVE: f64 = 2.0 / 3.0;
 
-/// Part of the registered processes up to which a side grants what isolated routers use, as the other side
-/// may grant whole quotas.
-const ISOLATED_UP_TO: f64 = 1.0 - WHOLE_FROM;
+/// Part of the registered processes below which a side grants what isolated routers use, as the other side
+/// may grant whole quotas. The last of three processes grants its third.
+const ISOLATED_BELOW: f64 = 1.0 / 3.0;
 
 /// Time for which processes must be missing before a smaller part is granted. A process on the other side
 /// begins to count later than this.
@@ -24,10 +24,11 @@
 ///
 /// Over all sides the parts add up to one and [`ISOLATED_FRACTION`] of what is missing there at most.
 pub fn granted_part(live: usize, registered: usize) -> f64 {
-    let part = live as f64 / live.max(registered).max(1) as f64;
-    if part >= WHOLE_FROM {
+    let registered = live.max(registered).max(1);
+    let part = live as f64 / registered as f64;
+    if part > WHOLE_ABOVE {
         1.0
-    } else if part <= ISOLATED_UP_TO {
+    } else if part < ISOLATED_BELOW {
         part * ISOLATED_FRACTION
     } else {
         part
--- a/crates/quota/tests/quota/failures.rs
+++ b/crates/quota/tests/quota/failures.rs
@@ -211,3 +211,19 @@
         }
     }
 }
+
+/// Guards against quotas that are hardly granted any more because most of few processes have ended, and
+/// against a larger fleet that counts a quarter of dark engines as a split.
+#[test]
+fn few_processes_that_are_left_grant_their_part() {
+    assert!(granted_part(1, 3) >= 0.33, "{}", granted_part(1, 3));
+    assert!(granted_part(1, 2) >= 0.5, "{}", granted_part(1, 2));
+    for registered in [46_usize, 50, 58, 780] {
+        let live = registered - registered.div_ceil(4);
+        assert_eq!(
+            granted_part(live, registered),
+            1.0,
+            "{live} of {registered}"
+        );
+    }
+}
--- a/crates/quota/tests/quota/main.rs
+++ b/crates/quota/tests/quota/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod counter;
 mod data;
+mod engines;
 mod excess;
 mod failures;
 mod fleet;
