quota: keep an account that was handed over when its giver is heard

Cause: a sidecar that wakes gets its accounts from the one that has counted meanwhile, and drops them once it hears that one, which may have counted. But the giver has just ceased to. The fleet of the tests did not show it: it passed no accounts on, and it took sidecars for gone 1.3 s after their last announcement, where a view keeps them for 2.2 s.

Change: such accounts are kept for the time in which two may count.

Test: account_that_was_handed_over_is_kept_when_its_giver_is_heard.

--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -65,6 +65,8 @@
     saved_for: f64,
     /// Part of the quota that this process grants.
     part: f64,
+    /// When another process has handed it over, if one has.
+    handed_at: Option<TimeMs>,
     pub(crate) asked_at: TimeMs,
 }
 
@@ -82,6 +84,7 @@
             debt_from: since + NO_DEBT_MS,
             saved_for: 0.0,
             part: 1.0,
+            handed_at: None,
             asked_at: now,
         }
     }
@@ -105,6 +108,7 @@
             balance: handed.balance as f64,
             less_urgent: handed.less_urgent as f64,
             updated: now,
+            handed_at: Some(now),
             debt_from: match handed.may_owe {
                 true => now,
                 false => now + NO_DEBT_MS,
@@ -125,6 +129,11 @@
         }
     }
 
+    /// Returns the time since another process has handed it over, if one has.
+    pub(crate) fn handed_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.handed_at.map(|at| now.since(at))
+    }
+
     /// Returns whether nothing was granted yet, as another process may still count.
     pub(crate) fn is_silent(&self, now: TimeMs) -> bool {
         now < self.updated
--- a/crates/quota/src/counter.rs
+++ b/crates/quota/src/counter.rs
@@ -100,7 +100,7 @@
                 self.unchanged_since = now;
             }
             moved = self.remove_moved(now);
-            self.drop_doubtful(&old);
+            self.drop_doubtful(&old, now);
         }
         self.accounts
             .retain(|_, account| now.since(account.asked_at) < IDLE_EXPIRY_MS);
@@ -128,14 +128,17 @@
     }
 
     /// Drops the accounts for which a process that has become live comes second: it has counted for them
-    /// if it did not hear this one.
-    fn drop_doubtful(&mut self, old: &[SocketAddr]) {
+    /// if it did not hear this one, unless it has just handed them over.
+    fn drop_doubtful(&mut self, old: &[SocketAddr], now: TimeMs) {
         let is_new = |addr: &SocketAddr| !old.contains(addr);
         if !self.live.iter().any(is_new) {
             return;
         }
         let live = &self.live;
-        self.accounts.retain(|org, _| {
+        self.accounts.retain(|org, account| {
+            if account.handed_ms(now).is_some_and(|ms| ms < MAX_OVERLAP_MS) {
+                return true;
+            }
             let [_, second] = counters(org, live.iter().copied());
             !second.as_ref().is_some_and(is_new)
         });
--- a/crates/quota/tests/quota/counter.rs
+++ b/crates/quota/tests/quota/counter.rs
@@ -133,6 +133,28 @@
     assert!(!receiver.counter.take_over(handed, TimeMs(receiver.now)));
 }
 
+/// Guards against an account that is lost when a process which was stopped first gets it handed over and then
+/// hears the one that has counted meanwhile.
+#[test]
+fn account_that_was_handed_over_is_kept_when_its_giver_is_heard() {
+    let (first, second) = order();
+    let (mut giver, mut receiver) = (Process::new(second), Process::new(first));
+    giver.run(&[second], 15_000);
+    receiver.run(&[first], 15_000);
+    giver.use_up(limit(1, 36_000, 36_000));
+    giver.run(&[second], 500);
+    giver.now += 100;
+    let live = vec![addr(first), addr(second)];
+    let moved = giver.counter.tick(live, 2, TimeMs(giver.now));
+    receiver.now += 5_000;
+    receiver.run(&[first], 100);
+    let (_, handed) = &moved[0];
+    assert!(receiver.counter.take_over(handed, TimeMs(receiver.now)));
+    receiver.run(&[first, second], 300);
+    let granted = receiver.use_up(limit(1, 36_000, 36_000));
+    assert!((1..=37).contains(&granted), "{granted} of one second");
+}
+
 /// Guards against a second burst after a process was stopped.
 #[test]
 fn counter_that_was_stopped_has_saved_nothing() {
