gateway, cli: divide the explanation and share the run of a command line

The explanation of upstreams is a module of its own, and both command lines of dandelionwall show help, mistakes and failures by one function. No behaviour changes; the tests of both pass as before.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -8,6 +8,7 @@
 use crate::explanation::render_explanation;
 use crate::options::Format;
 use crate::run::read_token;
+use crate::run::run_parsed;
 use crate::run::ExitStatus;
 
 /// Returns whether the arguments ask a gateway for an explanation.
@@ -18,27 +19,10 @@
 
 /// Runs the program with the arguments after the program name.
 pub(crate) fn run(args: &[String]) -> ExitStatus {
-    let options = match ExplainOptions::parse(args) {
-        Ok(Some(options)) => options,
-        Ok(None) => {
-            print!("{}", usage());
-            return ExitStatus::Success;
-        }
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitStatus::Usage;
-        }
-    };
-    match execute(&options) {
-        Ok(()) => ExitStatus::Success,
-        Err(error) => {
-            eprintln!("error: {error:#}");
-            ExitStatus::Refused
-        }
-    }
+    run_parsed(ExplainOptions::parse(args), usage, execute)
 }
 
-fn execute(options: &ExplainOptions) -> Result<()> {
+fn execute(options: &ExplainOptions) -> Result<ExitStatus> {
     let token = options.token_file.as_deref().map(read_token).transpose()?;
     let client = Client::new(&options.gateway, token);
     let explanation = client.explain(&options.request)?;
@@ -46,5 +30,5 @@
         Format::Table => print!("{}", render_explanation(&explanation)),
         Format::Json => println!("{}", serde_json::to_string(&explanation)?),
     }
-    Ok(())
+    Ok(ExitStatus::Success)
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -17,6 +17,7 @@
 use crate::options::Format;
 use crate::options::Options;
 use crate::options::Source;
+use crate::options::UsageError;
 use crate::render::render_error;
 use crate::render::render_response;
 
@@ -38,7 +39,16 @@
     if explain::is_meant(args) {
         return explain::run(args);
     }
-    let options = match Options::parse(args) {
+    run_parsed(Options::parse(args), usage, execute)
+}
+
+/// Executes a parsed command line, or shows its help text or what is wrong with it.
+pub(crate) fn run_parsed<T>(
+    parsed: std::result::Result<Option<T>, UsageError>,
+    usage: impl FnOnce() -> String,
+    execute: impl FnOnce(&T) -> Result<ExitStatus>,
+) -> ExitStatus {
+    let options = match parsed {
         Ok(Some(options)) => options,
         Ok(None) => {
             print!("{}", usage());
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -231,6 +231,7 @@
     }
 }
 
+/// Asks the engine's sidecar about a request, if that is needed.
 async fn ask(shared: &Shared, context: &RequestContext, plan: &AttemptPlan) -> Admission {
     let (offer, expected) = match foresee(shared, context, plan) {
         Foreseen::NotAsked => return Admission::NotAsked,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod drain;
 mod explain;
 mod explain_server;
+mod explained_upstreams;
 mod forward;
 mod framing;
 mod gateway;
