--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 case=target/review-2/release/review-case-2
 [ -x "$case" ] || exit 2
-exec "$case" quota review/6
+exec timeout 118 "$case" quota review/6
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 case=target/review-2/release/review-case-2
 [ -x "$case" ] || exit 2
-exec "$case" upgrade review/7
+exec timeout 118 "$case" fences review/7
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -148,6 +148,8 @@
     Bytes(Vec<u8>),
     /// Closes the connection without an answer.
     Close,
+    /// Never answers; the connection stays open until the caller closes it.
+    Never,
     /// Writes an answer piece by piece; the connection goes on if it returns true.
     Stream(Box<dyn FnOnce(&mut TcpStream) -> bool>),
 }
@@ -220,6 +222,11 @@
                     return;
                 }
             }
+            Reply::Never => {
+                // Whatever else the caller sends is read and dropped.
+                let _ = io::copy(&mut reader, &mut io::sink());
+                return;
+            }
             Reply::Close => {
                 let _ = writer.shutdown(std::net::Shutdown::Both);
                 return;
