gateway: say which configuration decided on a request, and what was known of a newer one

The lines of a request's end named the version only where it was rejected, and none told whether the gateway knew of a newer one, how old that knowledge was, and why it had not read it; so a log could not tell hypothesis A (calls fail) from B (nobody told) and C (told, and the call brought nothing).

The three lines now have the version, the newer one that others had announced, its age, and for how long the gateway's calls had failed. A line and a gauge say when a gateway falls behind others and has caught up. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -52,6 +52,7 @@
 pub use table_state::TablePoll;
 pub use table_state::TablePollSettings;
 pub use table_state::TableState;
+pub use table_state::UnreadConfiguration;
 pub use view::Change;
 pub use view::View;
 pub use wait_timing::WaitTiming;
--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -84,6 +84,11 @@
         self.is_recent(now) && self.positions.config_version > config_version
     }
 
+    /// Returns the newest configuration version that was announced.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.positions.config_version
+    }
+
     /// Returns whether an announcement has arrived lately.
     fn is_recent(&self, now: TimeMs) -> bool {
         let is_recent = |at: TimeMs| now.since(at) < HINT_EXPIRY_MS;
--- a/crates/fleet/src/table_state.rs
+++ b/crates/fleet/src/table_state.rs
@@ -53,6 +53,8 @@
     waits_until: Option<TimeMs>,
     /// Whether others read the table for this router, as far as the last decision took it.
     relies_on_others: bool,
+    /// First failed call since the last answer.
+    failing_since: Option<TimeMs>,
 }
 
 impl Followed {
@@ -67,6 +69,18 @@
     }
 }
 
+/// A configuration that other routers have read and this one has not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnreadConfiguration {
+    /// Newest version that others have announced.
+    pub announced: ConfigVersion,
+    /// Time since others were known to follow the table.
+    pub announced_age_ms: DurationMs,
+    /// Time since the first failed call of this router to the table that no answer followed; absent if its
+    /// calls do not fail.
+    pub failing_ms: Option<DurationMs>,
+}
+
 /// Positions up to which this router and others have read the platform's tables.
 #[derive(Clone, Debug)]
 pub struct TableState {
@@ -99,11 +113,14 @@
         let followed = &mut self.followed[table as usize];
         followed.answered_at = Some(now);
         followed.waits_until = None;
+        followed.failing_since = None;
     }
 
     /// Records that a call to a table has failed.
-    pub fn record_failure(&mut self, table: FollowedTable) {
-        self.followed[table as usize].waits_until = None;
+    pub fn record_failure(&mut self, table: FollowedTable, now: TimeMs) {
+        let followed = &mut self.followed[table as usize];
+        followed.waits_until = None;
+        followed.failing_since.get_or_insert(now);
     }
 
     /// Returns whether other routers have read a newer configuration.
@@ -111,6 +128,19 @@
         self.hints.is_behind(self.config_version, now)
     }
 
+    /// Returns what is known of a newer configuration that other routers have read.
+    pub fn unread_configuration(&self, now: TimeMs) -> Option<UnreadConfiguration> {
+        if !self.is_behind(now) {
+            return None;
+        }
+        let declarations = self.followed[FollowedTable::Declarations as usize];
+        Some(UnreadConfiguration {
+            announced: self.hints.config_version(),
+            announced_age_ms: self.hints.age_ms(now).unwrap_or_default(),
+            failing_ms: declarations.failing_since.map(|since| now.since(since)),
+        })
+    }
+
     /// Records the version of the configuration in force.
     pub fn set_config_version(&mut self, version: ConfigVersion) {
         self.config_version = version.max(self.config_version);
--- a/crates/fleet/tests/lost_readers.rs
+++ b/crates/fleet/tests/lost_readers.rs
@@ -133,7 +133,7 @@
             follow.is_lost = false;
             follow.has_failed = true;
             follow.pause_until = now + retry_pause_ms;
-            self.state.record_failure(table);
+            self.state.record_failure(table, now);
             self.is_due = true;
             return;
         }
@@ -142,7 +142,7 @@
                 follow.waits_until = None;
                 follow.has_failed = true;
                 follow.pause_until = now + RETRY_PAUSE_MS;
-                self.state.record_failure(table);
+                self.state.record_failure(table, now);
                 self.is_due = true;
             }
             return;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -22,6 +22,7 @@
 use http::Method;
 use http::Uri;
 
+use crate::judged_by::JudgedBy;
 use crate::memory::Reservation;
 use crate::quarantine::ProbeKind;
 
@@ -42,6 +43,7 @@
     pub(crate) _held: Reservation,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) judged_by: JudgedBy,
     pub(crate) service: ServiceId,
     /// The only version of an upstream's software that may run it, for a stream that goes on.
     pub(crate) software: Option<SoftwareVersion>,
@@ -64,6 +66,7 @@
     /// Memory of the body.
     pub(crate) held: Reservation,
     pub(crate) resolved: Resolved,
+    pub(crate) judged_by: JudgedBy,
     pub(crate) arrived: TimeMs,
     pub(crate) deadline: TimeMs,
 }
@@ -84,6 +87,7 @@
             _held: self.held,
             route: self.resolved.route,
             organisation: self.resolved.organisation,
+            judged_by: self.judged_by,
             service,
             software,
             arrived: self.arrived,
--- a/crates/gateway/src/declarations.rs
+++ b/crates/gateway/src/declarations.rs
@@ -61,8 +61,9 @@
     }
 
     fn unreachable(&mut self) {
+        let now = self.shared.now();
         let mut tables = self.shared.tables.borrow_mut();
-        tables.record_failure(FollowedTable::Declarations);
+        tables.record_failure(FollowedTable::Declarations, now);
         request_announcement(&self.shared);
     }
 
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -26,6 +26,7 @@
 use crate::context::RequestContext;
 use crate::explained_upstreams::candidates;
 use crate::explained_upstreams::excluded;
+use crate::judged_by::JudgedBy;
 use crate::limits;
 use crate::memory::Reservation;
 use crate::overload_rule;
@@ -167,6 +168,7 @@
         request_head,
         head,
         resolved,
+        judged_by: JudgedBy::now(shared, arrived),
         arrived,
     };
     Ok(accepted.into_context(service, None))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,8 @@
 
 use crate::admission::Admissions;
 use crate::caller;
+use crate::configuration_lag;
+use crate::configuration_lag::ConfigurationLag;
 use crate::connections::Connections;
 use crate::declaration_times::DeclarationTimeQueue;
 use crate::declarations::follow_declarations;
@@ -285,6 +287,7 @@
         codec,
         routes: RefCell::new(None),
         configuration_invalid: Cell::new(false),
+        configuration_lag: ConfigurationLag::default(),
         directory: RefCell::new(Directory::new(lapse_ms)),
         registrations_read: Cell::new(false),
         placement: RefCell::new(Direct::new(DirectSettings::builder().build())),
@@ -319,6 +322,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         shared.directory.borrow_mut().expire(now);
+        configuration_lag::observe(&shared, now);
         shared.limits.expire(now);
         shared.admissions.expire(now);
         let quarantined = shared.quarantine.expire(now);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,7 @@
     upstream_ends: Counter,
     probes: Counter,
     configuration_invalid: Gauge,
+    configuration_behind_ms: Gauge,
     quarantined_parts: Gauge,
     quarantined_requests: Gauge,
     resumes: Family<KindLabel, Counter>,
@@ -156,6 +157,11 @@
                 "1 while the newest configuration cannot be read, or not as a whole",
                 Gauge::default(),
             ),
+            configuration_behind_ms: metrics.add(
+                "configuration_behind_ms",
+                "Time since other routers have read a newer configuration than this one",
+                Gauge::default(),
+            ),
             quarantined_parts: metrics.add(
                 "quarantined_parts",
                 "Prompt parts in quarantine",
@@ -296,6 +302,12 @@
         self.configuration_invalid.set(i64::from(is_invalid));
     }
 
+    /// Records for how long others have read a newer configuration.
+    pub(crate) fn set_configuration_behind_ms(&self, behind_ms: u64) {
+        let behind_ms = i64::try_from(behind_ms).unwrap_or(i64::MAX);
+        self.configuration_behind_ms.set(behind_ms);
+    }
+
     /// Records the numbers of prompt parts and requests in quarantine.
     pub(crate) fn set_quarantined(&self, suspects: &[Suspect]) {
         let is_part = |suspect: &&Suspect| matches!(suspect, Suspect::Part(_));
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -93,7 +93,7 @@
         let now = self.shared.now();
         self.shared.directory.borrow_mut().table_unreachable(now);
         let mut tables = self.shared.tables.borrow_mut();
-        tables.record_failure(FollowedTable::Registrations);
+        tables.record_failure(FollowedTable::Registrations, now);
         request_announcement(&self.shared);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -358,12 +358,15 @@
             return;
         }
         let software = self.software.clone().unwrap_or_default();
+        let judged_by = &self.context.judged_by;
         log::info!(
             request_id = self.context.request_head.request_id.as_str(),
             route = self.context.route.name.as_str(),
             upstream:% = self.choice.upstream, software:% = software,
             resumes = self.context.request_head.resumes.as_deref().unwrap_or_default(),
             status = self.status.as_u16(), outcome,
+            config_version:% = judged_by.version, unread_version = judged_by.unread_version(),
+            unread_age_ms = judged_by.unread_age_ms(), failing_ms = judged_by.failing_ms(),
             first_ms = first_ms.0, took_ms = took_ms.0, bytes = self.bytes,
             tries = self.context.attempts.get(), home = self.choice.home,
             compared = self.choice.compared,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -32,6 +32,7 @@
 use crate::context::SharedContext;
 use crate::forward::forward;
 use crate::forward::AttemptResult;
+use crate::judged_by::JudgedBy;
 use crate::memory::Reservation;
 use crate::origins;
 use crate::request_body;
@@ -118,6 +119,7 @@
     let resolved = resolve(&routes, &request_head, &head);
     let resolved = resolved
         .map_err(|answer| rejected(&id, retryable_if_behind(shared, &request_head, answer)))?;
+    let judged_by = JudgedBy::now(shared, arrived);
     let deadline = deadline(&request_head, &resolved, arrived);
     let remaining_ms = deadline.since(shared.now());
     let refused = arrival_rules::check(shared, &request_head, &resolved, remaining_ms);
@@ -165,6 +167,7 @@
         body,
         held,
         resolved,
+        judged_by,
         arrived,
         deadline,
     };
@@ -331,10 +334,13 @@
     if rejected.answer.is_refusal() && !shared.metrics.may_log_refusal(shared.now()) {
         return;
     }
+    let judged_by = JudgedBy::now(shared, shared.now());
     log::warn!(
         request_id = rejected.request_id.as_str(), path = rejected.path.as_str(),
         status = rejected.answer.status().as_u16(), reason = rejected.answer.label(),
-        config_version = shared.routes().map_or(0, |routes| routes.version().0), took_ms = took.0;
+        config_version:% = judged_by.version, unread_version = judged_by.unread_version(),
+        unread_age_ms = judged_by.unread_age_ms(), failing_ms = judged_by.failing_ms(),
+        took_ms = took.0;
         "request rejected before routing"
     );
 }
@@ -349,9 +355,12 @@
     if answer.is_refusal() && !shared.metrics.may_log_refusal(shared.now()) {
         return;
     }
+    let judged_by = &context.judged_by;
     log::warn!(
         request_id = context.request_head.request_id.as_str(), route = context.route.name.as_str(),
         service:% = context.service, status = answer.status().as_u16(), reason = answer.label(),
+        config_version:% = judged_by.version, unread_version = judged_by.unread_version(),
+        unread_age_ms = judged_by.unread_age_ms(), failing_ms = judged_by.failing_ms(),
         tries = context.attempts.get(), took_ms = took.0,
         timeout_ms = context.deadline.since(context.arrived).0;
         "request ended without an answer from an upstream"
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::admission::Admissions;
+use crate::configuration_lag::ConfigurationLag;
 use crate::connections::Connections;
 use crate::limits::RequestLimits;
 use crate::memory::HeldMemory;
@@ -44,6 +45,7 @@
     pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
     /// Whether the newest configuration cannot be read, or not as a whole.
     pub(crate) configuration_invalid: Cell<bool>,
+    pub(crate) configuration_lag: ConfigurationLag,
     pub(crate) directory: RefCell<Directory>,
     /// Whether the registrations have been read at least once.
     pub(crate) registrations_read: Cell<bool>,
