gateway, sidecar: a gateway that the store turns away reads through a sidecar

What callers saw: a gateway whose own calls to the store failed went on with an old configuration, with keys and routes that had been taken away, until the store answered it again, though it knew from its neighbours that there was a newer one.

Cause: news of the store reached a gateway only by its own calls. Others announce versions, which told the gateway that it was behind, and nothing gave it what they had read. The class is a dependency with a single path, where only the path fails.

Change: FailoverFeed makes the same call through a sidecar (two are asked at once, the first to answer is used), and goes back to the store once it answers. Sidecars pass reads of the two followed tables on and keep no copy, so eras and positions are compared in one place.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -7,6 +7,8 @@
 
 use dw_base::rendezvous_score;
 use dw_base::DataCentreId;
+use dw_base::NodeId;
+use dw_base::PrefixKey;
 use dw_wire::Roster;
 use dw_wire::RosterEntry;
 
@@ -90,6 +92,20 @@
         others.map(|entry| entry.engine).collect()
     }
 
+    /// Returns the engines whose sidecars pass a process's calls to the platform's tables on, the preferred ones
+    /// first: those of its own data centre, then the others. Each process prefers others, so that their calls
+    /// spread.
+    pub fn proxy_order(&self, node: &NodeId, data_centre: &DataCentreId) -> Vec<SocketAddr> {
+        let key = u128::from(PrefixKey::root(node.as_str()).0);
+        let mut order: Vec<&RosterEntry> = self.roster.engines.iter().collect();
+        order.sort_by_cached_key(|entry| {
+            let is_local = self.data_centre(entry) == Some(data_centre);
+            let score = rendezvous_score(key, &entry.engine.to_string(), 1.0);
+            Reverse((is_local, score.to_bits()))
+        });
+        order.into_iter().map(|entry| entry.engine).collect()
+    }
+
     /// Returns the engines whose sidecars may be relays of a data centre, the preferred ones first:
     /// the engines in that data centre, or all engines if it has none.
     pub fn relay_order(&self, data_centre: &DataCentreId) -> Vec<SocketAddr> {
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -7,6 +7,8 @@
 //! | failure or timeout | [`Follower::unreachable`], then another call after a growing pause |
 
 mod contents;
+mod failover;
+mod proxy_list;
 
 use std::sync::Arc;
 
@@ -19,6 +21,10 @@
 
 pub use contents::follow_contents;
 pub use contents::ContentsPollSettings;
+pub use failover::ConnectProxy;
+pub use failover::FailoverFeed;
+pub use failover::PROXIED_ANSWER_TIMEOUT_MS;
+pub use proxy_list::ProxyList;
 
 /// Time allowed for a response in addition to the wait for changes.
 pub const RESPONSE_TIMEOUT_MS: DurationMs = DurationMs(900);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,8 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_fleet::View;
+use dw_follow::FailoverFeed;
+use dw_follow::ProxyList;
 use dw_member::Directory;
 use dw_net::datagrams;
 use dw_net::listen;
@@ -31,6 +33,7 @@
 use dw_port::Feed;
 use dw_port::QuarantineTable;
 use dw_port::Registration;
+use dw_port::TableProxies;
 use dw_telem::Metrics;
 use thiserror::Error;
 use tokio::sync::Notify;
@@ -112,6 +115,8 @@
     pub declarations: Box<dyn Feed<Declaration>>,
     /// Feed of the registrations of upstreams.
     pub registrations: Box<dyn Feed<Registration>>,
+    /// The same tables through other processes, for while the store turns this one away.
+    pub proxies: Arc<dyn TableProxies>,
     /// Store of the times at which weights were published.
     pub declaration_times: Box<dyn DeclarationTimes>,
     /// Table with the prompt parts and requests in quarantine.
@@ -167,12 +172,35 @@
         );
         let declaration_times =
             DeclarationTimeQueue::start(shared.clone(), parts.declaration_times);
+        let proxies = parts.proxies.clone();
+        let declarations = FailoverFeed::new(
+            "declarations",
+            parts.declarations,
+            (
+                shared.proxies.clone(),
+                Box::new(move |proxy| proxies.declarations(proxy)),
+            ),
+            shared.clock.clone(),
+        );
+        let proxies = parts.proxies;
+        let registrations = FailoverFeed::new(
+            "registrations",
+            parts.registrations,
+            (
+                shared.proxies.clone(),
+                Box::new(move |proxy| proxies.registrations(proxy)),
+            ),
+            shared.clock.clone(),
+        );
         spawn(follow_declarations(
             shared.clone(),
-            parts.declarations,
+            Box::new(declarations),
             declaration_times,
         ));
-        spawn(follow_registrations(shared.clone(), parts.registrations));
+        spawn(follow_registrations(
+            shared.clone(),
+            Box::new(registrations),
+        ));
         spawn(quarantine::restore(shared.clone()));
         spawn(kv::follow_all(shared.clone()));
         let gossip = Rc::new(Gossip::new(shared.clone(), socket));
@@ -294,6 +322,7 @@
         view: RefCell::new(View::default()),
         tables: RefCell::default(),
         registrations_version: Cell::new(0),
+        proxies: ProxyList::default(),
         weights: RefCell::new(Weights::new(boot.bounds.weights_ms)),
         budgets: RefCell::new(HashMap::new()),
         kv: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -107,7 +107,15 @@
     }
 
     fn update_roster(&self) -> bool {
-        self.members.borrow_mut().replace(roster(&self.shared))
+        let mut members = self.members.borrow_mut();
+        let is_changed = members.replace(roster(&self.shared));
+        if is_changed {
+            let boot = self.shared.boot();
+            let order = members.proxy_order(&boot.node, &boot.data_centre);
+            let proxies = order.into_iter().map(|engine| self.sidecar(engine));
+            self.shared.proxies.set(proxies.collect());
+        }
+        is_changed
     }
 
     fn next_announcement(&self, now: TimeMs) -> Announcement {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -13,6 +13,7 @@
 use dw_platform::PlatformCodec;
 use dw_platform::QuarantineRows;
 use dw_platform::Registrations;
+use dw_platform::StoreProxies;
 use dw_process::run_local;
 use dw_process::Signals;
 use dw_settings::start;
@@ -40,6 +41,7 @@
         codec: Arc::new(PlatformCodec),
         declarations: Box::new(Declarations::new(table)),
         registrations: Box::new(Registrations::new(table)),
+        proxies: Arc::new(StoreProxies),
         declaration_times: Box::new(NamingRows::new(table)),
         quarantine: Box::new(QuarantineRows::new(table)),
     })
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use dw_cache::Contents;
 use dw_fleet::TableState;
 use dw_fleet::View;
+use dw_follow::ProxyList;
 use dw_member::Directory;
 use dw_place::Direct;
 use dw_platform::Boot;
@@ -55,6 +56,8 @@
     pub(crate) tables: RefCell<TableState>,
     /// Position of the registrations in the history of the platform's table.
     pub(crate) registrations_version: Cell<u64>,
+    /// Sidecars that pass calls on to the platform's table.
+    pub(crate) proxies: ProxyList,
     pub(crate) weights: RefCell<Weights>,
     pub(crate) budgets: RefCell<HashMap<ServiceId, BudgetShare>>,
     pub(crate) kv: RefCell<HashMap<SocketAddr, Rc<RefCell<Contents>>>>,
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod feed;
 mod kv;
+mod proxy;
 mod quarantine;
 mod request_head;
 
@@ -34,6 +35,8 @@
 pub use feed::FEED_SILENCE_MS;
 pub use kv::KvError;
 pub use kv::KvIndex;
+pub use proxy::TableProxies;
+pub use proxy::TableProxy;
 pub use quarantine::QuarantineRecords;
 pub use quarantine::QuarantineTable;
 pub use request_head::RequestHead;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 mod sidecar;
 mod state;
 mod stores;
+mod table_proxy;
 mod weights;
 
 pub use sidecar::Sidecar;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -9,6 +9,7 @@
 use dw_platform::EngineCalls;
 use dw_platform::KvEvents;
 use dw_platform::Options;
+use dw_platform::StoreProxy;
 use dw_process::run_local;
 use dw_process::Signals;
 use dw_settings::start;
@@ -38,6 +39,7 @@
         engine: Box::new(EngineCalls::new(engine)),
         cache: Box::new(KvEvents::new(engine)),
         declarations: Box::new(Declarations::new(table)),
+        table_proxy: Box::new(move || Box::new(StoreProxy::new(table))),
         stores: Box::new(|store| Box::new(KvEvents::new(store))),
     })
     .await?;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -39,6 +39,7 @@
     quota_accounts: Gauge,
     admissions: Family<Label, Counter>,
     admitted_queue_s: Gauge<f64, AtomicU64>,
+    proxied_calls: Family<Label, Counter>,
     sent_bytes: Family<Label, Counter>,
     sent_datagrams: Family<Label, Counter>,
     /// Start of the current phase.
@@ -91,6 +92,11 @@
                 "Requests for permits by result",
                 Family::default(),
             ),
+            proxied_calls: metrics.add(
+                "proxied_table_calls",
+                "Calls of routers to the platform's table by result",
+                Family::default(),
+            ),
             sent_bytes: metrics.add("told_bytes", "Bytes of sent datagrams", Family::default()),
             sent_datagrams: metrics.add("told", "Sent datagrams", Family::default()),
             phase_start: Cell::new(now),
@@ -149,6 +155,11 @@
         self.quota_accounts.set(accounts as i64);
     }
 
+    /// Counts a call of a router to the platform's table by its result.
+    pub(crate) fn record_proxied_call(&self, kind: &'static str) {
+        self.proxied_calls.get_or_create(&Label { kind }).inc();
+    }
+
     /// Counts a datagram that was sent to several receivers.
     pub(crate) fn record_sent(&self, kind: &'static str, bytes: usize, receivers: usize) {
         let label = Label { kind };
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -22,6 +22,7 @@
 use dw_port::Engine;
 use dw_port::Feed;
 use dw_port::KvIndex;
+use dw_port::TableProxy;
 use dw_quota::Counter;
 use dw_telem::Metrics;
 use thiserror::Error;
@@ -38,6 +39,7 @@
 use crate::relay::Relay;
 use crate::state::State;
 use crate::stores::follow_stores;
+use crate::table_proxy;
 use crate::weights::follow_weights;
 
 /// A sidecar cannot start.
@@ -65,6 +67,8 @@
     pub cache: Box<dyn KvIndex>,
     /// Feed of operators' declarations.
     pub declarations: Box<dyn Feed<Declaration>>,
+    /// Creates what passes calls of routers on to the platform's table.
+    pub table_proxy: Box<dyn Fn() -> Box<dyn TableProxy>>,
     /// Connects to a KV store.
     pub stores: Box<dyn Fn(SocketAddr) -> Box<dyn KvIndex>>,
 }
@@ -196,6 +200,7 @@
             let bound = start_text("metrics", addr, Metrics::CONTENT_TYPE, text).await?;
             metrics_addr = Some(bound);
         }
+        spawn_local(table_proxy::serve(shared.clone(), addr, parts.table_proxy));
         spawn_local(follow_weights(shared.clone(), parts.declarations));
         spawn_local(follow_stores(shared.clone(), parts.stores));
         spawn_local(follow_cache(shared.clone(), parts.cache));
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -8,8 +8,10 @@
 use dw_cache::KvPage;
 use dw_platform::boot::Bounds;
 use dw_platform::Boot;
+use dw_platform::StoreProxy;
 use dw_port::KvError;
 use dw_port::KvIndex;
+use dw_port::TableProxy;
 use dw_sidecar::Sidecar;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -47,6 +49,12 @@
     }
 }
 
+/// Returns a proxy of a table that nobody serves.
+pub(crate) fn no_table() -> Box<dyn TableProxy> {
+    let nobody = "127.0.0.1:1".parse().expect("address is valid");
+    Box::new(StoreProxy::new(nobody))
+}
+
 /// A cache index whose calls never return.
 pub(crate) struct SilentCache;
 
--- a/crates/sidecar/tests/orders.rs
+++ b/crates/sidecar/tests/orders.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use common::boot;
 use common::metrics;
+use common::no_table;
 use common::SilentCache;
 use dw_base::DurationMs;
 use dw_base::FenceNumber;
@@ -163,6 +164,7 @@
             engine: Box::new(FakeEngine(state.clone())),
             cache: Box::new(SilentCache),
             declarations: Box::new(DeclarationFeed(0)),
+            table_proxy: Box::new(no_table),
             stores: Box::new(|_| Box::new(SilentCache)),
         });
         let sidecar = sidecar.await.expect("sidecar starts");
--- a/crates/sidecar/tests/quotas.rs
+++ b/crates/sidecar/tests/quotas.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use common::boot;
 use common::metrics;
+use common::no_table;
 use common::SilentCache;
 use dw_base::ConfigVersion;
 use dw_base::DurationMs;
@@ -83,6 +84,7 @@
             engine: Box::new(Idle),
             cache: Box::new(SilentCache),
             declarations: Box::new(Idle),
+            table_proxy: Box::new(no_table),
             stores: Box::new(|_| Box::new(SilentCache)),
         });
         if let Ok(sidecar) = started.await {
--- a/crates/sidecar/tests/relays.rs
+++ b/crates/sidecar/tests/relays.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use common::boot;
 use common::metrics;
+use common::no_table;
 use common::SilentCache;
 use dw_base::Clock;
 use dw_base::DurationMs;
@@ -124,6 +125,7 @@
         engine: Box::new(Idle),
         cache: Box::new(SilentCache),
         declarations: Box::new(Idle),
+        table_proxy: Box::new(no_table),
         stores: Box::new(|_| Box::new(SilentCache)),
     });
     sidecar.await.ok()
--- a/crates/sidecar/tests/several_models.rs
+++ b/crates/sidecar/tests/several_models.rs
@@ -12,6 +12,7 @@
 
 use async_trait::async_trait;
 use common::boot;
+use common::no_table;
 use common::SilentCache;
 use dw_base::Clock;
 use dw_base::DurationMs;
@@ -197,6 +198,7 @@
         engine: Box::new(FencedEngine(engine.clone())),
         cache: Box::new(SilentCache),
         declarations: Box::new(Table(publications.iter().copied().collect())),
+        table_proxy: Box::new(no_table),
         stores: Box::new(|_| Box::new(SilentCache)),
     });
     sidecar.await.expect("sidecar starts");
