gateway: refuse requests while a newer configuration is known and cannot be read

Then, once its calls have failed for config-ms while others follow the store and announce a newer configuration, it answers 503 configuration_stale (not run, with Retry-After) before the body is read, and fails its readiness probe, so that the balancer sends callers to gateways that have it.

While nobody follows the store, gateways go on: the store is down for all, and one gateway that had read a change in the moment before must not stop all others.

Evidence: gateway_that_cannot_read_a_newer_configuration_refuses_requests fails without the rule (the gateway answers 200); gateways_go_on_while_the_store_is_down _for_all fails without its exception. Both pass with them.

--- a/crates/gateway/src/arrival_rules.rs
+++ b/crates/gateway/src/arrival_rules.rs
@@ -5,15 +5,18 @@
 //!
 //! | rule | if it does not hold |
 //! | --- | --- |
+//! | the configuration is not older than it may be ([`is_stale`]) | 503 |
 //! | [`dw_admit::Congestion`]: the gateway's own tasks run in time | 503, least urgent first |
 //! | the quota of its organisation is not known to be used up | 429 |
 
+use dw_admit::retry_after;
 use dw_admit::retry_after_overload;
 use dw_base::DurationMs;
 use dw_port::RequestHead;
 use dw_route::Resolved;
 
 use crate::answer::GatewayAnswer;
+use crate::configuration_lag::is_stale;
 use crate::quotas;
 use crate::request::request_hash;
 use crate::shared::Shared;
@@ -26,6 +29,12 @@
     remaining_ms: DurationMs,
 ) -> Option<GatewayAnswer> {
     let point = request_hash(&request_head.request_id);
+    if is_stale(shared, shared.now()) {
+        return Some(GatewayAnswer::NotRun {
+            reason: "configuration_stale",
+            retry_after_ms: retry_after(remaining_ms, point),
+        });
+    }
     let mut congestion = shared.congestion.borrow_mut();
     if congestion.refuses(priority(resolved), point, shared.now()) {
         return Some(GatewayAnswer::NotRun {
--- a/crates/gateway/src/configuration_lag.rs
+++ b/crates/gateway/src/configuration_lag.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use dw_base::DurationMs;
 use dw_base::TimeMs;
 
 use crate::judged_by::JudgedBy;
@@ -11,6 +12,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConfigurationLag(Cell<Option<TimeMs>>);
 
+/// Returns whether others follow the table and have had a newer configuration for longer than this router may be
+/// without it, as it cannot read the table. What the configuration in force allows may have been taken away, so
+/// nothing may run.
+///
+/// While nobody can read the table, the store is down for all. Routers then go on with what they have, as
+/// nothing would be served otherwise.
+pub(crate) fn is_stale(shared: &Shared, now: TimeMs) -> bool {
+    let bound_ms = shared.boot().bounds.config_ms;
+    let Some(unread) = shared.tables.borrow().unread_configuration(now) else {
+        return false;
+    };
+    let is_followed = unread.announced_age_ms < DurationMs(bound_ms.0 / 2);
+    is_followed && unread.failing_ms.is_some_and(|ms| ms >= bound_ms)
+}
+
 /// Logs and counts that the configuration in force falls behind that of others, or has caught up.
 pub(crate) fn observe(shared: &Shared, now: TimeMs) {
     let judged_by = JudgedBy::now(shared, now);
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -22,6 +22,7 @@
 use crate::admission;
 use crate::answer::GatewayAnswer;
 use crate::candidates::Exclusions;
+use crate::configuration_lag::is_stale;
 use crate::context::AcceptedRequest;
 use crate::context::RequestContext;
 use crate::explained_upstreams::candidates;
@@ -191,6 +192,11 @@
 fn check_arrival(shared: &Shared, context: &RequestContext, checked: &mut CheckedRules) {
     let point = request::request_hash(&context.request_head.request_id);
     let priority = context.priority();
+    checked.check(
+        "configuration",
+        !is_stale(shared, shared.now()),
+        format!("version {} decides", context.judged_by.version),
+    );
     let mut congestion = shared.congestion.borrow().clone();
     let is_congested = congestion.refuses(priority, point, shared.now());
     checked.check(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Notify;
 
 use crate::admission::Admissions;
+use crate::configuration_lag;
 use crate::configuration_lag::ConfigurationLag;
 use crate::connections::Connections;
 use crate::limits::RequestLimits;
@@ -98,7 +99,10 @@
 
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.registrations_read.get() && self.routes.borrow().is_some()
+        !self.draining.get()
+            && self.registrations_read.get()
+            && self.routes.borrow().is_some()
+            && !configuration_lag::is_stale(self, self.now())
     }
 
     /// Returns whether it is too late to accept requests, as the process will soon exit.
