fleet: the age of announcements counts how late relays are

Cause: routers rely on what a few readers announce through relays, and read the table themselves once the readers' last evidence is too old. The age of that evidence counts from when a relay has read an announcement. A relay whose process is late reads it seconds after it arrived, and announces old news as fresh: the routers wait for news that is on its way for longer than their bound, and never read the table. The class is an age measured at one place of a path and taken for the age of the whole path.

Change: a relay sends back the time of each router's last announcement that it has read. By its own clock a router sees from it how late the relay is, beyond the pauses of both. That is added to the age of what relays announce, and readers add it to the age that they announce, for the routers of other data centres. Of several relays the one in time counts, as it passes the same news on.

Virtual time: change_that_late_relays_announce_is_read_in_time failed before (relays 2,501 ms late, bound 3,000 ms) and passes.

The ways to a table are a type of their own now, made where a table is followed.

--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -18,6 +18,10 @@
 use dw_wire::TableProgress;
 
 use crate::aggregate::router_hash;
+use crate::pace::RELAY_MIN_PAUSE_MS;
+use crate::pace::RELAY_ROUND_PAUSE_MS;
+use crate::pace::ROUTER_MAX_PAUSE_MS;
+use crate::pace::ROUTER_MIN_PAUSE_MS;
 
 /// Routers of a data centre that read all changes.
 const READERS: usize = 2;
@@ -28,6 +32,11 @@
 /// Age at which received progress expires.
 const HINT_EXPIRY_MS: DurationMs = DurationMs(1_500);
 
+/// Longest age of a router's own announcement, as a relay sends its time back, while both are in time.
+const ECHO_MAX_AGE_MS: DurationMs = DurationMs(
+    ROUTER_MIN_PAUSE_MS.0 + ROUTER_MAX_PAUSE_MS.0 + RELAY_MIN_PAUSE_MS.0 + RELAY_ROUND_PAUSE_MS.0,
+);
+
 /// Merges two progress reports: the later versions and the lower age.
 pub(crate) fn latest(a: TableProgress, b: TableProgress) -> TableProgress {
     TableProgress {
@@ -53,6 +62,8 @@
     updated_at: Option<TimeMs>,
     /// When the routers of a data centre last followed the tables, as each relay knows it.
     followed_at: HashMap<(IpAddr, DataCentreId), TimeMs>,
+    /// For each relay, how late it read the router's own announcements, and when that was seen.
+    lags_ms: HashMap<IpAddr, (DurationMs, TimeMs)>,
 }
 
 impl TableHints {
@@ -76,6 +87,26 @@
         known != Some(self.positions.positions())
     }
 
+    /// Records the time of the router's own last announcement, which a relay sends back.
+    ///
+    /// A relay whose process is late counts the age of what it announces from when it has read it. How late it is
+    /// shows in the age of the router's own announcement, by the router's clock.
+    pub fn record_echo(&mut self, relay: IpAddr, stamp: TimeMs, now: TimeMs) {
+        self.lags_ms
+            .retain(|_, (_, at)| now.since(*at) < SOURCE_EXPIRY_MS);
+        let lag_ms = now.since(stamp).saturating_sub(ECHO_MAX_AGE_MS);
+        self.lags_ms.insert(relay, (lag_ms, now));
+    }
+
+    /// Returns how late the relays read announcements: that of the relay in time, if there is one, as it passes
+    /// the same news on.
+    pub(crate) fn lag_ms(&self, now: TimeMs) -> DurationMs {
+        let recent = self.lags_ms.values();
+        let recent = recent.filter(|(_, at)| now.since(*at) < HINT_EXPIRY_MS);
+        let lags_ms = recent.map(|(lag_ms, _)| *lag_ms);
+        lags_ms.min().unwrap_or_default()
+    }
+
     /// Returns whether a newer configuration than this one was announced recently.
     ///
     /// Load pattern: the tables refuse some routers while an operator adds keys and routes. Such a
@@ -98,7 +129,7 @@
     /// Returns the time since a router last followed the tables, as far as it is known.
     pub fn age_ms(&self, now: TimeMs) -> Option<DurationMs> {
         let followed_at = self.followed_at.values().max();
-        followed_at.map(|at| now.since(*at))
+        followed_at.map(|at| now.since(*at) + self.lag_ms(now))
     }
 
     /// Returns the latest versions of the tables, if a recent announcement shows that a router followed
--- a/crates/fleet/src/table_state.rs
+++ b/crates/fleet/src/table_state.rs
@@ -155,6 +155,8 @@
     pub fn progress(&self, now: TimeMs) -> Option<TableProgress> {
         let [declarations, registrations] = self.followed;
         let age_ms = declarations.age_ms(now)?.max(registrations.age_ms(now)?);
+        // Others hear it that much later.
+        let age_ms = age_ms + self.hints.lag_ms(now);
         self.is_reader.then_some(TableProgress {
             config_version: self.config_version,
             registrations: self.registrations,
--- a/crates/fleet/tests/lost_readers.rs
+++ b/crates/fleet/tests/lost_readers.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code)]
 mod common;
 
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
@@ -14,6 +15,7 @@
 use dw_base::TimeMs;
 use dw_fleet::hinted_pause_ms;
 use dw_fleet::is_reader;
+use dw_fleet::router_hash;
 use dw_fleet::Aggregate;
 use dw_fleet::FollowedTable;
 use dw_fleet::HintTiming;
@@ -241,6 +243,18 @@
 struct Relay {
     aggregate: Aggregate,
     announced_at: TimeMs,
+    /// What has arrived and when it is read.
+    arrived: VecDeque<(TimeMs, SocketAddr, RouterState)>,
+}
+
+impl Relay {
+    fn read_arrived(&mut self, now: TimeMs) {
+        while self.arrived.front().is_some_and(|(at, ..)| *at <= now) {
+            if let Some((_, from, state)) = self.arrived.pop_front() {
+                self.aggregate.update_router(from, state, now);
+            }
+        }
+    }
 }
 
 struct Fleet {
@@ -248,6 +262,8 @@
     routers: Vec<Router>,
     relays: [Relay; 2],
     are_relays_lost: bool,
+    /// Time after which relays read what has arrived.
+    relay_lag_ms: DurationMs,
     lost_at: Option<TimeMs>,
     now: TimeMs,
     /// Calls that wait for changes.
@@ -265,6 +281,7 @@
             routers: (0..routers).map(Router::new).collect(),
             relays: Default::default(),
             are_relays_lost: false,
+            relay_lag_ms: DurationMs::ZERO,
             lost_at: None,
             now: TimeMs(100_000),
             calls: 0,
@@ -286,12 +303,14 @@
             }
             if let Some(state) = router.announcement(now) {
                 for relay in &mut self.relays {
-                    let aggregate = &mut relay.aggregate;
-                    aggregate.update_router(router.from, state.clone(), now);
+                    let read_at = now + self.relay_lag_ms;
+                    let arrived = (read_at, router.from, state.clone());
+                    relay.arrived.push_back(arrived);
                 }
             }
         }
         for (number, relay) in self.relays.iter_mut().enumerate() {
+            relay.read_arrived(now);
             let pause_ms = RELAY_MIN_PAUSE_MS + RELAY_MAX_PAUSE_MS + RELAY_ROUND_PAUSE_MS;
             if self.are_relays_lost || now.since(relay.announced_at) < pause_ms {
                 continue;
@@ -306,6 +325,10 @@
                     continue;
                 }
                 router.state.is_reader = is_reader(&router.node, &loads);
+                let own_hash = router_hash(&router.node);
+                if let Some((_, stamp)) = loads.heard.iter().find(|(hash, _)| *hash == own_hash) {
+                    router.state.hints.record_echo(source, *stamp, now);
+                }
                 if let Some(tables) = tables {
                     let source = (source, &data_centre(0));
                     router.state.hints.update(source, tables, now);
@@ -509,6 +532,31 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Guards against a configuration, or an upstream that leaves, that takes effect too late because all relays of a
+    /// data centre read what arrives late, and announce old news as fresh.
+    #[test]
+    fn change_that_late_relays_announce_is_read_in_time(
+        bound_at in 0..BOUNDS_MS.len(),
+        routers in 3_u8..12,
+        is_declaration in any::<bool>(),
+        relay_lag_ms in 0_u64..20_000,
+        calm_ms in 0_u64..6_000,
+    ) {
+        let mut fleet = Fleet::new(routers, BOUNDS_MS[bound_at]);
+        let table = TABLES[usize::from(!is_declaration)];
+        fleet.run(CALM_MS);
+        fleet.relay_lag_ms = DurationMs(relay_lag_ms);
+        fleet.run(relay_lag_ms + calm_ms);
+        fleet.bounds.positions[table as usize] += 1;
+        let bound_ms = fleet.bounds.bound_ms.0;
+        fleet.run(bound_ms);
+        prop_assert!(fleet.has_been_read(table), "{table:?} within {bound_ms} ms");
+    }
+}
+
 /// Guards against a sum of waits, timeouts and pauses that is longer than a deployment allows after a
 /// disruption.
 #[test]
--- a/crates/follow/src/failover.rs
+++ b/crates/follow/src/failover.rs
@@ -36,6 +36,14 @@
 /// Connects to a table through a process that passes calls on.
 pub type ConnectProxy<T> = Box<dyn Fn(SocketAddr) -> Box<dyn Feed<T>> + Send + Sync>;
 
+/// Ways to a table: the store itself, and processes that pass calls on to it.
+pub struct TablePaths<T> {
+    /// The table as the store serves it.
+    pub store: Box<dyn Feed<T>>,
+    /// Connects to the table through another process.
+    pub through: ConnectProxy<T>,
+}
+
 #[derive(Clone, Copy)]
 enum Call {
     Snapshot,
@@ -85,8 +93,7 @@
 /// | does not answer | to the proxy in use, or without a wait to some at once, of which the first to answer is used; once a second also to the store, without a wait |
 pub struct FailoverFeed<T> {
     name: &'static str,
-    store: Box<dyn Feed<T>>,
-    connect: ConnectProxy<T>,
+    paths: TablePaths<T>,
     proxies: ProxyList,
     clock: Arc<dyn Clock>,
     /// First call that the store has not answered since it answered last.
@@ -108,17 +115,16 @@
 }
 
 impl<T: Send> FailoverFeed<T> {
-    /// Creates a feed of the store that `connect` also reaches through `proxies`; `name` is for logs.
+    /// Creates a feed of a table that is also reached through `proxies`; `name` is for logs.
     pub fn new(
         name: &'static str,
-        store: Box<dyn Feed<T>>,
-        (proxies, connect): (ProxyList, ConnectProxy<T>),
+        paths: TablePaths<T>,
+        proxies: ProxyList,
         clock: Arc<dyn Clock>,
     ) -> Self {
         FailoverFeed {
             name,
-            store,
-            connect,
+            paths,
             proxies,
             clock,
             failing_since: None,
@@ -164,7 +170,9 @@
             // The proxies are not asked meanwhile.
             Some(_) => call.without_wait(),
         };
-        let result = call.make(self.store.as_mut(), answer_timeout_ms).await;
+        let result = call
+            .make(self.paths.store.as_mut(), answer_timeout_ms)
+            .await;
         let now = self.clock.now();
         if !is_answer(&result) {
             self.failed_at = now;
@@ -220,7 +228,7 @@
         let addrs = self.proxies.next(self.next_proxy, ASKED_PROXIES);
         self.next_proxy = self.next_proxy.wrapping_add(addrs.len());
         let asked = addrs.into_iter().map(|addr| {
-            let mut feed = (self.connect)(addr);
+            let mut feed = (self.paths.through)(addr);
             async move {
                 let result = call.make(feed.as_mut(), PROXY_TIMEOUT_MS).await;
                 (Proxy { addr, feed }, result)
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -23,6 +23,7 @@
 pub use contents::ContentsPollSettings;
 pub use failover::ConnectProxy;
 pub use failover::FailoverFeed;
+pub use failover::TablePaths;
 pub use failover::PROXIED_ANSWER_TIMEOUT_MS;
 pub use proxy_list::ProxyList;
 
--- a/crates/follow/tests/failover.rs
+++ b/crates/follow/tests/failover.rs
@@ -19,6 +19,7 @@
 use dw_follow::Follower;
 use dw_follow::PollSettings;
 use dw_follow::ProxyList;
+use dw_follow::TablePaths;
 use dw_port::Feed;
 use dw_port::FeedError;
 use dw_port::Page;
@@ -245,22 +246,21 @@
     let proxies = ProxyList::default();
     proxies.set(order);
     let clock = Arc::new(RuntimeClock(world.started));
-    let through = world.clone();
-    let connect = move |proxy: SocketAddr| -> Box<dyn Feed<u64>> {
+    let proxied = world.clone();
+    let through = move |proxy: SocketAddr| -> Box<dyn Feed<u64>> {
         Box::new(VmFeed {
-            world: through.clone(),
+            world: proxied.clone(),
             vm: proxy.ip(),
         })
     };
-    let feed = FailoverFeed::new(
-        "numbers",
-        Box::new(VmFeed {
+    let paths = TablePaths {
+        store: Box::new(VmFeed {
             world: world.clone(),
             vm,
         }),
-        (proxies, Box::new(connect)),
-        clock.clone(),
-    );
+        through: Box::new(through),
+    };
+    let feed = FailoverFeed::new("numbers", paths, proxies, clock.clone());
     let settings = PollSettings {
         max_wait_ms: DurationMs(1_060),
         pause_ms: DurationMs(100),
--- a/crates/gateway/src/declarations.rs
+++ b/crates/gateway/src/declarations.rs
@@ -6,10 +6,10 @@
 use dw_fleet::FollowedTable;
 use dw_follow::CallResult;
 use dw_follow::Follower;
+use dw_follow::TablePaths;
 use dw_order::NewestWeights;
 use dw_port::Declaration;
 use dw_port::DeclaredWeights;
-use dw_port::Feed;
 use dw_port::InvalidRoutes;
 use dw_port::TableVersion;
 use dw_route::RouteTable;
@@ -170,7 +170,7 @@
 /// Follows the declarations of operators until the task is aborted.
 pub(crate) async fn follow_declarations(
     shared: Rc<Shared>,
-    feed: Box<dyn Feed<Declaration>>,
+    paths: TablePaths<Declaration>,
     declaration_times: DeclarationTimeQueue,
 ) {
     let follower = DeclarationFollower {
@@ -181,7 +181,7 @@
     follow_table(
         shared,
         FollowedTable::Declarations,
-        feed,
+        paths,
         follower,
         PAUSE_AFTER_CHANGE_MS,
     )
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,8 +15,8 @@
 use dw_base::Clock;
 use dw_base::DurationMs;
 use dw_fleet::View;
-use dw_follow::FailoverFeed;
 use dw_follow::ProxyList;
+use dw_follow::TablePaths;
 use dw_member::Directory;
 use dw_net::datagrams;
 use dw_net::listen;
@@ -173,34 +173,21 @@
         let declaration_times =
             DeclarationTimeQueue::start(shared.clone(), parts.declaration_times);
         let proxies = parts.proxies.clone();
-        let declarations = FailoverFeed::new(
-            "declarations",
-            parts.declarations,
-            (
-                shared.proxies.clone(),
-                Box::new(move |proxy| proxies.declarations(proxy)),
-            ),
-            shared.clock.clone(),
-        );
+        let declarations = TablePaths {
+            store: parts.declarations,
+            through: Box::new(move |proxy| proxies.declarations(proxy)),
+        };
         let proxies = parts.proxies;
-        let registrations = FailoverFeed::new(
-            "registrations",
-            parts.registrations,
-            (
-                shared.proxies.clone(),
-                Box::new(move |proxy| proxies.registrations(proxy)),
-            ),
-            shared.clock.clone(),
-        );
+        let registrations = TablePaths {
+            store: parts.registrations,
+            through: Box::new(move |proxy| proxies.registrations(proxy)),
+        };
         spawn(follow_declarations(
             shared.clone(),
-            Box::new(declarations),
+            declarations,
             declaration_times,
         ));
-        spawn(follow_registrations(
-            shared.clone(),
-            Box::new(registrations),
-        ));
+        spawn(follow_registrations(shared.clone(), registrations));
         spawn(quarantine::restore(shared.clone()));
         spawn(kv::follow_all(shared.clone()));
         let gossip = Rc::new(Gossip::new(shared.clone(), socket));
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -6,8 +6,8 @@
 use dw_follow::CallResult;
 use dw_follow::Follower;
 use dw_follow::PollSettings;
+use dw_follow::TablePaths;
 use dw_member::RegisteredUpstream;
-use dw_port::Feed;
 use dw_port::Registration;
 use dw_port::TableVersion;
 
@@ -160,7 +160,7 @@
 }
 
 /// Follows the registrations until the task is aborted.
-pub(crate) async fn follow_registrations(shared: Rc<Shared>, feed: Box<dyn Feed<Registration>>) {
+pub(crate) async fn follow_registrations(shared: Rc<Shared>, paths: TablePaths<Registration>) {
     let pause_ms = PollSettings::pause_within(shared.boot().bounds.leaving_ms);
     let follower = RegistrationFollower {
         shared: shared.clone(),
@@ -169,7 +169,7 @@
     follow_table(
         shared,
         FollowedTable::Registrations,
-        feed,
+        paths,
         follower,
         pause_ms,
     )
--- a/crates/gateway/src/relay_updates.rs
+++ b/crates/gateway/src/relay_updates.rs
@@ -114,6 +114,7 @@
             self.included_stamp.set(Some(*stamp));
             let is_reader = is_reader(&self.shared.boot().node, &loads);
             let mut tables = self.shared.tables.borrow_mut();
+            tables.hints.record_echo(relay, *stamp, now);
             if std::mem::replace(&mut tables.is_reader, is_reader) != is_reader {
                 log::info!(is_reader; "role as table reader changed");
             }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -10,25 +10,26 @@
 use dw_fleet::TablePollSettings;
 use dw_fleet::WaitTiming;
 use dw_follow::follow_with_schedule;
+use dw_follow::FailoverFeed;
 use dw_follow::Follower;
 use dw_follow::NextPoll;
 use dw_follow::PollSchedule;
 use dw_follow::PollSettings;
+use dw_follow::TablePaths;
 use dw_follow::RESPONSE_TIMEOUT_MS;
 use dw_follow::RETRY_PAUSE_MS;
-use dw_port::Feed;
 use dw_port::TableVersion;
 use dw_port::FEED_SILENCE_MS;
 
 use crate::gossip::request_announcement;
 use crate::shared::Shared;
 
-/// Follows a table until the task is aborted. It is read when this router is a reader, when others
+/// Follows a table until the task is aborted, through sidecars while the store turns this router away. It is read when this router is a reader, when others
 /// announce a change, or after the maximum poll interval.
-pub(crate) async fn follow_table<T>(
+pub(crate) async fn follow_table<T: Send + 'static>(
     shared: Rc<Shared>,
     table: FollowedTable,
-    feed: Box<dyn Feed<T>>,
+    paths: TablePaths<T>,
     follower: impl Follower<T>,
     pause_ms: DurationMs,
 ) {
@@ -47,6 +48,12 @@
         max_wait_ms,
         pause_ms,
     };
+    let feed = FailoverFeed::new(
+        follower.name(),
+        paths,
+        shared.proxies.clone(),
+        clock.clone(),
+    );
     let schedule = TablePollSchedule {
         settings: TablePollSettings {
             max_wait_ms,
@@ -57,7 +64,8 @@
         table,
     };
     log::info!(table:?, settings:? = schedule.settings; "following table");
-    follow_with_schedule(feed, follower, (settings, Box::new(schedule)), clock).await;
+    let schedule = Box::new(schedule);
+    follow_with_schedule(Box::new(feed), follower, (settings, schedule), clock).await;
 }
 
 fn hint_timing(shared: &Shared, table: FollowedTable, pause_ms: DurationMs) -> HintTiming {
