fleet: count the lag of a relay in what that relay announces only

The relay in time hid the lag of the other one, also for states of other data centres, which only the first relay forwards. With readers of the own data centre lost as well, routers would have taken late news of other data centres for fresh. Each announcement is aged by the lag of the relay that it came from now; the test draws a lag for each relay (300 cases pass).

--- a/crates/fleet/src/table_hints.rs
+++ b/crates/fleet/src/table_hints.rs
@@ -98,8 +98,13 @@
         self.lags_ms.insert(relay, (lag_ms, now));
     }
 
-    /// Returns how late the relays read announcements: that of the relay in time, if there is one, as it passes
-    /// the same news on.
+    fn lag_of(&self, relay: IpAddr) -> DurationMs {
+        let lag_ms = self.lags_ms.get(&relay).map(|(lag_ms, _)| *lag_ms);
+        lag_ms.unwrap_or_default()
+    }
+
+    /// Returns how late the relays read announcements of this router: that of the relay in time, if there is one,
+    /// as it passes the same news on.
     pub(crate) fn lag_ms(&self, now: TimeMs) -> DurationMs {
         let recent = self.lags_ms.values();
         let recent = recent.filter(|(_, at)| now.since(*at) < HINT_EXPIRY_MS);
@@ -126,10 +131,12 @@
         self.updated_at.is_some_and(is_recent)
     }
 
-    /// Returns the time since a router last followed the tables, as far as it is known.
+    /// Returns the time since a router last followed the tables, as far as it is known. What a late relay announces is
+    /// older than it says.
     pub fn age_ms(&self, now: TimeMs) -> Option<DurationMs> {
-        let followed_at = self.followed_at.values().max();
-        followed_at.map(|at| now.since(*at) + self.lag_ms(now))
+        let sources = self.followed_at.iter();
+        let ages_ms = sources.map(|((relay, _), at)| now.since(*at) + self.lag_of(*relay));
+        ages_ms.min()
     }
 
     /// Returns the latest versions of the tables, if a recent announcement shows that a router followed
--- a/crates/fleet/tests/lost_readers/fleet.rs
+++ b/crates/fleet/tests/lost_readers/fleet.rs
@@ -45,8 +45,8 @@
     pub(crate) routers: Vec<Router>,
     pub(crate) relays: [Relay; 2],
     pub(crate) are_relays_lost: bool,
-    /// Time after which relays read what has arrived.
-    pub(crate) relay_lag_ms: DurationMs,
+    /// Time after which each relay reads what has arrived.
+    pub(crate) relay_lags_ms: [DurationMs; 2],
     pub(crate) lost_at: Option<TimeMs>,
     pub(crate) now: TimeMs,
     /// Calls that wait for changes.
@@ -64,7 +64,7 @@
             routers: (0..routers).map(Router::new).collect(),
             relays: Default::default(),
             are_relays_lost: false,
-            relay_lag_ms: DurationMs::ZERO,
+            relay_lags_ms: [DurationMs::ZERO; 2],
             lost_at: None,
             now: TimeMs(100_000),
             calls: 0,
@@ -85,8 +85,8 @@
                 self.calls += usize::from(waits && !waited);
             }
             if let Some(state) = router.announcement(now) {
-                for relay in &mut self.relays {
-                    let read_at = now + self.relay_lag_ms;
+                for (relay, lag_ms) in self.relays.iter_mut().zip(self.relay_lags_ms) {
+                    let read_at = now + lag_ms;
                     let arrived = (read_at, router.from, state.clone());
                     relay.arrived.push_back(arrived);
                 }
--- a/crates/fleet/tests/lost_readers/main.rs
+++ b/crates/fleet/tests/lost_readers/main.rs
@@ -177,21 +177,25 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
-    /// Guards against a configuration, or an upstream that leaves, that takes effect too late because all relays of a
+    /// Guards against a configuration, or an upstream that leaves, that takes effect too late because relays of a
     /// data centre read what arrives late, and announce old news as fresh.
     #[test]
     fn change_that_late_relays_announce_is_read_in_time(
         bound_at in 0..BOUNDS_MS.len(),
         routers in 3_u8..12,
         is_declaration in any::<bool>(),
-        relay_lag_ms in 0_u64..20_000,
+        lags_ms in [0_u64..20_000, 0_u64..20_000],
+        is_one_in_time in any::<bool>(),
         calm_ms in 0_u64..6_000,
     ) {
         let mut fleet = Fleet::new(routers, BOUNDS_MS[bound_at]);
         let table = TABLES[usize::from(!is_declaration)];
         fleet.run(CALM_MS);
-        fleet.relay_lag_ms = DurationMs(relay_lag_ms);
-        fleet.run(relay_lag_ms + calm_ms);
+        fleet.relay_lags_ms = lags_ms.map(DurationMs);
+        if is_one_in_time {
+            fleet.relay_lags_ms[1] = DurationMs::ZERO;
+        }
+        fleet.run(lags_ms[0].max(lags_ms[1]) + calm_ms);
         fleet.bounds.positions[table as usize] += 1;
         let bound_ms = fleet.bounds.bound_ms.0;
         fleet.run(bound_ms);
