--- a/review/standins-3/bench.rs
+++ b/review/standins-3/bench.rs
@@ -136,7 +136,11 @@
                 pause: plan.pause,
             };
             let engine = Engine::start(setup, &shared)?;
-            store.write("servers", &engine.setup.id, Some(&engine.registration("writers")));
+            store.write(
+                "servers",
+                &engine.setup.id,
+                Some(&engine.registration("writers", 0)),
+            );
             sides.push(machine("sidecar", 1, number)?);
         }
         for number in 0..plan.plain_servers {
@@ -150,7 +154,7 @@
                 pause: Duration::ZERO,
             };
             let server = Engine::start(setup, &shared)?;
-            store.write("servers", &server.setup.id, Some(&server.registration("desk")));
+            store.write("servers", &server.setup.id, Some(&server.registration("desk", 0)));
         }
         let gateways: io::Result<Vec<Machine>> = (0..plan.gateways)
             .map(|number| machine("gateway", 0, number))
