--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use dw_port::Declaration;
 use dw_port::DeclarationTimes;
 use dw_port::Feed;
+use dw_port::OriginTable;
 use dw_port::QuarantineTable;
 use dw_port::Registration;
 use dw_port::TableProxies;
@@ -53,6 +54,8 @@
 use crate::lag;
 use crate::limits::RequestLimits;
 use crate::metrics::GatewayMetrics;
+use crate::origin_store;
+use crate::origin_store::OriginStore;
 use crate::origins;
 use crate::origins::Origins;
 use crate::pool::ConnectionPool;
@@ -121,6 +124,8 @@
     pub declaration_times: Box<dyn DeclarationTimes>,
     /// Table with the prompt parts and requests in quarantine.
     pub quarantine: Box<dyn QuarantineTable>,
+    /// Table with the origins of streams.
+    pub origins: Box<dyn OriginTable>,
 }
 
 /// A running gateway.
@@ -153,7 +158,12 @@
         let limits = RequestLimits::new(socket.clone(), boot.inner_ports.0);
         let quotas = Quotas::new(socket.clone(), boot.inner_ports.0);
         let admissions = Admissions::new(socket.clone(), boot.inner_ports.0);
-        let origins = Origins::new(socket.clone(), boot.inner_ports.0, boot.bounds.leaving_ms);
+        let origins = Origins::new(
+            socket.clone(),
+            boot.inner_ports.0,
+            boot.bounds.leaving_ms,
+            OriginStore::new(parts.origins, boot.table_rates),
+        );
         let shared = shared_state(
             &boot,
             parts.clock,
@@ -189,6 +199,7 @@
         ));
         spawn(follow_registrations(shared.clone(), registrations));
         spawn(quarantine::restore(shared.clone()));
+        spawn(origin_store::store_added(shared.clone()));
         spawn(kv::follow_all(shared.clone()));
         let gossip = Rc::new(Gossip::new(shared.clone(), socket));
         spawn(gossip.clone().announce_to_relays());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod limits;
 mod memory;
 mod metrics;
+mod origin_store;
 mod origins;
 mod overload_rule;
 mod part_keys;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 use dw_platform::Declarations;
 use dw_platform::NamingRows;
 use dw_platform::Options;
+use dw_platform::OriginRows;
 use dw_platform::PlatformCodec;
 use dw_platform::QuarantineRows;
 use dw_platform::Registrations;
@@ -44,6 +45,7 @@
         proxies: Arc::new(StoreProxies),
         declaration_times: Box::new(NamingRows::new(table)),
         quarantine: Box::new(QuarantineRows::new(table)),
+        origins: Box::new(OriginRows::new(table)),
     })
     .await?;
     signals.wait_for_sigterm(|| gateway.reload()).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 use crate::answer::GatewayAnswer;
+use crate::origin_store::OriginCall;
 use crate::upstream_end::LostRequest;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -95,6 +96,7 @@
     quarantined_parts: Gauge,
     quarantined_requests: Gauge,
     resumes: Family<KindLabel, Counter>,
+    origin_calls: Family<KindLabel, Counter>,
     lost_requests: Family<KindLabel, Counter>,
     sent_to_limited: Family<KindLabel, Counter>,
     sent_bytes: Family<KindLabel, Counter>,
@@ -177,6 +179,11 @@
                 "Streams that callers take up, by where they may go on",
                 Family::default(),
             ),
+            origin_calls: metrics.add(
+                "origin_table_calls",
+                "Calls to the table with the origins of streams, by kind and result",
+                Family::default(),
+            ),
             lost_requests: metrics.add(
                 "requests_lost_to_ends",
                 "Requests that an upstream held when it ended, by whether its answer had begun",
@@ -329,6 +336,23 @@
         self.resumes.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a stream that is taken up while the stored origins cannot be read.
+    pub(crate) fn record_unread_origin(&self) {
+        let kind = "origins_not_read";
+        self.resumes.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a call to the table with the origins of streams.
+    pub(crate) fn record_origin_call(&self, call: OriginCall, has_succeeded: bool) {
+        let kind = match (call, has_succeeded) {
+            (OriginCall::Read, true) => "read",
+            (OriginCall::Read, false) => "read_failed",
+            (OriginCall::Write, true) => "written",
+            (OriginCall::Write, false) => "write_failed",
+        };
+        self.origin_calls.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a request that an upstream held when it ended.
     pub(crate) fn record_lost_request(&self, lost: LostRequest) {
         let label = KindLabel { kind: lost.label() };
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,10 +1,12 @@
 //! Where streams began, so that those which callers take up go on where what is written fits together.
 //!
-//! The router that passes on the first event of a stream tells two sidecars where it began, and keeps it
-//! itself. The router at which the stream is taken up asks them.
+//! The router that passes on the first event of a stream tells two sidecars where it began, keeps it itself, and
+//! stores it in the platform's table with the next batch. The router at which the stream is taken up asks the
+//! sidecars, and reads the table if none of them knows.
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,6 +43,9 @@
 use crate::answer::GatewayAnswer;
 use crate::candidates::known_software;
 use crate::context::RequestContext;
+use crate::origin_store;
+use crate::origin_store::Lookup;
+use crate::origin_store::OriginStore;
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
 
@@ -67,6 +72,8 @@
     inner_port: u16,
     /// Origins of the streams that this router has passed on.
     own: RefCell<OriginKeeper>,
+    /// Origins in the platform's table.
+    pub(crate) store: OriginStore,
     history: RefCell<SoftwareHistory>,
     /// Questions that wait for answers, by number.
     pending: RefCell<HashMap<u32, mpsc::UnboundedSender<Option<StreamOrigin>>>>,
@@ -75,11 +82,17 @@
 
 impl Origins {
     /// Creates the state without any origin; changes of registrations are known in `max_gap_ms`.
-    pub(crate) fn new(socket: Rc<UdpSocket>, inner_port: u16, max_gap_ms: DurationMs) -> Self {
+    pub(crate) fn new(
+        socket: Rc<UdpSocket>,
+        inner_port: u16,
+        max_gap_ms: DurationMs,
+        store: OriginStore,
+    ) -> Self {
         Origins {
             socket,
             inner_port,
             own: RefCell::default(),
+            store,
             history: RefCell::new(SoftwareHistory::new(max_gap_ms)),
             pending: RefCell::default(),
             next_number: Cell::default(),
@@ -102,6 +115,19 @@
     /// Drops origins that have expired.
     pub(crate) fn expire(&self, now: TimeMs) {
         self.own.borrow_mut().expire(now);
+        self.store.expire(now);
+    }
+
+    fn is_mixed(&self, service: &ServiceId) -> bool {
+        self.history.borrow().has_several_versions(service)
+    }
+
+    /// Returns the origins of the streams that this router has passed on and that are to be stored: those of services
+    /// with several software versions.
+    pub(crate) fn records_to_store(&self, now: TimeMs) -> Vec<OriginRecord> {
+        let mut records = self.own.borrow().records(now);
+        records.retain(|record| self.is_mixed(&record.origin.service));
+        records
     }
 
     fn sidecar(&self, engine: SocketAddr) -> SocketAddr {
@@ -149,8 +175,26 @@
         let software = known_software(shared, entry);
         (&entry.registration.service, software)
     };
-    let mut history = shared.origins.history.borrow_mut();
-    history.observe(directory.all().map(version), complete_at, now);
+    let origins = &shared.origins;
+    let registered = directory.all().map(version);
+    let mut history = origins.history.borrow_mut();
+    let before = history.mixed_services();
+    history.observe(registered, complete_at, now);
+    let mixed = history.mixed_services();
+    drop(history);
+    if !mixed.is_subset(&before) {
+        let begun = origins.records_to_store(now);
+        log::info!(
+            services = join(&mixed), streams = begun.len();
+            "several software versions serve; storing where streams began"
+        );
+        origins.store.replace(begun);
+    }
+}
+
+fn join(services: &BTreeSet<ServiceId>) -> String {
+    let names: Vec<&str> = services.iter().map(ServiceId::as_str).collect();
+    names.join(",")
 }
 
 fn retention_ms(route: &Route) -> DurationMs {
@@ -202,6 +246,9 @@
         origin,
         retention_ms,
     };
+    if origins.is_mixed(&record.origin.service) {
+        origins.store.add(record.clone());
+    }
     tell_keepers(shared, record).await;
 }
 
@@ -218,6 +265,7 @@
 /// Tells the sidecars where the streams of this router began once more: those that were told may have been
 /// started again since, as in a rolling restart, and this router is about to end.
 pub(crate) async fn hand_over(shared: &Shared) {
+    origin_store::flush(shared).await;
     let kept = shared.origins.own.borrow().records(shared.now());
     log::info!(streams = kept.len(); "handing origins of streams over");
     for batch in kept.chunks(HANDOVER_BATCH) {
@@ -251,36 +299,72 @@
         });
     }
     let stream = stream_key(request_head, resolved.organisation.as_deref());
+    let destinations = route.destinations.iter();
+    let services: Vec<ServiceId> = destinations
+        .filter(|destination| destination.weight > 0)
+        .map(|destination| destination.service.clone())
+        .collect();
+    let origin = find_origin(shared, stream).await;
+    let mut decided = decide(shared, route, origin, &services);
+    if decided == Err(CannotResume::UnknownOrigin) && request_head.resumes.is_some() {
+        let origin = match origin_store::look_up(shared, stream).await {
+            Lookup::Found(origin) => Some(origin),
+            Lookup::Missing => None,
+            Lookup::Unread(pause_ms) => return Err(unread(shared, request_head, pause_ms)),
+        };
+        decided = decide(shared, route, origin, &services);
+    }
+    log::info!(
+        request_id = request_head.request_id.as_str(),
+        resumes = request_head.resumes.as_deref().unwrap_or_default(), decided:?;
+        "stream is taken up"
+    );
+    shared.metrics.record_resume(&decided);
+    decided.map(Some).map_err(answer)
+}
+
+/// Returns where a stream began, as this router or live sidecars know.
+async fn find_origin(shared: &Shared, stream: StreamKey) -> Option<StreamOrigin> {
     let own = shared
         .origins
         .own
         .borrow()
         .get(stream, shared.now())
         .cloned();
-    let origin = match own {
+    match own {
         Some(origin) => Some(origin),
         None => {
             let keepers = find_keepers(shared, stream, ASKED);
             shared.origins.ask(keepers, stream).await
         }
-    };
-    let destinations = route.destinations.iter();
-    let services: Vec<ServiceId> = destinations
-        .filter(|destination| destination.weight > 0)
-        .map(|destination| destination.service.clone())
-        .collect();
+    }
+}
+
+fn decide(
+    shared: &Shared,
+    route: &Route,
+    origin: Option<StreamOrigin>,
+    services: &[ServiceId],
+) -> Result<Resume, CannotResume> {
     let now = shared.now();
     let history = shared.origins.history.borrow();
-    let decided = decide_resume(origin, &services, |service| {
+    decide_resume(origin, services, |service| {
         history.had_one_version(service, retention_ms(route), now)
-    });
-    log::info!(
+    })
+}
+
+/// Returns the answer to a caller whose stream may be in the platform's table, which cannot be read now.
+fn unread(shared: &Shared, request_head: &RequestHead, pause_ms: DurationMs) -> GatewayAnswer {
+    log::warn!(
         request_id = request_head.request_id.as_str(),
-        resumes = request_head.resumes.as_deref().unwrap_or_default(), decided:?;
-        "stream is taken up"
+        resumes = request_head.resumes.as_deref().unwrap_or_default(), pause_ms = pause_ms.0;
+        "stream is taken up, and the stored origins cannot be read yet"
     );
-    shared.metrics.record_resume(&decided);
-    decided.map(Some).map_err(answer)
+    shared.metrics.record_unread_origin();
+    GatewayAnswer::NotRun {
+        reason: "origins_not_read",
+        retry_after_ms: pause_ms,
+    }
 }
 
 fn answer(reason: CannotResume) -> GatewayAnswer {
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -1,6 +1,7 @@
 //! Software versions that served lately.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dw_base::DurationMs;
 use dw_base::ServiceId;
@@ -94,6 +95,19 @@
         now.since(self.observed_at) > MAX_STALL_MS
     }
 
+    /// Returns the services that are known to have had several versions lately.
+    pub fn mixed_services(&self) -> BTreeSet<ServiceId> {
+        let services = self.services.keys();
+        let mixed = services.filter(|service| self.has_several_versions(service));
+        mixed.cloned().collect()
+    }
+
+    /// Returns whether a service is known to have had several versions lately.
+    pub fn has_several_versions(&self, service: &ServiceId) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.last_seen.len() > 1)
+    }
+
     /// Returns whether a service had one version only for all of the time before now.
     pub fn had_one_version(&self, service: &ServiceId, time_ms: DurationMs, now: TimeMs) -> bool {
         let Some(service) = self.services.get(service) else {
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -10,19 +10,27 @@
 //! | [`keepers`] | which processes are told, and asked |
 //! | [`SoftwareHistory`] | whether a service had one software version all the while that its streams may last |
 //! | [`decide_resume`] | where a stream may go on |
+//! | [`CallPace`] | when the platform's table may be called for origins again |
 
+mod batch;
 mod handover;
 mod history;
 mod keeper;
 mod keepers;
+mod pace;
 mod resume;
 
+pub use batch::OriginBatch;
 pub use handover::HANDOVER_BATCH;
 pub use handover::HANDOVER_PAUSE_MS;
 pub use history::SoftwareHistory;
 pub use keeper::OriginKeeper;
 pub use keepers::keepers;
 pub use keepers::KEEPERS;
+pub use pace::fleet_interval_ms;
+pub use pace::CallPace;
+pub use pace::MIN_READ_INTERVAL_MS;
+pub use pace::MIN_WRITE_INTERVAL_MS;
 pub use resume::decide_resume;
 pub use resume::CannotResume;
 pub use resume::Resume;
--- a/crates/origin/tests/origins.rs
+++ b/crates/origin/tests/origins.rs
@@ -9,11 +9,14 @@
 use dw_base::StreamKey;
 use dw_base::TimeMs;
 use dw_origin::decide_resume;
+use dw_origin::fleet_interval_ms;
 use dw_origin::keepers;
+use dw_origin::CallPace;
 use dw_origin::CannotResume;
 use dw_origin::OriginKeeper;
 use dw_origin::Resume;
 use dw_origin::SoftwareHistory;
+use dw_origin::MIN_READ_INTERVAL_MS;
 use dw_wire::StreamOrigin;
 use proptest::prelude::*;
 
@@ -340,3 +343,39 @@
     keeper.expire(TimeMs(60_000));
     assert!(keeper.is_empty());
 }
+
+/// Guards against origins that take the calls of the table from configurations and registrations as the fleet grows.
+#[test]
+fn calls_of_all_routers_stay_under_a_tenth_of_the_rate() {
+    const CALLS_PER_S: f64 = 400.0;
+    for (routers, _) in FLEETS {
+        for calls_per_round in [1, 5] {
+            let count = u32::try_from(routers).expect("fleet is small");
+            let interval_ms =
+                fleet_interval_ms(MIN_READ_INTERVAL_MS, count, calls_per_round, CALLS_PER_S);
+            let calls_per_s = (routers * calls_per_round) as f64 / interval_ms.as_secs_f64();
+            assert!(calls_per_s <= 40.0, "{routers} routers: {calls_per_s}");
+        }
+    }
+}
+
+/// Guards against routers that know no other ones and call a table that refuses them at full pace.
+#[test]
+fn pace_slows_down_while_calls_fail() {
+    let mut pace = CallPace::default();
+    let mut now = TimeMs(1_000);
+    let mut calls = 0;
+    while now < TimeMs(61_000) {
+        pace.record_start(now);
+        pace.record_failure();
+        now = now + pace.pause_ms(MIN_READ_INTERVAL_MS, now);
+        calls += 1;
+    }
+    assert!(calls <= 13, "{calls} calls in a minute");
+    pace.record_success();
+    pace.record_start(now);
+    assert_eq!(
+        pace.pause_ms(MIN_READ_INTERVAL_MS, now),
+        MIN_READ_INTERVAL_MS
+    );
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use dw_base::DurationMs;
 use dw_cache::KvPage;
 use dw_platform::boot::Bounds;
+use dw_platform::boot::TableRates;
 use dw_platform::Boot;
 use dw_platform::StoreProxy;
 use dw_port::KvError;
@@ -35,6 +36,10 @@
         memory: Bytes(192_000_000),
         engine: Some(engine),
         table: "127.0.0.1:1".parse().expect("address is valid"),
+        table_rates: TableRates {
+            writes_per_s: 400.0,
+            reads_per_s: 2_000.0,
+        },
         heartbeat_ms: DurationMs(1_200),
         bounds: Bounds {
             grace_ms: DurationMs(8_000),
