--- a/crates/gateway/src/declarations.rs
+++ b/crates/gateway/src/declarations.rs
@@ -28,8 +28,6 @@
 struct DeclarationFollower {
     shared: Rc<Shared>,
     declaration_times: DeclarationTimeQueue,
-    /// Whether the configuration in force is the readable part of an invalid one.
-    is_partial: bool,
 }
 
 impl Follower<Declaration> for DeclarationFollower {
@@ -120,22 +118,22 @@
 
     fn apply_valid_routes(&mut self, parts: RouteTableParts) {
         self.set_configuration_invalid(false);
-        self.is_partial &= !self.apply_routes(parts);
+        self.apply_routes(parts);
     }
 
-    /// Keeps the configuration in force. A router that has none, as it has just started, serves with the
-    /// readable part instead, since nothing would be served until an operator publishes another one.
+    /// Puts the readable part of a configuration in force, in which what cannot be read is closed: its requests are
+    /// refused without being run. Otherwise keys and routes that were taken away would stay in use. If the part does not
+    /// tell which requests are closed, the configuration in force stays.
     fn apply_invalid_routes(&mut self, invalid: InvalidRoutes) {
         self.set_configuration_invalid(true);
-        let has_whole = self.shared.routes().is_some() && !self.is_partial;
-        let applied = match invalid.readable.filter(|_| !has_whole) {
-            Some(readable) => self.apply_routes(*readable),
-            None => false,
-        };
-        self.is_partial |= applied;
+        let has_readable = invalid.readable.is_some();
+        if let Some(readable) = invalid.readable {
+            self.apply_routes(*readable);
+        }
         log::error!(
             key = invalid.row.key.as_str(), detail = invalid.row.detail.as_str(),
-            serves_readable_part = applied, serves_previous = has_whole;
+            serves_readable_part = has_readable,
+            serves_previous = !has_readable && self.shared.routes().is_some();
             "configuration is invalid"
         );
     }
@@ -145,12 +143,11 @@
         self.shared.metrics.set_configuration_invalid(is_invalid);
     }
 
-    /// Puts a configuration in force and returns true, unless the current one is at least as new, so that the version
-    /// never decreases.
-    fn apply_routes(&mut self, parts: RouteTableParts) -> bool {
+    /// Puts a configuration in force, unless the current one is at least as new, so that the version never decreases.
+    fn apply_routes(&mut self, parts: RouteTableParts) {
         let current = self.shared.routes().map(|routes| routes.version());
         if current.is_some_and(|current| current >= parts.version) {
-            return false;
+            return;
         }
         let routes = RouteTable::new(parts);
         log::info!(
@@ -163,7 +160,6 @@
             .set_config_version(routes.version());
         request_announcement(&self.shared);
         *self.shared.routes.borrow_mut() = Some(Rc::new(routes));
-        true
     }
 }
 
@@ -176,7 +172,6 @@
     let follower = DeclarationFollower {
         shared: shared.clone(),
         declaration_times,
-        is_partial: false,
     };
     follow_table(
         shared,
