--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -27,10 +27,46 @@
 /// routers in an unreachable data centre still use their share of the retry budget.
 const ROUTERS_EXPIRY_MS: DurationMs = DurationMs(30_000);
 
+/// Announcements of an engine without a gap, in which its sidecar has reached the same start all the time.
+#[derive(Clone, Copy, Debug)]
+struct SteadyRun {
+    /// Stamp of the first announcement.
+    since: TimeMs,
+    /// When that was received.
+    received_at: TimeMs,
+    /// Stamp of the last announcement but one: a sidecar that stood still before the last one may have sent an old report
+    /// with it.
+    until: TimeMs,
+}
+
+impl SteadyRun {
+    /// Continues the run of the known state, or begins another one.
+    fn after(known: Option<&KnownEngine>, state: &EngineState, now: TimeMs) -> Self {
+        let continues = |known: &&KnownEngine| {
+            known.state.started_ms == state.started_ms
+                && known.state.phase != Phase::Unreachable
+                && known.state.stamp <= state.stamp
+                && now.since(known.received_at) < ENGINE_EXPIRY_MS
+        };
+        match known.filter(continues) {
+            Some(known) => SteadyRun {
+                until: known.state.stamp,
+                ..known.steady
+            },
+            None => SteadyRun {
+                since: state.stamp,
+                received_at: now,
+                until: state.stamp,
+            },
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KnownEngine {
     state: EngineState,
     received_at: TimeMs,
+    steady: SteadyRun,
     cached: ReportedParts,
     cached_stamp: TimeMs,
 }
@@ -76,6 +112,7 @@
             before: known.map(|known| known.state.phase),
             restarted: known.is_some_and(|known| known.state.started_ms != state.started_ms),
         };
+        let steady = SteadyRun::after(known, &state, now);
         let known = self.engines.remove(&state.engine);
         let known = known.filter(|_| !change.restarted);
         let (cached, cached_stamp) = match known {
@@ -84,6 +121,7 @@
         };
         let updated = KnownEngine {
             received_at: now,
+            steady,
             cached,
             cached_stamp,
             state,
@@ -135,6 +173,26 @@
         Some(known.state.started_ms)
     }
 
+    /// Returns the time by the sidecar's clock for which it has reached this start of an engine without a gap since a
+    /// moment.
+    pub fn steady_ms(
+        &self,
+        engine: SocketAddr,
+        started_ms: u64,
+        since: TimeMs,
+        now: TimeMs,
+    ) -> DurationMs {
+        let known = self.fresh(engine, now);
+        let reached = known.filter(|known| {
+            known.state.started_ms == started_ms && known.state.phase != Phase::Unreachable
+        });
+        reached.map_or(DurationMs::ZERO, |known| {
+            let run = known.steady;
+            let before_ms = since.since(run.received_at);
+            run.until.since(run.since).saturating_sub(before_ms)
+        })
+    }
+
     /// Returns the time since the sidecar of an engine was heard, if it ever was.
     pub fn age_ms(&self, engine: SocketAddr, now: TimeMs) -> Option<DurationMs> {
         let known = self.engines.get(&engine)?;
--- a/crates/fleet/tests/states.rs
+++ b/crates/fleet/tests/states.rs
@@ -19,6 +19,7 @@
 use dw_fleet::SentLoads;
 use dw_fleet::View;
 use dw_wire::DataCentreState;
+use dw_wire::EngineState;
 use dw_wire::Phase;
 use dw_wire::RouterLoads;
 
@@ -112,6 +113,71 @@
     assert!(!view.is_open(addr, TimeMs(4_100)));
 }
 
+/// Announces an engine every half a second by both clocks; returns how steady it is at the end.
+fn announce_until(
+    view: &mut View,
+    end_ms: u64,
+    since: TimeMs,
+    state: impl Fn(u64) -> Option<EngineState>,
+) -> DurationMs {
+    let addr = engine(0, 1);
+    for at_ms in (0..=end_ms).step_by(500) {
+        if let Some(state) = state(at_ms) {
+            view.update_engine(state, TimeMs(at_ms));
+        }
+    }
+    view.steady_ms(addr, 1, since, TimeMs(end_ms))
+}
+
+/// Guards against an engine that is taken to have gone on although it started again, was not reached by its sidecar, or
+/// was announced from an old report by a sidecar that had stood still.
+#[test]
+fn only_steady_announcements_show_that_an_engine_goes_on() {
+    let addr = engine(0, 1);
+    let open = |at_ms| state(addr, at_ms, Phase::Open, 1);
+    let steady_ms = |since_ms, announced: &dyn Fn(u64) -> Option<EngineState>| {
+        announce_until(&mut View::default(), 10_000, TimeMs(since_ms), announced)
+    };
+    // The last announcement may rest on a report from before the one before it.
+    assert_eq!(steady_ms(0, &|at_ms| Some(open(at_ms))), DurationMs(9_500));
+    assert_eq!(
+        steady_ms(7_000, &|at_ms| Some(open(at_ms))),
+        DurationMs(2_500)
+    );
+    let loads = |at_ms| Some(state(addr, at_ms, Phase::Loading, 1));
+    assert_eq!(steady_ms(7_000, &loads), DurationMs(2_500));
+    let was_cut_off = |at_ms| match at_ms {
+        8_000 => Some(state(addr, at_ms, Phase::Unreachable, 1)),
+        _ => Some(open(at_ms)),
+    };
+    assert_eq!(steady_ms(0, &was_cut_off), DurationMs(1_000));
+    let is_cut_off = |at_ms| {
+        Some(state(
+            addr,
+            at_ms,
+            if at_ms < 9_000 {
+                Phase::Open
+            } else {
+                Phase::Unreachable
+            },
+            1,
+        ))
+    };
+    assert_eq!(steady_ms(0, &is_cut_off), DurationMs::ZERO);
+    let has_restarted = |at_ms| {
+        let started_ms = 1 + u64::from(at_ms > 8_000);
+        Some(EngineState {
+            started_ms,
+            ..open(at_ms)
+        })
+    };
+    assert_eq!(steady_ms(0, &has_restarted), DurationMs::ZERO);
+    let was_silent = |at_ms| (!(5_000..8_000).contains(&at_ms)).then(|| open(at_ms));
+    assert_eq!(steady_ms(0, &was_silent), DurationMs(1_500));
+    let has_just_thawed = |at_ms| (!(8_500..10_000).contains(&at_ms)).then(|| open(at_ms));
+    assert_eq!(steady_ms(7_000, &has_just_thawed), DurationMs(1_000));
+}
+
 /// Guards against measured speeds of a large fleet that do not fit into one datagram: they are
 /// spread over several, and all are announced after a few.
 #[test]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,7 @@
 use crate::registrations::follow_registrations;
 use crate::shared::Shared;
 use crate::upstream_end::registered_start;
+use crate::upstream_end::withdraw_ends;
 use crate::upstream_end::EndedUpstreams;
 use crate::weights::Weights;
 
@@ -355,6 +356,7 @@
         let quarantined = shared.quarantine.expire(now);
         shared.metrics.set_quarantined(&quarantined);
         shared.origins.expire(now);
+        withdraw_ends(&shared);
         let directory = shared.directory.borrow();
         shared.quotas.set_engines(&directory);
         if let Some(age_ms) = shared.tables.borrow().registrations_age_ms(now) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -90,6 +90,7 @@
     failed_attempts: Family<KindLabel, Counter>,
     retries: Family<KindLabel, Counter>,
     upstream_ends: Counter,
+    withdrawn_ends: Counter,
     probes: Counter,
     configuration_invalid: Gauge,
     configuration_behind_ms: Gauge,
@@ -149,6 +150,11 @@
                 "Upstreams that ended while they held requests of this gateway",
                 Counter::default(),
             ),
+            withdrawn_ends: metrics.add(
+                "upstream_ends_withdrawn",
+                "Upstreams that were taken to have ended and have gone on",
+                Counter::default(),
+            ),
             probes: metrics.add(
                 "quarantine_probes",
                 "Requests sent as probes of what is in quarantine",
@@ -336,6 +342,11 @@
         self.resumes.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts an end of an upstream that is taken back.
+    pub(crate) fn record_withdrawn_end(&self) {
+        self.withdrawn_ends.inc();
+    }
+
     /// Counts a stream that is taken up while the stored origins cannot be read.
     pub(crate) fn record_unread_origin(&self) {
         let kind = "origins_not_read";
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -19,6 +19,7 @@
 use dw_origin::decide_resume;
 use dw_origin::keepers;
 use dw_origin::CannotResume;
+use dw_origin::ObservedSoftware;
 use dw_origin::OriginKeeper;
 use dw_origin::Resume;
 use dw_origin::SoftwareHistory;
@@ -36,6 +37,7 @@
 use dw_wire::OriginQuery;
 use dw_wire::OriginRecord;
 use dw_wire::StreamOrigin;
+use dw_wire::UpstreamStart;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -48,6 +50,7 @@
 use crate::origin_store::OriginStore;
 use crate::selection::AttemptPlan;
 use crate::shared::Shared;
+use crate::upstream_end::registered_start;
 
 /// Sidecars that are asked: more than are told, as routers may know different ones at a moment.
 const ASKED: usize = 4;
@@ -112,6 +115,11 @@
         own.record(stream, origin, retention_ms, now);
     }
 
+    /// Takes back that the software of a start was not known, as it has not ended.
+    pub(crate) fn withdraw_unknown(&self, start: UpstreamStart) {
+        self.history.borrow_mut().withdraw_unknown(start);
+    }
+
     /// Drops origins that have expired.
     pub(crate) fn expire(&self, now: TimeMs) {
         self.own.borrow_mut().expire(now);
@@ -171,12 +179,15 @@
 
 /// Records the software versions that are registered, as far as it was known at `complete_at`.
 pub(crate) fn observe(shared: &Shared, directory: &Directory, complete_at: TimeMs, now: TimeMs) {
-    let version = |entry| {
-        let software = known_software(shared, entry);
+    let software = |entry| {
+        let software = match known_software(shared, entry) {
+            Some(version) => ObservedSoftware::Version(version),
+            None => ObservedSoftware::Unknown(registered_start(entry)),
+        };
         (&entry.registration.service, software)
     };
     let origins = &shared.origins;
-    let registered = directory.all().map(version);
+    let registered = directory.all().map(software);
     let mut history = origins.history.borrow_mut();
     let before = history.mixed_services();
     history.observe(registered, complete_at, now);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -29,6 +29,7 @@
 use crate::gossip::request_announcement;
 use crate::shared::Shared;
 use crate::upstream_end::LostRequest;
+use crate::upstream_end::SteadyStarts;
 
 /// Timeout of one call to the table while a request waits for it.
 const PROBE_TIMEOUT_MS: DurationMs = DurationMs(600);
@@ -110,6 +111,11 @@
         suspects.filter(|suspect| stored.remove(suspect)).collect()
     }
 
+    /// Returns whether there is no evidence at all.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.evidence.borrow().is_empty()
+    }
+
     /// Returns the evidence to announce now.
     pub(crate) fn take_due(&self, now: TimeMs) -> DueReports {
         self.evidence.borrow_mut().take_due(now)
@@ -144,16 +150,47 @@
 
 /// Merges evidence against prompt parts that a relay has announced.
 pub(crate) fn merge_parts(shared: &Rc<Shared>, reports: Vec<SuspectReport>) {
+    let reports = without_withdrawn(shared, reports);
     merge(shared, |evidence, now| evidence.merge_parts(reports, now));
 }
 
 /// Merges evidence against requests that a relay has announced.
 pub(crate) fn merge_requests(shared: &Rc<Shared>, reports: Vec<SuspectReport<RequestDigest>>) {
+    let reports = without_withdrawn(shared, reports);
     merge(shared, |evidence, now| {
         evidence.merge_requests(reports, now)
     });
 }
 
+/// Returns reports without the ends of upstreams that have gone on, of which relays do not know.
+fn without_withdrawn<K>(
+    shared: &Shared,
+    mut reports: Vec<SuspectReport<K>>,
+) -> Vec<SuspectReport<K>> {
+    let now = shared.now();
+    let steady = SteadyStarts::new(shared);
+    for report in &mut reports {
+        let ends = &mut report.ends;
+        ends.retain(|(start, age_ms)| !steady.has_not_ended(*start, now - *age_ms));
+    }
+    reports
+}
+
+/// Takes back the evidence that rests on ends of upstreams that have gone on.
+pub(crate) fn withdraw(shared: &Rc<Shared>, steady: &SteadyStarts<'_>) {
+    let mut evidence = shared.quarantine.evidence.borrow_mut();
+    let released = evidence.withdraw(|start, at| steady.has_not_ended(start, at));
+    drop(evidence);
+    if released.is_empty() {
+        return;
+    }
+    log::info!(suspects = join(&released); "left quarantine: upstreams have not ended");
+    let stored = shared.quarantine.take_stored(&released);
+    if !stored.is_empty() {
+        tokio::task::spawn_local(remove_records(shared.clone(), stored));
+    }
+}
+
 /// Merges evidence, and removes the records that this router has written of what was released.
 fn merge(shared: &Rc<Shared>, merge: impl FnOnce(&mut EvidenceSet, TimeMs) -> Merged<Suspect>) {
     let merged = merge(&mut shared.quarantine.evidence.borrow_mut(), shared.now());
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -7,6 +7,7 @@
 use dw_base::ServiceId;
 use dw_base::SoftwareVersion;
 use dw_base::TimeMs;
+use dw_wire::UpstreamStart;
 
 /// Time between two observations after which the process is taken to have stood still: requests that came
 /// meanwhile are handled before what is registered now is read.
@@ -21,8 +22,39 @@
     observed_since: TimeMs,
     /// Until when that is known.
     observed_until: TimeMs,
-    /// Versions by their last observation; an unknown one is a version like the others.
-    last_seen: BTreeMap<Option<SoftwareVersion>, TimeMs>,
+    /// Versions by their last observation.
+    last_seen: BTreeMap<SoftwareVersion, TimeMs>,
+    /// Starts of upstreams whose version was not known, by the last such observation.
+    unknown: BTreeMap<UpstreamStart, TimeMs>,
+}
+
+/// What is known of the software that an upstream runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ObservedSoftware<'a> {
+    /// It runs this version.
+    Version(&'a SoftwareVersion),
+    /// This start of it may have ended, and another one may run any version.
+    Unknown(UpstreamStart),
+}
+
+impl Service {
+    fn record(&mut self, software: ObservedSoftware<'_>, now: TimeMs) {
+        match software {
+            ObservedSoftware::Unknown(start) => {
+                self.unknown.insert(start, now);
+            }
+            ObservedSoftware::Version(version) => match self.last_seen.get_mut(version) {
+                Some(last_seen) => *last_seen = now,
+                None => {
+                    self.last_seen.insert(version.clone(), now);
+                }
+            },
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.last_seen.is_empty() && self.unknown.is_empty()
+    }
 }
 
 /// Software versions of each service, as this process has observed them since its start.
@@ -47,11 +79,11 @@
         }
     }
 
-    /// Records the service of each upstream, and its version if that is known, from registrations that were complete at
+    /// Records the service of each upstream and what is known of its software, from registrations that were complete at
     /// `complete_at`.
     pub fn observe<'a>(
         &mut self,
-        registered: impl IntoIterator<Item = (&'a ServiceId, Option<&'a SoftwareVersion>)>,
+        registered: impl IntoIterator<Item = (&'a ServiceId, ObservedSoftware<'a>)>,
         complete_at: TimeMs,
         now: TimeMs,
     ) {
@@ -70,25 +102,28 @@
                     observed_since: now,
                     observed_until: complete_at,
                     last_seen: BTreeMap::new(),
+                    unknown: BTreeMap::new(),
                 };
                 self.services.insert(service.clone(), new);
             }
             let Some(service) = self.services.get_mut(service) else {
                 continue;
             };
-            match service.last_seen.get_mut(&software.cloned()) {
-                Some(last_seen) => *last_seen = now,
-                None => {
-                    service.last_seen.insert(software.cloned(), now);
-                }
-            }
+            service.record(software, now);
         }
         for service in self.services.values_mut() {
             let is_recent = |last_seen: &TimeMs| now.since(*last_seen) < MAX_AGE_MS;
             service.last_seen.retain(|_, seen| is_recent(seen));
+            service.unknown.retain(|_, seen| is_recent(seen));
+        }
+        self.services.retain(|_, service| !service.is_empty());
+    }
+
+    /// Takes back that the version of a start was not known: it went on all the time.
+    pub fn withdraw_unknown(&mut self, start: UpstreamStart) {
+        for service in self.services.values_mut() {
+            service.unknown.remove(&start);
         }
-        self.services
-            .retain(|_, service| !service.last_seen.is_empty());
     }
 
     fn has_stalled(&self, now: TimeMs) -> bool {
@@ -105,7 +140,7 @@
     /// Returns whether a service is known to have had several versions lately.
     pub fn has_several_versions(&self, service: &ServiceId) -> bool {
         let service = self.services.get(service);
-        service.is_some_and(|service| service.last_seen.len() > 1)
+        service.is_some_and(|service| service.last_seen.len() > 1 || !service.unknown.is_empty())
     }
 
     /// Returns whether a service had one version only for all of the time before now.
@@ -116,6 +151,7 @@
         let is_within = |last_seen: &&TimeMs| now.since(**last_seen) < time_ms;
         let versions = service.last_seen.values().filter(is_within).count();
         versions == 1
+            && !service.unknown.values().any(|seen| is_within(&seen))
             && !self.has_stalled(now)
             && now.since(service.observed_since) >= time_ms
             && now.since(service.observed_until) <= self.max_gap_ms
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -23,6 +23,7 @@
 pub use batch::OriginBatch;
 pub use handover::HANDOVER_BATCH;
 pub use handover::HANDOVER_PAUSE_MS;
+pub use history::ObservedSoftware;
 pub use history::SoftwareHistory;
 pub use keeper::OriginKeeper;
 pub use keepers::keepers;
--- a/crates/origin/tests/origins.rs
+++ b/crates/origin/tests/origins.rs
@@ -13,11 +13,13 @@
 use dw_origin::keepers;
 use dw_origin::CallPace;
 use dw_origin::CannotResume;
+use dw_origin::ObservedSoftware;
 use dw_origin::OriginKeeper;
 use dw_origin::Resume;
 use dw_origin::SoftwareHistory;
 use dw_origin::MIN_READ_INTERVAL_MS;
 use dw_wire::StreamOrigin;
+use dw_wire::UpstreamStart;
 use proptest::prelude::*;
 
 /// Numbers of routers and of sidecars of the deployments and of the target.
@@ -78,7 +80,9 @@
         let service = service();
         let versions: Vec<SoftwareVersion> = self.versions.iter().copied().map(version).collect();
         for history in &mut self.histories {
-            let registered = versions.iter().map(|software| (&service, Some(software)));
+            let registered = versions
+                .iter()
+                .map(|software| (&service, ObservedSoftware::Version(software)));
             history.observe(registered, self.now, self.now);
         }
     }
@@ -293,7 +297,11 @@
     let (service, first) = (service(), version(1));
     for second in 0..30 {
         let (now, complete_at) = (TimeMs(second * 1_000), TimeMs(second.min(20) * 1_000));
-        history.observe([(&service, Some(&first))], complete_at, now);
+        history.observe(
+            [(&service, ObservedSoftware::Version(&first))],
+            complete_at,
+            now,
+        );
         let has_one = history.had_one_version(&service, RETENTION_MS, now);
         assert_eq!(has_one, (10..=24).contains(&second), "after {second} s");
     }
@@ -307,8 +315,9 @@
     let (service, first) = (service(), version(1));
     for second in 0..30 {
         let now = TimeMs(second * 1_000);
-        let unknown = (second >= 20).then_some((&service, None));
-        let known = [(&service, Some(&first))];
+        let unknown =
+            (second >= 20).then_some((&service, ObservedSoftware::Unknown(UpstreamStart(1))));
+        let known = [(&service, ObservedSoftware::Version(&first))];
         history.observe(known.into_iter().chain(unknown), now, now);
         let has_one = history.had_one_version(&service, RETENTION_MS, now);
         assert_eq!(has_one, (10..20).contains(&second), "after {second} s");
@@ -379,3 +388,28 @@
         MIN_READ_INTERVAL_MS
     );
 }
+
+/// Guards against an upstream that was only cut off and counts as one of another version for as long as versions are
+/// remembered.
+#[test]
+fn withdrawn_end_is_no_other_version() {
+    let mut history = new_history();
+    let (service, first) = (service(), version(1));
+    let (cut_off, ended) = (UpstreamStart(1), UpstreamStart(2));
+    let mut now = TimeMs::default();
+    for second in 0..30 {
+        now = TimeMs(second * 1_000);
+        let known = ObservedSoftware::Version(&first);
+        let unknown = [cut_off, ended].map(ObservedSoftware::Unknown);
+        let is_cut_off = (18..20).contains(&second);
+        let unknown = unknown.into_iter().filter(|_| is_cut_off);
+        let observed = unknown.chain([known]).map(|software| (&service, software));
+        history.observe(observed, now, now);
+    }
+    history.withdraw_unknown(cut_off);
+    assert!(!history.had_one_version(&service, RETENTION_MS + DurationMs(2_000), now));
+    assert!(history.has_several_versions(&service));
+    history.withdraw_unknown(ended);
+    assert!(history.had_one_version(&service, RETENTION_MS + DurationMs(2_000), now));
+    assert!(!history.has_several_versions(&service));
+}
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -56,11 +56,24 @@
     moments
 }
 
+/// Drops the earliest of the ends if there are too many.
+fn drop_earliest(ends: &mut BTreeMap<UpstreamStart, TimeMs>) {
+    if ends.len() <= MAX_ENDS {
+        return;
+    }
+    let earliest = ends.iter().min_by_key(|(_, at)| **at);
+    if let Some(start) = earliest.map(|(start, _)| *start) {
+        ends.remove(&start);
+    }
+}
+
 /// Ends of upstreams under one part or request, and the last answer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Evidence {
     /// Ends since the last answer; an upstream that held several requests counts once.
     ends: BTreeMap<UpstreamStart, TimeMs>,
+    /// The same ends, which are kept for as long as a quarantine rests on them.
+    accusing: BTreeMap<UpstreamStart, TimeMs>,
     /// Number of ends that do not have a common cause.
     counted: usize,
     answered_at: Option<TimeMs>,
@@ -82,36 +95,57 @@
             return;
         }
         self.ends.insert(start, at);
+        self.accusing.insert(start, at);
+        drop_earliest(&mut self.accusing);
         self.changed_at = self.changed_at.max(at);
         self.has_news = true;
-        if self.ends.len() > MAX_ENDS {
-            let earliest = self.ends.iter().min_by_key(|(_, at)| **at);
-            if let Some(start) = earliest.map(|(start, _)| *start) {
-                self.ends.remove(&start);
-            }
-        }
+        drop_earliest(&mut self.ends);
         self.count(causes);
         if self.counted >= QUARANTINE_ENDS {
             self.quarantine.get_or_insert(Quarantine::Ends);
         }
     }
 
-    /// Counts the ends; those that one cause explains count once, and if there was an answer before, so do
-    /// those at one moment: several upstreams ended together, whatever they held.
     fn count(&mut self, causes: &Causes) {
-        let explaining: BTreeSet<&Suspect> = self
-            .ends
-            .keys()
-            .filter_map(|start| causes.get(start))
-            .collect();
-        let ends = self.ends.iter();
+        self.counted = self.counted_of(&self.ends, causes);
+    }
+
+    /// Counts ends; those that one cause explains count once, and if there was an answer before, so do
+    /// those at one moment: several upstreams ended together, whatever they held.
+    fn counted_of(&self, ends: &BTreeMap<UpstreamStart, TimeMs>, causes: &Causes) -> usize {
+        let explaining: BTreeSet<&Suspect> =
+            ends.keys().filter_map(|start| causes.get(start)).collect();
+        let ends = ends.iter();
         let unexplained = ends.filter(|(start, _)| !causes.contains_key(*start));
         let mut times: Vec<TimeMs> = unexplained.map(|(_, at)| *at).collect();
         let unexplained = match self.is_proven {
             true => count_moments(&mut times),
             false => times.len(),
         };
-        self.counted = explaining.len() + unexplained;
+        explaining.len() + unexplained
+    }
+
+    /// Takes back the ends of upstreams that have not ended; returns whether a quarantine rested on them, which
+    /// ends.
+    pub(crate) fn withdraw(
+        &mut self,
+        has_not_ended: &dyn Fn(UpstreamStart, TimeMs) -> bool,
+        causes: &Causes,
+    ) -> bool {
+        let before = self.accusing.len();
+        self.ends.retain(|start, at| !has_not_ended(*start, *at));
+        self.accusing
+            .retain(|start, at| !has_not_ended(*start, *at));
+        if self.accusing.len() == before {
+            return false;
+        }
+        self.count(causes);
+        let is_unfounded = self.counted_of(&self.accusing, causes) < QUARANTINE_ENDS;
+        let released = is_unfounded && matches!(self.quarantine, Some(Quarantine::Ends));
+        if released {
+            self.quarantine = None;
+        }
+        released
     }
 
     /// Counts the ends again after the known causes have changed; returns whether a quarantine began or
@@ -148,6 +182,7 @@
         self.answered_at = Some(at);
         self.changed_at = self.changed_at.max(at);
         self.ends.retain(|_, end| *end > at);
+        self.accusing.retain(|_, end| *end > at);
         self.count(causes);
         let released = match self.quarantine {
             Some(Quarantine::Ends) => self.counted < QUARANTINE_ENDS,
@@ -210,6 +245,9 @@
         if now.since(self.changed_at) >= QUARANTINE_EXPIRY_MS {
             self.quarantine = None;
         }
+        if !self.is_quarantined() && self.accusing.len() > self.ends.len() {
+            self.accusing.clone_from(&self.ends);
+        }
         let is_recent = |at: &TimeMs| now.since(*at) < ANSWER_RETENTION_MS;
         self.answered_at = self.answered_at.filter(is_recent);
         !self.ends.is_empty() || self.quarantine.is_some() || self.answered_at.is_some()
--- a/crates/quarantine/src/evidence_set.rs
+++ b/crates/quarantine/src/evidence_set.rs
@@ -100,6 +100,18 @@
         to_suspects(requests, released)
     }
 
+    /// Takes back the ends of upstreams that have not ended, as told by a start and the time of its end; returns what
+    /// leaves quarantine because of it.
+    pub fn withdraw(
+        &mut self,
+        has_not_ended: impl Fn(UpstreamStart, TimeMs) -> bool,
+    ) -> Vec<Suspect> {
+        let requests = self.requests.withdraw(&has_not_ended);
+        let mut parts = self.parts.withdraw(&has_not_ended);
+        parts.extend(self.update_causes());
+        to_suspects(requests, parts)
+    }
+
     /// Begins a quarantine that a stored record names.
     pub fn restore(&mut self, suspect: Suspect, now: TimeMs) {
         match suspect {
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -297,6 +297,26 @@
         released
     }
 
+    /// Takes back the ends of upstreams that have not ended; returns what leaves quarantine because of it.
+    pub(crate) fn withdraw(
+        &mut self,
+        has_not_ended: &dyn Fn(UpstreamStart, TimeMs) -> bool,
+    ) -> Vec<K> {
+        let mut released = Vec::new();
+        for (key, evidence) in &mut self.known {
+            let causes = match evidence.is_proven {
+                true => &self.causes_for_proven,
+                false => &self.causes,
+            };
+            if evidence.withdraw(has_not_ended, causes) {
+                released.push(*key);
+            }
+        }
+        self.update_causes_for_proven();
+        released.extend(self.judge_all());
+        released
+    }
+
     /// Begins a quarantine that a stored record names.
     pub fn restore(&mut self, key: K, now: TimeMs) {
         self.evidence(key, now).0.restore(now);
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -455,3 +455,35 @@
     assert_eq!(changes[4].released, [PART.into()]);
     assert!(!router.quarantined().contains(&PART.into()));
 }
+
+/// Guards against sound parts and requests that stay in quarantine because of upstreams that were only cut off, and
+/// against a deadly part that leaves it with one of them, also once its first ends have expired.
+#[test]
+fn evidence_of_upstreams_that_go_on_is_withdrawn() {
+    const OTHER: ModelPart = ModelPart(8);
+    let mut evidence = EvidenceSet::default();
+    let mut now = TimeMs(1_000_000);
+    for number in 0..3 {
+        evidence.record_end(digest("a", number), &[PART], start(number), now);
+        evidence.record_end(digest("b", 100), &[], start(number), now);
+        now = now + DurationMs(1_000);
+    }
+    for number in 10..14 {
+        evidence.record_end(digest("a", number), &[OTHER], start(number), now);
+        now = now + DurationMs(1_000);
+    }
+    let quarantined = |evidence: &EvidenceSet| evidence.quarantined();
+    let all = [Suspect::Request(digest("b", 100)), Suspect::Part(OTHER)];
+    assert_eq!(quarantined(&evidence), all);
+    assert_eq!(evidence.withdraw(|_, _| false), []);
+    let released = evidence.withdraw(|ended, _| ended == start(2));
+    assert_eq!(released, [Suspect::Request(digest("b", 100))]);
+    assert_eq!(evidence.withdraw(|ended, _| ended == start(10)), []);
+    assert_eq!(quarantined(&evidence), [Suspect::Part(OTHER)]);
+    // The others are enough still, after they have expired too.
+    now = now + DurationMs(3_600_000);
+    evidence.expire(now);
+    evidence.record_end(digest("a", 20), &[OTHER], start(20), now);
+    assert_eq!(evidence.withdraw(|ended, _| ended == start(20)), []);
+    assert_eq!(quarantined(&evidence), [Suspect::Part(OTHER)]);
+}
