--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -1,8 +1,8 @@
 //! Origins of streams in the platform's table, for streams whose keepers have all ended.
 //!
-//! While upstreams of several software versions of a service serve, each router stores the origins of the streams that it begins, a
-//! batch at a time. It reads what all of them have stored when a caller takes up a stream of which no live process knows
-//! where it began.
+//! Each router stores the origins of the streams that it begins, a batch at a time, and sooner while upstreams of several
+//! software versions of their service serve. It reads what all of them have stored when a caller takes up a stream of
+//! which no live process knows where it began.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -12,6 +12,7 @@
 
 use dw_base::DurationMs;
 use dw_base::PrefixKey;
+use dw_base::ServiceId;
 use dw_base::StreamKey;
 use dw_base::TimeMs;
 use dw_origin::fleet_interval_ms;
@@ -20,6 +21,7 @@
 use dw_origin::OriginKeeper;
 use dw_origin::MIN_READ_INTERVAL_MS;
 use dw_origin::MIN_WRITE_INTERVAL_MS;
+use dw_origin::ONE_VERSION_INTERVAL_MS;
 use dw_platform::boot::TableRates;
 use dw_port::FeedError;
 use dw_port::OriginTable;
@@ -171,14 +173,24 @@
         self.looked_up.borrow_mut().retain(|_, at| is_recent(at));
     }
 
-    /// Returns the time between two writes of a router.
-    fn write_interval_ms(&self, shared: &Shared) -> DurationMs {
+    /// Returns the time between two writes of a router that has origins of these services to store.
+    fn write_interval_ms<'a>(
+        &self,
+        shared: &Shared,
+        mut services: impl Iterator<Item = &'a ServiceId>,
+    ) -> DurationMs {
+        let min_interval_ms = match services.any(|service| shared.origins.is_mixed(service)) {
+            true => MIN_WRITE_INTERVAL_MS,
+            false => ONE_VERSION_INTERVAL_MS,
+        };
         let routers = shared.placement.borrow().routers();
-        fleet_interval_ms(MIN_WRITE_INTERVAL_MS, routers, 1, self.rates.writes_per_s)
+        fleet_interval_ms(min_interval_ms, routers, 1, self.rates.writes_per_s)
     }
 
     fn write_pause_ms(&self, shared: &Shared) -> DurationMs {
-        let interval_ms = self.write_interval_ms(shared);
+        let unstored = self.unstored.borrow();
+        let services = unstored.iter().map(|record| &record.origin.service);
+        let interval_ms = self.write_interval_ms(shared, services);
         self.write_pace.get().pause_ms(interval_ms, shared.now())
     }
 
@@ -267,8 +279,11 @@
         if store.unstored.borrow().is_empty() {
             store.added.notified().await;
         }
-        sleep(store.write_pause_ms(&shared).into()).await;
-        store_batch(&shared).await;
+        // The pause becomes shorter when another version appears.
+        match store.write_pause_ms(&shared) {
+            DurationMs::ZERO => drop(store_batch(&shared).await),
+            pause_ms => sleep(pause_ms.min(MIN_WRITE_INTERVAL_MS).into()).await,
+        }
     }
 }
 
@@ -296,7 +311,7 @@
             log::warn!("the table came back from a copy or has a row of this process's name; storing all origins again");
             store.keys.set(None);
             store.clock.set(None);
-            store.replace(shared.origins.records_to_store(shared.now()));
+            store.replace(shared.origins.own_records(shared.now()));
         }
         Err(e) => {
             log::warn!(streams = records.len(), error:% = e; "cannot store origins of streams");
@@ -373,9 +388,10 @@
 ///
 /// A router that is alive may not have stored the origin yet, so it is missing only if the table has been read after
 /// the pause between two writes has passed since the stream was first looked up.
-pub(crate) async fn look_up(shared: &Shared, stream: StreamKey) -> Lookup {
+pub(crate) async fn look_up(shared: &Shared, stream: StreamKey, services: &[ServiceId]) -> Lookup {
     let store = &shared.origins.store;
-    let missing_at = store.first_look_up(stream, shared.now()) + store.write_interval_ms(shared);
+    let interval_ms = store.write_interval_ms(shared, services.iter());
+    let missing_at = store.first_look_up(stream, shared.now()) + interval_ms;
     loop {
         let asked_at = shared.now();
         if let Err(pause_ms) = read_since(shared, asked_at).await {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -6,7 +6,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -126,16 +125,14 @@
         self.store.expire(now);
     }
 
-    fn is_mixed(&self, service: &ServiceId) -> bool {
+    /// Returns whether upstreams of several software versions of a service have served lately.
+    pub(crate) fn is_mixed(&self, service: &ServiceId) -> bool {
         self.history.borrow().has_several_versions(service)
     }
 
-    /// Returns the origins of the streams that this router has passed on and that are to be stored: those of services
-    /// with several software versions.
-    pub(crate) fn records_to_store(&self, now: TimeMs) -> Vec<OriginRecord> {
-        let mut records = self.own.borrow().records(now);
-        records.retain(|record| self.is_mixed(&record.origin.service));
-        records
+    /// Returns the origins of the streams that this router has passed on.
+    pub(crate) fn own_records(&self, now: TimeMs) -> Vec<OriginRecord> {
+        self.own.borrow().records(now)
     }
 
     fn sidecar(&self, engine: SocketAddr) -> SocketAddr {
@@ -186,26 +183,9 @@
         };
         (&entry.registration.service, software)
     };
-    let origins = &shared.origins;
     let registered = directory.all().map(software);
-    let mut history = origins.history.borrow_mut();
-    let before = history.mixed_services();
+    let mut history = shared.origins.history.borrow_mut();
     history.observe(registered, complete_at, now);
-    let mixed = history.mixed_services();
-    drop(history);
-    if !mixed.is_subset(&before) {
-        let begun = origins.records_to_store(now);
-        log::info!(
-            services = join(&mixed), streams = begun.len();
-            "several software versions serve; storing where streams began"
-        );
-        origins.store.replace(begun);
-    }
-}
-
-fn join(services: &BTreeSet<ServiceId>) -> String {
-    let names: Vec<&str> = services.iter().map(ServiceId::as_str).collect();
-    names.join(",")
 }
 
 fn retention_ms(route: &Route) -> DurationMs {
@@ -257,9 +237,7 @@
         origin,
         retention_ms,
     };
-    if origins.is_mixed(&record.origin.service) {
-        origins.store.add(record.clone());
-    }
+    origins.store.add(record.clone());
     tell_keepers(shared, record).await;
 }
 
@@ -277,7 +255,7 @@
 /// started again since, as in a rolling restart, and this router is about to end.
 pub(crate) async fn hand_over(shared: &Shared) {
     origin_store::flush(shared).await;
-    let kept = shared.origins.own.borrow().records(shared.now());
+    let kept = shared.origins.own_records(shared.now());
     log::info!(streams = kept.len(); "handing origins of streams over");
     for batch in kept.chunks(HANDOVER_BATCH) {
         for record in batch {
@@ -318,7 +296,7 @@
     let origin = find_origin(shared, stream).await;
     let mut decided = decide(shared, route, origin, &services);
     if decided == Err(CannotResume::UnknownOrigin) && request_head.resumes.is_some() {
-        let origin = match origin_store::look_up(shared, stream).await {
+        let origin = match origin_store::look_up(shared, stream, &services).await {
             Lookup::Found(origin) => Some(origin),
             Lookup::Missing => None,
             Lookup::Unread(pause_ms) => return Err(unread(shared, request_head, pause_ms)),
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -1,7 +1,6 @@
 //! Software versions that served lately.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use dw_base::DurationMs;
 use dw_base::ServiceId;
@@ -130,13 +129,6 @@
         now.since(self.observed_at) > MAX_STALL_MS
     }
 
-    /// Returns the services that are known to have had several versions lately.
-    pub fn mixed_services(&self) -> BTreeSet<ServiceId> {
-        let services = self.services.keys();
-        let mixed = services.filter(|service| self.has_several_versions(service));
-        mixed.cloned().collect()
-    }
-
     /// Returns whether a service is known to have had several versions lately.
     pub fn has_several_versions(&self, service: &ServiceId) -> bool {
         let service = self.services.get(service);
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -32,6 +32,7 @@
 pub use pace::CallPace;
 pub use pace::MIN_READ_INTERVAL_MS;
 pub use pace::MIN_WRITE_INTERVAL_MS;
+pub use pace::ONE_VERSION_INTERVAL_MS;
 pub use resume::decide_resume;
 pub use resume::CannotResume;
 pub use resume::Resume;
--- a/crates/origin/src/pace.rs
+++ b/crates/origin/src/pace.rs
@@ -9,6 +9,10 @@
 /// Part of the table's calls that origins may take, over all routers.
 const MAX_CALL_SHARE: f64 = 0.1;
 
+/// Shortest time between two writes of a router while one software version serves: origins are needed then only if all
+/// routers have started again.
+pub const ONE_VERSION_INTERVAL_MS: DurationMs = DurationMs(3_000);
+
 /// Shortest time between two writes of a router. Origins that are not stored yet are lost with the processes that know
 /// them; streams worth going on with last several times as long.
 pub const MIN_WRITE_INTERVAL_MS: DurationMs = DurationMs(1_000);
