--- a/crates/follow/tests/failover.rs
+++ b/crates/follow/tests/failover.rs
@@ -308,6 +308,12 @@
     play_all(seeds, 25, 46).await;
 }
 
+/// Guards against the same with seeds that were found later. 264: a change is read after 9.7 s.
+#[tokio::test(start_paused = true)]
+async fn change_is_read_in_time_with_seeds_found_later() {
+    play_all(264..265, 25, 46).await;
+}
+
 /// Guards against the same in a large fleet.
 #[tokio::test(start_paused = true)]
 async fn change_is_read_in_time_at_340_routers() {
