--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -254,7 +254,6 @@
 /// Tells the sidecars where the streams of this router began once more: those that were told may have been
 /// started again since, as in a rolling restart, and this router is about to end.
 pub(crate) async fn hand_over(shared: &Shared) {
-    origin_store::flush(shared).await;
     let kept = shared.origins.own_records(shared.now());
     log::info!(streams = kept.len(); "handing origins of streams over");
     for batch in kept.chunks(HANDOVER_BATCH) {
@@ -263,6 +262,7 @@
         }
         tokio::time::sleep(HANDOVER_PAUSE_MS.into()).await;
     }
+    origin_store::flush(shared).await;
 }
 
 /// Returns where a stream may go on that a caller takes up; nothing for a new stream.
--- a/crates/origin/src/resume.rs
+++ b/crates/origin/src/resume.rs
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 ///
-/// Returns why it cannot go on. Another attempt to take it up would not help.
+/// Returns why it cannot go on. Unless its origin becomes known, another attempt to take it up would not help.
 pub fn decide_resume(
     origin: Option<StreamOrigin>,
     services: &[ServiceId],
