origin: count the pause after a failed call from its failure

A call to the table that gets no answer takes 0.6 s, longer than the first pause after a failure, so that a caller whose stream could not be looked up got Retry-After: 0. The pause now begins with the failure.

--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -315,7 +315,7 @@
         }
         Err(e) => {
             log::warn!(streams = records.len(), error:% = e; "cannot store origins of streams");
-            pace.record_failure();
+            pace.record_failure(shared.now());
             let mut unstored = store.unstored.borrow_mut();
             records
                 .into_iter()
@@ -373,7 +373,7 @@
         Ok(_) => pace.record_success(),
         Err(e) => {
             log::warn!(error:% = e; "cannot read stored origins of streams");
-            pace.record_failure();
+            pace.record_failure(shared.now());
         }
     }
     store.read_pace.set(pace);
--- a/crates/origin/src/pace.rs
+++ b/crates/origin/src/pace.rs
@@ -65,8 +65,9 @@
         self.backoff_ms = DurationMs::ZERO;
     }
 
-    /// Records that the table has refused a call or has not answered; the pauses double.
-    pub fn record_failure(&mut self) {
+    /// Records that the table has refused a call or has not answered; the pauses, which begin now, double.
+    pub fn record_failure(&mut self, now: TimeMs) {
+        self.started_at = Some(now);
         let doubled_ms = DurationMs(self.backoff_ms.0.saturating_mul(2));
         self.backoff_ms = doubled_ms.max(MIN_BACKOFF_MS).min(MAX_BACKOFF_MS);
     }
--- a/crates/origin/tests/origins.rs
+++ b/crates/origin/tests/origins.rs
@@ -376,7 +376,7 @@
     let mut calls = 0;
     while now < TimeMs(61_000) {
         pace.record_start(now);
-        pace.record_failure();
+        pace.record_failure(now);
         now = now + pace.pause_ms(MIN_READ_INTERVAL_MS, now);
         calls += 1;
     }
