origin: bound the calls of the whole fleet, and do not count unknown versions

Each call to the store has a price.

Change: all gateways together make at most 20 writes a second while several versions are known and 3 otherwise, and never more than a tenth of what the store bears. Only known versions count. A log line tells each write.

--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -15,13 +15,10 @@
 use dw_base::ServiceId;
 use dw_base::StreamKey;
 use dw_base::TimeMs;
-use dw_origin::fleet_interval_ms;
+use dw_origin::CallLimit;
 use dw_origin::CallPace;
 use dw_origin::OriginBatch;
 use dw_origin::OriginKeeper;
-use dw_origin::MIN_READ_INTERVAL_MS;
-use dw_origin::MIN_WRITE_INTERVAL_MS;
-use dw_origin::ONE_VERSION_INTERVAL_MS;
 use dw_platform::boot::TableRates;
 use dw_port::FeedError;
 use dw_port::OriginTable;
@@ -40,6 +37,9 @@
 /// Longest time that a take-up waits until the table may be read; for longer ones the caller comes back.
 const MAX_WAIT_MS: DurationMs = DurationMs(300);
 
+/// Time after which the pause before a write is looked at again, as it is shorter once several versions serve.
+const RECHECK_MS: DurationMs = DurationMs(1_000);
+
 /// Maximum number of streams in one row, which has room for 2,500.
 const MAX_BATCH_STREAMS: usize = 1_000;
 
@@ -179,12 +179,12 @@
         shared: &Shared,
         mut services: impl Iterator<Item = &'a ServiceId>,
     ) -> DurationMs {
-        let min_interval_ms = match services.any(|service| shared.origins.is_mixed(service)) {
-            true => MIN_WRITE_INTERVAL_MS,
-            false => ONE_VERSION_INTERVAL_MS,
+        let limit = match services.any(|service| shared.origins.is_mixed(service)) {
+            true => CallLimit::WRITES,
+            false => CallLimit::WRITES_OF_ONE_VERSION,
         };
         let routers = shared.placement.borrow().routers();
-        fleet_interval_ms(min_interval_ms, routers, 1, self.rates.writes_per_s)
+        limit.interval_ms(routers, 1, self.rates.writes_per_s)
     }
 
     fn write_pause_ms(&self, shared: &Shared) -> DurationMs {
@@ -197,8 +197,7 @@
     fn read_pause_ms(&self, shared: &Shared) -> DurationMs {
         let routers = shared.placement.borrow().routers();
         let calls = self.row_count.get() / ROWS_PER_READ + 1;
-        let interval_ms =
-            fleet_interval_ms(MIN_READ_INTERVAL_MS, routers, calls, self.rates.reads_per_s);
+        let interval_ms = CallLimit::READS.interval_ms(routers, calls, self.rates.reads_per_s);
         self.read_pace.get().pause_ms(interval_ms, shared.now())
     }
 
@@ -282,7 +281,7 @@
         // The pause becomes shorter when another version appears.
         match store.write_pause_ms(&shared) {
             DurationMs::ZERO => drop(store_batch(&shared).await),
-            pause_ms => sleep(pause_ms.min(MIN_WRITE_INTERVAL_MS).into()).await,
+            pause_ms => sleep(pause_ms.min(RECHECK_MS).into()).await,
         }
     }
 }
@@ -300,13 +299,18 @@
     if records.is_empty() {
         return true;
     }
+    let services = records.iter().map(|record| &record.origin.service);
+    let interval_ms = store.write_interval_ms(shared, services);
     let mut pace = store.write_pace.get();
     pace.record_start(shared.now());
     let mut table = store.table.lock().await;
     let result = write(shared, table.as_mut(), &records).await;
     drop(table);
     match &result {
-        Ok(true) => pace.record_success(),
+        Ok(true) => {
+            pace.record_success();
+            log::info!(streams = records.len(), interval_ms = interval_ms.0; "stored where streams began");
+        }
         Ok(false) => {
             log::warn!("the table came back from a copy or has a row of this process's name; storing all origins again");
             store.keys.set(None);
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -129,10 +129,10 @@
         now.since(self.observed_at) > MAX_STALL_MS
     }
 
-    /// Returns whether a service is known to have had several versions lately.
+    /// Returns whether a service is known to have had several versions lately, not counting unknown ones.
     pub fn has_several_versions(&self, service: &ServiceId) -> bool {
         let service = self.services.get(service);
-        service.is_some_and(|service| service.last_seen.len() > 1 || !service.unknown.is_empty())
+        service.is_some_and(|service| service.last_seen.len() > 1)
     }
 
     /// Returns whether a service had one version only for all of the time before now.
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`keepers`] | which processes are told, and asked |
 //! | [`SoftwareHistory`] | whether a service had one software version all the while that its streams may last |
 //! | [`decide_resume`] | where a stream may go on |
-//! | [`CallPace`] | when the platform's table may be called for origins again |
+//! | [`CallLimit`], [`CallPace`] | when the platform's table may be called for origins again |
 
 mod batch;
 mod handover;
@@ -28,11 +28,8 @@
 pub use keeper::OriginKeeper;
 pub use keepers::keepers;
 pub use keepers::KEEPERS;
-pub use pace::fleet_interval_ms;
+pub use pace::CallLimit;
 pub use pace::CallPace;
-pub use pace::MIN_READ_INTERVAL_MS;
-pub use pace::MIN_WRITE_INTERVAL_MS;
-pub use pace::ONE_VERSION_INTERVAL_MS;
 pub use resume::decide_resume;
 pub use resume::CannotResume;
 pub use resume::Resume;
--- a/crates/origin/src/pace.rs
+++ b/crates/origin/src/pace.rs
@@ -6,19 +6,52 @@
 use dw_base::DurationMs;
 use dw_base::TimeMs;
 
-/// Part of the table's calls that origins may take, over all routers.
-const MAX_CALL_SHARE: f64 = 0.1;
+/// Part of the calls that the table bears which origins may take.
+const MAX_TABLE_SHARE: f64 = 0.1;
 
-/// Shortest time between two writes of a router while one software version serves: origins are needed then only if all
-/// routers have started again.
-pub const ONE_VERSION_INTERVAL_MS: DurationMs = DurationMs(3_000);
+/// How often the routers may call the platform's table, which has a price for each call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimit {
+    /// Shortest time between two rounds of calls of one router.
+    min_interval_ms: DurationMs,
+    /// Calls of all routers together.
+    max_calls_per_s: f64,
+}
+
+impl CallLimit {
+    /// Writes while upstreams of several software versions serve. Origins that are not stored yet are lost with the
+    /// processes that know them; streams worth going on with last several times as long.
+    pub const WRITES: CallLimit = CallLimit {
+        min_interval_ms: DurationMs(1_000),
+        max_calls_per_s: 20.0,
+    };
 
-/// Shortest time between two writes of a router. Origins that are not stored yet are lost with the processes that know
-/// them; streams worth going on with last several times as long.
-pub const MIN_WRITE_INTERVAL_MS: DurationMs = DurationMs(1_000);
+    /// Writes while one software version serves: origins are needed then only if all routers have started again.
+    pub const WRITES_OF_ONE_VERSION: CallLimit = CallLimit {
+        min_interval_ms: DurationMs(3_000),
+        max_calls_per_s: 3.0,
+    };
 
-/// Shortest time between two reads of a router, for which callers wait.
-pub const MIN_READ_INTERVAL_MS: DurationMs = DurationMs(250);
+    /// Reads, for which callers wait and which are needed only after a loss of many processes.
+    pub const READS: CallLimit = CallLimit {
+        min_interval_ms: DurationMs(250),
+        max_calls_per_s: 200.0,
+    };
+
+    /// Returns the time between two rounds of calls of one router.
+    pub fn interval_ms(
+        self,
+        routers: u32,
+        calls_per_round: usize,
+        table_calls_per_s: f64,
+    ) -> DurationMs {
+        let calls = f64::from(routers.max(1)) * calls_per_round.max(1) as f64;
+        let bearable = (table_calls_per_s * MAX_TABLE_SHARE).max(f64::MIN_POSITIVE);
+        let calls_per_s = self.max_calls_per_s.min(bearable);
+        let interval_ms = DurationMs((calls / calls_per_s * 1_000.0).ceil() as u64);
+        interval_ms.max(self.min_interval_ms)
+    }
+}
 
 /// First additional pause after a call that failed.
 const MIN_BACKOFF_MS: DurationMs = DurationMs(250);
@@ -26,19 +59,6 @@
 /// Longest additional pause after several calls that failed.
 const MAX_BACKOFF_MS: DurationMs = DurationMs(8_000);
 
-/// Returns the time between two rounds of calls of one router, so that all of them together take at most a tenth of the
-/// calls that the table bears.
-pub fn fleet_interval_ms(
-    min_interval_ms: DurationMs,
-    routers: u32,
-    calls_per_round: usize,
-    table_calls_per_s: f64,
-) -> DurationMs {
-    let calls = f64::from(routers.max(1)) * calls_per_round.max(1) as f64;
-    let interval_s = calls / (table_calls_per_s * MAX_CALL_SHARE).max(f64::MIN_POSITIVE);
-    DurationMs((interval_s * 1_000.0).ceil() as u64).max(min_interval_ms)
-}
-
 /// When one router may call the platform's table for origins again.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallPace {
--- a/crates/origin/tests/origins.rs
+++ b/crates/origin/tests/origins.rs
@@ -9,15 +9,14 @@
 use dw_base::StreamKey;
 use dw_base::TimeMs;
 use dw_origin::decide_resume;
-use dw_origin::fleet_interval_ms;
 use dw_origin::keepers;
+use dw_origin::CallLimit;
 use dw_origin::CallPace;
 use dw_origin::CannotResume;
 use dw_origin::ObservedSoftware;
 use dw_origin::OriginKeeper;
 use dw_origin::Resume;
 use dw_origin::SoftwareHistory;
-use dw_origin::MIN_READ_INTERVAL_MS;
 use dw_wire::StreamOrigin;
 use dw_wire::UpstreamStart;
 use proptest::prelude::*;
@@ -357,11 +356,15 @@
 #[test]
 fn calls_of_all_routers_stay_under_a_tenth_of_the_rate() {
     const CALLS_PER_S: f64 = 400.0;
+    let limits = [
+        CallLimit::READS,
+        CallLimit::WRITES,
+        CallLimit::WRITES_OF_ONE_VERSION,
+    ];
     for (routers, _) in FLEETS {
-        for calls_per_round in [1, 5] {
+        for (limit, calls_per_round) in limits.into_iter().zip([5, 1, 1]) {
             let count = u32::try_from(routers).expect("fleet is small");
-            let interval_ms =
-                fleet_interval_ms(MIN_READ_INTERVAL_MS, count, calls_per_round, CALLS_PER_S);
+            let interval_ms = limit.interval_ms(count, calls_per_round, CALLS_PER_S);
             let calls_per_s = (routers * calls_per_round) as f64 / interval_ms.as_secs_f64();
             assert!(calls_per_s <= 40.0, "{routers} routers: {calls_per_s}");
         }
@@ -371,22 +374,20 @@
 /// Guards against routers that know no other ones and call a table that refuses them at full pace.
 #[test]
 fn pace_slows_down_while_calls_fail() {
+    const INTERVAL_MS: DurationMs = DurationMs(250);
     let mut pace = CallPace::default();
     let mut now = TimeMs(1_000);
     let mut calls = 0;
     while now < TimeMs(61_000) {
         pace.record_start(now);
         pace.record_failure(now);
-        now = now + pace.pause_ms(MIN_READ_INTERVAL_MS, now);
+        now = now + pace.pause_ms(INTERVAL_MS, now);
         calls += 1;
     }
     assert!(calls <= 13, "{calls} calls in a minute");
     pace.record_success();
     pace.record_start(now);
-    assert_eq!(
-        pace.pause_ms(MIN_READ_INTERVAL_MS, now),
-        MIN_READ_INTERVAL_MS
-    );
+    assert_eq!(pace.pause_ms(INTERVAL_MS, now), INTERVAL_MS);
 }
 
 /// Guards against an upstream that was only cut off and counts as one of another version for as long as versions are
@@ -408,8 +409,11 @@
     }
     history.withdraw_unknown(cut_off);
     assert!(!history.had_one_version(&service, RETENTION_MS + DurationMs(2_000), now));
-    assert!(history.has_several_versions(&service));
     history.withdraw_unknown(ended);
     assert!(history.had_one_version(&service, RETENTION_MS + DurationMs(2_000), now));
     assert!(!history.has_several_versions(&service));
+    let second = version(2);
+    let observed = [&first, &second].map(|version| (&service, ObservedSoftware::Version(version)));
+    history.observe(observed, now, now);
+    assert!(history.has_several_versions(&service));
 }
